Tests of the path, bad input and orders with real processes; one link per pair of entries

Now the link dialled by the entry whose name comes first stays. The stand-in's own hop header could not be sent (the server library writes Connection itself), so the check now uses Keep-Alive and Proxy-Authenticate, which are as forbidden.

--- /dev/null
+++ b/crates/entry/tests/bad_input.rs
@@ -0,0 +1,150 @@
+//! Bad input gets a numbered answer and touches nobody else.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use hickorycourse_testkit::fleet::{DEALER_KEY, MODEL, OPERATOR_KEY, wait_for};
+use hickorycourse_testkit::prelude::*;
+
+fn post(entry: &Entry, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
+    entry.ask("POST", path, DEALER_KEY, headers, Some(body.as_bytes()))
+}
+
+#[test]
+fn request_refused_by_number() {
+    let limits = json!({ "body_bytes": 4096, "header_bytes": 2048 });
+    let fleet = FleetBuilder::new().with_limits(limits).start();
+    let entry = &fleet.entries[0];
+    let chat = "/v1/chat/completions";
+    let large = "x".repeat(5_000);
+    let wide = "y".repeat(3_000);
+    let message = json!([{ "role": "user", "content": "hi" }]);
+    let with = |field: &str, value: Value| {
+        let mut body = json!({ "model": MODEL, "messages": message });
+        body[field] = value;
+        body.to_string()
+    };
+    let cases: Vec<(&str, Answer, u16, u64)> = vec![
+        ("no JSON", post(entry, chat, &[], "{"), 400, 1001),
+        ("a list", post(entry, chat, &[], "[]"), 400, 1002),
+        ("no model", post(entry, chat, &[], &with("model", Value::Null)), 400, 1002),
+        ("no messages", post(entry, chat, &[], &with("messages", json!([]))), 400, 1002),
+        ("a wrong role", post(entry, chat, &[], &with("messages", json!([1]))), 400, 1002),
+        ("a wrong flag", post(entry, chat, &[], &with("stream", json!("yes"))), 400, 1002),
+        ("a wrong limit", post(entry, chat, &[], &with("max_tokens", json!(-1))), 400, 1002),
+        ("an unknown model", post(entry, chat, &[], &with("model", json!("none"))), 404, 1005),
+        ("a large body", post(entry, chat, &[], &large), 413, 1003),
+        ("large headers", post(entry, chat, &[("x-wide", &wide)], "{}"), 431, 1004),
+        ("an unknown path", post(entry, "/nowhere", &[], ""), 404, 1006),
+        ("a part of a path", post(entry, "/ordersandmore", &[], ""), 404, 1006),
+        (
+            "an unknown rank",
+            post(entry, chat, &[("x-rank", "no")], &with("n", json!(1))),
+            400,
+            1010,
+        ),
+        ("a wrong method", entry.ask("GET", chat, DEALER_KEY, &[], None), 405, 1008),
+        ("an unknown key", entry.ask("POST", chat, "wrong", &[], Some(b"{}")), 401, 1007),
+        (
+            "a long key",
+            post(entry, "/orders", &[("idempotency-key", &"k".repeat(300))], ""),
+            400,
+            1011,
+        ),
+        ("an unknown job", entry.ask("GET", "/v1/jobs/none", DEALER_KEY, &[], None), 404, 4006),
+    ];
+    for (case, answer, status, code) in cases {
+        assert_eq!((answer.status, answer.code()), (status, code), "{case}: {}", answer.body);
+        assert_eq!(answer.execution(), "not_run", "{case}");
+        assert_eq!(answer.header("content-type"), Some("application/problem+json"), "{case}");
+        assert!(answer.json()["error"]["message"].is_string(), "{case}: clients read this");
+    }
+    assert_eq!(fleet.services[0].stats()["calls"], 0);
+    assert_eq!(entry.chat(&chat_body(MODEL, "still fine", 3, false)).status, 200);
+}
+
+#[test]
+fn operators_and_peers_need_keys() {
+    let fleet = FleetBuilder::new().start();
+    let entry = &fleet.entries[0];
+    let url = format!("http://{}/v1/status", entry.operator_address);
+    let none = ask("GET", &url, &[], None);
+    assert_eq!((none.status, none.code()), (401, 5003));
+    let authorization = format!("Bearer {OPERATOR_KEY}x");
+    let wrong = ask("GET", &url, &[("authorization", &authorization)], None);
+    assert_eq!(wrong.status, 401);
+    // A caller's key doesn't open the operators' port, nor the other way round.
+    let caller = entry.ask("GET", "/v1/models", OPERATOR_KEY, &[], None);
+    assert_eq!(caller.code(), 1007);
+    let mut stranger = TcpStream::connect(entry.peer_address).unwrap();
+    stranger.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    stranger.write_all(b"GET /peer HTTP/1.1\r\n\r\n").unwrap();
+    let mut answer = Vec::new();
+    // Closed without a link: the handshake needs the fleet's secret.
+    let _ = stranger.read_to_end(&mut answer);
+    assert_eq!(entry.status()["linked"].as_array().unwrap().len(), 1);
+}
+
+#[test]
+fn slow_sender_is_refused() {
+    let limits = json!({ "body_timeout_ms": 300 });
+    let fleet = FleetBuilder::new().with_limits(limits).start();
+    let mut stream = TcpStream::connect(fleet.entries[0].caller_address).unwrap();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {DEALER_KEY}\r\n\
+         content-length: 1000\r\n\r\n{{\"model\""
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let mut answer = vec![0; 4096];
+    let count = stream.read(&mut answer).unwrap();
+    let text = String::from_utf8_lossy(&answer[..count]);
+    assert!(text.starts_with("HTTP/1.1 408"), "{text}");
+    assert!(text.contains("1009") || text.contains("problem+json"), "{text}");
+    assert_eq!(fleet.entries[0].chat(&chat_body(MODEL, "still fine", 3, false)).status, 200);
+}
+
+#[test]
+fn caller_gone_cancels_attempt() {
+    let fleet = FleetBuilder::new().with_per_zone(1, 1, 1).start();
+    let body = chat_body(MODEL, "long answer", 2_000, true).to_string();
+    let mut stream = TcpStream::connect(fleet.entries[0].caller_address).unwrap();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {DEALER_KEY}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut start = [0; 512];
+    stream.read_exact(&mut start).unwrap();
+    drop(stream);
+    wait_for("the engine to see the attempt cancelled", || {
+        let cancelled = |engine: &hickorycourse_testkit::fleet::StandIn| {
+            engine.stats()["stats"]["cancelled"].as_u64().unwrap_or(0)
+        };
+        fleet.engines.iter().map(cancelled).sum::<u64>() == 1
+    });
+    wait_for("nothing in flight", || fleet.entries[0].status()["in_flight"] == 0);
+}
+
+#[test]
+fn upstream_nonsense_is_numbered() {
+    let policy = json!({ "attempt_limit": 1 });
+    let fleet = FleetBuilder::new().with_zones(1).with_policy(policy).start();
+    let engine = &fleet.engines[0];
+    let body = chat_body(MODEL, "ask", 8, false);
+    for (faults, status, code) in [
+        (json!({ "nonsense_after_tokens": 0 }), 502, 3004),
+        (json!({ "cross_after_tokens": 0 }), 502, 3004),
+        (json!({ "truncate_after_tokens": 0 }), 502, 3002),
+        (json!({ "break_after_tokens": 2 }), 502, 3002),
+        (json!({ "status": 500 }), 502, 3002),
+    ] {
+        engine.set_faults(&faults);
+        let answer = fleet.entries[0].chat(&body);
+        assert_eq!((answer.status, answer.code()), (status, code), "{faults}: {}", answer.body);
+        engine.set_faults(&json!({}));
+        assert_eq!(fleet.entries[0].chat(&body).status, 200, "after {faults}");
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/orders.rs
@@ -0,0 +1,177 @@
+//! A call that may run at most once, with real processes and the named failures.
+
+use std::time::Duration;
+
+use hickorycourse_testkit::fleet::{DEALER_KEY, wait_for};
+use hickorycourse_testkit::prelude::*;
+
+fn fleet() -> Fleet {
+    let timing = json!({ "platform_timeout_ms": 500 });
+    let policy = json!({ "first_byte_timeout_ms": 1000 });
+    FleetBuilder::new().with_timing(timing).with_policy(policy).start()
+}
+
+#[test]
+fn order_same_key_at_two_entries() {
+    let fleet = fleet();
+    for service in &fleet.services {
+        service.set_faults(&json!({ "delay_before_ms": 50 }));
+    }
+    for round in 0..10 {
+        let key = format!("both-{round}");
+        let answers: Vec<Answer> = std::thread::scope(|scope| {
+            let threads: Vec<_> = fleet
+                .entries
+                .iter()
+                .map(|entry| scope.spawn(|| entry.order(Some(&key), "same")))
+                .collect();
+            threads.into_iter().map(|thread| thread.join().unwrap()).collect()
+        });
+        assert_eq!(fleet.count_executions(&key), 1, "{answers:?}");
+        for answer in &answers {
+            let is_honest = answer.status == 200 || answer.code() == 4002;
+            assert!(is_honest, "{answer:?}");
+        }
+        let repeat = fleet.entries[0].order(Some(&key), "same");
+        assert_eq!(repeat.status, 200);
+        assert_eq!(repeat.execution(), "ran");
+        let reused = fleet.entries[1].order(Some(&key), "different");
+        assert_eq!(reused.code(), 4003);
+    }
+}
+
+#[test]
+fn order_not_run_is_true() {
+    let fleet = fleet();
+    let entry = &fleet.entries[0];
+    let cases = [
+        ("before", json!({ "break_before": true }), 0),
+        ("after", json!({ "break_after": true }), 1),
+        ("half", json!({ "truncate": true }), 1),
+        ("crossed", json!({ "cross": true }), 1),
+        ("silent", json!({ "delay_after_ms": 3000 }), 1),
+    ];
+    for (case, faults, executions) in cases {
+        for service in &fleet.services {
+            service.set_faults(&faults);
+        }
+        let keyed = entry.order(Some(case), "x");
+        assert_eq!(keyed.execution(), "may_have_run", "{case}: {keyed:?}");
+        let bare = entry.order(None, &format!("bare-{case}"));
+        assert_eq!(bare.execution(), "may_have_run", "{case}: {bare:?}");
+        for service in &fleet.services {
+            service.set_faults(&json!({}));
+        }
+        for repeat in &fleet.entries {
+            assert_eq!(repeat.order(Some(case), "x").code(), 4002, "{case}");
+        }
+        assert_eq!(fleet.count_executions(case), executions, "{case}");
+        assert_eq!(fleet.count_executions(&format!("bare-{case}")), executions, "{case}");
+    }
+}
+
+#[test]
+fn order_unreachable_service_not_run() {
+    let mut fleet = fleet();
+    for service in &mut fleet.services {
+        service.process.kill();
+    }
+    let refused = fleet.entries[0].order(Some("nobody"), "x");
+    assert_eq!((refused.code(), refused.execution().as_str()), (3005, "not_run"), "{refused:?}");
+    // The claim was given back, so a later repeat is not told that it may have run.
+    let again = fleet.entries[1].order(Some("nobody"), "x");
+    assert_eq!(again.execution(), "not_run", "{again:?}");
+}
+
+#[test]
+fn order_platform_outage_lost_answers() {
+    let fleet = fleet();
+    let entry = &fleet.entries[0];
+    assert_eq!(entry.order(Some("early"), "x").status, 200);
+    fleet.platform.set_faults(&json!({ "down": true }));
+    let refused = entry.order(Some("during"), "x");
+    assert_eq!((refused.code(), refused.execution().as_str()), (4001, "not_run"), "{refused:?}");
+    assert!(refused.header("retry-after").is_some());
+    assert_eq!(fleet.count_executions("during"), 0);
+    fleet.platform.set_faults(&json!({}));
+    wait_for("orders to be taken again", || entry.order(Some("during"), "x").status == 200);
+    assert_eq!(fleet.count_executions("during"), 1);
+    for (case, faults) in [
+        ("answer-lost", json!({ "lose_write_answers": 2 })),
+        ("write-lost", json!({ "lose_writes": 2 })),
+    ] {
+        fleet.platform.set_faults(&faults);
+        let answer = entry.order(Some(case), "x");
+        assert_eq!(answer.status, 200, "{case}: {answer:?}");
+        let repeat = fleet.entries[1].order(Some(case), "x");
+        assert!(repeat.status == 200 || repeat.code() == 4002, "{case}: {repeat:?}");
+        assert_eq!(fleet.count_executions(case), 1, "{case}");
+    }
+}
+
+#[test]
+fn order_entry_killed_or_frozen() {
+    let mut fleet = fleet();
+    for service in &fleet.services {
+        service.set_faults(&json!({ "delay_before_ms": 400 }));
+    }
+    std::thread::scope(|scope| {
+        let caller = scope.spawn(|| fleet.entries[0].order(Some("killed"), "x"));
+        std::thread::sleep(Duration::from_millis(200));
+        fleet.entries[0].process.freeze();
+        // Its claim holds although it is frozen: nobody else may run the order.
+        let other = fleet.entries[1].order(Some("killed"), "x");
+        assert_eq!(other.code(), 4002, "{other:?}");
+        fleet.entries[0].process.thaw();
+        let answer = caller.join().unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+    });
+    let path = fleet.entries[0].caller_address;
+    let sender = std::thread::spawn(move || {
+        let authorization = format!("Bearer {DEALER_KEY}");
+        let headers = [("authorization", authorization.as_str()), ("idempotency-key", "cut")];
+        ask("POST", &format!("http://{path}/orders/new"), &headers, Some(b"x"))
+    });
+    std::thread::sleep(Duration::from_millis(200));
+    fleet.entries[0].process.kill();
+    assert_eq!(sender.join().unwrap().status, 0);
+    for _ in 0..3 {
+        let repeat = fleet.entries[1].order(Some("cut"), "x");
+        assert_eq!(repeat.execution(), "may_have_run", "{repeat:?}");
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(fleet.count_executions("cut") <= 1);
+    assert_eq!(fleet.count_executions("killed"), 1);
+}
+
+#[test]
+fn order_id_served_while_platform_is_down() {
+    let mut fleet = fleet();
+    fleet.platform.set_faults(&json!({ "down": true }));
+    let issued = fleet.entries[0].ask("POST", "/v1/order-ids", DEALER_KEY, &[], None);
+    assert_eq!(issued.status, 201);
+    let id = issued.json()["order_id"].as_str().unwrap().to_owned();
+    let answers: Vec<Answer> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..6)
+            .map(|index| &fleet.entries[index % 2])
+            .map(|entry| scope.spawn(|| entry.order(Some(&id), "x")))
+            .collect();
+        threads.into_iter().map(|thread| thread.join().unwrap()).collect()
+    });
+    assert_eq!(fleet.count_executions(&id), 1, "{answers:?}");
+    assert!(answers.iter().any(|answer| answer.status == 200), "{answers:?}");
+    let repeat = fleet.entries[1].order(Some(&id), "x");
+    assert_eq!((repeat.status, repeat.execution().as_str()), (200, "ran"), "{repeat:?}");
+    let stranger = fleet.entries[1].ask(
+        "POST",
+        "/orders/new",
+        hickorycourse_testkit::fleet::CHAIN_KEY,
+        &[("idempotency-key", &id)],
+        Some(b"x"),
+    );
+    assert_eq!(stranger.code(), 4007);
+    fleet.entries[0].process.kill();
+    let orphan = fleet.entries[1].order(Some(&id), "x");
+    assert_eq!((orphan.code(), orphan.execution().as_str()), (4005, "may_have_run"));
+    assert_eq!(fleet.count_executions(&id), 1);
+}
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -75,7 +75,6 @@
 
 struct Link {
     id: u64,
-    address: Option<SocketAddr>,
     outbound: mpsc::Sender<Arc<Vec<u8>>>,
 }
 
@@ -90,6 +89,8 @@
     handler: Arc<dyn PeerHandler>,
     links: Mutex<BTreeMap<String, Vec<Link>>>,
     dialled: Mutex<BTreeSet<SocketAddr>>,
+    /// Who was met at the addresses that were dialled.
+    met: Mutex<BTreeMap<SocketAddr, String>>,
     next_link_id: AtomicU64,
     traffic: TrafficCounters,
     runtime: tokio::runtime::Handle,
@@ -113,6 +114,7 @@
             handler,
             links: Mutex::default(),
             dialled: Mutex::default(),
+            met: Mutex::default(),
             next_link_id: AtomicU64::new(1),
             traffic: TrafficCounters::default(),
             runtime: runtime.handle().clone(),
@@ -188,6 +190,7 @@
         self.is_closed.store(true, Ordering::SeqCst);
         self.dialled.lock().clear();
         self.links.lock().clear();
+        self.met.lock().clear();
     }
 
     fn is_open(&self) -> bool {
@@ -195,11 +198,25 @@
     }
 
     fn has_link_to(&self, address: SocketAddr) -> bool {
-        self.links.lock().values().flatten().any(|link| link.address == Some(address))
+        let met = self.met.lock().get(&address).cloned();
+        met.is_some_and(|peer| self.links.lock().contains_key(&peer))
     }
 
-    fn add_link(&self, peer: &str, link: Link) {
-        self.links.lock().entry(peer.to_owned()).or_default().push(link);
+    /// Adds a link; false if another one is to be used instead. When both ends dial, the link of
+    /// the one whose name comes first stays, so that both drop the same one.
+    fn add_link(&self, peer: &str, link: Link, was_dialled: bool) -> bool {
+        let mut links = self.links.lock();
+        let peer_links = links.entry(peer.to_owned()).or_default();
+        let is_first = self.options.instance.as_str() < peer;
+        if was_dialled && !peer_links.is_empty() {
+            if !is_first {
+                return false;
+            }
+            // Closing their channels ends the links' tasks.
+            peer_links.clear();
+        }
+        peer_links.push(link);
+        true
     }
 
     /// Removes a link; true if it was the peer's last.
@@ -255,7 +272,7 @@
     };
     let (connection, peer) =
         timeout(limit, opening).await.map_err(|_| PeerError::Silent(mesh.options.timeout_ms))??;
-    run_link(mesh, connection, &peer, None).await
+    run_link(mesh, connection, &peer, false).await
 }
 
 async fn open_connection(
@@ -302,7 +319,8 @@
     };
     let (connection, peer) =
         timeout(limit, opening).await.map_err(|_| PeerError::Silent(mesh.options.timeout_ms))??;
-    run_link(mesh, connection, &peer, Some(address)).await
+    mesh.met.lock().insert(address, peer.instance.clone());
+    run_link(mesh, connection, &peer, true).await
 }
 
 /// Serves a link until it ends.
@@ -310,7 +328,7 @@
     mesh: &Arc<PeerMesh>,
     connection: Connection,
     peer: &Hello,
-    address: Option<SocketAddr>,
+    was_dialled: bool,
 ) -> Result<(), PeerError> {
     let (outbound, queue) = mpsc::channel(OUTBOUND_LIMIT);
     let id = mesh.next_link_id.fetch_add(1, Ordering::Relaxed);
@@ -320,7 +338,9 @@
     }
     // Only the mesh keeps a sender, so that removing the link there ends its writer.
     let replies = outbound.downgrade();
-    mesh.add_link(&peer.instance, Link { id, address, outbound });
+    if !mesh.add_link(&peer.instance, Link { id, outbound }, was_dialled) {
+        return Ok(());
+    }
     log::info!(target: "peer", "Link with {} opened.", peer.instance);
     let (sink, stream) = connection.stream.split();
     let result = tokio::select! {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -147,8 +147,9 @@
     }
     let mut response = HttpResponse::Ok();
     response.header("content-type", "application/json");
-    response.header("connection", "x-hop");
-    response.header("x-hop", "must not be passed on");
+    // Headers of the hop, which must not be passed on.
+    response.header("keep-alive", "timeout=5");
+    response.header("proxy-authenticate", "Basic");
     if let Some(id) = http::header(request, "x-request-id") {
         let id = if faults.cross { "another-request" } else { id };
         response.header("x-request-id", id);
