--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -26,7 +26,9 @@
 const KEEP_ALIVE_S: u16 = 30;
 const OPERATOR_WORKERS: usize = 1;
 /// Time for the last bytes to leave after the last request has ended.
-const LAST_BYTES_WAIT: std::time::Duration = std::time::Duration::from_millis(100);
+const LAST_BYTES_WAIT: std::time::Duration = std::time::Duration::from_millis(300);
+/// Time for connections to close; none of them has a request any more.
+const SHUTDOWN_TIMEOUT_S: u16 = 1;
 
 /// Runs the process until it has drained.
 pub async fn run(settings: ProcessSettings) -> eyre::Result<()> {
@@ -152,6 +154,7 @@
     .config(SharedCfg::new("callers").add(config))
     // The library's own graceful stop cuts streams, so signals are this process's business.
     .disable_signals()
+    .shutdown_timeout(Seconds(SHUTDOWN_TIMEOUT_S))
     .listen(listener)?
     .run();
     Ok(server)
@@ -167,6 +170,7 @@
     })
     .workers(OPERATOR_WORKERS)
     .disable_signals()
+    .shutdown_timeout(Seconds(SHUTDOWN_TIMEOUT_S))
     .listen(listener)?
     .run();
     Ok(server)
--- /dev/null
+++ b/crates/entry/tests/streams.rs
@@ -0,0 +1,336 @@
+//! Accepted streams survive: engines that break, fall silent, cross answers or leave; entries that
+//! drain.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use hickorycourse_testkit::fleet::{MODEL, StandIn, wait_for};
+use hickorycourse_testkit::prelude::*;
+
+fn fleet() -> Fleet {
+    let policy = json!({ "token_timeout_ms": 400, "first_byte_timeout_ms": 1500 });
+    FleetBuilder::new().with_policy(policy).start()
+}
+
+/// The answer that an undisturbed run gives.
+fn undisturbed(fleet: &Fleet, prompt: &str, tokens: u64) -> String {
+    let answer = fleet.entries[0].stream(&chat_body(MODEL, prompt, tokens, true), |_| {});
+    assert!(answer.is_whole, "{:?}", answer.problem);
+    answer.text
+}
+
+fn find_running(fleet: &Fleet) -> usize {
+    let is_running = |engine: &StandIn| engine.stats()["running"].as_u64().unwrap_or(0) > 0;
+    fleet.engines.iter().position(is_running).expect("an engine runs the stream")
+}
+
+#[test]
+fn stream_resumes_at_other_engine() {
+    let fleet = fleet();
+    let faults = [
+        json!({ "break_after_tokens": 7 }),
+        json!({ "truncate_after_tokens": 7 }),
+        json!({ "silent_after_tokens": 7 }),
+        json!({ "cross_after_tokens": 7 }),
+        json!({ "nonsense_after_tokens": 7 }),
+        json!({ "freeze": true }),
+        json!({ "status": 503 }),
+    ];
+    for (round, fault) in faults.iter().enumerate() {
+        let prompt = format!("frost tonight? {round}");
+        let expected = undisturbed(&fleet, &prompt, 40);
+        let body = chat_body(MODEL, &prompt, 40, true);
+        for engine in 0..2 {
+            fleet.engines[engine].set_faults(fault);
+            let answer = fleet.entries[0].stream(&body, |_| {});
+            let whole = fleet.entries[1].chat(&chat_body(MODEL, &prompt, 40, false));
+            fleet.engines[engine].set_faults(&json!({}));
+            assert!(answer.is_whole, "{fault}: {:?}", answer.problem);
+            assert_eq!(answer.text, expected, "{fault}");
+            let ids: BTreeSet<String> =
+                answer.chunks.iter().map(|chunk| chunk["id"].to_string()).collect();
+            assert_eq!(ids.len(), 1, "{fault}: the caller sees one answer");
+            let text = &whole.json()["choices"][0]["message"]["content"];
+            assert_eq!(text, expected.as_str(), "{fault}: {}", whole.body);
+            assert_eq!(whole.json()["usage"]["completion_tokens"], 40, "{fault}");
+        }
+    }
+}
+
+#[test]
+fn stream_survives_engine_killed() {
+    let mut fleet = fleet();
+    let expected = undisturbed(&fleet, "kill me", 120);
+    let started = AtomicBool::new(false);
+    let entry = &fleet.entries[0];
+    let engines = &mut fleet.engines;
+    let answer = std::thread::scope(|scope| {
+        let body = chat_body(MODEL, "kill me", 120, true);
+        let caller = scope.spawn(|| {
+            let body = body;
+            entry.stream(&body, |count| started.store(count > 20, Ordering::SeqCst))
+        });
+        wait_for("the stream to run", || started.load(Ordering::SeqCst));
+        let running = engines.iter().position(|e| e.stats()["running"] == 1).unwrap();
+        engines[running].process.kill();
+        caller.join().unwrap()
+    });
+    assert!(answer.is_whole, "{:?}", answer.problem);
+    assert_eq!(answer.text, expected);
+}
+
+#[test]
+fn silent_connections_recover_bounded() {
+    let fleet = fleet();
+    let expected = undisturbed(&fleet, "silence", 100);
+    let entry = &fleet.entries[0];
+    let started = AtomicUsize::new(0);
+    let answers = std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..20)
+            .map(|_| {
+                scope.spawn(|| {
+                    let body = chat_body(MODEL, "silence", 100, true);
+                    let answer = entry.stream(&body, |count| {
+                        if count == 10 {
+                            started.fetch_add(1, Ordering::SeqCst);
+                        }
+                    });
+                    (answer, Instant::now())
+                })
+            })
+            .collect();
+        wait_for("all streams to run", || started.load(Ordering::SeqCst) == 20);
+        let silenced_at = Instant::now();
+        for engine in &fleet.engines {
+            engine.set_faults(&json!({ "silence_running": true }));
+        }
+        let join = |caller: std::thread::ScopedJoinHandle<'_, _>| caller.join().unwrap();
+        let answers: Vec<_> = callers.into_iter().map(join).collect();
+        (answers, silenced_at)
+    });
+    let (answers, silenced_at) = answers;
+    for (answer, ended_at) in answers {
+        assert!(answer.is_whole, "{:?}", answer.problem);
+        assert_eq!(answer.text, expected);
+        // 400 ms until the silence is noticed, then the rest of the answer; generous for a busy
+        // machine, far below the 60 s that a dead connection would take.
+        assert!(ended_at.duration_since(silenced_at) < Duration::from_secs(15));
+    }
+}
+
+#[test]
+fn many_calls_get_their_own_answer() {
+    let fleet = fleet();
+    fleet.engines[0].set_faults(&json!({ "cross_after_tokens": 3 }));
+    let expected: Vec<String> = {
+        let clean = &fleet.engines[1];
+        (0..40)
+            .map(|number| {
+                let body = chat_body(MODEL, &format!("question {number}"), 8, false).to_string();
+                let url = format!("http://{}/v1/chat/completions", clean.address);
+                let answer = ask("POST", &url, &[], Some(body.as_bytes()));
+                answer.json()["choices"][0]["message"]["content"].as_str().unwrap().to_owned()
+            })
+            .collect()
+    };
+    let wrong = AtomicUsize::new(0);
+    let answered = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for worker in 0..16 {
+            let (fleet, expected) = (&fleet, &expected);
+            let (wrong, answered) = (&wrong, &answered);
+            scope.spawn(move || {
+                for round in 0..75 {
+                    let number = (worker * 7 + round) % expected.len();
+                    let body = chat_body(MODEL, &format!("question {number}"), 8, round % 2 == 0);
+                    let entry = &fleet.entries[(worker + round) % 2];
+                    let text = if round % 2 == 0 {
+                        let answer = entry.stream(&body, |_| {});
+                        answer.is_whole.then_some(answer.text)
+                    } else {
+                        let answer = entry.chat(&body);
+                        let text = answer.json()["choices"][0]["message"]["content"].clone();
+                        text.as_str().map(str::to_owned)
+                    };
+                    let Some(text) = text else { continue };
+                    answered.fetch_add(1, Ordering::SeqCst);
+                    wrong.fetch_add(usize::from(text != expected[number]), Ordering::SeqCst);
+                }
+            });
+        }
+    });
+    assert_eq!(wrong.load(Ordering::SeqCst), 0);
+    assert!(answered.load(Ordering::SeqCst) > 600, "of 1200: {answered:?}");
+}
+
+#[test]
+fn leaving_engine_gets_nothing_new() {
+    let fleet = fleet();
+    let leaving = &fleet.engines[0];
+    fleet.give_notice(&leaving.name);
+    std::thread::sleep(Duration::from_secs(3));
+    let before = leaving.stats()["stats"]["requests"].as_u64().unwrap();
+    for number in 0..20 {
+        let entry = &fleet.entries[number % 2];
+        assert_eq!(entry.chat(&chat_body(MODEL, "after notice", 3, false)).status, 200);
+    }
+    assert_eq!(leaving.stats()["stats"]["requests"].as_u64().unwrap(), before);
+}
+
+#[test]
+fn leaving_entry_refuses_within_three_seconds() {
+    for way in ["signal", "notice", "operator"] {
+        let mut fleet = fleet();
+        // Longer than the notice and the grace.
+        let expected_tokens = 800;
+        let long = chat_body(MODEL, "a long goodbye", 800, true);
+        let entry = &fleet.entries[0];
+        let is_running = AtomicBool::new(false);
+        let answer = std::thread::scope(|scope| {
+            let caller = scope.spawn(|| {
+                entry.stream(&long, |count| is_running.store(count > 5, Ordering::SeqCst))
+            });
+            wait_for("the stream to run", || is_running.load(Ordering::SeqCst));
+            match way {
+                "signal" => entry.process.terminate(),
+                "notice" => fleet.give_notice(&entry.name),
+                _ => assert_eq!(entry.operate("POST", "/v1/drain", None).status, 202),
+            }
+            let told_at = Instant::now();
+            wait_for("readiness to fail", || !entry.is_ready());
+            assert!(told_at.elapsed() < Duration::from_secs(3), "{way}");
+            std::thread::sleep(Duration::from_secs(3).saturating_sub(told_at.elapsed()));
+            let refused = entry.chat(&chat_body(MODEL, "too late", 3, false));
+            assert_eq!(refused.code(), 2003, "{way}: {refused:?}");
+            assert_eq!(refused.execution(), "not_run");
+            caller.join().unwrap()
+        });
+        assert!(answer.is_whole, "{way}: {:?}", answer.problem);
+        assert_eq!(answer.chunks.len(), expected_tokens + 1, "{way}");
+        let status = fleet.entries[0].process.wait(Duration::from_secs(10));
+        assert!(status.is_some_and(|status| status.success()), "{way}: the process ends by itself");
+    }
+}
+
+#[test]
+fn rolling_restart_cuts_nothing() {
+    let mut fleet = FleetBuilder::new().with_per_zone(1, 1, 2).start();
+    let is_over = AtomicBool::new(false);
+    let failed = AtomicUsize::new(0);
+    let answered = AtomicUsize::new(0);
+    let mut ended_well = true;
+    let expected = undisturbed(&fleet, "rolling", 300);
+    let addresses: Vec<_> = fleet.entries.iter().map(|entry| entry.caller_address).collect();
+    std::thread::scope(|scope| {
+        for worker in 0..12 {
+            let (is_over, failed, answered) = (&is_over, &failed, &answered);
+            let (addresses, expected) = (&addresses, &expected);
+            scope.spawn(move || {
+                let mut turn = worker;
+                while !is_over.load(Ordering::SeqCst) {
+                    turn += 1;
+                    let address = addresses[turn % addresses.len()];
+                    // What a balancer does: only instances that are ready get work.
+                    if ask("GET", &format!("http://{address}/readyz"), &[], None).status != 200 {
+                        continue;
+                    }
+                    let key = format!("Bearer {}", hickorycourse_testkit::fleet::DEALER_KEY);
+                    let url = format!("http://{address}/v1/chat/completions");
+                    let body = chat_body(MODEL, "rolling", 300, true);
+                    let headers = [("authorization", key.as_str())];
+                    let answer =
+                        hickorycourse_testkit::http::read_stream(&url, &headers, &body, |_| {});
+                    let is_good = answer.is_whole && answer.text == *expected;
+                    answered.fetch_add(usize::from(is_good), Ordering::SeqCst);
+                    if !is_good {
+                        eprintln!("{address}: {} {:?}", answer.status, answer.problem);
+                        failed.fetch_add(1, Ordering::SeqCst);
+                    }
+                }
+            });
+        }
+        // Nothing may panic here: the workers would go on for ever.
+        for index in 0..fleet.entries.len() {
+            fleet.entries[index].process.terminate();
+            let status = fleet.entries[index].process.wait(Duration::from_secs(30));
+            ended_well &= status.is_some_and(|status| status.success());
+            fleet.restart_entry(index);
+            let started = Instant::now();
+            while !fleet.entries[index].is_ready() && started.elapsed() < Duration::from_secs(20) {
+                std::thread::sleep(Duration::from_millis(50));
+            }
+            ended_well &= fleet.entries[index].is_ready();
+        }
+        is_over.store(true, Ordering::SeqCst);
+    });
+    assert!(ended_well, "each entry ends by itself and comes back");
+    assert_eq!(failed.load(Ordering::SeqCst), 0);
+    assert!(answered.load(Ordering::SeqCst) > 20, "{answered:?}");
+}
+
+#[test]
+fn stream_on_engine_in_leaving_zone_is_finished() {
+    let mut fleet = fleet();
+    let expected = undisturbed(&fleet, "zone", 200);
+    let started = AtomicUsize::new(0);
+    let entry = &fleet.entries[1];
+    let running_zone = AtomicBool::new(false);
+    let engines = &mut fleet.engines;
+    let platform = fleet.platform.address;
+    let answers = std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..10)
+            .map(|_| {
+                scope.spawn(|| {
+                    let body = chat_body(MODEL, "zone", 200, true);
+                    entry.stream(&body, |count| {
+                        if count == 10 {
+                            started.fetch_add(1, Ordering::SeqCst);
+                        }
+                    })
+                })
+            })
+            .collect();
+        wait_for("all streams to run", || started.load(Ordering::SeqCst) == 10);
+        // Notice for one zone's engine, then it dies in the middle of its streams.
+        let running = engines.iter().position(|e| e.stats()["running"] != 0).unwrap();
+        running_zone.store(running == 1, Ordering::SeqCst);
+        let body = json!({ "instance": engines[running].name }).to_string();
+        ask("POST", &format!("http://{platform}/notices"), &[], Some(body.as_bytes()));
+        std::thread::sleep(Duration::from_millis(200));
+        engines[running].process.kill();
+        callers.into_iter().map(|caller| caller.join().unwrap()).collect::<Vec<_>>()
+    });
+    for answer in answers {
+        assert!(answer.is_whole, "{:?}", answer.problem);
+        assert_eq!(answer.text, expected);
+    }
+}
+
+#[test]
+fn entry_opens_no_ring() {
+    let fleet = FleetBuilder::new().with_zones(1).start();
+    let dir = format!("/proc/{}/fd", fleet.entries[0].process.id());
+    let links = std::fs::read_dir(dir).unwrap().filter_map(|file| file.ok());
+    let targets: Vec<String> = links
+        .filter_map(|file| std::fs::read_link(file.path()).ok())
+        .map(|target| target.display().to_string())
+        .collect();
+    assert!(!targets.is_empty());
+    assert!(targets.iter().all(|target| !target.contains("io_uring")), "{targets:?}");
+}
+
+#[test]
+fn stream_found_by_engine_stats() {
+    let fleet = fleet();
+    let is_running = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let body = chat_body(MODEL, "stats", 60, true);
+            fleet.entries[0].stream(&body, |_| is_running.store(true, Ordering::SeqCst))
+        });
+        wait_for("the stream to run", || is_running.load(Ordering::SeqCst));
+        // Own zone first.
+        assert_eq!(find_running(&fleet), 0);
+    });
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -9,7 +9,6 @@
 use futures_util::stream;
 use hickorycourse_routing::{PrefixBlocks, PrefixIndex};
 use hickorycourse_upstream::{CacheEvents, UpstreamReport};
-use ntex::time::{Millis, sleep};
 use ntex::util::Bytes;
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, types};
 use parking_lot::Mutex;
@@ -18,7 +17,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gate::{Gate, Place};
-use crate::http::{self, BodyStream, broken};
+use crate::http::{self, BodyStream, broken, pause_ms, pause_us};
 
 /// Options of an engine.
 #[derive(Bpaf, Clone, Debug)]
@@ -343,7 +342,7 @@
         let status = ntex::http::StatusCode::from_u16(status).unwrap_or_default();
         return HttpResponse::build(status).body("told to fail\n");
     }
-    sleep(Millis(faults.first_byte_delay_ms as u32)).await;
+    pause_ms(faults.first_byte_delay_ms).await;
     let Some(place) = shared.gate.enter(call.priority).await else {
         return HttpResponse::ServiceUnavailable().finish();
     };
@@ -378,7 +377,7 @@
             cached_tokens
         };
         let compute_us = (prompt_tokens - cached_tokens) * self.options.prompt_token_us;
-        sleep(Millis((compute_us / 1_000) as u32)).await;
+        pause_us(compute_us).await;
         cached_tokens
     }
 }
@@ -474,7 +473,7 @@
         }
         let factor = faults.slow_factor.unwrap_or(1);
         let token_us = self.engine.options.token_us * factor;
-        sleep(Millis((token_us / 1_000) as u32)).await;
+        pause_us(token_us).await;
         self.push_token();
     }
 
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::pin::Pin;
+use std::time::Duration;
 
 use futures_util::Stream;
 use ntex::util::{Bytes, BytesMut};
@@ -10,6 +11,18 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+/// Waits. The HTTP library's own timer is too coarse for tokens.
+pub async fn pause_us(time_us: u64) {
+    if time_us > 0 {
+        tokio::time::sleep(Duration::from_micros(time_us)).await;
+    }
+}
+
+/// Waits.
+pub async fn pause_ms(time_ms: u64) {
+    pause_us(time_ms * 1_000).await;
+}
+
 /// A streamed body.
 pub type BodyStream = Pin<Box<dyn Stream<Item = Result<Bytes, io::Error>>>>;
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -9,7 +9,6 @@
 use hickorycourse_platform::{
     FleetInstance, GatewayKeyValue, InstanceState, StartRequest, Stored, WatchFrame, decode,
 };
-use ntex::time::{Millis, sleep};
 use ntex::util::Bytes;
 use ntex::web::{self, App, HttpResponse, HttpServer, types};
 use parking_lot::Mutex;
@@ -17,7 +16,7 @@
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 
-use crate::http::{self, BodyStream, broken};
+use crate::http::{self, BodyStream, broken, pause_ms};
 
 /// Faults; each holds until it is switched off.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
@@ -87,7 +86,7 @@
 
 type Shared = Arc<Mutex<Platform>>;
 
-const LEASE_CHECK_MS: u32 = 50;
+const LEASE_CHECK_MS: u64 = 50;
 
 /// Runs the platform.
 pub async fn run(address: SocketAddr, list_lag_ms: u64) -> std::io::Result<()> {
@@ -132,7 +131,7 @@
 
 async fn expire_leases(shared: Shared) {
     loop {
-        sleep(Millis(LEASE_CHECK_MS)).await;
+        pause_ms(LEASE_CHECK_MS).await;
         let mut platform = shared.lock();
         let now = Instant::now();
         let lapsed: Vec<i64> = platform
@@ -192,7 +191,7 @@
     if faults.silent {
         std::future::pending::<()>().await;
     }
-    sleep(Millis(faults.slow_ms as u32)).await;
+    pause_ms(faults.slow_ms).await;
     Ok(())
 }
 
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -5,14 +5,13 @@
 use std::sync::Arc;
 
 use futures_util::{StreamExt, stream};
-use ntex::time::{Millis, sleep};
 use ntex::util::Bytes;
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, types};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::http::{self, BodyStream, broken};
+use crate::http::{self, BodyStream, broken, pause_ms};
 
 /// Faults; each holds until it is switched off.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
@@ -102,7 +101,7 @@
         service.last_request = describe(&request, &body);
         service.faults.clone()
     };
-    sleep(Millis(faults.delay_before_ms as u32)).await;
+    pause_ms(faults.delay_before_ms).await;
     if faults.break_before {
         return break_off(&[]);
     }
@@ -119,7 +118,7 @@
         *count += 1;
         *count
     };
-    sleep(Millis(faults.delay_after_ms as u32)).await;
+    pause_ms(faults.delay_after_ms).await;
     if faults.break_after {
         return break_off(&[]);
     }
--- a/crates/testkit/src/relay.rs
+++ b/crates/testkit/src/relay.rs
@@ -48,9 +48,11 @@
         Self { address, state }
     }
 
-    /// Closes all connections and refuses new ones, or lets them through again.
+    /// Closes all connections and refuses new ones, or lets them through again. The change holds
+    /// when this returns.
     pub fn set_cut(&self, is_cut: bool) {
         self.state.is_cut.store(is_cut, Ordering::SeqCst);
+        std::thread::sleep(3 * POLL);
     }
 
     /// Lets the connections that are open now carry nothing any more; new ones work.
