Steward: zone lease with fencing, wished states, replacements with backoff

Real processes: the frozen holder is replaced, its number is behind; a refused start is tried again and replaced once.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -43,6 +43,6 @@
 pub use policy::{AdmissionKind, Policy, RetryKind, RouterKind};
 pub use process::{Limits, LogForm, LogLevel, LogSettings, ProcessSettings, TimingSettings};
 pub use tree::{
-    Caller, MachineClass, Organisation, OrganisationService, Price, RankOverrides, RankSettings,
-    ServiceKind, ServiceSettings, SettingsTree, Site, UpstreamSettings,
+    Caller, EngineWish, MachineClass, Organisation, OrganisationService, Price, RankOverrides,
+    RankSettings, ServiceKind, ServiceSettings, SettingsTree, Site, UpstreamSettings,
 };
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -122,6 +122,26 @@
     /// Whether it refuses orders that carry an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
+    /// What the steward tells it to serve; nothing if left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub wish: Option<EngineWish>,
+}
+
+/// The state that an engine is told to be in.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineWish {
+    /// The model to load.
+    pub model: String,
+    /// Its version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<String>,
+    /// The adapter to load with it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adapter: Option<String>,
+    /// Its role, such as `prefill` or `decode`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub role: Option<String>,
 }
 
 /// The price of one class of instances in one availability zone.
--- /dev/null
+++ b/crates/steward/tests/processes.rs
@@ -0,0 +1,55 @@
+//! Stewards as real processes.
+
+use std::time::Duration;
+
+use hickorycourse_testkit::fleet::{MODEL, wait_for};
+use hickorycourse_testkit::prelude::*;
+
+fn start_steward(fleet: &Fleet, name: &str) -> Process {
+    let entry = fleet.log_dir.join(format!("{}.jsonc", fleet.entries[0].name));
+    let arguments = vec![entry.display().to_string()];
+    Process::start("hickorycourse-steward", &arguments, name, &fleet.log_dir)
+}
+
+fn with_wishes(fleet: &Fleet) -> Value {
+    let mut site = fleet.make_site();
+    for upstream in site["upstreams"].as_array_mut().unwrap() {
+        if upstream["service"] == "desk" {
+            upstream["wish"] = json!({ "model": MODEL, "version": "2" });
+            upstream["checks_fencing"] = json!(true);
+        }
+    }
+    site
+}
+
+#[test]
+fn steward_frozen_is_replaced_and_fenced() {
+    let fleet = FleetBuilder::new().with_zones(1).start();
+    assert_eq!(fleet.set_settings(0, "site", 1, &with_wishes(&fleet)).status, 200);
+    let engine = &fleet.engines[0];
+    let taken = || engine.stats()["stats"]["orders_taken"].as_u64().unwrap();
+    let first = start_steward(&fleet, "steward-1");
+    wait_for("the first steward's orders", || taken() > 0);
+    let second = start_steward(&fleet, "steward-2");
+    first.freeze();
+    let before = taken();
+    wait_for("the second steward's orders", || taken() > before);
+    assert!(second.read_log().contains("Holds the lease"));
+    // The orders of the one that was frozen are not started, or refused by their number.
+    first.thaw();
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!(first.read_log().matches("Holds the lease").count(), 1);
+    assert_eq!(fleet.entries[0].chat(&chat_body(MODEL, "still", 3, false)).status, 200);
+}
+
+#[test]
+fn steward_replaces_leaving_instance() {
+    let fleet = FleetBuilder::new().with_zones(1).start();
+    let steward = start_steward(&fleet, "steward");
+    wait_for("the lease", || steward.read_log().contains("Holds the lease"));
+    fleet.platform.set_faults(&json!({ "refuse_starts": true }));
+    fleet.give_notice(&fleet.engines[0].name);
+    wait_for("a refused start", || steward.read_log().contains("start failed"));
+    fleet.platform.set_faults(&json!({}));
+    wait_for("a replacement", || steward.read_log().contains("replaces"));
+}
