--- /dev/null
+++ b/crates/usage/tests/usage.rs
@@ -0,0 +1,66 @@
+//! Usage counters and bills.
+
+use hickorycourse_usage::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+fn runner() -> TestRunner {
+    let config = Config { cases: 2_000, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[13; 32]))
+}
+
+fn key(number: u8) -> UsageKey {
+    UsageKey {
+        organisation: format!("o{number}"),
+        caller: "c".to_owned(),
+        service: "s".to_owned(),
+        rank: "r".to_owned(),
+    }
+}
+
+/// Copies taken at any time and merged in any order, any number of times, lose and double nothing.
+#[test]
+fn merge_any_copies_equals_book() {
+    let strategy = proptest::collection::vec((0..3u8, 0..100u64, any::<bool>()), 1..60);
+    runner()
+        .run(&(strategy, any::<u64>()), |(calls, seed)| {
+            let mut book = UsageBook::new();
+            let mut copies = Vec::new();
+            for (number, tokens, is_copied) in calls {
+                let count =
+                    UsageCount { answered: 1, answer_tokens: tokens, ..UsageCount::default() };
+                book.add(&key(number), &count);
+                if is_copied {
+                    copies.push(book.clone());
+                }
+            }
+            copies.push(book.clone());
+            let mut merged = UsageBook::new();
+            for turn in 0..copies.len() * 2 {
+                let index = (seed as usize).wrapping_add(turn * 7) % copies.len();
+                merged.merge(&copies[index]);
+            }
+            merged.merge(&copies[copies.len() - 1]);
+            prop_assert_eq!(merged, book);
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn split_adds_up_to_the_cent() {
+    let strategy = (0..10_000_000u64, proptest::collection::vec(0..u64::MAX / 2, 1..20));
+    runner()
+        .run(&strategy, |(amount, weights)| {
+            let parts = split_cents(amount, &weights);
+            let total: u128 = weights.iter().map(|weight| u128::from(*weight)).sum();
+            let expected = if total == 0 { 0 } else { amount };
+            prop_assert_eq!(parts.iter().sum::<u64>(), expected);
+            for (part, weight) in parts.iter().zip(&weights) {
+                let exact = u128::from(amount) * u128::from(*weight) / total.max(1);
+                prop_assert!(u128::from(*part).abs_diff(exact) <= 1, "within a cent of its part");
+            }
+            Ok(())
+        })
+        .unwrap();
+}
