--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -126,19 +126,34 @@
 
     /// Places that are open for this instance at all upstreams.
     pub fn count_slots(&self, now_ms: u64) -> u64 {
-        let usable = self.upstreams.iter().filter(|u| u.is_usable(now_ms));
-        usable.map(|upstream| upstream.own_limit(self.share_permille)).sum()
+        self.list_usable(now_ms).map(|upstream| upstream.own_limit(self.share_permille)).sum()
     }
 
     /// Places that are free.
     pub fn count_free_slots(&self, now_ms: u64) -> u64 {
-        let usable = self.upstreams.iter().filter(|u| u.is_usable(now_ms));
-        usable.map(|upstream| upstream.free_slots(self.share_permille)).sum()
+        self.list_usable(now_ms).map(|upstream| upstream.free_slots(self.share_permille)).sum()
     }
 
     /// Upstreams that may take work, full or not.
     pub fn count_usable(&self, now_ms: u64) -> usize {
-        self.upstreams.iter().filter(|upstream| upstream.is_usable(now_ms)).count()
+        self.list_usable(now_ms).count()
+    }
+
+    fn list_usable(&self, now_ms: u64) -> impl Iterator<Item = &Upstream> {
+        let holds = self.do_ejections_hold(now_ms);
+        self.upstreams.iter().filter(move |upstream| upstream.is_usable(now_ms, holds))
+    }
+
+    /// Ejections are void while they would keep out more than the cap, as when the healthy ones
+    /// leave: a doubtful upstream is better than none.
+    fn do_ejections_hold(&self, now_ms: u64) -> bool {
+        let open = self.upstreams.iter().filter(|upstream| upstream.is_open()).count();
+        self.count_ejected(now_ms) * 100 <= open * EJECTED_MOST_PERCENT
+    }
+
+    fn count_ejected(&self, now_ms: u64) -> usize {
+        let ejected = |u: &&Upstream| u.is_open() && u.ejected_until_ms > now_ms;
+        self.upstreams.iter().filter(ejected).count()
     }
 
     /// Chooses an upstream with a free place that is not among the excluded, and takes the place.
@@ -207,12 +222,13 @@
 
     /// Whether an upstream leaves.
     pub fn is_leaving(&self, index: usize) -> bool {
-        self.upstreams[index].is_leaving || self.upstreams[index].is_removed
+        !self.upstreams[index].is_open()
     }
 
     /// What operators see.
     pub fn list_status(&self, now_ms: u64) -> Vec<UpstreamStatus> {
         let share_permille = self.share_permille;
+        let holds = self.do_ejections_hold(now_ms);
         let status = |upstream: &Upstream| UpstreamStatus {
             instance: upstream.settings.instance.clone(),
             availability_zone: upstream.settings.availability_zone.clone(),
@@ -220,8 +236,8 @@
             own_in_flight: upstream.load.own_in_flight(),
             in_flight: upstream.load.in_flight(),
             own_limit: upstream.own_limit(share_permille),
-            is_leaving: upstream.is_leaving || upstream.is_removed,
-            is_ejected: upstream.ejected_until_ms > now_ms,
+            is_leaving: !upstream.is_open(),
+            is_ejected: holds && upstream.ejected_until_ms > now_ms,
         };
         self.upstreams.iter().map(status).collect()
     }
@@ -231,9 +247,8 @@
     }
 
     fn can_eject(&self, now_ms: u64) -> bool {
-        let open = self.upstreams.iter().filter(|upstream| !upstream.is_leaving).count();
-        let ejected = self.upstreams.iter().filter(|u| u.ejected_until_ms > now_ms).count();
-        (ejected + 1) * 100 <= open * EJECTED_MOST_PERCENT
+        let open = self.upstreams.iter().filter(|upstream| upstream.is_open()).count();
+        (self.count_ejected(now_ms) + 1) * 100 <= open * EJECTED_MOST_PERCENT
     }
 
     fn list_candidates(
@@ -242,10 +257,11 @@
         excluded: &[usize],
         now_ms: u64,
     ) -> Vec<Candidate> {
+        let holds = self.do_ejections_hold(now_ms);
         let mut candidates = Vec::new();
         for (index, upstream) in self.upstreams.iter().enumerate() {
-            let is_open = upstream.is_usable(now_ms) && !excluded.contains(&index);
-            if !is_open || upstream.free_slots(self.share_permille) == 0 {
+            let is_eligible = upstream.is_usable(now_ms, holds) && !excluded.contains(&index);
+            if !is_eligible || upstream.free_slots(self.share_permille) == 0 {
                 continue;
             }
             candidates.push(Candidate {
@@ -276,8 +292,12 @@
         }
     }
 
-    fn is_usable(&self, now_ms: u64) -> bool {
-        !self.is_leaving && !self.is_removed && self.ejected_until_ms <= now_ms
+    fn is_open(&self) -> bool {
+        !self.is_leaving && !self.is_removed
+    }
+
+    fn is_usable(&self, now_ms: u64, do_ejections_hold: bool) -> bool {
+        self.is_open() && (!do_ejections_hold || self.ejected_until_ms <= now_ms)
     }
 
     /// At least one place, so that a small part is never nothing.
