--- /dev/null
+++ b/crates/ctl/tests/command_line.rs
@@ -0,0 +1,82 @@
+//! The command line against a real fleet.
+
+use std::process::{Command, Output};
+
+use hickorycourse_testkit::fleet::{DEALER_KEY, MODEL, OPERATOR_KEY, wait_for};
+use hickorycourse_testkit::prelude::*;
+use hickorycourse_testkit::process::program_dir;
+
+fn hickoryctl(fleet: Option<&Fleet>, arguments: &[&str]) -> Output {
+    let mut command = Command::new(program_dir().join("hickoryctl"));
+    if let Some(fleet) = fleet {
+        let address = fleet.entries[0].operator_address.to_string();
+        command.args(["--address", &address, "--key", OPERATOR_KEY]);
+    }
+    command.args(arguments).output().unwrap()
+}
+
+fn text(output: &Output) -> String {
+    format!(
+        "{}{}",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    )
+}
+
+#[test]
+fn command_exit_codes() {
+    assert_eq!(hickoryctl(None, &["--version"]).status.code(), Some(0));
+    assert_eq!(hickoryctl(None, &["--help"]).status.code(), Some(0));
+    assert_eq!(hickoryctl(None, &["key", "hash", "k"]).status.code(), Some(0));
+    assert_ne!(hickoryctl(None, &["nonsense"]).status.code(), Some(0));
+    let missing = hickoryctl(None, &["settings", "check", "no-such-file"]);
+    assert_eq!(missing.status.code(), Some(2));
+    assert!(text(&missing).contains("[5006]"), "{}", text(&missing));
+    let dir = std::env::temp_dir().join(format!("hickoryctl-test-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let file = dir.join("bad.jsonc");
+    std::fs::write(&file, "{ \"site\": {},\n \"organisations\": [] }").unwrap();
+    let bad = hickoryctl(None, &["settings", "check", &file.display().to_string()]);
+    assert_eq!(bad.status.code(), Some(2));
+    assert!(text(&bad).contains("[5001]") && text(&bad).contains("line 1"), "{}", text(&bad));
+    let unreachable = hickoryctl(None, &["--address", "127.0.0.1:1", "status"]);
+    assert_eq!(unreachable.status.code(), Some(1));
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn command_settings_and_bills() {
+    let fleet = FleetBuilder::new().with_timing(json!({ "usage_flush_ms": 100 })).start();
+    let mut value = Fleet::make_organisation("dealers", "dealer-1", DEALER_KEY);
+    value["policy"] = json!({ "share": 9 });
+    let file = fleet.log_dir.join("dealers.jsonc");
+    std::fs::write(&file, format!("// New share.\n{value:#}\n")).unwrap();
+    let file = file.display().to_string();
+    let name = "organisation/dealers";
+    let diff = hickoryctl(Some(&fleet), &["settings", "diff", name, &file]);
+    assert!(text(&diff).contains("+    \"share\": 9"), "{}", text(&diff));
+    let set = ["settings", "set", "--wait", "--summary", "more", name, &file];
+    let output = hickoryctl(Some(&fleet), &set);
+    assert!(output.status.success() && text(&output).contains("revision 2"), "{}", text(&output));
+    assert!(text(&output).matches("true").count() >= 4, "{}", text(&output));
+    let late = hickoryctl(Some(&fleet), &["settings", "set", "--revision", "1", name, &file]);
+    assert_eq!(late.status.code(), Some(1));
+    assert!(text(&late).contains("[5002]"), "{}", text(&late));
+    let got = text(&hickoryctl(Some(&fleet), &["settings", "get", name]));
+    assert!(got.starts_with("// New share."), "comments are kept: {got}");
+    let history = text(&hickoryctl(Some(&fleet), &["settings", "history", name]));
+    assert!(history.contains("more") && history.contains("a test"), "{history}");
+    let show = ["settings", "show", "--effective", "dealers", "desk", "urgent"];
+    let shown = text(&hickoryctl(Some(&fleet), &show));
+    assert!(shown.contains("organisation.dealers") && shown.contains("default"), "{shown}");
+    for entry in &fleet.entries {
+        assert_eq!(entry.chat(&chat_body(MODEL, "bill", 5, false)).status, 200);
+    }
+    wait_for("usage of both entries", || {
+        text(&hickoryctl(Some(&fleet), &["usage", "--csv"]))
+            .contains("dealers,dealer-1,desk,urgent,2,")
+    });
+    let bill = text(&hickoryctl(Some(&fleet), &["bill", "--cents", "101", "--csv"]));
+    assert!(bill.contains("dealers,") && bill.contains(",1.01"), "{bill}");
+    assert!(hickoryctl(Some(&fleet), &["status"]).status.success());
+}
--- a/crates/entry/tests/jobs.rs
+++ b/crates/entry/tests/jobs.rs
@@ -80,3 +80,30 @@
     let refused = accept(&fleet.entries[0], "alone", 5);
     assert_eq!((refused.code(), refused.execution().as_str()), (4008, "not_run"), "{refused:?}");
 }
+
+#[test]
+fn zone_reclaimed_accepted_work_survives() {
+    let mut fleet = fleet();
+    let expected = text_of(&fleet.entries[1].chat(&chat_body(MODEL, "zone", 300, false)));
+    let addresses: Vec<String> = (0..4)
+        .map(|_| accept(&fleet.entries[0], "zone", 300))
+        .map(|accepted| accepted.header("location").unwrap().to_owned())
+        .collect();
+    let zone = fleet.entries[0].zone.clone();
+    // Notice for the whole zone, entry, engine and service; then all of it dies.
+    fleet.give_notice(&fleet.entries[0].name);
+    for engine in fleet.engines.iter().chain(&fleet.services).filter(|s| s.zone == zone) {
+        fleet.give_notice(&engine.name);
+    }
+    let streamed = fleet.entries[1].stream(&chat_body(MODEL, "zone", 300, true), |_| {});
+    std::thread::sleep(Duration::from_millis(1_500));
+    fleet.entries[0].process.kill();
+    fleet.engines[0].process.kill();
+    fleet.services[0].process.kill();
+    assert!(streamed.is_whole && streamed.text == expected, "{:?}", streamed.problem);
+    for address in &addresses {
+        assert_eq!(text_of(&wait_for_answer(&fleet.entries[2], address)), expected);
+    }
+    let order = fleet.entries[1].order(Some("after-the-zone"), "x");
+    assert_eq!(order.status, 200, "{order:?}");
+}
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -75,3 +75,47 @@
     let stranger = fleet.entries[0].ask("GET", "/v1/jobs/job-1", CHAIN_KEY, &[], None);
     assert_eq!(stranger.code(), 4006);
 }
+
+#[test]
+fn spans_exported_for_each_hop() {
+    // A service stand-in takes the place of a collector; it remembers the last request.
+    let collector = FleetBuilder::new().with_zones(1).with_per_zone(0, 1, 0).start_empty();
+    let address = collector.services[0].address;
+    let process = json!({ "trace_address": address });
+    let fleet = FleetBuilder::new().with_zones(1).with_process(process).start();
+    let traceparent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    let body = chat_body(MODEL, "trace me", 3, false).to_string();
+    let headers = [("traceparent", traceparent)];
+    let mut seen = String::new();
+    hickorycourse_testkit::fleet::wait_for("the spans", || {
+        let path = "/v1/chat/completions";
+        fleet.entries[0].ask("POST", path, DEALER_KEY, &headers, Some(body.as_bytes()));
+        let last = collector.services[0].stats()["last_request"].clone();
+        seen.push_str(last["body"].as_str().unwrap_or(""));
+        ["caller", "queue", "attempt"]
+            .iter()
+            .all(|name| seen.contains(&format!("\"name\":\"{name}\"")))
+    });
+    assert!(seen.contains("\"traceId\":\"0af7651916cd43dd8448eb211c80319c\""), "{seen}");
+    assert!(seen.contains("\"parentSpanId\":\"b7ad6b7169203331\""), "{seen}");
+}
+
+#[test]
+fn usage_of_killed_entry_not_lost_not_doubled() {
+    let timing = json!({ "usage_flush_ms": 300, "heartbeat_ms": 100, "peer_timeout_ms": 500 });
+    let mut fleet = FleetBuilder::new().with_timing(timing).start();
+    let sum = |fleet: &Fleet| {
+        let rows = fleet.entries[1].operate("GET", "/v1/usage", None).json();
+        rows[0]["count"]["answered"].as_u64().unwrap_or(0)
+    };
+    for _ in 0..10 {
+        assert_eq!(fleet.entries[0].chat(&chat_body(MODEL, "count", 3, false)).status, 200);
+    }
+    fleet.platform.set_faults(&json!({ "lose_write_answers": 3 }));
+    std::thread::sleep(std::time::Duration::from_millis(900));
+    fleet.platform.set_faults(&json!({}));
+    fleet.entries[0].process.kill();
+    hickorycourse_testkit::fleet::wait_for("the usage", || sum(&fleet) == 10);
+    std::thread::sleep(std::time::Duration::from_millis(1_000));
+    assert_eq!(sum(&fleet), 10, "flushed by its own process and from the copy, counted once");
+}
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -145,6 +145,7 @@
     limits: Value,
     policy: Value,
     site: Value,
+    process: Value,
     has_relays: bool,
     log_level: String,
 }
@@ -162,6 +163,7 @@
             limits: json!({}),
             policy: json!({}),
             site: json!({}),
+            process: json!({}),
             has_relays: false,
             log_level: "info".to_owned(),
         }
@@ -225,6 +227,12 @@
         self
     }
 
+    /// Sets fields of the entries' settings, such as `trace_address`.
+    pub fn with_process(mut self, process: Value) -> Self {
+        self.process = process;
+        self
+    }
+
     /// Puts a relay before every entry's peer port and between every entry and the platform.
     pub fn with_relays(mut self) -> Self {
         self.has_relays = true;
@@ -270,6 +278,12 @@
     }
 }
 
+fn extend(value: &mut Value, extra: &Value) {
+    if let (Some(fields), Some(extra)) = (value.as_object_mut(), extra.as_object()) {
+        fields.extend(extra.clone());
+    }
+}
+
 fn make_log_dir() -> PathBuf {
     let ip = crate::address::draw_ip();
     let dir = std::env::temp_dir().join(format!("hickorycourse-{ip}"));
@@ -396,7 +410,7 @@
             true => self.peer_relays.iter().map(|relay| relay.address).collect(),
             false => self.entries.iter().map(|entry| entry.peer_address).collect(),
         };
-        let settings = json!({
+        let mut settings = json!({
             "instance": name,
             "availability_zone": zone,
             "caller_address": SocketAddr::new(host, 8_080),
@@ -410,6 +424,7 @@
             "timing": self.builder.timing,
             "log": { "level": self.builder.log_level },
         });
+        extend(&mut settings, &self.builder.process);
         let file = self.log_dir.join(format!("{name}.jsonc"));
         std::fs::write(&file, format!("{settings:#}\n")).expect("the directory is writable");
         self.list_instance(&name, "entry", zone, listed);
@@ -467,9 +482,7 @@
             "upstreams": upstreams,
             "policy": self.builder.policy,
         });
-        if let (Some(site), Some(extra)) = (site.as_object_mut(), self.builder.site.as_object()) {
-            site.extend(extra.clone());
-        }
+        extend(&mut site, &self.builder.site);
         site
     }
 
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -7,6 +7,9 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 
+/// The kernel counts processor time in hundredths of a second.
+const MS_PER_TICK: u64 = 10;
+
 /// A process that ends when it is dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -54,6 +57,26 @@
         self.child.id()
     }
 
+    /// Its memory in use, in kibibytes.
+    pub fn read_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or("");
+        line.split_whitespace().nth(1).and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+
+    /// Processor time used so far, in milliseconds.
+    pub fn read_cpu_ms(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id()));
+        let stat = stat.unwrap_or_default();
+        // After the name in brackets: state, then user and system time as 12th and 13th.
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+        let ticks = |index: usize| -> u64 {
+            fields.get(index).and_then(|field| field.parse().ok()).unwrap_or(0)
+        };
+        (ticks(11) + ticks(12)) * MS_PER_TICK
+    }
+
     /// Its name.
     pub fn name(&self) -> &str {
         &self.name
