Urgent work interrupts what can wait; interrupted answers go on later

Cause: a place held by a long deferrable answer is free only when the answer ends; with 4,096 tokens at 20 ms that is 80 s, and the urgent target is 0.81 s. Ruled out: a reserve of places for the urgent rank (idle in calm) and leaving it to the engines' priorities (they order what waits inside an engine; the entry's own limit keeps the request outside). When the oldest request of the most urgent waiting rank has used a quarter of its target, the least urgent call that started last makes room, down to its rank's floor, and continues from its tokens later.

--- a/crates/admission/src/fair.rs
+++ b/crates/admission/src/fair.rs
@@ -11,7 +11,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::queue::{AdmissionQueue, QueueSummary, Refusal, Settlement, Supply, Ticket};
+use crate::queue::{AdmissionQueue, Pressing, QueueSummary, Refusal, Settlement, Supply, Ticket};
 
 #[derive(Debug, Default)]
 struct CallerQueue {
@@ -110,6 +110,12 @@
         own_waiting + others
     }
 
+    /// The request of each caller that waits longest.
+    fn list_first(&self) -> impl Iterator<Item = &Ticket> {
+        let callers = self.organisations.values().flat_map(|queue| queue.callers.values());
+        callers.filter_map(|caller| caller.tickets.front())
+    }
+
     fn next_cost(&self) -> f64 {
         self.peek().map_or(0.0, |ticket| ticket.cost_tokens as f64)
     }
@@ -305,4 +311,13 @@
             waiting_tokens: self.ranks.values().map(|rank| rank.waiting_tokens).sum(),
         }
     }
+
+    fn find_pressing(&self, now_ms: u64, target_percent: u64) -> Option<Pressing> {
+        let (urgency, rank) = self.ranks.iter().find(|(_, rank)| rank.waiting > 0)?;
+        let oldest = rank.list_first().min_by_key(|ticket| ticket.arrived_at_ms)?;
+        let waited_ms = now_ms.saturating_sub(oldest.arrived_at_ms);
+        let limit_ms = oldest.target_ms.saturating_mul(target_percent) / 100;
+        let pressing = Pressing { urgency: *urgency, waiting: rank.waiting };
+        (waited_ms >= limit_ms).then_some(pressing)
+    }
 }
--- a/crates/admission/src/fifo.rs
+++ b/crates/admission/src/fifo.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::queue::{AdmissionQueue, QueueSummary, Refusal, Settlement, Supply, Ticket};
+use crate::queue::{AdmissionQueue, Pressing, QueueSummary, Refusal, Settlement, Supply, Ticket};
 
 /// First in, first out, without ranks, shares or refusals by target.
 #[derive(Debug, Default)]
@@ -52,4 +52,8 @@
             waiting_tokens: self.tickets.iter().map(|ticket| ticket.cost_tokens).sum(),
         }
     }
+
+    fn find_pressing(&self, _now_ms: u64, _target_percent: u64) -> Option<Pressing> {
+        None
+    }
 }
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -170,6 +170,15 @@
     pub waiting_tokens: u64,
 }
 
+/// A rank whose target is in danger.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pressing {
+    /// The rank's place in the order.
+    pub urgency: u8,
+    /// Its requests that wait.
+    pub waiting: u64,
+}
+
 /// Requests that wait for a place.
 pub trait AdmissionQueue: Send {
     /// Takes a request in or refuses it at once.
@@ -192,4 +201,8 @@
 
     /// How full it is.
     fn summary(&self) -> QueueSummary;
+
+    /// The most urgent rank whose longest-waiting request has used up this part of its target, in
+    /// percent, and how many of its requests wait. Work that can wait may be interrupted for it.
+    fn find_pressing(&self, now_ms: u64, target_percent: u64) -> Option<Pressing>;
 }
--- a/crates/entry/src/caller/session.rs
+++ b/crates/entry/src/caller/session.rs
@@ -20,6 +20,7 @@
 use hickorycourse_usage::{UsageCount, UsageKey};
 use ntex::time::sleep;
 use serde_json::{Map, Value, json};
+use tokio::sync::oneshot;
 
 use super::chat::ChatRequest;
 use super::context::{CallContext, RoutedCall};
@@ -40,6 +41,8 @@
     grant: Grant,
     stream: Box<dyn TokenStream>,
     span: Span,
+    /// Tells when to make room; only for answers that can go on later.
+    interruption: Option<oneshot::Receiver<()>>,
 }
 
 /// One model call.
@@ -69,6 +72,19 @@
     recomputed_tokens: u64,
     pending: Vec<SessionEvent>,
     is_ended: bool,
+    is_interrupted: bool,
+}
+
+/// Waits for the next event of an attempt; `None` when it is to make room.
+async fn wait_for_event(attempt: &mut Attempt) -> Option<Result<EngineEvent, AttemptError>> {
+    let Some(interruption) = &mut attempt.interruption else {
+        return Some(attempt.stream.next().await);
+    };
+    tokio::select! {
+        biased;
+        event = attempt.stream.next() => Some(event),
+        Ok(()) = interruption => None,
+    }
 }
 
 /// Tokens that an answer is expected to have where the caller sets no limit.
@@ -112,6 +128,7 @@
             recomputed_tokens: 0,
             pending: Vec::new(),
             is_ended: false,
+            is_interrupted: false,
         })
     }
 
@@ -128,18 +145,35 @@
                 self.start_attempt().await?;
             }
             let Some(attempt) = &mut self.attempt else { continue };
-            match attempt.stream.next().await {
-                Ok(EngineEvent::Chunk(chunk)) => {
+            match wait_for_event(attempt).await {
+                None => self.interrupt_attempt(),
+                Some(Ok(EngineEvent::Chunk(chunk))) => {
                     if let Some(value) = self.take_chunk(chunk) {
                         return Ok(SessionEvent::Chunk(value));
                     }
                 }
-                Ok(EngineEvent::End) => self.finish_stream(),
-                Err(error) => self.fail_attempt(error).await?,
+                Some(Ok(EngineEvent::End)) => self.finish_stream(),
+                Some(Err(error)) => self.fail_attempt(error).await?,
             }
         }
     }
 
+    /// Makes room for more urgent work; the answer goes on when there is a place again.
+    fn interrupt_attempt(&mut self) {
+        let Some(attempt) = self.attempt.take() else { return };
+        let Attempt { mut grant, stream, mut span, .. } = attempt;
+        // Closes the connection, which cancels the attempt at the engine.
+        drop(stream);
+        grant.used_tokens =
+            self.engine_usage.prompt_tokens + self.received_tokens - self.resumed_tokens;
+        drop(grant);
+        span.set("interrupted", "true");
+        span.end(&self.entry.spans);
+        self.is_interrupted = true;
+        // An interruption is not the upstream's failure.
+        self.attempts -= 1;
+    }
+
     /// The whole answer.
     ///
     /// # Errors
@@ -195,6 +229,9 @@
     async fn acquire(&mut self) -> Result<Grant, Problem> {
         let mut span = Span::start("queue", Some(self.trace));
         let result = match self.attempts {
+            _ if std::mem::take(&mut self.is_interrupted) => {
+                self.pool.acquire_interrupted(&self.ticket, &self.prefix).await
+            }
             0 => self.pool.acquire(self.ticket.clone(), &self.prefix).await,
             _ => self.pool.acquire_again(&self.ticket, &self.prefix, &self.failed).await,
         };
@@ -220,7 +257,8 @@
         match self.upstreams.stream(call).await {
             Ok(stream) => {
                 self.resumed_tokens = self.received_tokens;
-                self.attempt = Some(Attempt { grant, stream, span });
+                let interruption = self.request.is_resumable.then(|| grant.allow_interruption());
+                self.attempt = Some(Attempt { grant, stream, span, interruption });
                 Ok(())
             }
             Err(error) => {
@@ -389,7 +427,7 @@
 
     async fn fail_attempt(&mut self, error: AttemptError) -> Result<(), Problem> {
         let Some(attempt) = self.attempt.take() else { return Ok(()) };
-        let Attempt { grant, stream, mut span } = attempt;
+        let Attempt { grant, stream, mut span, .. } = attempt;
         // Closes the connection, which cancels the attempt at the engine.
         drop(stream);
         span.set("error", error.detail.as_str());
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -3,7 +3,7 @@
 //! A pool is one shard of the entry's state, under one lock. A request asks for a place and waits
 //! for its [`Grant`]; dropping the grant gives the place back and lets the next one in.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 use hickorycourse_admission::{
@@ -20,6 +20,9 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
+/// Part of a target that may pass before calls that can wait are interrupted, in percent.
+const PRESSING_PERCENT: u64 = 25;
+
 type GrantSender = oneshot::Sender<Result<Grant, Problem>>;
 
 struct Waiter {
@@ -35,7 +38,19 @@
     ticket: Ticket,
 }
 
+/// A call in flight that can go on later.
+struct Interruptible {
+    urgency: u8,
+    floor_percent: u64,
+    sender: oneshot::Sender<()>,
+}
+
 struct Inner {
+    /// Calls in flight that can go on later, by the number of their grant.
+    interruptible: BTreeMap<u64, Interruptible>,
+    /// Calls that were told to make room and have not yet.
+    interrupted: BTreeSet<u64>,
+    next_grant: u64,
     queue: Box<dyn AdmissionQueue>,
     queue_kind: AdmissionKind,
     router: Box<dyn Router>,
@@ -62,6 +77,9 @@
     /// Creates a pool without upstreams.
     pub fn new(service: &str, own_zone: &str, clock: Arc<dyn Clock>) -> Arc<Self> {
         let inner = Inner {
+            interruptible: BTreeMap::new(),
+            interrupted: BTreeSet::new(),
+            next_grant: 1,
             queue: make_queue(AdmissionKind::default()),
             queue_kind: AdmissionKind::default(),
             router: make_router(RouterKind::default()),
@@ -153,6 +171,23 @@
         receiver.await.unwrap_or_else(|_| Err(ErrorCode::Internal.into()))
     }
 
+    /// Waits for a place for a call that was interrupted. It waits with the others of its rank and
+    /// is not refused.
+    ///
+    /// # Errors
+    /// No upstream is left.
+    pub async fn acquire_interrupted(
+        self: &Arc<Self>,
+        ticket: &Ticket,
+        prefix: &Arc<PrefixBlocks>,
+    ) -> Result<Grant, Problem> {
+        let mut ticket = ticket.clone();
+        ticket.target_ms = u64::MAX;
+        ticket.queue_timeout_ms = u64::MAX;
+        ticket.queue_limit = usize::MAX;
+        self.acquire(ticket, prefix).await
+    }
+
     /// Takes one retry from the budget.
     pub fn try_take_retry(&self) -> bool {
         self.inner.lock().retry_budget.try_take()
@@ -231,6 +266,7 @@
             };
             self.send_grant(inner, waiter.sender, ticket, index, now_ms);
         }
+        inner.interrupt_for_pressing(now_ms);
     }
 
     fn grant_resume(self: &Arc<Self>, inner: &mut Inner, now_ms: u64) -> bool {
@@ -258,7 +294,10 @@
             address: settings.address,
             generation: inner.book.connection_generation(index),
         };
+        let number = inner.next_grant;
+        inner.next_grant += 1;
         let grant = Grant {
+            number,
             pool: Arc::clone(self),
             instance: settings.instance.clone(),
             upstream,
@@ -280,6 +319,8 @@
         let mut inner = self.inner.lock();
         let now_ms = self.clock.now_ms();
         inner.book.finish(grant.index, grant.outcome, now_ms);
+        inner.interruptible.remove(&grant.number);
+        inner.interrupted.remove(&grant.number);
         if grant.outcome == AttemptOutcome::Answered {
             let held_ms = now_ms.saturating_sub(grant.granted_at_ms);
             inner.service_time.add(held_ms, grant.ticket.cost_tokens);
@@ -307,6 +348,30 @@
         }
     }
 
+    /// Interrupts calls that can wait when a more urgent rank is about to miss its target: the
+    /// least urgent first, of those the one that started last. A rank keeps its floor.
+    fn interrupt_for_pressing(&mut self, now_ms: u64) {
+        let Some(pressing) = self.queue.find_pressing(now_ms, PRESSING_PERCENT) else { return };
+        let slots = self.book.count_slots(now_ms);
+        while (self.interrupted.len() as u64) < pressing.waiting {
+            let Some(number) = self.choose_victim(pressing.urgency, slots) else { return };
+            let Some(victim) = self.interruptible.remove(&number) else { return };
+            self.interrupted.insert(number);
+            let _ = victim.sender.send(());
+            metrics::counter!("hickorycourse_interrupted_total").increment(1);
+        }
+    }
+
+    fn choose_victim(&self, urgency: u8, slots: u64) -> Option<u64> {
+        let running = |rank: u8| {
+            self.interruptible.values().filter(|call| call.urgency == rank).count() as u64
+        };
+        let candidates = self.interruptible.iter().filter(|(_, call)| call.urgency > urgency);
+        let above_floor =
+            candidates.filter(|(_, call)| running(call.urgency) * 100 > slots * call.floor_percent);
+        above_floor.max_by_key(|(number, call)| (call.urgency, **number)).map(|(number, _)| *number)
+    }
+
     /// Moves all that wait into a queue of another kind.
     fn replace_queue(&mut self, kind: AdmissionKind, now_ms: u64) {
         let mut next = make_queue(kind);
@@ -359,6 +424,7 @@
 
 /// A place at an upstream. Dropping it gives the place back.
 pub struct Grant {
+    number: u64,
     pool: Arc<ServicePool>,
     /// The upstream's name.
     pub instance: String,
@@ -376,6 +442,18 @@
 }
 
 impl Grant {
+    /// Declares that the call can go on later. The receiver gets a message when it is to make room.
+    pub fn allow_interruption(&self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        let call = Interruptible {
+            urgency: self.ticket.urgency,
+            floor_percent: self.ticket.floor_percent,
+            sender,
+        };
+        self.pool.inner.lock().interruptible.insert(self.number, call);
+        receiver
+    }
+
     /// Ends the attempt with a whole answer.
     pub fn finish(mut self) {
         self.outcome = AttemptOutcome::Answered;
