--- a/crates/entry/src/caller/order_calls.rs
+++ b/crates/entry/src/caller/order_calls.rs
@@ -6,6 +6,7 @@
 
 use std::str::FromStr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hickorycourse_codes::{ErrorCode, Execution, Problem};
 use hickorycourse_idempotency::{
@@ -17,6 +18,7 @@
 use hickorycourse_upstream::{AttemptErrorKind, ServiceAnswer};
 use hickorycourse_usage::UsageCount;
 use ntex::http::{HeaderMap, header};
+use ntex::time::sleep;
 use ntex::util::Bytes;
 use ntex::web::HttpResponse;
 use tokio::sync::{mpsc, oneshot};
@@ -24,11 +26,14 @@
 use super::chat::write_stored;
 use super::context::{CallContext, RoutedCall};
 use super::plain::{self, Places, PlainCall};
-use crate::claims::ClaimCommand;
+use crate::claims::{ClaimCommand, ClaimReply};
 use crate::peers::ForwardRequest;
 use crate::state::{Entry, InFlightGuard};
 
 const KEY_LENGTH_LIMIT: usize = 255;
+/// Looks for the outcome of a call with the same key that is still running.
+const OUTCOME_LOOKS: u32 = 4;
+const OUTCOME_WAIT: Duration = Duration::from_millis(100);
 
 /// Who holds the right to run a call.
 #[derive(Clone, Debug)]
@@ -96,12 +101,17 @@
     key: &str,
 ) -> Result<HttpResponse, Problem> {
     let claim_key = ClaimKey::new(&context.identity.organisation, &routed.service, key);
-    let (reply, receiver) = oneshot::channel();
     let request_digest = digest_call(&call);
     let mut span = Span::start("claim", Some(context.span.context));
-    let command = ClaimCommand::Begin { key: claim_key, request_digest, reply };
-    context.entry.claims.send(command).map_err(|_| Problem::new(ErrorCode::Internal))?;
-    let reply = receiver.await.map_err(|_| Problem::new(ErrorCode::Internal))?;
+    let mut reply = try_claim(context, claim_key, request_digest).await?;
+    for _ in 0..OUTCOME_LOOKS {
+        if reply.answer != ClaimAnswer::InProgress {
+            break;
+        }
+        // The first call may have ended just now, with its answer still on the way to the store.
+        sleep(OUTCOME_WAIT).await;
+        reply = try_claim(context, claim_key, request_digest).await?;
+    }
     span.set("answer", format!("{:?}", reply.answer).split(['(', ' ']).next().unwrap_or(""));
     span.end(&context.entry.spans);
     match reply.answer {
@@ -113,6 +123,17 @@
     }
 }
 
+async fn try_claim(
+    context: &CallContext,
+    key: ClaimKey,
+    request_digest: u64,
+) -> Result<ClaimReply, Problem> {
+    let (reply, receiver) = oneshot::channel();
+    let command = ClaimCommand::Begin { key, request_digest, reply };
+    context.entry.claims.send(command).map_err(|_| Problem::new(ErrorCode::Internal))?;
+    receiver.await.map_err(|_| Problem::new(ErrorCode::Internal))
+}
+
 fn digest_call(call: &PlainCall) -> u64 {
     digest_request(&call.method, &call.path_and_query, &call.body)
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -238,7 +238,10 @@
             instance: self.settings.instance.clone(),
             incarnation: self.incarnation,
             availability_zone: self.settings.availability_zone.clone(),
-            peer_address: self.settings.peer_address,
+            peer_address: self
+                .settings
+                .advertised_peer_address
+                .unwrap_or(self.settings.peer_address),
             is_leaving: self.drain.is_leaving(),
             settings_digest: self.snapshot().digest,
             demands,
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -19,8 +19,11 @@
     pub caller_address: SocketAddr,
     /// Where operators connect.
     pub operator_address: SocketAddr,
-    /// Where other entries connect.
+    /// Where it listens for other entries.
     pub peer_address: SocketAddr,
+    /// Where other entries connect, if that is another address than it listens on.
+    #[serde(default)]
+    pub advertised_peer_address: Option<SocketAddr>,
     /// The platform's service, one or more addresses.
     pub platform_addresses: Vec<SocketAddr>,
     /// Peer addresses of other entries, for starts while the platform is down.
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -416,6 +416,7 @@
             "caller_address": SocketAddr::new(host, 8_080),
             "operator_address": SocketAddr::new(host, 9_080),
             "peer_address": peer_address,
+            "advertised_peer_address": listed,
             "platform_addresses": [platform],
             "peer_addresses": seeds,
             "operator_key_hashes": [hash_key(OPERATOR_KEY)],
