Settings replica: a change costs the same however many organisations there are

Cause: each change rebuilt the index of all keys and the digest over all revisions. Ruled out: batching only, which leaves the steady cost.

--- a/crates/membership/src/replica.rs
+++ b/crates/membership/src/replica.rs
@@ -64,8 +64,9 @@
     /// The organisations.
     pub organisations: BTreeMap<String, Arc<Organisation>>,
     /// Keys by the start of their hash.
-    keys: HashMap<String, Vec<KeyEntry>>,
-    /// Digest of all revisions.
+    keys: HashMap<String, Vec<Arc<KeyEntry>>>,
+    /// Digest of all revisions: the sum of one hash for each document, so that a change costs the
+    /// same however many documents there are.
     pub digest: u64,
 }
 
@@ -76,7 +77,7 @@
     /// Finds out who presents a key.
     pub fn identify(&self, key: &str) -> Option<Arc<CallerIdentity>> {
         let presented = hash_key(key);
-        let entries = self.keys.get(&presented[..KEY_INDEX_LENGTH])?;
+        let entries = self.keys.get(index_of(&presented))?;
         let entry = entries.iter().find(|entry| key_matches(&entry.key_hash, &presented))?;
         Some(Arc::clone(&entry.identity))
     }
@@ -99,23 +100,40 @@
             .any(|theirs| organisation.callers.iter().any(|own| own.key_hash == theirs.key_hash))
     }
 
-    fn index_keys(&mut self) {
-        for organisation in self.organisations.values() {
-            for caller in &organisation.callers {
-                let identity = CallerIdentity {
-                    organisation: organisation.organisation.clone(),
-                    caller: caller.caller.clone(),
-                    highest_rank: caller.highest_rank.clone(),
-                };
-                let key_hash = caller.key_hash.clone();
-                let index = key_hash[..KEY_INDEX_LENGTH.min(key_hash.len())].to_owned();
-                let entry = KeyEntry { key_hash, identity: Arc::new(identity) };
-                self.keys.entry(index).or_default().push(entry);
-            }
+    fn replace_organisation(&mut self, organisation: Arc<Organisation>) {
+        let name = organisation.organisation.clone();
+        if let Some(last) = self.organisations.get(&name).cloned() {
+            last.callers.iter().for_each(|caller| self.forget_key(&name, &caller.key_hash));
+        }
+        for caller in &organisation.callers {
+            let identity = CallerIdentity {
+                organisation: name.clone(),
+                caller: caller.caller.clone(),
+                highest_rank: caller.highest_rank.clone(),
+            };
+            let key_hash = caller.key_hash.clone();
+            let index = index_of(&key_hash).to_owned();
+            let entry = KeyEntry { key_hash, identity: Arc::new(identity) };
+            self.keys.entry(index).or_default().push(Arc::new(entry));
+        }
+        self.organisations.insert(name, organisation);
+    }
+
+    fn forget_key(&mut self, organisation: &str, key_hash: &str) {
+        let Some(entries) = self.keys.get_mut(index_of(key_hash)) else { return };
+        entries.retain(|entry| {
+            entry.key_hash != key_hash || entry.identity.organisation != organisation
+        });
+        if entries.is_empty() {
+            self.keys.remove(index_of(key_hash));
         }
     }
 }
 
+fn index_of(key_hash: &str) -> &str {
+    &key_hash[..KEY_INDEX_LENGTH.min(key_hash.len())]
+}
+
 /// All documents that have reached this instance.
 #[derive(Clone, Debug, Default)]
 pub struct SettingsReplica {
@@ -136,16 +154,17 @@
             return ApplyOutcome::Old;
         }
         self.documents.insert(name.clone(), document.clone());
-        let mut next = SettingsSnapshot::clone(&self.snapshot);
-        next.digest = self.compute_digest();
-        let outcome = match read_into(&mut next, name, &document.text) {
+        // Requests in flight keep the snapshot that they started with; without any, it is changed
+        // in place.
+        let snapshot = Arc::make_mut(&mut self.snapshot);
+        snapshot.digest = snapshot
+            .digest
+            .wrapping_sub(hash_version(name, held_revision))
+            .wrapping_add(hash_version(name, document.revision));
+        match read_into(snapshot, name, &document.text) {
             Ok(()) => ApplyOutcome::Applied,
             Err(fault) => ApplyOutcome::Unreadable(fault),
-        };
-        next.keys.clear();
-        next.index_keys();
-        self.snapshot = Arc::new(next);
-        outcome
+        }
     }
 
     /// The settings in force.
@@ -193,13 +212,13 @@
             held.map_or(0, |document| document.revision) < version.revision
         })
     }
+}
 
-    fn compute_digest(&self) -> u64 {
-        let mut text = String::new();
-        for (name, document) in &self.documents {
-            text.push_str(&format!("{name}={}\n", document.revision));
-        }
-        xxh3_64(text.as_bytes())
+/// A document that is not held has revision 0 and counts for nothing.
+fn hash_version(name: &DocumentName, revision: u64) -> u64 {
+    match revision {
+        0 => 0,
+        _ => xxh3_64(format!("{name}={revision}").as_bytes()),
     }
 }
 
@@ -218,7 +237,8 @@
         }
         DocumentName::Organisation(organisation) => {
             let settings = parse_document::<Organisation>(text).map_err(describe)?;
-            snapshot.organisations.insert(organisation.clone(), Arc::new(settings));
+            debug_assert_eq!(&settings.organisation, organisation);
+            snapshot.replace_organisation(Arc::new(settings));
         }
     }
     Ok(())
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -12,12 +12,12 @@
     TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]))
 }
 
-fn document(revision: u64) -> Document {
+fn document(number: u8, revision: u64) -> Document {
     Document {
         revision,
         changes: VecDeque::new(),
         text: format!(
-            "{{\"organisation\": \"o\", \"callers\": [], \"policy\": {{\"share\": {revision}}}}}"
+            "{{\"organisation\": \"o{number}\", \"callers\": [], \"policy\": {{\"share\": {revision}}}}}"
         ),
     }
 }
@@ -35,7 +35,7 @@
             let mut replica = SettingsReplica::new();
             let mut highest = [0; 3];
             for (number, revision) in arrivals {
-                let outcome = replica.apply(&name(number), &document(revision));
+                let outcome = replica.apply(&name(number), &document(number, revision));
                 let held = &mut highest[usize::from(number)];
                 prop_assert_eq!(outcome == ApplyOutcome::Applied, revision > *held);
                 *held = (*held).max(revision);
@@ -54,7 +54,7 @@
         .run(&strategy, |arrivals| {
             let mut replicas = vec![SettingsReplica::new(); 4];
             for (replica, number, revision) in arrivals {
-                replicas[replica].apply(&name(number), &document(revision));
+                replicas[replica].apply(&name(number), &document(number, revision));
             }
             for _ in 0..4 {
                 for index in 0..4 {
@@ -149,3 +149,30 @@
     }
     assert_eq!(watchers, 2);
 }
+
+/// Keys follow the newest document of their organisation, and of no other.
+#[test]
+fn identify_follows_newest_keys() {
+    let document = |revision: u64, organisation: &str, key: &str| Document {
+        revision,
+        changes: VecDeque::new(),
+        text: format!(
+            "{{\"organisation\": \"{organisation}\", \"callers\": [{{\"caller\": \"c\", \
+             \"key_hash\": \"{}\"}}]}}",
+            hickorycourse_settings::hash_key(key)
+        ),
+    };
+    let named = |name: &str| DocumentName::Organisation(name.to_owned());
+    let mut replica = SettingsReplica::new();
+    replica.apply(&named("a"), &document(1, "a", "key-1"));
+    replica.apply(&named("b"), &document(1, "b", "key-2"));
+    let held = replica.snapshot();
+    replica.apply(&named("a"), &document(2, "a", "key-3"));
+    let who = |replica: &SettingsReplica, key: &str| {
+        replica.snapshot().identify(key).map(|identity| identity.organisation.clone())
+    };
+    assert_eq!(who(&replica, "key-1"), None);
+    assert_eq!(who(&replica, "key-2").as_deref(), Some("b"));
+    assert_eq!(who(&replica, "key-3").as_deref(), Some("a"));
+    assert!(held.identify("key-1").is_some(), "a request keeps the settings it started with");
+}
