--- a/crates/admission/tests/queues.rs
+++ b/crates/admission/tests/queues.rs
@@ -1,5 +1,7 @@
 //! Queues under generated loads.
 
+#![allow(clippy::unwrap_used)]
+
 use std::collections::BTreeMap;
 
 use hickorycourse_admission::Settlement;
--- a/crates/clock/src/timer.rs
+++ b/crates/clock/src/timer.rs
@@ -18,8 +18,8 @@
     sender: mpsc::Sender<Tick>,
 }
 
-#[derive(Default)]
 struct Shared {
+    started: Instant,
     subscriptions: Mutex<Vec<Subscription>>,
     changed: Condvar,
 }
@@ -33,7 +33,11 @@
 impl TimerService {
     /// Starts the service's thread.
     pub fn start() -> std::io::Result<Self> {
-        let shared = Arc::new(Shared::default());
+        let shared = Arc::new(Shared {
+            started: Instant::now(),
+            subscriptions: Mutex::default(),
+            changed: Condvar::new(),
+        });
         let weak = Arc::downgrade(&shared);
         thread::Builder::new().name("timer".to_owned()).spawn(move || {
             while let Some(shared) = weak.upgrade() {
@@ -47,7 +51,8 @@
     pub fn subscribe(&self, period_ms: u64) -> mpsc::Receiver<Tick> {
         let (sender, receiver) = mpsc::channel(1);
         let period = Duration::from_millis(period_ms.max(1));
-        let subscription = Subscription { due: Instant::now() + period, period, sender };
+        let due = next_due(self.shared.started, Instant::now(), period);
+        let subscription = Subscription { due, period, sender };
         self.shared.subscriptions.lock().push(subscription);
         self.shared.changed.notify_one();
         receiver
@@ -65,18 +70,26 @@
 fn run_once(shared: &Shared) {
     let mut subscriptions = shared.subscriptions.lock();
     let now = Instant::now();
-    subscriptions.retain_mut(|subscription| deliver(subscription, now));
+    subscriptions.retain_mut(|subscription| deliver(subscription, shared.started, now));
     let next = subscriptions.iter().map(|subscription| subscription.due).min();
     let until = next.unwrap_or(now + LONGEST_SLEEP).min(now + LONGEST_SLEEP);
     shared.changed.wait_until(&mut subscriptions, until);
 }
 
-fn deliver(subscription: &mut Subscription, now: Instant) -> bool {
+/// Ticks fall on multiples of their period from the start of the service, so that those of the same
+/// period come together and wake the processor once.
+fn next_due(started: Instant, now: Instant, period: Duration) -> Instant {
+    let periods = now.duration_since(started).as_nanos() / period.as_nanos() + 1;
+    let since_start = period.saturating_mul(u32::try_from(periods).unwrap_or(u32::MAX));
+    started + since_start
+}
+
+fn deliver(subscription: &mut Subscription, started: Instant, now: Instant) -> bool {
     if subscription.sender.is_closed() {
         return false;
     }
     if subscription.due <= now {
-        subscription.due = now + subscription.period;
+        subscription.due = next_due(started, now, subscription.period);
         // A full channel means that the last tick still waits; one is enough.
         let _ = subscription.sender.try_send(Tick);
     }
--- a/crates/clock/tests/timer.rs
+++ b/crates/clock/tests/timer.rs
@@ -1,5 +1,7 @@
 //! Subscriptions to the timer service.
 
+#![allow(clippy::unwrap_used)]
+
 use hickorycourse_clock::prelude::*;
 
 #[test]
--- a/crates/codes/tests/problem.rs
+++ b/crates/codes/tests/problem.rs
@@ -1,5 +1,7 @@
 //! The table of codes and the problem document.
 
+#![allow(clippy::unwrap_used)]
+
 use std::collections::BTreeSet;
 
 use expect_test::expect;
--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -1,5 +1,7 @@
 //! The command line against a real fleet.
 
+#![allow(clippy::unwrap_used)]
+
 use std::process::{Command, Output};
 
 use hickorycourse_testkit::fleet::{DEALER_KEY, MODEL, OPERATOR_KEY, wait_for};
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -18,7 +18,7 @@
 const SHARD_COUNT: u32 = 64;
 /// Longest wait for a claim.
 const CLAIM_DEADLINE_MS: u64 = 3_000;
-const TICK_MS: u64 = 20;
+const TICK_MS: u64 = 50;
 const KEY_PREFIX: &str = "hickorycourse/claims/";
 
 /// What the task is asked for.
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -11,6 +11,7 @@
 
 use hickorycourse_peer::PeerMessage;
 use ntex::time::sleep;
+use tokio::sync::Notify;
 
 use crate::state::Entry;
 
@@ -25,6 +26,7 @@
 pub struct DrainState {
     /// Time of the first sign plus one; 0 while it stays.
     since_ms: AtomicU64,
+    started: Notify,
 }
 
 impl DrainState {
@@ -36,9 +38,18 @@
             Ordering::SeqCst,
             Ordering::SeqCst,
         );
+        // The permit is kept for the one who waits, if it comes later.
+        self.started.notify_one();
         started.is_ok()
     }
 
+    /// Waits until it leaves; for one task only.
+    pub async fn wait_until_leaving(&self) {
+        while !self.is_leaving() {
+            self.started.notified().await;
+        }
+    }
+
     /// Whether it leaves.
     pub fn is_leaving(&self) -> bool {
         self.since_ms.load(Ordering::SeqCst) != NOT_LEAVING
@@ -64,9 +75,7 @@
 
 /// Waits until this entry leaves and nothing is in flight any more, or the limit is over.
 pub async fn wait_until_drained(entry: &Arc<Entry>) {
-    while !entry.drain.is_leaving() {
-        sleep(POLL).await;
-    }
+    entry.drain.wait_until_leaving().await;
     let started_at_ms = entry.clock.now_ms();
     let limit_ms = entry.settings.timing.drain_timeout_ms;
     loop {
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -12,7 +12,7 @@
 use crate::state::Entry;
 
 /// The period of the task's ticks.
-pub const TICK_MS: u64 = 20;
+pub const TICK_MS: u64 = 50;
 const RETRY_WAIT: Duration = Duration::from_millis(500);
 
 /// Runs until the channel of ticks closes.
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -22,7 +22,7 @@
 use crate::state::{Entry, TaskChannels};
 use crate::{caller, claims, drain, jobs, operator, platform_tasks, reports, spans, usage_tasks};
 
-const POOL_TICK_MS: u64 = 20;
+const POOL_TICK_MS: u64 = 50;
 const KEEP_ALIVE_S: u16 = 30;
 const OPERATOR_WORKERS: usize = 1;
 /// Time for the last bytes to leave after the last request has ended.
--- a/crates/entry/tests/bad_input.rs
+++ b/crates/entry/tests/bad_input.rs
@@ -1,5 +1,7 @@
 //! Bad input gets a numbered answer and touches nobody else.
 
+#![allow(clippy::unwrap_used)]
+
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::Duration;
--- a/crates/entry/tests/jobs.rs
+++ b/crates/entry/tests/jobs.rs
@@ -1,5 +1,7 @@
 //! Accepted jobs survive their holder.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use hickorycourse_testkit::fleet::{DEALER_KEY, MODEL, wait_for};
--- a/crates/entry/tests/orders.rs
+++ b/crates/entry/tests/orders.rs
@@ -1,5 +1,7 @@
 //! A call that may run at most once, with real processes and the named failures.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use hickorycourse_testkit::fleet::{DEALER_KEY, wait_for};
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -1,5 +1,7 @@
 //! The whole path with real processes: what ordinary clients see.
 
+#![allow(clippy::unwrap_used)]
+
 use hickorycourse_testkit::fleet::{CHAIN_KEY, DEALER_KEY, MODEL};
 use hickorycourse_testkit::prelude::*;
 
--- a/crates/entry/tests/ranks.rs
+++ b/crates/entry/tests/ranks.rs
@@ -1,5 +1,7 @@
 //! Urgent work goes first, and what it interrupts is finished.
 
+#![allow(clippy::unwrap_used)]
+
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -1,5 +1,7 @@
 //! An accepted change is in force everywhere within seconds and never reverts.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::{Duration, Instant};
 
 use hickorycourse_testkit::fleet::{DEALER_KEY, wait_for};
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -1,6 +1,8 @@
 //! Accepted streams survive: engines that break, fall silent, cross answers or leave; entries that
 //! drain.
 
+#![allow(clippy::unwrap_used)]
+
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
--- a/crates/idempotency/tests/claims.rs
+++ b/crates/idempotency/tests/claims.rs
@@ -1,5 +1,7 @@
 //! Claims under generated schedules of failures: at most one of all tries for a key is granted.
 
+#![allow(clippy::unwrap_used)]
+
 use std::collections::{BTreeMap, VecDeque};
 
 use hickorycourse_idempotency::ShardValue;
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -1,5 +1,7 @@
 //! Members and settings under generated schedules.
 
+#![allow(clippy::unwrap_used)]
+
 use std::collections::VecDeque;
 
 use hickorycourse_membership::prelude::*;
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -1,5 +1,7 @@
 //! Routing decisions.
 
+#![allow(clippy::unwrap_used)]
+
 use hickorycourse_routing::prelude::*;
 use hickorycourse_settings::{MachineClass, UpstreamSettings};
 use proptest::prelude::*;
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Checks, inheritance and changes of settings.
 
+#![allow(clippy::unwrap_used)]
+
 use expect_test::expect;
 use hickorycourse_settings::document::HISTORY_LENGTH;
 use hickorycourse_settings::prelude::*;
--- a/crates/steward/tests/decisions.rs
+++ b/crates/steward/tests/decisions.rs
@@ -1,5 +1,7 @@
 //! The steward's decisions under generated schedules.
 
+#![allow(clippy::unwrap_used)]
+
 use hickorycourse_settings::{MachineClass, UpstreamSettings};
 use hickorycourse_steward::ORDER_FLIGHT_MS;
 use hickorycourse_steward::prelude::*;
--- a/crates/steward/tests/processes.rs
+++ b/crates/steward/tests/processes.rs
@@ -1,5 +1,7 @@
 //! Stewards as real processes.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use hickorycourse_testkit::fleet::{MODEL, wait_for};
--- a/crates/upstream/tests/chunks.rs
+++ b/crates/upstream/tests/chunks.rs
@@ -1,5 +1,7 @@
 //! Reading chunks: the quick way and the long way agree.
 
+#![allow(clippy::unwrap_used)]
+
 use hickorycourse_upstream::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
--- a/crates/usage/tests/usage.rs
+++ b/crates/usage/tests/usage.rs
@@ -1,5 +1,7 @@
 //! Usage counters and bills.
 
+#![allow(clippy::unwrap_used)]
+
 use hickorycourse_usage::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
