Answers asked for as a whole may take as long as their tokens

A call with tools is asked for as a whole, so its first byte comes with its last token; it was held to the limit for a first byte (test failed first: 504 after 300 ms for an answer of a second).

--- a/crates/entry/src/caller/session.rs
+++ b/crates/entry/src/caller/session.rs
@@ -90,6 +90,8 @@
 
 /// Tokens that an answer is expected to have where the caller sets no limit.
 const EXPECTED_ANSWER_TOKENS: u64 = 256;
+/// Time that each token of an answer adds to the wait for it as a whole.
+const WHOLE_ANSWER_TOKEN_MS: u64 = 50;
 
 impl ChatSession {
     /// Prepares a call; nothing is sent yet.
@@ -202,7 +204,9 @@
             let body = self.make_body(false);
             let span = self.start_span(&grant);
             let traceparent = span.context.to_header();
-            let call = self.make_call(&grant, &attempt_id, &body, &traceparent);
+            let mut call = self.make_call(&grant, &attempt_id, &body, &traceparent);
+            // Nothing comes before the whole answer is there.
+            call.first_byte_timeout_ms += self.limit_answer_tokens() * WHOLE_ANSWER_TOKEN_MS;
             let result = self.upstreams.complete(call).await;
             span.end(&self.entry.spans);
             match result {
@@ -287,12 +291,15 @@
         }
     }
 
+    fn limit_answer_tokens(&self) -> u64 {
+        let most = self.routed.policy.answer_token_limit;
+        self.request.token_limit.unwrap_or(most).min(most)
+    }
+
     /// The request for the next attempt, going on after the text received so far.
     fn make_body(&self, is_streaming: bool) -> Value {
         let mut fields: Map<String, Value> = self.request.fields.clone();
-        let limit = self.request.token_limit.unwrap_or(self.routed.policy.answer_token_limit);
-        let limit = limit.min(self.routed.policy.answer_token_limit);
-        let left = limit.saturating_sub(self.received_tokens).max(1);
+        let left = self.limit_answer_tokens().saturating_sub(self.received_tokens).max(1);
         fields.remove("max_completion_tokens");
         fields.insert("max_tokens".to_owned(), json!(left));
         fields.insert("priority".to_owned(), json!(self.routed.urgency));
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -336,3 +336,15 @@
         assert_eq!(find_running(&fleet), 0);
     });
 }
+
+#[test]
+fn answer_of_other_kind_waits_for_all_of_it() {
+    let policy = json!({ "first_byte_timeout_ms": 300, "attempt_limit": 1 });
+    let fleet = FleetBuilder::new().with_zones(1).with_policy(policy).start();
+    // With tools the answer is asked for as a whole; it takes about a second to be made.
+    let mut body = chat_body(MODEL, "tools", 150, false);
+    body["tools"] = json!([{ "type": "function", "function": { "name": "look_up" } }]);
+    let answer = fleet.entries[0].chat(&body);
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(answer.json()["usage"]["completion_tokens"], 150);
+}
