--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -14,8 +14,8 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use xxhash_rust::xxh3::xxh3_64;
 
+use crate::engine_call::{BYTES_PER_TOKEN, Call};
 use crate::gate::{Gate, Place};
 use crate::http::{self, BodyStream, broken, pause_ms, pause_us};
 
@@ -118,13 +118,8 @@
 
 type Shared = Arc<Engine>;
 
-const BYTES_PER_TOKEN: usize = 4;
 const CACHE_EVENTS_KEPT: usize = 4_096;
 const SAMPLES_KEPT: usize = 1_024;
-const DEFAULT_ANSWER_TOKENS: u64 = 4_096;
-/// Answers that end by themselves have at least so many tokens, and fewer than so many more.
-const NATURAL_TOKENS_LEAST: u64 = 16;
-const NATURAL_TOKENS_SPREAD: u64 = 32;
 
 /// Runs an engine.
 pub async fn run(options: EngineOptions) -> std::io::Result<()> {
@@ -243,83 +238,6 @@
     HttpResponse::NoContent().finish()
 }
 
-/// A call as the engine reads it.
-struct Call {
-    id: String,
-    model: Value,
-    /// The text of all messages but a partial answer that is to be continued.
-    prompt: String,
-    /// Words of the partial answer.
-    resumed_tokens: u64,
-    /// Tokens that this call may add.
-    answer_tokens: u64,
-    /// Whether the answer goes on to its limit.
-    ignores_end: bool,
-    is_streaming: bool,
-    wants_usage: bool,
-    wants_continuous_usage: bool,
-    priority: i64,
-}
-
-impl Call {
-    fn read(request: &HttpRequest, body: &Value) -> Option<Self> {
-        let mut messages = body.get("messages")?.as_array()?.as_slice();
-        let continues = body["continue_final_message"].as_bool().unwrap_or(false);
-        let mut resumed_tokens = 0;
-        if continues && let Some((last, first)) = messages.split_last() {
-            resumed_tokens = last["content"].as_str()?.split_whitespace().count() as u64;
-            messages = first;
-        }
-        let prompt: Vec<String> = messages
-            .iter()
-            .map(|message| format!("{}: {}", message["role"], message["content"]))
-            .collect();
-        let limit = body["max_completion_tokens"].as_u64().or(body["max_tokens"].as_u64());
-        Some(Self {
-            id: format!("chatcmpl-{}", http::header(request, "x-request-id").unwrap_or("none")),
-            model: body["model"].clone(),
-            prompt: prompt.join("\n"),
-            resumed_tokens,
-            answer_tokens: limit.unwrap_or(DEFAULT_ANSWER_TOKENS),
-            ignores_end: body["ignore_eos"].as_bool().unwrap_or(false),
-            is_streaming: body["stream"].as_bool().unwrap_or(false),
-            wants_usage: body["stream_options"]["include_usage"].as_bool().unwrap_or(false),
-            wants_continuous_usage: body["stream_options"]["continuous_usage_stats"]
-                .as_bool()
-                .unwrap_or(false),
-            priority: body["priority"].as_i64().unwrap_or(0),
-        })
-    }
-
-    fn prompt_tokens(&self) -> u64 {
-        (self.prompt.len() / BYTES_PER_TOKEN) as u64 + self.resumed_tokens
-    }
-
-    /// The token at a place of the answer; the same at every engine.
-    fn token(&self, place: u64) -> String {
-        let seed = xxh3_64(self.prompt.as_bytes());
-        format!(" w{}", xxh3_64(&[seed.to_le_bytes(), place.to_le_bytes()].concat()) % 10_000)
-    }
-
-    /// Length of the whole answer, a resumed part included.
-    fn total_tokens(&self) -> u64 {
-        let limit = self.resumed_tokens + self.answer_tokens;
-        if self.ignores_end {
-            return limit;
-        }
-        let natural =
-            NATURAL_TOKENS_LEAST + xxh3_64(self.prompt.as_bytes()) % NATURAL_TOKENS_SPREAD;
-        natural.min(limit)
-    }
-
-    fn finish_reason(&self) -> &'static str {
-        match self.total_tokens() == self.resumed_tokens + self.answer_tokens {
-            true => "length",
-            false => "stop",
-        }
-    }
-}
-
 async fn complete(
     request: HttpRequest,
     shared: types::State<Shared>,
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -4,6 +4,7 @@
 //! over HTTP with `POST /faults` and a JSON object; `GET /stats` tells what has happened.
 
 mod engine;
+mod engine_call;
 mod gate;
 mod http;
 mod platform;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod address;
 pub mod fleet;
 pub mod http;
+pub mod instances;
 pub mod process;
 pub mod relay;
 
