--- a/crates/admission/src/fair.rs
+++ b/crates/admission/src/fair.rs
@@ -11,7 +11,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::queue::{AdmissionQueue, Pressing, QueueSummary, Refusal, Settlement, Supply, Ticket};
+use crate::queue::{AdmissionQueue, QueueSummary, RankAtRisk, Refusal, Settlement, Supply, Ticket};
 
 #[derive(Debug, Default)]
 struct CallerQueue {
@@ -325,12 +325,12 @@
         }
     }
 
-    fn find_pressing(&self, now_ms: u64, target_percent: u64) -> Option<Pressing> {
+    fn find_rank_at_risk(&self, now_ms: u64, target_percent: u64) -> Option<RankAtRisk> {
         let (urgency, rank) = self.ranks.iter().find(|(_, rank)| rank.waiting > 0)?;
         let oldest = rank.list_first().min_by_key(|ticket| ticket.arrived_at_ms)?;
         let waited_ms = now_ms.saturating_sub(oldest.arrived_at_ms);
         let limit_ms = oldest.target_ms.saturating_mul(target_percent) / 100;
-        let pressing = Pressing { urgency: *urgency, waiting: rank.waiting };
-        (waited_ms >= limit_ms).then_some(pressing)
+        let at_risk = RankAtRisk { urgency: *urgency, waiting: rank.waiting };
+        (waited_ms >= limit_ms).then_some(at_risk)
     }
 }
--- a/crates/admission/src/fifo.rs
+++ b/crates/admission/src/fifo.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::queue::{AdmissionQueue, Pressing, QueueSummary, Refusal, Settlement, Supply, Ticket};
+use crate::queue::{AdmissionQueue, QueueSummary, RankAtRisk, Refusal, Settlement, Supply, Ticket};
 
 /// First in, first out, without ranks, shares or refusals by target.
 #[derive(Debug, Default)]
@@ -53,7 +53,7 @@
         }
     }
 
-    fn find_pressing(&self, _now_ms: u64, _target_percent: u64) -> Option<Pressing> {
+    fn find_rank_at_risk(&self, _now_ms: u64, _target_percent: u64) -> Option<RankAtRisk> {
         None
     }
 }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -22,12 +22,12 @@
 /// The types most users of this crate need.
 pub mod prelude {
     pub use crate::{
-        AdmissionQueue, FairQueue, FifoQueue, Pressing, QueueSummary, Refusal, ServiceTime, Supply,
-        Ticket,
+        AdmissionQueue, FairQueue, FifoQueue, QueueSummary, RankAtRisk, Refusal, ServiceTime,
+        Supply, Ticket,
     };
 }
 
 pub use fair::FairQueue;
 pub use fifo::FifoQueue;
-pub use queue::{AdmissionQueue, Pressing, QueueSummary, Refusal, Settlement, Supply, Ticket};
+pub use queue::{AdmissionQueue, QueueSummary, RankAtRisk, Refusal, Settlement, Supply, Ticket};
 pub use service_time::ServiceTime;
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -174,7 +174,7 @@
 
 /// A rank whose target is in danger.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Pressing {
+pub struct RankAtRisk {
     /// The rank's place in the order.
     pub urgency: u8,
     /// Its requests that wait.
@@ -205,6 +205,6 @@
     fn summary(&self) -> QueueSummary;
 
     /// The most urgent rank whose longest-waiting request has used up this part of its target, in
-    /// percent, and how many of its requests wait. Work that can wait may be interrupted for it.
-    fn find_pressing(&self, now_ms: u64, target_percent: u64) -> Option<Pressing>;
+    /// percent, and how many of its requests wait. Work that can wait may be preempted for it.
+    fn find_rank_at_risk(&self, now_ms: u64, target_percent: u64) -> Option<RankAtRisk>;
 }
--- a/crates/entry/src/caller/session.rs
+++ b/crates/entry/src/caller/session.rs
@@ -43,7 +43,7 @@
     stream: Box<dyn TokenStream>,
     span: Span,
     /// Tells when to make room; only for answers that can go on later.
-    interruption: Option<oneshot::Receiver<()>>,
+    preemption: Option<oneshot::Receiver<()>>,
 }
 
 /// One model call.
@@ -73,18 +73,18 @@
     recomputed_tokens: u64,
     pending: Vec<SessionEvent>,
     is_ended: bool,
-    is_interrupted: bool,
+    is_preempted: bool,
 }
 
 /// Waits for the next event of an attempt; `None` when it is to make room.
 async fn wait_for_event(attempt: &mut Attempt) -> Option<Result<EngineEvent, AttemptError>> {
-    let Some(interruption) = &mut attempt.interruption else {
+    let Some(preemption) = &mut attempt.preemption else {
         return Some(attempt.stream.next().await);
     };
     tokio::select! {
         biased;
         event = attempt.stream.next() => Some(event),
-        Ok(()) = interruption => None,
+        Ok(()) = preemption => None,
     }
 }
 
@@ -136,7 +136,7 @@
             recomputed_tokens: 0,
             pending: Vec::new(),
             is_ended: false,
-            is_interrupted: false,
+            is_preempted: false,
         })
     }
 
@@ -154,7 +154,7 @@
             }
             let Some(attempt) = &mut self.attempt else { continue };
             match wait_for_event(attempt).await {
-                None => self.interrupt_attempt(),
+                None => self.preempt_attempt(),
                 Some(Ok(EngineEvent::Chunk(chunk))) => {
                     if let Some(value) = self.take_chunk(chunk) {
                         return Ok(SessionEvent::Chunk(value));
@@ -167,7 +167,7 @@
     }
 
     /// Makes room for more urgent work; the answer goes on when there is a place again.
-    fn interrupt_attempt(&mut self) {
+    fn preempt_attempt(&mut self) {
         let Some(attempt) = self.attempt.take() else { return };
         let Attempt { mut grant, stream, mut span, .. } = attempt;
         // Closes the connection, which cancels the attempt at the engine.
@@ -175,10 +175,10 @@
         grant.used_tokens =
             self.engine_usage.prompt_tokens + self.received_tokens - self.resumed_tokens;
         drop(grant);
-        span.set("interrupted", "true");
+        span.set("preempted", "true");
         span.end(&self.entry.spans);
-        self.is_interrupted = true;
-        // An interruption is not the upstream's failure.
+        self.is_preempted = true;
+        // A preemption is not the upstream's failure.
         self.attempts -= 1;
     }
 
@@ -228,8 +228,8 @@
     async fn acquire(&mut self) -> Result<Grant, Problem> {
         let mut span = Span::start("queue", Some(self.trace));
         let result = match self.attempts {
-            _ if std::mem::take(&mut self.is_interrupted) => {
-                self.pool.acquire_interrupted(&self.ticket, &self.prefix).await
+            _ if std::mem::take(&mut self.is_preempted) => {
+                self.pool.acquire_preempted(&self.ticket, &self.prefix).await
             }
             0 => self.pool.acquire(self.ticket.clone(), &self.prefix).await,
             _ => self.pool.acquire_again(&self.ticket, &self.prefix, &self.failed).await,
@@ -256,8 +256,8 @@
         match self.upstreams.stream(call).await {
             Ok(stream) => {
                 self.resumed_tokens = self.received_tokens;
-                let interruption = self.request.is_resumable.then(|| grant.allow_interruption());
-                self.attempt = Some(Attempt { grant, stream, span, interruption });
+                let preemption = self.request.is_resumable.then(|| grant.allow_preemption());
+                self.attempt = Some(Attempt { grant, stream, span, preemption });
                 Ok(())
             }
             Err(error) => {
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -20,8 +20,8 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
-/// Part of a target that may pass before calls that can wait are interrupted, in percent.
-const PRESSING_PERCENT: u64 = 25;
+/// Part of a target that may pass before calls that can wait are preempted, in percent.
+const AT_RISK_PERCENT: u64 = 25;
 
 type GrantSender = oneshot::Sender<Result<Grant, Problem>>;
 
@@ -39,7 +39,7 @@
 }
 
 /// A call in flight that can go on later.
-struct Interruptible {
+struct Preemptible {
     urgency: u8,
     floor_percent: u64,
     sender: oneshot::Sender<()>,
@@ -47,9 +47,9 @@
 
 struct Inner {
     /// Calls in flight that can go on later, by the number of their grant.
-    interruptible: BTreeMap<u64, Interruptible>,
+    preemptible: BTreeMap<u64, Preemptible>,
     /// Calls that were told to make room and have not yet.
-    interrupted: BTreeSet<u64>,
+    preempted: BTreeSet<u64>,
     next_grant: u64,
     queue: Box<dyn AdmissionQueue>,
     queue_kind: AdmissionKind,
@@ -79,8 +79,8 @@
     /// Creates a pool without upstreams.
     pub fn new(service: &str, own_zone: &str, clock: Arc<dyn Clock>) -> Arc<Self> {
         let inner = Inner {
-            interruptible: BTreeMap::new(),
-            interrupted: BTreeSet::new(),
+            preemptible: BTreeMap::new(),
+            preempted: BTreeSet::new(),
             next_grant: 1,
             queue: make_queue(AdmissionKind::default()),
             queue_kind: AdmissionKind::default(),
@@ -174,12 +174,12 @@
         receiver.await.unwrap_or_else(|_| Err(ErrorCode::Internal.into()))
     }
 
-    /// Waits for a place for a call that was interrupted. It waits with the others of its rank and
+    /// Waits for a place for a call that was preempted. It waits with the others of its rank and
     /// is not refused.
     ///
     /// # Errors
     /// No upstream is left.
-    pub async fn acquire_interrupted(
+    pub async fn acquire_preempted(
         self: &Arc<Self>,
         ticket: &Ticket,
         prefix: &Arc<PrefixBlocks>,
@@ -271,7 +271,7 @@
             };
             self.send_grant(inner, waiter.sender, ticket, index, now_ms);
         }
-        inner.interrupt_for_pressing(now_ms);
+        inner.preempt_for_rank_at_risk(now_ms);
     }
 
     fn grant_resume(self: &Arc<Self>, inner: &mut Inner, now_ms: u64) -> bool {
@@ -324,8 +324,8 @@
         let mut inner = self.inner.lock();
         let now_ms = self.clock.now_ms();
         inner.book.finish(grant.index, grant.outcome, now_ms);
-        inner.interruptible.remove(&grant.number);
-        inner.interrupted.remove(&grant.number);
+        inner.preemptible.remove(&grant.number);
+        inner.preempted.remove(&grant.number);
         if grant.outcome == AttemptOutcome::Answered {
             let held_ms = now_ms.saturating_sub(grant.granted_at_ms);
             inner.service_time.add(held_ms, grant.ticket.cost_tokens);
@@ -354,25 +354,24 @@
         }
     }
 
-    /// Interrupts calls that can wait when a more urgent rank is about to miss its target: the
+    /// Preempts calls that can wait when a more urgent rank is about to miss its target: the
     /// least urgent first, of those the one that started last. A rank keeps its floor.
-    fn interrupt_for_pressing(&mut self, now_ms: u64) {
-        let Some(pressing) = self.queue.find_pressing(now_ms, PRESSING_PERCENT) else { return };
+    fn preempt_for_rank_at_risk(&mut self, now_ms: u64) {
+        let Some(at_risk) = self.queue.find_rank_at_risk(now_ms, AT_RISK_PERCENT) else { return };
         let slots = self.book.count_slots(now_ms);
-        while (self.interrupted.len() as u64) < pressing.waiting {
-            let Some(number) = self.choose_victim(pressing.urgency, slots) else { return };
-            let Some(victim) = self.interruptible.remove(&number) else { return };
-            self.interrupted.insert(number);
+        while (self.preempted.len() as u64) < at_risk.waiting {
+            let Some(number) = self.choose_victim(at_risk.urgency, slots) else { return };
+            let Some(victim) = self.preemptible.remove(&number) else { return };
+            self.preempted.insert(number);
             let _ = victim.sender.send(());
-            metrics::counter!("hickorycourse_interrupted_total").increment(1);
+            metrics::counter!("hickorycourse_preempted_total").increment(1);
         }
     }
 
     fn choose_victim(&self, urgency: u8, slots: u64) -> Option<u64> {
-        let running = |rank: u8| {
-            self.interruptible.values().filter(|call| call.urgency == rank).count() as u64
-        };
-        let candidates = self.interruptible.iter().filter(|(_, call)| call.urgency > urgency);
+        let running =
+            |rank: u8| self.preemptible.values().filter(|call| call.urgency == rank).count() as u64;
+        let candidates = self.preemptible.iter().filter(|(_, call)| call.urgency > urgency);
         let above_floor =
             candidates.filter(|(_, call)| running(call.urgency) * 100 > slots * call.floor_percent);
         above_floor.max_by_key(|(number, call)| (call.urgency, **number)).map(|(number, _)| *number)
@@ -450,14 +449,14 @@
 
 impl Grant {
     /// Declares that the call can go on later. The receiver gets a message when it is to make room.
-    pub fn allow_interruption(&self) -> oneshot::Receiver<()> {
+    pub fn allow_preemption(&self) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
-        let call = Interruptible {
+        let call = Preemptible {
             urgency: self.ticket.urgency,
             floor_percent: self.ticket.floor_percent,
             sender,
         };
-        self.pool.inner.lock().interruptible.insert(self.number, call);
+        self.pool.inner.lock().preemptible.insert(self.number, call);
         receiver
     }
 
--- a/crates/entry/tests/ranks.rs
+++ b/crates/entry/tests/ranks.rs
@@ -1,4 +1,4 @@
-//! Urgent work goes first, and what it interrupts is finished.
+//! Urgent work goes first, and what it preempts is finished.
 
 #![allow(clippy::unwrap_used)]
 
@@ -10,7 +10,7 @@
 use hickorycourse_testkit::prelude::*;
 
 #[test]
-fn urgent_call_interrupts_what_can_wait() {
+fn urgent_call_preempts_what_can_wait() {
     let ranks = json!({
         "urgent": { "urgency": 0, "policy": { "target_first_token_ms": 810 } },
         "deferrable": { "urgency": 2, "policy": {
@@ -47,9 +47,9 @@
         for caller in deferrable {
             let answer = caller.join().unwrap();
             assert!(answer.is_whole, "{:?}", answer.problem);
-            assert_eq!(answer.text, expected, "interrupted and gone on with");
+            assert_eq!(answer.text, expected, "preempted and gone on with");
         }
     });
     let metrics = entry.operate("GET", "/metrics", None).body;
-    assert!(metrics.contains("hickorycourse_interrupted_total 1"), "{metrics}");
+    assert!(metrics.contains("hickorycourse_preempted_total 1"), "{metrics}");
 }
