--- a/crates/codes/src/code.rs
+++ b/crates/codes/src/code.rs
@@ -76,7 +76,7 @@
     OwnerUnreachable = 4005, 409, MayHaveRun, "The owner of this order id can't be reached.";
     UnknownJob = 4006, 404, NotRun, "No job with this id is known here.";
     KeyNotForThisCaller = 4007, 403, NotRun, "The order id was issued to another caller.";
-    CopyUnavailable = 4008, 503, NotRun, "No second instance could take a copy of the job.";
+    CopyUnavailable = 4008, 503, MayHaveRun, "No second instance could take a copy of the job.";
     ClaimUncertain = 4009, 503, MayHaveRun, "The claim's outcome is not known; repeat with the same key.";
     SettingsInvalid = 5001, 422, NotRun, "The settings are not valid.";
     RevisionConflict = 5002, 409, NotRun, "The settings were changed by someone else since they were read.";
--- a/crates/entry/src/caller/job_calls.rs
+++ b/crates/entry/src/caller/job_calls.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hickorycourse_codes::{ErrorCode, Problem};
+use hickorycourse_codes::{ErrorCode, Execution, Problem};
 use hickorycourse_jobs::{JobCopy, JobState};
 use hickorycourse_peer::PeerMessage;
 use ntex::time::timeout;
@@ -41,8 +41,12 @@
     entry.jobs.lock().add(copy, entry.clock.now_ms());
     if timeout(COPY_TIMEOUT, receiver).await.is_err() {
         entry.job_waiters.lock().remove(&job_id);
-        entry.jobs.lock().withdraw(&job_id);
-        return Err(Problem::new(ErrorCode::CopyUnavailable).with_retry_after_s(5));
+        let execution = match entry.jobs.lock().withdraw(&job_id) {
+            true => Execution::MayHaveRun,
+            false => Execution::NotRun,
+        };
+        let problem = Problem::new(ErrorCode::CopyUnavailable).with_execution(execution);
+        return Err(problem.with_retry_after_s(5));
     }
     let address = format!("/v1/jobs/{job_id}");
     Ok(HttpResponse::Accepted()
--- a/crates/entry/src/caller/session.rs
+++ b/crates/entry/src/caller/session.rs
@@ -74,6 +74,8 @@
     pending: Vec<SessionEvent>,
     is_ended: bool,
     is_preempted: bool,
+    /// Whether an attempt may have been worked on.
+    has_possibly_run: bool,
 }
 
 /// Waits for the next event of an attempt; `None` when it is to make room.
@@ -137,6 +139,7 @@
             pending: Vec::new(),
             is_ended: false,
             is_preempted: false,
+            has_possibly_run: false,
         })
     }
 
@@ -178,6 +181,7 @@
         span.set("preempted", "true");
         span.end(&self.entry.spans);
         self.is_preempted = true;
+        self.has_possibly_run = true;
         // A preemption is not the upstream's failure.
         self.attempts -= 1;
     }
@@ -239,10 +243,10 @@
         }
         span.end(&self.entry.spans);
         self.attempts += 1;
-        // Tokens have reached the caller when a later attempt finds no place.
-        result.map_err(|problem| match self.received_tokens {
-            0 => problem,
-            _ => problem.with_execution(Execution::MayHaveRun),
+        // A refusal proves nothing about the attempts before it.
+        result.map_err(|problem| match self.has_possibly_run {
+            false => problem,
+            true => problem.with_execution(Execution::MayHaveRun),
         })
     }
 
@@ -433,6 +437,7 @@
         metrics::counter!("hickorycourse_attempt_failures_total", "instance" => instance)
             .increment(1);
         self.failed.push(grant.index);
+        self.has_possibly_run |= error.execution() != Execution::NotRun;
         if self.resumed_tokens > 0 {
             self.recomputed_tokens += self.engine_usage.computed_prompt_tokens();
         }
@@ -476,12 +481,12 @@
         if self.received_tokens > 0 {
             self.add_usage(false);
         }
-        let mut problem = Problem::new(error.code()).with_detail(error.detail.clone());
-        if self.attempts == 1 && self.received_tokens == 0 {
-            problem = problem.with_execution(error.execution());
-        } else {
-            problem = problem.with_execution(Execution::MayHaveRun);
-        }
+        let execution = match self.has_possibly_run {
+            true => Execution::MayHaveRun,
+            false => Execution::NotRun,
+        };
+        let problem = Problem::new(error.code()).with_detail(error.detail.clone());
+        let problem = problem.with_execution(execution);
         if error.is_fault_of_request() { problem } else { problem.with_retry_after_s(1) }
     }
 
--- a/crates/entry/tests/jobs.rs
+++ b/crates/entry/tests/jobs.rs
@@ -109,3 +109,16 @@
     let order = fleet.entries[1].order(Some("after-the-zone"), "x");
     assert_eq!(order.status, 200, "{order:?}");
 }
+
+#[test]
+fn job_refused_after_copy_was_sent_may_run() {
+    let fleet = FleetBuilder::new().start();
+    // The other entry takes nothing, but the copy waits for it.
+    fleet.entries[1].process.freeze();
+    let refused = accept(&fleet.entries[0], "sent", 5);
+    assert_eq!(
+        (refused.code(), refused.execution().as_str()),
+        (4008, "may_have_run"),
+        "{refused:?}"
+    );
+}
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -348,3 +348,20 @@
     assert_eq!(answer.status, 200, "{}", answer.body);
     assert_eq!(answer.json()["usage"]["completion_tokens"], 150);
 }
+
+#[test]
+fn not_run_is_not_said_after_an_attempt() {
+    let policy = json!({ "token_timeout_ms": 2_000 });
+    let timing = json!({ "instance_list_ms": 100 });
+    let fleet = FleetBuilder::new().with_zones(1).with_policy(policy).with_timing(timing).start();
+    fleet.engines[0].set_faults(&json!({ "silent_after_tokens": 0 }));
+    let answer = std::thread::scope(|scope| {
+        let caller =
+            scope.spawn(|| fleet.entries[0].chat(&chat_body(MODEL, "was it run?", 5, false)));
+        // The only engine leaves while the first attempt is silent, so there is no second one.
+        std::thread::sleep(Duration::from_millis(300));
+        fleet.give_notice(&fleet.engines[0].name);
+        caller.join().unwrap()
+    });
+    assert_eq!((answer.code(), answer.execution().as_str()), (3001, "may_have_run"), "{answer:?}");
+}
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -66,6 +66,8 @@
     is_accepted: bool,
     handover_to: Option<String>,
     sent_at_ms: u64,
+    /// Whether any copy was ever sent.
+    was_sent: bool,
     ended_at_ms: Option<u64>,
 }
 
@@ -99,9 +101,10 @@
         self.held.insert(copy.job_id.clone(), HeldJob::new(copy));
     }
 
-    /// Gives up a job that was never accepted.
-    pub fn withdraw(&mut self, job_id: &str) {
-        self.held.remove(job_id);
+    /// Gives up a job that was never accepted; true if a copy was sent, which another entry may
+    /// take over.
+    pub fn withdraw(&mut self, job_id: &str) -> bool {
+        self.held.remove(job_id).is_some_and(|job| job.was_sent)
     }
 
     /// Keeps the answer of a job, unless it has been handed on meanwhile.
@@ -262,6 +265,7 @@
             is_accepted: false,
             handover_to: None,
             sent_at_ms: 0,
+            was_sent: false,
             ended_at_ms: None,
         }
     }
@@ -301,6 +305,7 @@
         }
         let Some(to) = self.copy_holder.clone() else { return };
         self.sent_at_ms = view.now_ms.max(1);
+        self.was_sent = true;
         actions.push(JobAction::SendCopy { to, copy: self.copy.clone() });
     }
 
