--- a/crates/codes/src/problem.rs
+++ b/crates/codes/src/problem.rs
@@ -18,6 +18,11 @@
 }
 
 impl Execution {
+    /// What is known after attempts of which some may have been worked on, or none.
+    pub const fn after_attempts(has_possibly_run: bool) -> Self {
+        if has_possibly_run { Self::MayHaveRun } else { Self::NotRun }
+    }
+
     /// The word used in documents and headers.
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/crates/entry/src/caller/plain.rs
+++ b/crates/entry/src/caller/plain.rs
@@ -187,8 +187,7 @@
 
     /// The answer to the caller after the last attempt.
     pub fn give_up(&self, error: &AttemptError) -> Problem {
-        let execution =
-            if self.has_possibly_run { Execution::MayHaveRun } else { Execution::NotRun };
+        let execution = Execution::after_attempts(self.has_possibly_run);
         let problem = Problem::new(error.code()).with_detail(error.detail.clone());
         problem.with_execution(execution).with_retry_after_s(1)
     }
--- a/crates/entry/src/caller/session.rs
+++ b/crates/entry/src/caller/session.rs
@@ -481,10 +481,7 @@
         if self.received_tokens > 0 {
             self.add_usage(false);
         }
-        let execution = match self.has_possibly_run {
-            true => Execution::MayHaveRun,
-            false => Execution::NotRun,
-        };
+        let execution = Execution::after_attempts(self.has_possibly_run);
         let problem = Problem::new(error.code()).with_detail(error.detail.clone());
         let problem = problem.with_execution(execution);
         if error.is_fault_of_request() { problem } else { problem.with_retry_after_s(1) }
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -18,7 +18,8 @@
 const SHARD_COUNT: u32 = 64;
 /// Longest wait for a claim.
 const CLAIM_DEADLINE_MS: u64 = 3_000;
-const TICK_MS: u64 = 50;
+/// The period of the task's ticks.
+pub const TICK_MS: u64 = 50;
 const KEY_PREFIX: &str = "hickorycourse/claims/";
 
 /// What the task is asked for.
@@ -107,11 +108,6 @@
     }
 }
 
-/// The period of the task's ticks.
-pub const fn tick_ms() -> u64 {
-    TICK_MS
-}
-
 impl ClaimTask {
     fn take(&mut self, input: Input) {
         match input {
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -42,7 +42,7 @@
     let (key_value, fleet) = connect_platform(&entry).await;
     let handovers = start_peers(&entry, &timer)?;
 
-    let claim_ticks = timer.subscribe(claims::tick_ms());
+    let claim_ticks = timer.subscribe(claims::TICK_MS);
     let recording =
         claims::record_claims(entry.clone(), key_value.clone(), claim_queue, claim_ticks);
     rt::spawn(recording);
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -153,14 +153,6 @@
         (even + own_part).max(1)
     }
 
-    /// Whether any member says that this instance is leaving.
-    pub fn is_said_leaving(&self, instance: &str) -> bool {
-        self.members
-            .values()
-            .filter_map(|member| member.heartbeat.as_ref())
-            .any(|heartbeat| heartbeat.leaving_instances.iter().any(|leaving| leaving == instance))
-    }
-
     /// The incarnation of a member's running process, if it was heard lately.
     pub fn incarnation(&self, instance: &str, now_ms: u64) -> Option<u64> {
         let member = self.members.get(instance)?;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,20 +2,19 @@
 //!
 //! The key-value service is met in the shape of the etcd v3 JSON gateway (`/v3/kv/range`,
 //! `/v3/kv/txn`, `/v3/watch`, `/v3/lease/*`). Everything behind [`KeyValue`] and [`Fleet`] is a trait
-//! object, so that tests use [`MemoryKeyValue`], which can lose answers and go down.
+//! object.
 
 mod fleet;
 mod gateway;
 mod http_client;
 mod key_value;
-mod memory;
 mod wire;
 
 /// The types most users of this crate need.
 pub mod prelude {
     pub use crate::{
         Fleet, FleetClient, FleetInstance, GatewayClient, InstanceState, KeyValue, Lease,
-        LocalFuture, MemoryFault, MemoryKeyValue, PlatformError, Stored, Swap, Watch, WatchEvent,
+        LocalFuture, PlatformError, Stored, Swap, Watch, WatchEvent,
     };
 }
 
@@ -23,5 +22,4 @@
 pub use gateway::GatewayClient;
 pub use http_client::build_client;
 pub use key_value::{KeyValue, Lease, LocalFuture, PlatformError, Stored, Swap, Watch, WatchEvent};
-pub use memory::{MemoryFault, MemoryKeyValue};
 pub use wire::{GatewayKeyValue, WatchFrame, decode, encode};
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -225,11 +225,6 @@
         &self.upstreams[index].settings
     }
 
-    /// Whether an upstream leaves.
-    pub fn is_leaving(&self, index: usize) -> bool {
-        !self.upstreams[index].is_open()
-    }
-
     /// What operators see.
     pub fn list_status(&self, now_ms: u64) -> Vec<UpstreamStatus> {
         let share_permille = self.share_permille;
--- a/crates/telemetry/src/span.rs
+++ b/crates/telemetry/src/span.rs
@@ -69,11 +69,6 @@
         Self { context, name, parent_id, started_at_ns: now_ns(), attributes: Vec::new() }
     }
 
-    /// Opens a span below this one.
-    pub fn start_child(&self, name: &'static str) -> Self {
-        Self::start(name, Some(self.context))
-    }
-
     /// Adds an attribute.
     pub fn set(&mut self, name: &'static str, value: impl Into<String>) {
         self.attributes.push(SpanAttribute { name, value: value.into() });
