--- a/crates/clock/src/clock.rs
+++ b/crates/clock/src/clock.rs
@@ -1,7 +1,9 @@
 //! Sources of time.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use rustix::time::{ClockId, clock_gettime};
 
 /// A source of time.
 pub trait Clock: Send + Sync {
@@ -12,19 +14,26 @@
     fn wall_ms(&self) -> u64;
 }
 
-/// The host's clocks.
+/// The host's clocks. Time during which the host was suspended counts.
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
-    started: Instant,
+    started_ms: u64,
 }
 
 impl SystemClock {
     /// Starts at zero.
     pub fn new() -> Self {
-        Self { started: Instant::now() }
+        Self { started_ms: read_boot_clock_ms() }
     }
 }
 
+/// Milliseconds since the host's start. The monotonic clock would stand still while it is suspended,
+/// and a lease would outlive its time.
+fn read_boot_clock_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
+
 impl Default for SystemClock {
     fn default() -> Self {
         Self::new()
@@ -33,7 +42,7 @@
 
 impl Clock for SystemClock {
     fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        read_boot_clock_ms().saturating_sub(self.started_ms)
     }
 
     fn wall_ms(&self) -> u64 {
--- a/crates/codes/src/code.rs
+++ b/crates/codes/src/code.rs
@@ -58,12 +58,16 @@
     UnknownRank = 1010, 400, NotRun, "The rank is not defined in the settings.";
     InvalidHeader = 1011, 400, NotRun, "A header has a value that is not allowed.";
     BrokenBody = 1012, 400, NotRun, "The body broke off before its end.";
+    InvalidHost = 1013, 400, NotRun, "The request names no host, or more than one.";
     QueueFull = 2001, 429, NotRun, "The queue for this rank is full.";
     TargetMissed = 2002, 429, NotRun, "The target of this rank can't be met now.";
     Draining = 2003, 503, NotRun, "This instance is leaving and takes no new work.";
     WaitedTooLong = 2004, 503, NotRun, "The request waited past its limit and was dropped.";
     TooManyRequests = 2005, 503, NotRun, "This instance holds as many requests as it may.";
     SettingsMissing = 2006, 503, NotRun, "This instance has no settings yet.";
+    CapReached = 2007, 429, NotRun, "The organisation's cap over all instances is used up.";
+    KeysUnproven = 2008, 503, NotRun, "This instance can't prove that its list of keys is current.";
+    NoTimeLeft = 2009, 503, NotRun, "The time that the caller allows ended before the call was sent.";
     NoUpstream = 3001, 503, NotRun, "No upstream of this service is available.";
     UpstreamFailed = 3002, 502, MayHaveRun, "The upstream failed before its answer was whole.";
     UpstreamTimeout = 3003, 504, MayHaveRun, "The upstream did not answer in time.";
--- a/crates/codes/src/problem.rs
+++ b/crates/codes/src/problem.rs
@@ -43,8 +43,8 @@
     pub detail: String,
     /// What is known about the execution of the call.
     pub execution: Execution,
-    /// When to come back, in seconds.
-    pub retry_after_s: Option<u64>,
+    /// When to come back.
+    pub retry_after_ms: Option<u64>,
 }
 
 impl Problem {
@@ -54,7 +54,7 @@
             code,
             detail: code.title().to_owned(),
             execution: code.default_execution(),
-            retry_after_s: None,
+            retry_after_ms: None,
         }
     }
 
@@ -71,11 +71,21 @@
     }
 
     /// Tells the caller when to come back.
-    pub fn with_retry_after_s(mut self, retry_after_s: u64) -> Self {
-        self.retry_after_s = Some(retry_after_s);
+    pub fn with_retry_after_s(self, retry_after_s: u64) -> Self {
+        self.with_retry_after_ms(retry_after_s * 1_000)
+    }
+
+    /// Tells the caller when to come back.
+    pub fn with_retry_after_ms(mut self, retry_after_ms: u64) -> Self {
+        self.retry_after_ms = Some(retry_after_ms);
         self
     }
 
+    /// When to come back, in whole seconds, as `Retry-After` has it (RFC 9110, 10.2.3).
+    pub fn retry_after_s(&self) -> Option<u64> {
+        self.retry_after_ms.map(|retry_after_ms| retry_after_ms.div_ceil(1_000))
+    }
+
     /// The HTTP status.
     pub fn status(&self) -> u16 {
         self.code.status()
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hickorycourse_platform::build_client;
+use hickorycourse_store::build_client;
 use ntex::client::{Client, ClientRequest};
 use ntex::time::timeout;
 use serde::Serialize;
--- a/crates/entry/src/caller/respond.rs
+++ b/crates/entry/src/caller/respond.rs
@@ -42,7 +42,7 @@
     let mut response = HttpResponse::build(status);
     response.header(header::CONTENT_TYPE, "application/problem+json");
     response.header("x-execution", problem.execution.as_str());
-    if let Some(retry_after_s) = problem.retry_after_s {
+    if let Some(retry_after_s) = problem.retry_after_s() {
         response.header(header::RETRY_AFTER, retry_after_s.to_string());
     }
     response.body(problem.to_json(request_id).to_string())
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -9,7 +9,7 @@
     BeginClaim, ClaimAction, ClaimAnswer, ClaimEvent, ClaimKey, ClaimShard, ClaimToken,
     ReadOutcome, ShardValue, StoredAnswer, WriteOutcome,
 };
-use hickorycourse_platform::{KeyValue, PlatformError, Stored, Swap};
+use hickorycourse_store::{KeyValue, PlatformError, Stored, Swap};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::state::Entry;
--- a/crates/entry/src/operator/mod.rs
+++ b/crates/entry/src/operator/mod.rs
@@ -8,8 +8,8 @@
 use std::sync::Arc;
 
 use hickorycourse_codes::{ErrorCode, Problem};
-use hickorycourse_platform::{GatewayClient, KeyValue};
 use hickorycourse_settings::{hash_key, key_matches};
+use hickorycourse_store::{GatewayClient, KeyValue};
 use ntex::http::Method;
 use ntex::web::{HttpRequest, HttpResponse, types};
 
--- a/crates/entry/src/operator/settings.rs
+++ b/crates/entry/src/operator/settings.rs
@@ -4,9 +4,9 @@
 
 use hickorycourse_codes::{ErrorCode, Execution, Problem};
 use hickorycourse_membership::VersionedDocument;
-use hickorycourse_platform::{KeyValue, PlatformError, Swap};
 use hickorycourse_settings::document::{Document, DocumentName, Edit, EditError};
 use hickorycourse_settings::{Organisation, Site, parse_document};
+use hickorycourse_store::{KeyValue, PlatformError, Swap};
 use ntex::http::Method;
 use ntex::time::sleep;
 use ntex::util::BytesMut;
--- a/crates/entry/src/platform_tasks.rs
+++ b/crates/entry/src/platform_tasks.rs
@@ -8,10 +8,10 @@
 
 use hickorycourse_clock::Tick;
 use hickorycourse_membership::VersionedDocument;
-use hickorycourse_platform::{
+use hickorycourse_settings::document::{Document, DocumentName, KEY_PREFIX};
+use hickorycourse_store::{
     Fleet, FleetInstance, InstanceState, KeyValue, PlatformError, Stored, WatchEvent,
 };
-use hickorycourse_settings::document::{Document, DocumentName, KEY_PREFIX};
 use ntex::time::{sleep, timeout};
 use tokio::sync::mpsc;
 
--- a/crates/entry/src/spans.rs
+++ b/crates/entry/src/spans.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hickorycourse_clock::Tick;
-use hickorycourse_platform::build_client;
+use hickorycourse_store::build_client;
 use ntex::time::timeout;
 use tokio::sync::mpsc;
 
--- a/crates/entry/src/usage_tasks.rs
+++ b/crates/entry/src/usage_tasks.rs
@@ -5,7 +5,7 @@
 
 use hickorycourse_clock::Tick;
 use hickorycourse_peer::PeerMessage;
-use hickorycourse_platform::{KeyValue, PlatformError, Swap};
+use hickorycourse_store::{KeyValue, PlatformError, Swap};
 use hickorycourse_usage::UsageBook;
 use tokio::sync::mpsc;
 
--- a/crates/load/src/overhead.rs
+++ b/crates/load/src/overhead.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use hickorycourse_platform::build_client;
+use hickorycourse_store::build_client;
 use serde_json::{Value, json};
 
 use crate::call::{Outcome, Target, Times, send};
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
-use hickorycourse_platform::build_client;
+use hickorycourse_store::build_client;
 use ntex::client::Client;
 use ntex::time::sleep;
 use rand::{Rng, SeedableRng};
--- /dev/null
+++ b/crates/placement/src/book.rs
@@ -0,0 +1,413 @@
+//! What is known of the upstreams of one service, and the choice among them.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
+use hickorycourse_routing::PrefixIndex;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::health::{AttemptEnd, Health};
+use crate::request::PlacementRequest;
+
+/// Prompt parts remembered for each upstream; engines hold some hundred.
+const PARTS_MOST: usize = 4_096;
+/// Reports older than this say nothing of the load of now.
+const REPORT_VALID_MS: u64 = 1_500;
+/// Smallest and largest reading rate believed, in tokens a millisecond.
+const READING_RATE_RANGE: (f64, f64) = (5.0, 1_000.0);
+/// Time over which the work of a service is averaged.
+const WORK_WINDOW_MS: u64 = 3_000;
+/// Weight of one measurement in the moving averages: about the last 32 count.
+const AVERAGE_WEIGHT: f64 = 0.03;
+/// Expected cost of a failing upstream: time lost if the attempt fails.
+const FAILURE_COST_MS: f64 = 500.0;
+
+/// Figures that placement starts from.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlacementOptions {
+    /// Prompt tokens that an engine reads in a millisecond, until it has been measured.
+    pub reading_tokens_per_ms: f64,
+    /// Time to the first byte of a request that finds an idle upstream, until it has been measured.
+    pub idle_first_byte_ms: f64,
+    /// Delay by which an upstream in the own availability zone is preferred.
+    pub cross_zone_ms: f64,
+    /// Delay of a full batch against an empty one.
+    pub full_batch_ms: f64,
+}
+
+/// Load that an instance has put on an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct UpstreamLoad {
+    /// Requests in flight.
+    pub running: u64,
+    /// Prompt tokens of requests that wait for their first byte.
+    pub pending_tokens: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PeerLoad {
+    load: UpstreamLoad,
+    at_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    running: u64,
+    waiting: u64,
+    at_ms: u64,
+}
+
+#[derive(Debug)]
+struct Upstream {
+    address: SocketAddr,
+    availability_zone: String,
+    slots: u64,
+    is_leaving: bool,
+    running: u64,
+    /// Prompt tokens that wait for their first byte, by rank.
+    pending: BTreeMap<u8, u64>,
+    peers: HashMap<String, PeerLoad>,
+    report: Option<Report>,
+    health: Health,
+    parts: PrefixIndex,
+}
+
+impl Upstream {
+    fn new(entry: &UpstreamEntry) -> Self {
+        Self {
+            address: entry.address,
+            availability_zone: entry.availability_zone.clone(),
+            slots: entry.slots.max(1),
+            is_leaving: entry.phase == UpstreamPhase::Leaving,
+            running: 0,
+            pending: BTreeMap::new(),
+            peers: HashMap::new(),
+            report: None,
+            health: Health::default(),
+            parts: PrefixIndex::new(PARTS_MOST),
+        }
+    }
+
+    fn estimate_running(&self, now_ms: u64) -> u64 {
+        let peers = self.fresh_peers(now_ms).map(|peer| peer.load.running).sum::<u64>();
+        let reported = self
+            .report
+            .filter(|report| now_ms.saturating_sub(report.at_ms) < REPORT_VALID_MS)
+            .map_or(0, |report| report.running + report.waiting);
+        (self.running + peers).max(reported.min(self.running + peers + self.slots))
+    }
+
+    fn fresh_peers(&self, now_ms: u64) -> impl Iterator<Item = &PeerLoad> {
+        self.peers.values().filter(move |peer| now_ms.saturating_sub(peer.at_ms) < REPORT_VALID_MS)
+    }
+
+    /// Prompt tokens that are read before those of a new request of this rank.
+    fn estimate_pending(&self, urgency: u8, rate: f64, now_ms: u64) -> f64 {
+        let own: u64 = self.pending.range(..=urgency).map(|(_, tokens)| tokens).sum();
+        let peers: f64 = self
+            .fresh_peers(now_ms)
+            .map(|peer| {
+                let read = now_ms.saturating_sub(peer.at_ms) as f64 * rate;
+                (peer.load.pending_tokens as f64 - read).max(0.0)
+            })
+            .sum();
+        own as f64 + peers
+    }
+
+    fn is_usable(&self, now_ms: u64) -> bool {
+        !self.is_leaving
+            && !self.health.is_ejected(now_ms)
+            && !(self.health.is_on_trial() && self.running > 0)
+    }
+}
+
+/// A chosen upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// The upstream's id.
+    pub upstream: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Expected time to the first byte.
+    pub first_byte_ms: u64,
+    /// Prompt tokens that it is expected to read.
+    pub uncached_tokens: u64,
+    /// Prompt tokens ahead of them.
+    pub ahead_tokens: u64,
+}
+
+/// An upstream as operators and the capacity planner see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamSummary {
+    /// Its id.
+    pub upstream: String,
+    /// Load of this instance.
+    pub own: UpstreamLoad,
+    /// Estimated requests in flight of all instances.
+    pub running: u64,
+    /// Part of the recent attempts that failed.
+    pub failure_rate: f64,
+}
+
+/// The upstreams of one service.
+#[derive(Debug)]
+pub struct PlacementBook {
+    availability_zone: String,
+    options: PlacementOptions,
+    upstreams: BTreeMap<String, Upstream>,
+    reading_tokens_per_ms: f64,
+    idle_first_byte_ms: f64,
+    /// Prompt tokens to read, by the time at which their requests came.
+    work: VecDeque<(u64, u64)>,
+    /// What other instances have told of theirs, in tokens a millisecond.
+    peer_work: HashMap<String, f64>,
+}
+
+impl PlacementBook {
+    /// Creates a book without upstreams for an instance in this availability zone.
+    pub fn new(availability_zone: &str, options: PlacementOptions) -> Self {
+        Self {
+            availability_zone: availability_zone.to_owned(),
+            options,
+            upstreams: BTreeMap::new(),
+            reading_tokens_per_ms: options.reading_tokens_per_ms,
+            idle_first_byte_ms: options.idle_first_byte_ms,
+            work: VecDeque::new(),
+            peer_work: HashMap::new(),
+        }
+    }
+
+    /// Takes the upstreams of the service; what is known of those that stay is kept.
+    pub fn set_upstreams<'a>(&mut self, entries: impl Iterator<Item = &'a UpstreamEntry>) {
+        let mut known = std::mem::take(&mut self.upstreams);
+        for entry in entries {
+            let kept = known.remove(&entry.id).filter(|upstream| upstream.address == entry.address);
+            let mut upstream = kept.unwrap_or_else(|| Upstream::new(entry));
+            upstream.is_leaving = entry.phase == UpstreamPhase::Leaving;
+            upstream.slots = entry.slots.max(1);
+            self.upstreams.insert(entry.id.clone(), upstream);
+        }
+    }
+
+    /// Forgets what was known of an upstream that has started anew.
+    pub fn restart(&mut self, upstream: &str) {
+        if let Some(known) = self.upstreams.get_mut(upstream) {
+            known.health = Health::default();
+            known.parts.clear();
+            known.report = None;
+        }
+    }
+
+    /// Whether requests may be sent to an upstream.
+    pub fn is_open(&self, upstream: &str) -> bool {
+        self.upstreams.get(upstream).is_some_and(|known| !known.is_leaving)
+    }
+
+    /// Chooses the upstream with the shortest expected time to the first byte. Ejected upstreams
+    /// are used if there is no other.
+    pub fn choose(&self, request: &PlacementRequest<'_>, now_ms: u64) -> Option<Placement> {
+        let open = |(id, upstream): &(&String, &Upstream)| {
+            !upstream.is_leaving && !request.excluded.contains(id)
+        };
+        let home = self.find_home(request, now_ms);
+        let choose = |is_candidate: &dyn Fn(&Upstream) -> bool| {
+            self.upstreams
+                .iter()
+                .filter(open)
+                .filter(|(_, upstream)| is_candidate(upstream))
+                .map(|(id, upstream)| self.rate(id, upstream, request, home, now_ms))
+                .min_by(|one, other| one.0.total_cmp(&other.0))
+                .map(|(_, placement)| placement)
+        };
+        choose(&|upstream| upstream.is_usable(now_ms))
+            .or_else(|| choose(&|upstream| !upstream.health.is_ejected(now_ms)))
+            .or_else(|| choose(&|_| true))
+    }
+
+    /// The upstream to which all instances send requests with the same shared part, by rendezvous
+    /// hashing (Thaler and Ravishankar, 1998).
+    fn find_home(&self, request: &PlacementRequest<'_>, now_ms: u64) -> Option<&str> {
+        let part = request.affinity_part()?;
+        self.upstreams
+            .iter()
+            .filter(|(_, upstream)| upstream.is_usable(now_ms))
+            .max_by_key(|(id, _)| xxh3_64_with_seed(id.as_bytes(), part.hash))
+            .map(|(id, _)| id.as_str())
+    }
+
+    fn rate(
+        &self,
+        id: &str,
+        upstream: &Upstream,
+        request: &PlacementRequest<'_>,
+        home: Option<&str>,
+        now_ms: u64,
+    ) -> (f64, Placement) {
+        let rate = self.reading_tokens_per_ms;
+        let cached = count_cached(upstream, request, home == Some(id));
+        let uncached = request.prompt_tokens.saturating_sub(cached);
+        let ahead = upstream.estimate_pending(request.urgency, rate, now_ms);
+        let running = upstream.estimate_running(now_ms) as f64;
+        let fill = running / upstream.slots as f64;
+        let over = (running + 1.0 - upstream.slots as f64).max(0.0) / upstream.slots as f64;
+        let first_byte_ms = self.idle_first_byte_ms * (1.0 + over)
+            + (ahead + uncached as f64) / rate
+            + fill * self.options.full_batch_ms;
+        let is_near = upstream.availability_zone == self.availability_zone;
+        let distance_ms = if is_near { 0.0 } else { self.options.cross_zone_ms };
+        let cost = first_byte_ms + distance_ms + upstream.health.failure_rate() * FAILURE_COST_MS;
+        let placement = Placement {
+            upstream: id.to_owned(),
+            address: upstream.address,
+            first_byte_ms: first_byte_ms as u64,
+            uncached_tokens: uncached,
+            ahead_tokens: ahead as u64,
+        };
+        (cost, placement)
+    }
+
+    /// Notes that a request is sent to an upstream.
+    pub fn start(&mut self, upstream: &str, request: &PlacementRequest<'_>, uncached_tokens: u64) {
+        let Some(known) = self.upstreams.get_mut(upstream) else { return };
+        known.running += 1;
+        *known.pending.entry(request.urgency).or_default() += uncached_tokens;
+        let hashes: Vec<u64> = request.parts.iter().map(|part| part.hash).collect();
+        known.parts.add(&hashes);
+    }
+
+    /// Notes that the first byte has come after `elapsed_ms`, and learns from it.
+    pub fn note_first_byte(&mut self, placement: &Placement, urgency: u8, elapsed_ms: u64) {
+        self.clear_pending(&placement.upstream, urgency, placement.uncached_tokens);
+        let work = (placement.uncached_tokens + placement.ahead_tokens) as f64;
+        let elapsed_ms = elapsed_ms as f64;
+        let reading_ms = work / self.reading_tokens_per_ms;
+        if reading_ms > self.idle_first_byte_ms {
+            let spent_ms = (elapsed_ms - self.idle_first_byte_ms).max(1.0);
+            let seen = (work / spent_ms).clamp(READING_RATE_RANGE.0, READING_RATE_RANGE.1);
+            self.reading_tokens_per_ms += (seen - self.reading_tokens_per_ms) * AVERAGE_WEIGHT;
+        } else {
+            let seen_ms = (elapsed_ms - reading_ms).max(0.0);
+            self.idle_first_byte_ms += (seen_ms - self.idle_first_byte_ms) * AVERAGE_WEIGHT;
+        }
+    }
+
+    /// Notes the end of an attempt. `has_first_byte` tells whether [`Self::note_first_byte`] was
+    /// called for it.
+    pub fn finish(
+        &mut self,
+        placement: &Placement,
+        urgency: u8,
+        has_first_byte: bool,
+        end: AttemptEnd,
+        now_ms: u64,
+    ) {
+        if !has_first_byte {
+            self.clear_pending(&placement.upstream, urgency, placement.uncached_tokens);
+        }
+        let Some(known) = self.upstreams.get_mut(&placement.upstream) else { return };
+        known.running = known.running.saturating_sub(1);
+        known.health.record(end, now_ms);
+    }
+
+    fn clear_pending(&mut self, upstream: &str, urgency: u8, tokens: u64) {
+        let Some(known) = self.upstreams.get_mut(upstream) else { return };
+        if let Some(pending) = known.pending.get_mut(&urgency) {
+            *pending = pending.saturating_sub(tokens);
+        }
+    }
+
+    /// Takes an upstream's own word on its load.
+    pub fn report(&mut self, upstream: &str, running: u64, waiting: u64, now_ms: u64) {
+        if let Some(known) = self.upstreams.get_mut(upstream) {
+            known.report = Some(Report { running, waiting, at_ms: now_ms });
+        }
+    }
+
+    /// Takes the load that another instance has put on an upstream.
+    pub fn take_peer_load(&mut self, peer: &str, upstream: &str, load: UpstreamLoad, now_ms: u64) {
+        if let Some(known) = self.upstreams.get_mut(upstream) {
+            known.peers.insert(peer.to_owned(), PeerLoad { load, at_ms: now_ms });
+        }
+    }
+
+    /// Forgets the load that another instance has put on upstreams, before it tells anew.
+    pub fn clear_peer(&mut self, peer: &str) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.peers.remove(peer);
+        }
+        self.peer_work.remove(peer);
+    }
+
+    /// The load of this instance by upstream, of those that have any.
+    pub fn own_loads(&self) -> impl Iterator<Item = (&str, UpstreamLoad)> {
+        self.upstreams.iter().filter(|(_, upstream)| upstream.running > 0).map(|(id, upstream)| {
+            let pending_tokens = upstream.pending.values().sum();
+            (id.as_str(), UpstreamLoad { running: upstream.running, pending_tokens })
+        })
+    }
+
+    /// All upstreams that take requests.
+    pub fn summaries(&self, now_ms: u64) -> Vec<UpstreamSummary> {
+        let open = self.upstreams.iter().filter(|(_, upstream)| !upstream.is_leaving);
+        open.map(|(id, upstream)| UpstreamSummary {
+            upstream: id.clone(),
+            own: UpstreamLoad {
+                running: upstream.running,
+                pending_tokens: upstream.pending.values().sum(),
+            },
+            running: upstream.estimate_running(now_ms),
+            failure_rate: upstream.health.failure_rate(),
+        })
+        .collect()
+    }
+
+    /// Counts the prompt tokens of a request that came, whether it is sent or refused.
+    pub fn add_work(&mut self, uncached_tokens: u64, now_ms: u64) {
+        self.work.push_back((now_ms, uncached_tokens));
+        let oldest_ms = now_ms.saturating_sub(WORK_WINDOW_MS);
+        while self.work.front().is_some_and(|(at_ms, _)| *at_ms < oldest_ms) {
+            self.work.pop_front();
+        }
+    }
+
+    /// Prompt tokens a millisecond that this instance's requests bring.
+    pub fn own_work_tokens_per_ms(&self, now_ms: u64) -> f64 {
+        let oldest_ms = now_ms.saturating_sub(WORK_WINDOW_MS);
+        let recent = self.work.iter().filter(|(at_ms, _)| *at_ms >= oldest_ms);
+        recent.map(|(_, tokens)| *tokens).sum::<u64>() as f64 / WORK_WINDOW_MS as f64
+    }
+
+    /// Prompt tokens a millisecond that all instances' requests bring.
+    pub fn work_tokens_per_ms(&self, now_ms: u64) -> f64 {
+        self.own_work_tokens_per_ms(now_ms) + self.peer_work.values().sum::<f64>()
+    }
+
+    /// Takes what another instance tells of its requests.
+    pub fn take_peer_work(&mut self, peer: &str, tokens_per_ms: f64) {
+        self.peer_work.insert(peer.to_owned(), tokens_per_ms);
+    }
+
+    /// Requests that one upstream runs at once.
+    pub fn slots_each(&self) -> u64 {
+        self.upstreams.values().map(|upstream| upstream.slots).max().unwrap_or(1)
+    }
+
+    /// Prompt tokens that an engine reads in a millisecond, as measured.
+    pub fn reading_tokens_per_ms(&self) -> f64 {
+        self.reading_tokens_per_ms
+    }
+}
+
+/// Tokens of the leading parts that an upstream is believed to hold. The home of a shared part is
+/// believed to hold it, as other instances send their requests there too.
+fn count_cached(upstream: &Upstream, request: &PlacementRequest<'_>, is_home: bool) -> u64 {
+    let shared = request.parts.len().saturating_sub(1);
+    request
+        .parts
+        .iter()
+        .enumerate()
+        .take_while(|(index, part)| upstream.parts.holds(part.hash) || (is_home && *index < shared))
+        .map(|(_, part)| part.tokens)
+        .sum()
+}
--- /dev/null
+++ b/crates/relay/src/caller.rs
@@ -0,0 +1,350 @@
+//! The callers' port.
+
+use std::cell::Cell;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hickorycourse_codes::{ErrorCode, Problem};
+use hickorycourse_routes::{Access, CapUnit, Route, RouteTable, UsageCap};
+use hickorycourse_upstream::HOP_HEADERS;
+use http::header::{self, HeaderName, HeaderValue};
+use http::{HeaderMap, Method};
+use hyper::body::Bytes;
+use ntex::http::{ConnectionType, StatusCode};
+use ntex::time::timeout;
+use ntex::web::types::Payload;
+use ntex::web::{HttpRequest, HttpResponse};
+use serde_json::json;
+
+use crate::borders::{RequestFacts, TokenCounts};
+use crate::call::{Call, Progress, RETRY_AFTER_DEFAULT_MS};
+use crate::connections::UpstreamConnections;
+use crate::node::{InFlightGuard, Relay};
+use crate::stream::{self, StreamAnswer};
+use crate::whole::{self, WholeAnswer};
+
+thread_local! {
+    static CONNECTIONS: UpstreamConnections = UpstreamConnections::default();
+    static SWEPT_AT_MS: Cell<u64> = const { Cell::new(0) };
+}
+
+/// Between two looks for idle connections that are too old.
+const SWEEP_MS: u64 = 1_000;
+
+/// The request's cap, to be given back if the request does not run.
+struct CapUse {
+    organisation: String,
+    units: f64,
+}
+
+/// What became of a request, for its log line.
+#[derive(Default)]
+struct Outcome {
+    request_id: String,
+    route: Option<String>,
+    service: Option<String>,
+    organisation: Option<String>,
+    upstream: Option<String>,
+    attempts: u32,
+    failure: Option<String>,
+    cap: Option<CapUse>,
+}
+
+/// Answers one request of a caller.
+pub async fn answer(relay: Arc<Relay>, request: HttpRequest, payload: Payload) -> HttpResponse {
+    let arrived_at_ms = relay.now_ms();
+    let in_flight = InFlightGuard::new(&relay);
+    let connections = CONNECTIONS.with(UpstreamConnections::clone);
+    sweep(&connections, arrived_at_ms);
+    let mut outcome = Outcome::default();
+    let result = serve(&relay, &request, payload, arrived_at_ms, in_flight, &mut outcome).await;
+    let mut response = match result {
+        Ok(response) => response,
+        Err(problem) => refuse(&relay, &mut outcome, &problem),
+    };
+    if relay.drain.is_stopping() {
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    let status = response.status().as_u16();
+    let took_ms = relay.now_ms().saturating_sub(arrived_at_ms);
+    relay.log.write("answered", || {
+        let (version, proof_age_ms) = {
+            let in_force = relay.in_force.read();
+            (in_force.version(), in_force.proof_age_ms(relay.now_ms()))
+        };
+        json!({
+            "request": outcome.request_id, "route": outcome.route, "service": outcome.service,
+            "organisation": outcome.organisation, "upstream": outcome.upstream,
+            "attempts": outcome.attempts, "status": status, "failure": outcome.failure,
+            "took_ms": took_ms, "version": version, "proof_age_ms": proof_age_ms,
+        })
+    });
+    let label = status.to_string();
+    metrics::counter!("hickorycourse_requests_total", "status" => label).increment(1);
+    metrics::histogram!("hickorycourse_first_byte_seconds").record(took_ms as f64 / 1_000.0);
+    response
+}
+
+fn sweep(connections: &UpstreamConnections, now_ms: u64) {
+    if now_ms >= SWEPT_AT_MS.get() + SWEEP_MS {
+        SWEPT_AT_MS.set(now_ms);
+        connections.sweep(now_ms);
+    }
+}
+
+/// Tells whether this instance is ready for new connections.
+pub fn answer_readiness(relay: &Relay) -> HttpResponse {
+    let now_ms = relay.now_ms();
+    let is_known = relay.in_force.read().version().is_some();
+    match () {
+        () if relay.drain.is_stopping() => HttpResponse::ServiceUnavailable().body("stopping\n"),
+        () if !is_known => HttpResponse::ServiceUnavailable().body("no settings yet\n"),
+        () if !relay.are_keys_proven(now_ms) => {
+            HttpResponse::ServiceUnavailable().body("keys are not proven\n")
+        }
+        () => HttpResponse::Ok().body("ready\n"),
+    }
+}
+
+async fn serve(
+    relay: &Arc<Relay>,
+    request: &HttpRequest,
+    payload: Payload,
+    arrived_at_ms: u64,
+    in_flight: InFlightGuard,
+    outcome: &mut Outcome,
+) -> Result<HttpResponse, Problem> {
+    let table = relay.table();
+    let limits = table.as_ref().map(|table| table.document().limits.clone()).unwrap_or_default();
+    // The body is read first: an answer that overtakes it would be lost with the connection.
+    let body_timeout = Duration::from_millis(limits.header_timeout_ms);
+    let body = read_body(payload, limits.body_bytes, body_timeout).await?;
+    let headers = copy_headers(request, limits.header_bytes)?;
+    let host = read_host(&headers)?.to_owned();
+    let facts = relay
+        .protocol
+        .read_request(&headers)
+        .map_err(|detail| Problem::new(ErrorCode::InvalidHeader).with_detail(detail))?;
+    outcome.request_id = facts.request_id.clone().unwrap_or_default();
+    let later = |code| Problem::new(code).with_retry_after_ms(RETRY_AFTER_DEFAULT_MS);
+    let now_ms = relay.now_ms();
+    if relay.drain.is_closed(now_ms, relay.settings.bounds.stop_ms) {
+        return Err(later(ErrorCode::Draining));
+    }
+    // The newest table, as the body may have taken a while.
+    let Some(table) = relay.table() else { return Err(later(ErrorCode::SettingsMissing)) };
+    let is_current = relay.are_keys_proven(now_ms);
+    let Some(route) = table.find_route(&host, request.path()) else {
+        // A route that was added since can't be told from one that never was.
+        return Err(if is_current {
+            later(ErrorCode::UnknownPath)
+        } else {
+            later(ErrorCode::KeysUnproven)
+        });
+    };
+    outcome.route = Some(route.name.clone());
+    let organisation = match table.check_access(route, facts.key.as_deref()) {
+        Access::Open => None,
+        Access::Organisation(_) | Access::Denied if !is_current => {
+            return Err(later(ErrorCode::KeysUnproven));
+        }
+        Access::Denied => return Err(ErrorCode::UnknownKey.into()),
+        Access::Organisation(organisation) => Some(organisation),
+    };
+    outcome.organisation = organisation.map(|organisation| organisation.name.clone());
+    let service = RouteTable::choose_service(route, &outcome.request_id)
+        .ok_or_else(|| later(ErrorCode::NoUpstream))?;
+    outcome.service = Some(service.to_owned());
+    if let Some((name, cap)) = organisation.and_then(|o| Some((&o.name, o.cap.as_ref()?))) {
+        outcome.cap = Some(take_cap(relay, name, cap, facts.tokens)?);
+    }
+    relay.add_request(service);
+    let urgency = organisation.and_then(|o| o.urgency).unwrap_or(route.urgency);
+    let call = Call {
+        relay: Arc::clone(relay),
+        connections: CONNECTIONS.with(UpstreamConnections::clone),
+        request_id: outcome.request_id.clone(),
+        service: service.to_owned(),
+        key: facts.key.clone(),
+        organisation: outcome.organisation.clone(),
+        urgency,
+        method: Method::from_bytes(request.method().as_str().as_bytes()).map_err(|error| {
+            Problem::new(ErrorCode::InvalidHeader).with_detail(error.to_string())
+        })?,
+        path_and_query: request
+            .uri()
+            .path_and_query()
+            .map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned()),
+        body,
+        tokens: facts.tokens.unwrap_or_default(),
+        arrived_at_ms,
+        deadline_at_ms: deadline_at_ms(arrived_at_ms, route, &facts),
+        parts: facts.parts,
+        route: route.clone(),
+        headers,
+    };
+    match route.repeat.is_stream() {
+        true => answer_stream(call, facts.last_event_id, in_flight, outcome).await,
+        false => answer_whole(&call, outcome).await,
+    }
+}
+
+fn deadline_at_ms(arrived_at_ms: u64, route: &Route, facts: &RequestFacts) -> u64 {
+    arrived_at_ms + route.timeout_ms.min(facts.deadline_ms.unwrap_or(u64::MAX))
+}
+
+fn take_cap(
+    relay: &Relay,
+    organisation: &str,
+    cap: &UsageCap,
+    tokens: Option<TokenCounts>,
+) -> Result<CapUse, Problem> {
+    let units = match (cap.unit, tokens) {
+        (CapUnit::Requests, _) => 1.0,
+        (CapUnit::Tokens, Some(tokens)) => (tokens.prompt + tokens.output_most) as f64,
+        (CapUnit::Tokens, None) => cap.default_units,
+    };
+    match relay.take_cap(organisation, cap, units) {
+        Ok(()) => Ok(CapUse { organisation: organisation.to_owned(), units }),
+        Err(retry_after_ms) => {
+            Err(Problem::new(ErrorCode::CapReached).with_retry_after_ms(retry_after_ms))
+        }
+    }
+}
+
+async fn answer_whole(call: &Call, outcome: &mut Outcome) -> Result<HttpResponse, Problem> {
+    let mut progress = Progress::default();
+    let result = whole::fetch(call, &mut progress).await;
+    outcome.attempts = progress.sent;
+    outcome.failure = progress.failure;
+    let answer = result?;
+    outcome.upstream = Some(answer.upstream.clone());
+    Ok(write_whole(&answer))
+}
+
+async fn answer_stream(
+    call: Call,
+    last_event_id: Option<u64>,
+    in_flight: InFlightGuard,
+    outcome: &mut Outcome,
+) -> Result<HttpResponse, Problem> {
+    match stream::open(call, Progress::default(), last_event_id, in_flight).await {
+        Ok(StreamAnswer::Whole(answer)) => {
+            outcome.upstream = Some(answer.upstream.clone());
+            Ok(write_whole(&answer))
+        }
+        Ok(StreamAnswer::Stream(relayed)) => {
+            let status = StatusCode::from_u16(relayed.status).unwrap_or(StatusCode::OK);
+            let mut response = HttpResponse::build(status);
+            write_headers(&relayed.headers, &mut response);
+            Ok(response.streaming(Box::pin(stream::into_body(relayed))))
+        }
+        Err((_, progress, problem)) => {
+            outcome.attempts = progress.sent;
+            outcome.failure = progress.failure;
+            Err(problem)
+        }
+    }
+}
+
+async fn read_body(
+    payload: Payload,
+    limit_bytes: usize,
+    limit: Duration,
+) -> Result<Bytes, Problem> {
+    match timeout(limit, read_parts(payload, limit_bytes)).await {
+        Ok(result) => result,
+        Err(()) => Err(ErrorCode::SlowRequest.into()),
+    }
+}
+
+async fn read_parts(mut payload: Payload, limit_bytes: usize) -> Result<Bytes, Problem> {
+    let mut body = Vec::new();
+    while let Some(part) = payload.recv().await {
+        let part = part.map_err(|_| Problem::new(ErrorCode::BrokenBody))?;
+        if body.len() + part.len() > limit_bytes {
+            let detail = format!("The body may have {limit_bytes} bytes.");
+            return Err(Problem::new(ErrorCode::BodyTooLarge).with_detail(detail));
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(Bytes::from(body))
+}
+
+/// Copies a request's headers without those of the hop, those that `Connection` names included.
+fn copy_headers(request: &HttpRequest, limit_bytes: usize) -> Result<HeaderMap, Problem> {
+    let source = request.headers();
+    let named: Vec<String> = source
+        .get_all("connection")
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut headers = HeaderMap::new();
+    let mut bytes = 0;
+    for (name, value) in source {
+        let name = name.as_str();
+        bytes += name.len() + value.as_bytes().len();
+        if bytes > limit_bytes {
+            return Err(ErrorCode::HeadersTooLarge.into());
+        }
+        if HOP_HEADERS.contains(&name) || named.iter().any(|named| named == name) {
+            continue;
+        }
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value.as_bytes());
+        let (Ok(name), Ok(value)) = (name, value) else {
+            return Err(ErrorCode::InvalidHeader.into());
+        };
+        headers.append(name, value);
+    }
+    Ok(headers)
+}
+
+/// Exactly one host must be named (RFC 9112, 3.2).
+fn read_host(headers: &HeaderMap) -> Result<&str, Problem> {
+    let mut hosts = headers.get_all(header::HOST).iter();
+    match (hosts.next(), hosts.next()) {
+        (Some(host), None) => host.to_str().map_err(|_| ErrorCode::InvalidHost.into()),
+        _ => Err(ErrorCode::InvalidHost.into()),
+    }
+}
+
+fn write_headers(headers: &HeaderMap, response: &mut ntex::web::HttpResponseBuilder) {
+    for (name, value) in headers {
+        if !HOP_HEADERS.contains(&name.as_str()) {
+            response.header(name.as_str(), value.as_bytes());
+        }
+    }
+}
+
+fn write_whole(answer: &WholeAnswer) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    write_headers(&answer.headers, &mut response);
+    response.body(ntex::util::Bytes::copy_from_slice(&answer.body))
+}
+
+fn refuse(relay: &Relay, outcome: &mut Outcome, problem: &Problem) -> HttpResponse {
+    let number = problem.code.number().to_string();
+    metrics::counter!("hickorycourse_problems_total", "code" => number).increment(1);
+    if let Some(cap) = outcome.cap.take()
+        && problem.execution == hickorycourse_codes::Execution::NotRun
+    {
+        relay.give_back_cap(&cap.organisation, cap.units);
+    }
+    let failure = outcome.failure.take();
+    outcome.failure = Some(match failure {
+        Some(failure) => format!("{problem} ({failure})"),
+        None => problem.to_string(),
+    });
+    let status =
+        StatusCode::from_u16(problem.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = HttpResponse::build(status);
+    response.header("content-type", "application/problem+json");
+    response.header("x-execution", problem.execution.as_str());
+    if let Some(retry_after_ms) = problem.retry_after_ms {
+        response.header("retry-after", relay.protocol.write_retry_after(retry_after_ms));
+    }
+    response.body(problem.to_json(&outcome.request_id).to_string())
+}
--- /dev/null
+++ b/crates/relay/src/connections.rs
@@ -0,0 +1,183 @@
+//! Connections to upstreams, one exchange at a time on each.
+//!
+//! Built on hyper's connection handles rather than a pooling client: an exchange is tied to one
+//! connection, the client tells whether a request was taken up before the connection ended, and
+//! bytes behind an answer end the connection instead of reaching the next exchange.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response, header};
+use hyper_util::rt::TokioIo;
+use ntex::time::timeout;
+use tokio::net::TcpStream;
+use tokio::task::{JoinHandle, spawn_local};
+
+/// Longest wait for a new connection. The network's own delays are a few milliseconds; a lost
+/// opening packet costs a second, and another upstream is faster than that.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Idle time after which a connection is closed if the upstream states none.
+const IDLE_DEFAULT_MS: u64 = 3_000;
+/// Part of the stated idle time that is used, so that the upstream's close is not on its way.
+const IDLE_PERCENT: u64 = 60;
+/// Idle connections kept for each upstream.
+const IDLE_MOST: usize = 64;
+
+/// Why an exchange failed.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum ExchangeError {
+    /// Nothing of the request has left.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// No answer in time.
+    #[error("silent: {0}")]
+    Silent(String),
+    /// The connection broke, or what came is no answer.
+    #[error("broken: {0}")]
+    Broken(String),
+}
+
+/// Ends the task that drives a connection, and with it the connection.
+#[derive(Debug)]
+struct Driver(JoinHandle<()>);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A connection to an upstream. Dropping it closes it.
+#[derive(Debug)]
+pub struct UpstreamConnection {
+    sender: SendRequest<Full<Bytes>>,
+    _driver: Driver,
+    upstream: String,
+    idle_since_ms: u64,
+    idle_limit_ms: u64,
+}
+
+impl UpstreamConnection {
+    /// Opens a connection.
+    async fn open(upstream: &str, address: SocketAddr) -> Result<Self, ExchangeError> {
+        let not_sent = |detail: String| ExchangeError::NotSent(detail);
+        let stream = timeout(DIAL_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|()| not_sent(format!("no connection in {} ms", DIAL_TIMEOUT.as_millis())))?
+            .map_err(|error| not_sent(error.to_string()))?;
+        stream.set_nodelay(true).map_err(|error| not_sent(error.to_string()))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_sent(error.to_string()))?;
+        let driver = spawn_local(async move {
+            // Whoever waits for an answer gets the error too.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            _driver: Driver(driver),
+            upstream: upstream.to_owned(),
+            idle_since_ms: 0,
+            idle_limit_ms: IDLE_DEFAULT_MS,
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// The connection must not be used again after any error.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        match timeout(limit, self.sender.try_send_request(request)).await {
+            Ok(Ok(response)) => {
+                self.idle_limit_ms = read_idle_limit_ms(&response);
+                Ok(response)
+            }
+            Ok(Err(mut error)) => {
+                let is_unsent = error.take_message().is_some();
+                let detail = error.into_error().to_string();
+                Err(match is_unsent {
+                    true => ExchangeError::NotSent(detail),
+                    false => ExchangeError::Broken(detail),
+                })
+            }
+            Err(()) => Err(ExchangeError::Silent(format!("no answer in {} ms", limit.as_millis()))),
+        }
+    }
+
+    fn is_reusable(&self, idle_most_ms: u64, now_ms: u64) -> bool {
+        let idle_ms = now_ms.saturating_sub(self.idle_since_ms);
+        idle_ms < self.idle_limit_ms.min(idle_most_ms)
+            && self.sender.is_ready()
+            && !self.sender.is_closed()
+    }
+}
+
+/// Reads how long the upstream keeps an idle connection (`Keep-Alive: timeout=SECONDS`).
+fn read_idle_limit_ms(response: &Response<Incoming>) -> u64 {
+    let value = response.headers().get(header::HeaderName::from_static("keep-alive"));
+    let stated_s = value
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
+        .and_then(|seconds| seconds.trim().parse::<u64>().ok());
+    stated_s.map_or(IDLE_DEFAULT_MS, |seconds| seconds * 1_000 * IDLE_PERCENT / 100)
+}
+
+/// The idle connections of one thread, by upstream.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamConnections {
+    idle: Rc<RefCell<HashMap<String, Vec<UpstreamConnection>>>>,
+}
+
+impl UpstreamConnections {
+    /// Takes an idle connection, the one used last, or opens a new one.
+    ///
+    /// # Errors
+    /// No connection could be made; nothing was sent.
+    pub async fn checkout(
+        &self,
+        upstream: &str,
+        address: SocketAddr,
+        idle_most_ms: u64,
+        now_ms: u64,
+    ) -> Result<UpstreamConnection, ExchangeError> {
+        let held = self.idle.borrow_mut().get_mut(upstream).and_then(|connections| {
+            connections.retain(|connection| connection.is_reusable(u64::MAX, now_ms));
+            connections.pop_if(|connection| connection.is_reusable(idle_most_ms, now_ms))
+        });
+        match held {
+            Some(connection) => Ok(connection),
+            None => UpstreamConnection::open(upstream, address).await,
+        }
+    }
+
+    /// Keeps a connection whose exchange has ended with a whole answer.
+    pub fn give_back(&self, mut connection: UpstreamConnection, now_ms: u64) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        connection.idle_since_ms = now_ms;
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(connection.upstream.clone()).or_default();
+        if connections.len() < IDLE_MOST {
+            connections.push(connection);
+        }
+    }
+
+    /// Closes idle connections that are too old or that the upstream has closed.
+    pub fn sweep(&self, now_ms: u64) {
+        self.idle.borrow_mut().retain(|_, connections| {
+            connections.retain(|connection| connection.is_reusable(u64::MAX, now_ms));
+            !connections.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/crates/relay/src/duty_tasks.rs
@@ -0,0 +1,288 @@
+//! The duties that one instance carries out for all.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hickorycourse_duties::{CapacityOrder, CapacityPlanner, LeaseStep, ZoneCapacity};
+use hickorycourse_routes::{Service, UpstreamPhase};
+use hickorycourse_store::{KeyValue, Lease, PlatformError, Swap};
+use ntex::time::sleep;
+use serde_json::json;
+
+use crate::borders::{DutyCalls, DutyError, DutyHolder};
+use crate::follow::draw_claim_delay_ms;
+use crate::node::Relay;
+use crate::planning;
+use crate::settings::Duty;
+
+/// Where the holder's name stands in the store.
+pub const HOLDER_KEY: &str = "hickorycourse/duties";
+/// Where the reports of usage are fixed before they are sent.
+const REPORT_PREFIX: &str = "hickorycourse/usage/";
+/// Time that the store keeps a fixed report; long after its window can still be reported.
+const REPORT_TTL_MS: u64 = 60_000;
+const TICK: Duration = Duration::from_millis(250);
+/// Between two looks at the capacity.
+const PLAN_EVERY_MS: u64 = 1_000;
+/// Part of a report's delay that is waited for the last instances' counts.
+const REPORT_PERCENT: u64 = 55;
+/// Windows that a new holder looks back, so that none is left out between two holders.
+const WINDOWS_BACK: u64 = 4;
+
+/// The duties as this instance carries them out while it holds them.
+pub struct DutyTasks {
+    relay: Arc<Relay>,
+    key_value: Rc<dyn KeyValue>,
+    calls: Rc<dyn DutyCalls>,
+    lease: Option<Lease>,
+    reported: BTreeSet<u64>,
+    planners: BTreeMap<String, CapacityPlanner>,
+    planned_at_ms: u64,
+}
+
+impl DutyTasks {
+    /// Creates the duties of a process that does not hold them.
+    pub fn new(relay: &Arc<Relay>, key_value: Rc<dyn KeyValue>, calls: Rc<dyn DutyCalls>) -> Self {
+        Self {
+            relay: Arc::clone(relay),
+            key_value,
+            calls,
+            lease: None,
+            reported: BTreeSet::new(),
+            planners: BTreeMap::new(),
+            planned_at_ms: 0,
+        }
+    }
+
+    /// Competes for the duties and carries them out until the process stops.
+    pub async fn run(mut self) {
+        while !self.relay.drain.is_stopping() {
+            self.keep_lease().await;
+            if self.fence().is_some() {
+                self.act().await;
+            }
+            sleep(TICK).await;
+        }
+        if let Some(lease) = self.lease.take() {
+            self.relay.lease.lock().note_lost();
+            self.release(lease).await;
+        }
+    }
+
+    fn fence(&self) -> Option<u64> {
+        self.relay.lease.lock().fence(self.relay.now_ms())
+    }
+
+    async fn keep_lease(&mut self) {
+        let now_ms = self.relay.now_ms();
+        let step = self.relay.lease.lock().step(now_ms);
+        match step {
+            LeaseStep::Wait => {}
+            LeaseStep::Claim => self.claim().await,
+            LeaseStep::Renew => self.renew().await,
+        }
+    }
+
+    async fn claim(&mut self) {
+        let relay = Arc::clone(&self.relay);
+        let started_at_ms = relay.now_ms();
+        let outcome = self.try_claim().await;
+        let now_ms = relay.now_ms();
+        let mut lease = relay.lease.lock();
+        match &outcome {
+            Ok(Swap::Swapped { mod_revision }) => {
+                lease.note_claimed(*mod_revision, started_at_ms, now_ms);
+                self.planners.clear();
+            }
+            Ok(Swap::Conflict { stored: Some(stored) }) => lease.note_holder(stored.mod_revision),
+            Ok(Swap::Conflict { stored: None }) | Err(_) => {
+                lease.note_claim_failed(draw_claim_delay_ms(now_ms), now_ms);
+            }
+        }
+        drop(lease);
+        relay.log.write("duties_claimed", || json!({ "outcome": format!("{outcome:?}") }));
+    }
+
+    async fn try_claim(&mut self) -> Result<Swap, PlatformError> {
+        let ttl_ms = self.relay.settings.bounds.lease_ms;
+        let lease = self.key_value.grant_lease(ttl_ms).await?;
+        let name = self.relay.settings.instance.as_bytes();
+        let swap = self.key_value.compare_and_swap(HOLDER_KEY, 0, name, Some(lease)).await;
+        match &swap {
+            Ok(Swap::Swapped { .. }) => self.lease = Some(lease),
+            Ok(Swap::Conflict { .. }) => self.release(lease).await,
+            // It may still take effect; the lease's end removes it then.
+            Err(_) => {}
+        }
+        swap
+    }
+
+    async fn renew(&mut self) {
+        let Some(lease) = self.lease else { return };
+        let started_at_ms = self.relay.now_ms();
+        match self.key_value.renew_lease(lease).await {
+            Ok(true) => self.relay.lease.lock().note_renewed(started_at_ms),
+            Ok(false) => {
+                self.lease = None;
+                self.relay.lease.lock().note_lost();
+                self.relay.log.write("duties_lost", || json!({ "reason": "the lease has ended" }));
+            }
+            Err(error) => self
+                .relay
+                .log
+                .write("duties_not_renewed", || json!({ "reason": error.to_string() })),
+        }
+    }
+
+    async fn release(&self, lease: Lease) {
+        if let Err(error) = self.key_value.revoke_lease(lease).await {
+            self.relay.log.write("lease_not_released", || json!({ "reason": error.to_string() }));
+        }
+    }
+
+    async fn act(&mut self) {
+        if self.relay.settings.duties.contains(&Duty::Usage) {
+            self.report_usage().await;
+        }
+        let now_ms = self.relay.now_ms();
+        let is_due = now_ms >= self.planned_at_ms + PLAN_EVERY_MS;
+        if is_due && self.relay.settings.duties.contains(&Duty::Capacity) {
+            self.planned_at_ms = now_ms;
+            self.order_capacity().await;
+        }
+    }
+
+    async fn report_usage(&mut self) {
+        let bounds = &self.relay.settings.bounds;
+        let window_ms = bounds.usage_window_ms;
+        let wait_ms = bounds.usage_delay_ms * REPORT_PERCENT / 100;
+        let true_ms = self.relay.time.lock().now_ms(self.relay.now_ms());
+        // Windows before this number have ended long enough ago.
+        let ended = true_ms.saturating_sub(wait_ms) / window_ms;
+        let first = ended.saturating_sub(WINDOWS_BACK);
+        self.reported.retain(|window| *window >= first);
+        self.relay.fleet_usage.lock().forget_before(first);
+        for window in first..ended {
+            if !self.reported.contains(&window) && self.report_window(window).await {
+                self.reported.insert(window);
+            }
+        }
+    }
+
+    /// Reports one window; true if nothing is left to do for it.
+    async fn report_window(&self, window: u64) -> bool {
+        let relay = &self.relay;
+        let counts = match self.fix_report(window).await {
+            Ok(counts) => counts,
+            Err(error) => {
+                relay.log.write(
+                    "usage_not_fixed",
+                    || json!({ "window": window, "reason": error.to_string() }),
+                );
+                return false;
+            }
+        };
+        // The lease may have run out meanwhile.
+        let Some(fence) = self.fence() else { return false };
+        let holder = DutyHolder { instance: &relay.settings.instance, fence };
+        let result = self.calls.report_usage(holder, window, &counts).await;
+        relay.log.write("usage_reported", || {
+            json!({
+                "window": window, "fence": fence, "counts": counts,
+                "outcome": result.as_ref().err().map(ToString::to_string),
+            })
+        });
+        result.is_ok()
+    }
+
+    /// Writes the counts of a window to the store once. Whoever reports the window later sends the
+    /// same ones.
+    async fn fix_report(&self, window: u64) -> Result<BTreeMap<String, u64>, PlatformError> {
+        let counts = self.relay.fleet_usage.lock().total(window);
+        let key = format!("{REPORT_PREFIX}{window}");
+        let value = serde_json::to_vec(&counts)
+            .map_err(|error| PlatformError::Nonsense(error.to_string()))?;
+        let lease = self.key_value.grant_lease(REPORT_TTL_MS).await?;
+        match self.key_value.compare_and_swap(&key, 0, &value, Some(lease)).await? {
+            Swap::Swapped { .. } => Ok(counts),
+            Swap::Conflict { stored: None } => {
+                Err(PlatformError::Nonsense("a conflict without a value".to_owned()))
+            }
+            Swap::Conflict { stored: Some(stored) } => serde_json::from_slice(&stored.value)
+                .map_err(|error| PlatformError::Nonsense(error.to_string())),
+        }
+    }
+
+    async fn order_capacity(&mut self) {
+        let Some(table) = self.relay.table() else { return };
+        for (name, service) in &table.document().services {
+            for order in self.plan(name, service) {
+                self.send_order(name, &order).await;
+            }
+        }
+    }
+
+    fn plan(&mut self, name: &str, service: &Service) -> Vec<CapacityOrder> {
+        let Some(limits) = &service.capacity else { return Vec::new() };
+        let now_ms = self.relay.now_ms();
+        let demand = planning::measure_demand(&self.relay, name, service, now_ms);
+        let zones = self.count_zones(name, limits.zone_prices.keys());
+        let options = planning::options();
+        let planner =
+            self.planners.entry(name.to_owned()).or_insert_with(|| CapacityPlanner::new(options));
+        let orders = planner.plan(limits, &zones, demand, now_ms);
+        if !orders.is_empty() {
+            self.relay.log.write("capacity_planned", || {
+                json!({
+                    "service": name, "busy_upstreams": demand.busy_upstreams,
+                    "zones": format!("{zones:?}"), "orders": format!("{orders:?}"),
+                })
+            });
+        }
+        orders
+    }
+
+    fn count_zones<'a>(
+        &self,
+        service: &str,
+        priced: impl Iterator<Item = &'a String>,
+    ) -> BTreeMap<String, ZoneCapacity> {
+        let mut zones: BTreeMap<String, ZoneCapacity> =
+            priced.map(|zone| (zone.clone(), ZoneCapacity::default())).collect();
+        let directory = self.relay.directory.lock();
+        let ready = directory
+            .entries()
+            .filter(|entry| entry.service == service && entry.phase == UpstreamPhase::Ready);
+        for entry in ready {
+            let zone = zones.entry(entry.availability_zone.clone()).or_default();
+            match entry.is_reclaimable {
+                true => zone.ready.reclaimable += 1,
+                false => zone.ready.on_demand += 1,
+            }
+        }
+        zones
+    }
+
+    async fn send_order(&mut self, service: &str, order: &CapacityOrder) {
+        let Some(fence) = self.fence() else { return };
+        let relay = &self.relay;
+        let holder = DutyHolder { instance: &relay.settings.instance, fence };
+        let result = self.calls.order_capacity(holder, service, order).await;
+        relay.log.write("capacity_ordered", || {
+            json!({
+                "service": service, "order": format!("{order:?}"), "fence": fence,
+                "outcome": result.as_ref().err().map(ToString::to_string),
+            })
+        });
+        let now_ms = relay.now_ms();
+        let Some(planner) = self.planners.get_mut(service) else { return };
+        match result {
+            Ok(()) => planner.note_ordered(order, now_ms),
+            Err(DutyError::Unavailable) => planner.note_refused(order, now_ms),
+            // Tried again with the next plan.
+            Err(DutyError::Refused(_) | DutyError::Uncertain(_)) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/events.rs
@@ -0,0 +1,72 @@
+//! Whole events of a stream (the event stream format of the HTML standard, section 9.2).
+
+/// Cuts the bytes of a stream into whole events and drops those that were seen before. A part of an
+/// event is held back until its rest has come, so that a stream that goes on at another upstream
+/// never joins the parts of two runs.
+#[derive(Clone, Debug, Default)]
+pub struct EventTracker {
+    partial: Vec<u8>,
+    last_id: Option<u64>,
+}
+
+impl EventTracker {
+    /// Starts a stream behind the event with this id.
+    pub fn after(last_id: Option<u64>) -> Self {
+        Self { partial: Vec::new(), last_id }
+    }
+
+    /// Takes bytes; returns the whole events that are new, as they came.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        self.partial.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        let mut start = 0;
+        while let Some(length) = find_event_end(&self.partial[start..]) {
+            let event = &self.partial[start..start + length];
+            let id = read_id(event);
+            let is_repeated = matches!((id, self.last_id), (Some(id), Some(last)) if id <= last);
+            if !is_repeated {
+                events.extend_from_slice(event);
+                self.last_id = id.or(self.last_id);
+            }
+            start += length;
+        }
+        self.partial.drain(..start);
+        events
+    }
+
+    /// Forgets a part of an event whose rest will not come.
+    pub fn drop_partial(&mut self) {
+        self.partial.clear();
+    }
+
+    /// Whether a part of an event is held back.
+    pub fn has_partial(&self) -> bool {
+        !self.partial.is_empty()
+    }
+
+    /// The id of the last event passed on.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+}
+
+/// The length of the first event with the blank line that ends it.
+fn find_event_end(bytes: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    for (index, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &bytes[line_start..index];
+        if line.is_empty() || line == b"\r" {
+            return Some(index + 1);
+        }
+        line_start = index + 1;
+    }
+    None
+}
+
+fn read_id(event: &[u8]) -> Option<u64> {
+    let value = event.split(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/relay/src/follow.rs
@@ -0,0 +1,229 @@
+//! Following the platform's store: the operators' document, the upstreams, the other instances.
+//!
+//! One watch over all keys. After each batch of changes it rests, so that many heartbeats of
+//! upstreams come in one answer; the rest is a part of the shortest bound that changes must meet.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hickorycourse_routes::UpstreamEntry;
+use hickorycourse_store::{KeyValue, Lease, PlatformError, Stored, Swap, WatchEvent};
+use ntex::time::sleep;
+use rand::Rng;
+use serde_json::json;
+
+use crate::borders::{PlatformItem, PlatformKey};
+use crate::duty_tasks::HOLDER_KEY;
+use crate::members::{MEMBER_PREFIX, MemberRecord};
+use crate::node::Relay;
+
+/// The watch rests for the shortest bound divided by this.
+const REST_DIVISOR: u64 = 4;
+/// Bounds of the wait after a failure; drawn anew each time, so that instances don't come together.
+const BACKOFF_MS: std::ops::Range<u64> = 100..400;
+/// Time that the store keeps a member's key without renewal; covers a short outage.
+const MEMBER_TTL_MS: u64 = 9_000;
+/// Between two renewals of the member's key.
+const MEMBER_RENEW: Duration = Duration::from_millis(3_000);
+/// Between two attempts to write the member's key.
+const MEMBER_RETRY: Duration = Duration::from_millis(500);
+/// Claims of instances that see the same vacancy are spread over this time.
+const CLAIM_SPREAD_MS: u64 = 300;
+/// Time after the start during which others go first: a process that has just started has not heard
+/// what ended processes have counted.
+const NEWCOMER_MS: u64 = 12_000;
+/// Delay of a newcomer's claim.
+const NEWCOMER_DELAY_MS: u64 = 1_500;
+
+/// Follows the store for as long as the process lives.
+pub async fn follow_store(relay: Arc<Relay>, key_value: Rc<dyn KeyValue>) {
+    loop {
+        let error = match follow_until_failure(&relay, key_value.as_ref()).await {
+            Ok(()) => "the watch ended".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        relay.note_store_lost(&error);
+        let backoff_ms = rand::rng().random_range(BACKOFF_MS);
+        sleep(Duration::from_millis(backoff_ms)).await;
+    }
+}
+
+async fn follow_until_failure(
+    relay: &Arc<Relay>,
+    key_value: &dyn KeyValue,
+) -> Result<(), PlatformError> {
+    let bounds = &relay.settings.bounds;
+    let rest_ms = bounds.apply_ms.min(bounds.leaving_ms) / REST_DIVISOR;
+    // Opened before the listing, so that no change falls between the two.
+    let mut watch = key_value.watch("").await?;
+    let started_at_ms = relay.now_ms();
+    let items = key_value.list("", 0).await?;
+    apply_listing(relay, &items);
+    note_proof(relay, started_at_ms);
+    loop {
+        let started_at_ms = relay.now_ms();
+        let Some(events) = watch.next().await else { return Ok(()) };
+        let events = events?;
+        for event in &events {
+            apply_event(relay, event);
+        }
+        note_proof(relay, started_at_ms);
+        relay.expire_upstreams();
+        if !events.is_empty() {
+            sleep(Duration::from_millis(rest_ms)).await;
+        }
+    }
+}
+
+/// The store answered a call that began at `started_at_ms`: what is known was current then.
+fn note_proof(relay: &Relay, started_at_ms: u64) {
+    relay.note_store_answers();
+    let mut in_force = relay.in_force.write();
+    if let Some(version) = in_force.version() {
+        in_force.prove(version, started_at_ms);
+    }
+}
+
+fn apply_listing(relay: &Relay, items: &[Stored]) {
+    let mut upstreams: Vec<UpstreamEntry> = Vec::new();
+    let mut members = Vec::new();
+    let mut has_holder = false;
+    for item in items {
+        has_holder |= item.key == HOLDER_KEY;
+        if let Some(name) = item.key.strip_prefix(MEMBER_PREFIX) {
+            members.push(name.to_owned());
+        }
+        match decode(relay, item) {
+            Some(PlatformItem::Upstream(entry)) => upstreams.push(entry),
+            Some(PlatformItem::Document(document)) => relay.offer_document(*document, "store"),
+            Some(PlatformItem::Other) => apply_own(relay, item),
+            None => {}
+        }
+    }
+    relay.replace_upstreams(upstreams);
+    let now_ms = relay.now_ms();
+    let mut known = relay.members.lock();
+    for name in known.listed() {
+        if !members.contains(&name) {
+            known.unlist(&name);
+        }
+    }
+    drop(known);
+    if !has_holder {
+        relay.lease.lock().note_vacant(None, draw_claim_delay_ms(now_ms), now_ms);
+    }
+}
+
+fn apply_event(relay: &Relay, event: &WatchEvent) {
+    match event {
+        WatchEvent::Put(item) => match decode(relay, item) {
+            Some(PlatformItem::Upstream(entry)) => relay.put_upstream(entry),
+            Some(PlatformItem::Document(document)) => relay.offer_document(*document, "store"),
+            Some(PlatformItem::Other) => apply_own(relay, item),
+            None => {
+                // What can't be read names no upstream to use.
+                if let PlatformKey::Upstream(id) = relay.protocol.read_key(&item.key) {
+                    relay.remove_upstream(id);
+                }
+            }
+        },
+        WatchEvent::Deleted { key, mod_revision } => apply_deletion(relay, key, *mod_revision),
+    }
+}
+
+fn decode(relay: &Relay, item: &Stored) -> Option<PlatformItem> {
+    match relay.protocol.decode_item(&item.key, &item.value) {
+        Ok(decoded) => Some(decoded),
+        Err(reason) => {
+            relay.log.write(
+                "item_ignored",
+                || json!({ "key": item.key, "revision": item.mod_revision, "reason": reason }),
+            );
+            None
+        }
+    }
+}
+
+fn apply_own(relay: &Relay, item: &Stored) {
+    if item.key == HOLDER_KEY {
+        relay.lease.lock().note_holder(item.mod_revision);
+    }
+    let Some(name) = item.key.strip_prefix(MEMBER_PREFIX) else { return };
+    if name == relay.settings.instance {
+        return;
+    }
+    match serde_json::from_slice::<MemberRecord>(&item.value) {
+        Ok(record) => relay.members.lock().list(name, &record, relay.now_ms()),
+        Err(error) => relay
+            .log
+            .write("item_ignored", || json!({ "key": item.key, "reason": error.to_string() })),
+    }
+}
+
+fn apply_deletion(relay: &Relay, key: &str, revision: u64) {
+    if key == HOLDER_KEY {
+        let now_ms = relay.now_ms();
+        relay.lease.lock().note_vacant(Some(revision), draw_claim_delay_ms(now_ms), now_ms);
+    }
+    if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
+        relay.members.lock().unlist(name);
+    }
+    if let PlatformKey::Upstream(id) = relay.protocol.read_key(key) {
+        relay.remove_upstream(id);
+    }
+}
+
+/// Draws when this instance claims duties that nobody holds.
+pub fn draw_claim_delay_ms(now_ms: u64) -> u64 {
+    let newcomer_ms = if now_ms < NEWCOMER_MS { NEWCOMER_DELAY_MS } else { 0 };
+    newcomer_ms + rand::rng().random_range(0..CLAIM_SPREAD_MS)
+}
+
+/// Keeps this instance's key in the store, so that others find it.
+pub async fn keep_membership(relay: Arc<Relay>, key_value: Rc<dyn KeyValue>) {
+    let mut lease: Option<Lease> = None;
+    while !relay.drain.is_stopping() {
+        let kept = match lease {
+            Some(held) => key_value.renew_lease(held).await.map(|is_held| is_held.then_some(held)),
+            None => register(&relay, key_value.as_ref()).await.map(Some),
+        };
+        let pause = match kept {
+            Ok(held) => {
+                lease = held;
+                if held.is_some() { MEMBER_RENEW } else { MEMBER_RETRY }
+            }
+            Err(error) => {
+                relay.log.write("membership_failed", || json!({ "reason": error.to_string() }));
+                MEMBER_RETRY
+            }
+        };
+        sleep(pause).await;
+    }
+    if let Some(held) = lease
+        && let Err(error) = key_value.revoke_lease(held).await
+    {
+        relay.log.write("membership_failed", || json!({ "reason": error.to_string() }));
+    }
+}
+
+async fn register(relay: &Relay, key_value: &dyn KeyValue) -> Result<Lease, PlatformError> {
+    let settings = &relay.settings;
+    let ttl_ms = MEMBER_TTL_MS.max(settings.bounds.lease_least_ms);
+    let lease = key_value.grant_lease(ttl_ms).await?;
+    let key = format!("{MEMBER_PREFIX}{}", settings.instance);
+    let record = MemberRecord { peer_address: settings.peer_address, boot: relay.boot };
+    let value =
+        serde_json::to_vec(&record).map_err(|error| PlatformError::Nonsense(error.to_string()))?;
+    let mut expected_revision = 0;
+    loop {
+        let swap = key_value.compare_and_swap(&key, expected_revision, &value, Some(lease)).await?;
+        match swap {
+            Swap::Swapped { .. } => return Ok(lease),
+            // The key of this instance's last start.
+            Swap::Conflict { stored } => {
+                expected_revision = stored.map_or(0, |stored| stored.mod_revision);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/gossip.rs
@@ -0,0 +1,275 @@
+//! Datagrams between instances: what changes too often for the store, and proofs that the document
+//! in force is the newest, for instances that can't reach the store.
+//!
+//! Datagrams rather than links: each tells cumulative figures, so a lost one is made up by the next,
+//! and there is no connection that could go silent.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hickorycourse_duties::WindowCounts;
+use hickorycourse_placement::UpstreamLoad;
+use hickorycourse_routes::{RouteDocument, UpstreamEntry};
+use hickorycourse_telemetry::EventLog;
+use ntex::time::sleep;
+use parking_lot::Mutex;
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::net::UdpSocket;
+
+use crate::node::Relay;
+
+/// Shortest time between two digests.
+const DIGEST_LEAST_MS: u64 = 300;
+/// Added to that time for each instance, so that what an instance receives stays bounded.
+const DIGEST_PER_INSTANCE_MS: u64 = 15;
+/// Age of the own proof from which peers are asked.
+const ASK_AGE_MS: u64 = 1_500;
+/// Peers asked at a time.
+const ASKED: usize = 3;
+/// Time for which an answer to a question is accepted.
+const ASK_VALID_MS: u64 = 2_000;
+/// The largest datagram over IPv4.
+const DATAGRAM_BYTES_MOST: usize = 65_507;
+
+/// What an instance tells all others.
+#[derive(Debug, Deserialize, Serialize)]
+struct Digest {
+    instance: String,
+    boot: u64,
+    peer_address: SocketAddr,
+    /// Its own time of day.
+    own_time_ms: u64,
+    /// Units used of the caps since its start.
+    cap_totals: BTreeMap<String, f64>,
+    /// Its newest windows of usage.
+    windows: Vec<WindowCounts>,
+    /// Its load on upstreams, by service.
+    loads: Vec<ToldLoad>,
+    /// Prompt tokens a millisecond that its requests bring, by service.
+    work_tokens_per_ms: BTreeMap<String, f64>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct ToldLoad {
+    service: String,
+    upstream: String,
+    running: u64,
+    pending_tokens: u64,
+}
+
+/// What an instance that reaches the store tells one that does not.
+#[derive(Debug, Deserialize, Serialize)]
+struct Proof {
+    nonce: u64,
+    version: u64,
+    /// The version was the newest this long before the answer was sent.
+    age_ms: u64,
+    /// The document, if it is newer than the one that the asker has.
+    document: Option<RouteDocument>,
+    upstreams: Vec<UpstreamEntry>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+enum Message {
+    Digest(Box<Digest>),
+    Ask { nonce: u64, version: Option<u64> },
+    Proof(Box<Proof>),
+}
+
+/// The socket for datagrams and the questions on their way.
+pub struct Gossip {
+    relay: Arc<Relay>,
+    socket: UdpSocket,
+    /// When each question was sent.
+    asked: Mutex<HashMap<u64, u64>>,
+}
+
+impl Gossip {
+    /// Opens the socket.
+    ///
+    /// # Errors
+    /// The address can't be used.
+    pub async fn open(relay: &Arc<Relay>) -> std::io::Result<Arc<Self>> {
+        let socket = UdpSocket::bind(relay.settings.peer_address).await?;
+        Ok(Arc::new(Self { relay: Arc::clone(relay), socket, asked: Mutex::default() }))
+    }
+
+    /// Tells the others and asks them, for as long as the process lives.
+    pub async fn tell(self: Arc<Self>) {
+        loop {
+            let relay = &self.relay;
+            let now_ms = relay.now_ms();
+            let addresses = relay.members.lock().addresses(now_ms);
+            let digest = Message::Digest(Box::new(self.make_digest(now_ms)));
+            self.send_all(&digest, &addresses).await;
+            self.ask_if_needed(&addresses, now_ms).await;
+            relay.expire_upstreams();
+            let instances = addresses.len() as u64 + 1;
+            let pause_ms = DIGEST_LEAST_MS + DIGEST_PER_INSTANCE_MS * instances;
+            sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
+    /// Takes datagrams, for as long as the process lives.
+    pub async fn listen(self: Arc<Self>) {
+        let mut buffer = vec![0; DATAGRAM_BYTES_MOST];
+        loop {
+            let (length, source) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    log_failure(&self.relay.log, &error.to_string());
+                    continue;
+                }
+            };
+            match ciborium::from_reader::<Message, _>(&buffer[..length]) {
+                Ok(message) => self.take(message, source).await,
+                Err(error) => log_failure(&self.relay.log, &error.to_string()),
+            }
+        }
+    }
+
+    fn make_digest(&self, now_ms: u64) -> Digest {
+        let relay = &self.relay;
+        let mut loads = Vec::new();
+        let mut work_tokens_per_ms = BTreeMap::new();
+        for (service, book) in relay.books() {
+            let book = book.lock();
+            work_tokens_per_ms.insert(service.clone(), book.own_work_tokens_per_ms(now_ms));
+            for (upstream, load) in book.own_loads() {
+                loads.push(ToldLoad {
+                    service: service.clone(),
+                    upstream: upstream.to_owned(),
+                    running: load.running,
+                    pending_tokens: load.pending_tokens,
+                });
+            }
+        }
+        Digest {
+            instance: relay.settings.instance.clone(),
+            boot: relay.boot,
+            peer_address: relay.settings.peer_address,
+            own_time_ms: relay.time.lock().own_ms(now_ms),
+            cap_totals: relay.cap_totals(),
+            windows: relay.newest_windows(),
+            loads,
+            work_tokens_per_ms,
+        }
+    }
+
+    async fn ask_if_needed(&self, addresses: &[SocketAddr], now_ms: u64) {
+        let (version, age_ms) = {
+            let in_force = self.relay.in_force.read();
+            (in_force.version(), in_force.proof_age_ms(now_ms))
+        };
+        if age_ms.is_some_and(|age_ms| age_ms < ASK_AGE_MS) {
+            return;
+        }
+        let nonce = rand::random();
+        {
+            let mut asked = self.asked.lock();
+            asked.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < ASK_VALID_MS);
+            asked.insert(nonce, now_ms);
+        }
+        let chosen: Vec<SocketAddr> =
+            addresses.choose_multiple(&mut rand::rng(), ASKED).copied().collect();
+        self.send_all(&Message::Ask { nonce, version }, &chosen).await;
+    }
+
+    async fn send_all(&self, message: &Message, addresses: &[SocketAddr]) {
+        let mut bytes = Vec::new();
+        if let Err(error) = ciborium::into_writer(message, &mut bytes) {
+            log_failure(&self.relay.log, &error.to_string());
+            return;
+        }
+        for address in addresses {
+            if let Err(error) = self.socket.send_to(&bytes, address).await {
+                log_failure(&self.relay.log, &error.to_string());
+            }
+        }
+    }
+
+    async fn take(&self, message: Message, source: SocketAddr) {
+        match message {
+            Message::Digest(digest) => self.take_digest(&digest),
+            Message::Ask { nonce, version } => {
+                if let Some(proof) = self.make_proof(nonce, version) {
+                    self.send_all(&Message::Proof(Box::new(proof)), &[source]).await;
+                }
+            }
+            Message::Proof(proof) => self.take_proof(*proof),
+        }
+    }
+
+    fn take_digest(&self, digest: &Digest) {
+        let relay = &self.relay;
+        if digest.instance == relay.settings.instance {
+            return;
+        }
+        let now_ms = relay.now_ms();
+        let name = &digest.instance;
+        relay.members.lock().hear(name, digest.peer_address, now_ms);
+        relay.time.lock().take_peer(name, digest.own_time_ms, now_ms);
+        relay.take_cap_totals(name, digest.boot, &digest.cap_totals);
+        relay.fleet_usage.lock().take(name, digest.boot, &digest.windows);
+        for (service, book) in relay.books() {
+            let mut book = book.lock();
+            book.clear_peer(name);
+            if let Some(work) = digest.work_tokens_per_ms.get(&service) {
+                book.take_peer_work(name, *work);
+            }
+            for told in digest.loads.iter().filter(|told| told.service == service) {
+                let load =
+                    UpstreamLoad { running: told.running, pending_tokens: told.pending_tokens };
+                book.take_peer_load(name, &told.upstream, load, now_ms);
+            }
+        }
+    }
+
+    fn make_proof(&self, nonce: u64, known: Option<u64>) -> Option<Proof> {
+        let relay = &self.relay;
+        let in_force = relay.in_force.read();
+        let table = in_force.table()?;
+        let version = table.document().version;
+        let age_ms = in_force.proof_age_ms(relay.now_ms())?;
+        let is_newer = known.is_none_or(|known| known < version);
+        Some(Proof {
+            nonce,
+            version,
+            age_ms,
+            document: is_newer.then(|| table.document().clone()),
+            upstreams: relay.directory.lock().entries().cloned().collect(),
+        })
+    }
+
+    fn take_proof(&self, proof: Proof) {
+        let relay = &self.relay;
+        // The answer was made after the question, whatever time it took on its way.
+        let Some(asked_at_ms) = self.asked.lock().get(&proof.nonce).copied() else { return };
+        let Some(proven_at_ms) = asked_at_ms.checked_sub(proof.age_ms) else { return };
+        let now_ms = relay.now_ms();
+        let own_age_ms = relay.in_force.read().proof_age_ms(now_ms);
+        let is_fresher =
+            own_age_ms.is_none_or(|age_ms| now_ms.saturating_sub(proven_at_ms) < age_ms);
+        if !is_fresher {
+            return;
+        }
+        if let Some(document) = proof.document {
+            relay.offer_document(document, "peer");
+        }
+        relay.replace_upstreams(proof.upstreams);
+        relay.in_force.write().prove(proof.version, proven_at_ms);
+        relay.log.write(
+            "proof_from_peer",
+            || json!({ "version": proof.version, "age_ms": now_ms.saturating_sub(proven_at_ms) }),
+        );
+    }
+}
+
+fn log_failure(log: &EventLog, reason: &str) {
+    metrics::counter!("hickorycourse_datagram_failures_total").increment(1);
+    log.write("datagram_failed", || json!({ "reason": reason }));
+}
--- /dev/null
+++ b/crates/relay/src/members.rs
@@ -0,0 +1,87 @@
+//! The other instances.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// Where the members' keys stand in the store.
+pub const MEMBER_PREFIX: &str = "hickorycourse/members/";
+/// Silence after which an instance that the store no longer lists does not count.
+const SILENT_MS: u64 = 8_000;
+
+/// What an instance writes in the store about itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MemberRecord {
+    /// Where its datagrams arrive.
+    pub peer_address: SocketAddr,
+    /// The number of its start.
+    pub boot: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    peer_address: SocketAddr,
+    is_listed: bool,
+    heard_at_ms: u64,
+}
+
+/// The other instances, as the store lists them and as they are heard.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    others: BTreeMap<String, Member>,
+}
+
+impl Members {
+    /// Takes a record from the store.
+    pub fn list(&mut self, instance: &str, record: &MemberRecord, now_ms: u64) {
+        let member = self.others.entry(instance.to_owned()).or_insert(Member {
+            peer_address: record.peer_address,
+            is_listed: true,
+            heard_at_ms: now_ms,
+        });
+        member.peer_address = record.peer_address;
+        member.is_listed = true;
+    }
+
+    /// The store no longer lists an instance.
+    pub fn unlist(&mut self, instance: &str) {
+        if let Some(member) = self.others.get_mut(instance) {
+            member.is_listed = false;
+        }
+    }
+
+    /// The names of those listed.
+    pub fn listed(&self) -> Vec<String> {
+        let listed = self.others.iter().filter(|(_, member)| member.is_listed);
+        listed.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// A datagram has come from an instance.
+    pub fn hear(&mut self, instance: &str, peer_address: SocketAddr, now_ms: u64) {
+        let member = self.others.entry(instance.to_owned()).or_insert(Member {
+            peer_address,
+            is_listed: false,
+            heard_at_ms: now_ms,
+        });
+        member.peer_address = peer_address;
+        member.heard_at_ms = now_ms;
+    }
+
+    /// Where datagrams go.
+    pub fn addresses(&self, now_ms: u64) -> Vec<SocketAddr> {
+        self.present(now_ms).map(|member| member.peer_address).collect()
+    }
+
+    /// How many instances there are, this one included.
+    pub fn count(&self, now_ms: u64) -> usize {
+        1 + self.present(now_ms).count()
+    }
+
+    fn present(&self, now_ms: u64) -> impl Iterator<Item = &Member> {
+        let is_present = move |member: &&Member| {
+            member.is_listed || now_ms.saturating_sub(member.heard_at_ms) < SILENT_MS
+        };
+        self.others.values().filter(is_present)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/node.rs
@@ -0,0 +1,395 @@
+//! What all parts of the process share.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use hickorycourse_caps::{CapLimits, RetryShare, RetryShareLimits, SharedCap};
+use hickorycourse_clock::{Clock, SystemClock};
+use hickorycourse_duties::{
+    DutyLease, FleetUsage, LeaseOptions, TrueTime, UsageWindows, WindowCounts,
+};
+use hickorycourse_placement::{
+    AdmissionRule, AdmitAll, PlacementBook, PlacementOptions, TargetAdmission,
+};
+use hickorycourse_routes::{
+    DirectoryChange, InForce, OfferOutcome, RouteDocument, RouteTable, UpstreamDirectory,
+    UpstreamEntry, UsageCap,
+};
+use hickorycourse_telemetry::{EventLog, Meter};
+use parking_lot::{Mutex, RwLock};
+use serde_json::json;
+
+use crate::borders::Protocol;
+use crate::drain::DrainState;
+use crate::members::Members;
+use crate::settings::{AdmissionPolicy, RelaySettings};
+
+/// The upstreams of one service, under one lock.
+pub type SharedBook = Arc<Mutex<PlacementBook>>;
+
+/// Windows of usage that peers are told with each datagram; a lost one is made up by the next.
+const WINDOWS_TOLD: usize = 3;
+/// Time after a failed call to the store during which removed entries may have lapsed by the
+/// store's outage: it covers the outage's end and the first listing after it.
+const STORE_TROUBLE_MS: u64 = 4_000;
+/// The age of the proof that keys are current may use up to this part of the revocation's bound; the
+/// rest covers a store that tells of changes late.
+const PROOF_PERCENT: u64 = 65;
+
+/// How the platform's store answers this instance.
+#[derive(Debug, Default)]
+pub struct StoreHealth {
+    /// Time of the last failed call.
+    trouble_at_ms: Option<u64>,
+    is_lost: bool,
+}
+
+/// What all parts of the process share. Each part with changing content has a lock of its own.
+pub struct Relay {
+    /// The settings of this process.
+    pub settings: RelaySettings,
+    /// Time; counts while the host is suspended.
+    pub clock: Arc<dyn Clock>,
+    /// Translates the platform's messages.
+    pub protocol: Arc<dyn Protocol>,
+    /// One line for each decision.
+    pub log: EventLog,
+    /// Metrics.
+    pub meter: Meter,
+    /// Drawn anew at each start.
+    pub boot: u64,
+    /// The document in force.
+    pub in_force: RwLock<InForce>,
+    /// The upstreams that the platform lists.
+    pub directory: Mutex<UpstreamDirectory>,
+    /// The other instances.
+    pub members: Mutex<Members>,
+    /// Whether requests are sent or refused.
+    pub admission: Box<dyn AdmissionRule + Sync>,
+    /// Whether this process stops.
+    pub drain: DrainState,
+    /// Requests in flight.
+    pub in_flight: AtomicU64,
+    /// Who holds the duties.
+    pub lease: Mutex<DutyLease>,
+    /// The true time of day.
+    pub time: Mutex<TrueTime>,
+    /// Runs counted by all processes.
+    pub fleet_usage: Mutex<FleetUsage>,
+    books: RwLock<BTreeMap<String, SharedBook>>,
+    caps: Mutex<HashMap<String, SharedCap>>,
+    retries: Mutex<HashMap<String, RetryShare>>,
+    usage: Mutex<UsageWindows>,
+    store: Mutex<StoreHealth>,
+}
+
+impl Relay {
+    /// Creates the state of a process that has just started.
+    pub fn new(
+        settings: RelaySettings,
+        protocol: Arc<dyn Protocol>,
+        log: EventLog,
+        meter: Meter,
+    ) -> Arc<Self> {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+        let now_ms = clock.now_ms();
+        let bounds = &settings.bounds;
+        let admission: Box<dyn AdmissionRule + Sync> = match settings.policy.admission {
+            AdmissionPolicy::AdmitAll => Box::new(AdmitAll),
+            AdmissionPolicy::Target => Box::new(TargetAdmission),
+        };
+        Arc::new(Self {
+            boot: rand::random::<u64>() >> 1,
+            protocol,
+            log,
+            meter,
+            in_force: RwLock::default(),
+            directory: Mutex::default(),
+            members: Mutex::default(),
+            admission,
+            drain: DrainState::default(),
+            in_flight: AtomicU64::new(0),
+            lease: Mutex::new(DutyLease::new(LeaseOptions::from_ttl(bounds.lease_ms))),
+            time: Mutex::new(TrueTime::new(clock.wall_ms(), now_ms)),
+            fleet_usage: Mutex::default(),
+            books: RwLock::default(),
+            caps: Mutex::default(),
+            retries: Mutex::default(),
+            usage: Mutex::new(UsageWindows::new(bounds.usage_window_ms)),
+            store: Mutex::default(),
+            clock,
+            settings,
+        })
+    }
+
+    /// Time since the start of the process.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// The routes in force.
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.in_force.read().table()
+    }
+
+    /// Whether keys may be used: the list of keys is known to have been the newest a short while
+    /// ago.
+    pub fn are_keys_proven(&self, now_ms: u64) -> bool {
+        let bounds = &self.settings.bounds;
+        if !bounds.is_revocation_strict {
+            return true;
+        }
+        let limit_ms = bounds.revocation_ms * PROOF_PERCENT / 100;
+        let age_ms = self.in_force.read().proof_age_ms(now_ms);
+        age_ms.is_some_and(|age_ms| age_ms <= limit_ms)
+    }
+
+    /// Takes a document if it is newer.
+    pub fn offer_document(&self, document: RouteDocument, source: &str) {
+        let version = document.version;
+        let mut in_force = self.in_force.write();
+        let before = in_force.version();
+        if in_force.offer(document) == OfferOutcome::NotNewer {
+            return;
+        }
+        drop(in_force);
+        self.log.write(
+            "document_applied",
+            || json!({ "version": version, "before": before, "source": source }),
+        );
+        self.refresh_books();
+        self.refresh_caps();
+    }
+
+    /// Takes one entry of the platform's list of upstreams.
+    pub fn put_upstream(&self, entry: UpstreamEntry) {
+        let id = entry.id.clone();
+        let change = self.directory.lock().put(entry);
+        self.apply_change(&id, &change);
+    }
+
+    /// Takes the removal of an entry.
+    pub fn remove_upstream(&self, id: &str) {
+        let doubt_until_ms = self.doubt_until_ms();
+        let change = self.directory.lock().remove(id, doubt_until_ms);
+        self.apply_change(id, &change);
+    }
+
+    /// Takes a whole list of upstreams.
+    pub fn replace_upstreams(&self, entries: Vec<UpstreamEntry>) {
+        let doubt_until_ms = self.doubt_until_ms();
+        let changes = self.directory.lock().replace(entries, doubt_until_ms);
+        for (id, change) in &changes {
+            self.apply_change(id, change);
+        }
+    }
+
+    /// Drops upstreams whose entries have been missing for too long.
+    pub fn expire_upstreams(&self) {
+        let expired = self.directory.lock().expire(self.now_ms());
+        for id in &expired {
+            self.apply_change(id, &DirectoryChange::Gone);
+        }
+    }
+
+    fn apply_change(&self, id: &str, change: &DirectoryChange) {
+        if *change == DirectoryChange::None {
+            return;
+        }
+        self.log.write(
+            "upstream_changed",
+            || json!({ "upstream": id, "change": format!("{change:?}") }),
+        );
+        if *change == DirectoryChange::Restarted {
+            for book in self.books.read().values() {
+                book.lock().restart(id);
+            }
+        }
+        self.refresh_books();
+    }
+
+    fn doubt_until_ms(&self) -> Option<u64> {
+        let now_ms = self.now_ms();
+        let trouble_at_ms = self.store.lock().trouble_at_ms?;
+        let is_recent = now_ms.saturating_sub(trouble_at_ms) < STORE_TROUBLE_MS;
+        is_recent.then_some(now_ms + self.settings.bounds.doubt_ms)
+    }
+
+    /// Notes that a call to the store failed.
+    pub fn note_store_lost(&self, reason: &str) {
+        let mut store = self.store.lock();
+        store.trouble_at_ms = Some(self.now_ms());
+        if !std::mem::replace(&mut store.is_lost, true) {
+            self.log.write("store_lost", || json!({ "reason": reason }));
+        }
+    }
+
+    /// Notes that the store answers.
+    pub fn note_store_answers(&self) {
+        let mut store = self.store.lock();
+        if std::mem::replace(&mut store.is_lost, false) {
+            store.trouble_at_ms = Some(self.now_ms());
+            self.log.write("store_regained", || json!({}));
+        }
+    }
+
+    fn refresh_books(&self) {
+        let directory = self.directory.lock();
+        let mut books = self.books.write();
+        let mut services: Vec<String> = books.keys().cloned().collect();
+        services.extend(directory.entries().map(|entry| entry.service.clone()));
+        services.sort_unstable();
+        services.dedup();
+        for service in services {
+            let book = books.entry(service.clone()).or_insert_with(|| {
+                let zone = &self.settings.availability_zone;
+                Arc::new(Mutex::new(PlacementBook::new(zone, self.placement_options())))
+            });
+            let entries = directory.entries().filter(|entry| entry.service == service);
+            book.lock().set_upstreams(entries);
+        }
+    }
+
+    fn placement_options(&self) -> PlacementOptions {
+        let policy = &self.settings.policy;
+        PlacementOptions {
+            reading_tokens_per_ms: policy.reading_tokens_per_ms,
+            idle_first_byte_ms: policy.idle_first_byte_ms,
+            cross_zone_ms: policy.cross_zone_ms,
+            full_batch_ms: policy.full_batch_ms,
+        }
+    }
+
+    /// The book of a service.
+    pub fn book(&self, service: &str) -> Option<SharedBook> {
+        self.books.read().get(service).cloned()
+    }
+
+    /// All books by service.
+    pub fn books(&self) -> Vec<(String, SharedBook)> {
+        self.books.read().iter().map(|(name, book)| (name.clone(), Arc::clone(book))).collect()
+    }
+
+    fn refresh_caps(&self) {
+        let Some(table) = self.table() else { return };
+        let mut caps = self.caps.lock();
+        let organisations = table.document().organisations.iter().flatten();
+        let mut kept = HashMap::new();
+        let now_ms = self.now_ms();
+        for organisation in organisations {
+            let Some(cap) = organisation.cap else { continue };
+            let limits = CapLimits { per_second: cap.per_second, burst: cap.burst };
+            let shared = caps.remove(&organisation.name).map(|mut shared| {
+                shared.set_limits(limits);
+                shared
+            });
+            let shared = shared.unwrap_or_else(|| {
+                SharedCap::new(limits, self.members.lock().count(now_ms), now_ms)
+            });
+            kept.insert(organisation.name.clone(), shared);
+        }
+        *caps = kept;
+    }
+
+    /// Takes units from an organisation's cap.
+    ///
+    /// # Errors
+    /// The time after which they are expected to be there, in milliseconds.
+    pub fn take_cap(&self, organisation: &str, cap: &UsageCap, units: f64) -> Result<(), u64> {
+        let now_ms = self.now_ms();
+        let instances = self.members.lock().count(now_ms);
+        let limits = CapLimits { per_second: cap.per_second, burst: cap.burst };
+        let mut caps = self.caps.lock();
+        let shared = caps
+            .entry(organisation.to_owned())
+            .or_insert_with(|| SharedCap::new(limits, instances, now_ms));
+        shared.try_take(units, instances, now_ms)
+    }
+
+    /// Gives units back that were taken for a request that did not run.
+    pub fn give_back_cap(&self, organisation: &str, units: f64) {
+        if let Some(shared) = self.caps.lock().get_mut(organisation) {
+            shared.give_back(units);
+        }
+    }
+
+    /// What this process has used of the caps since its start.
+    pub fn cap_totals(&self) -> BTreeMap<String, f64> {
+        let caps = self.caps.lock();
+        caps.iter().map(|(name, shared)| (name.clone(), shared.own_total())).collect()
+    }
+
+    /// Takes what another process has used of the caps.
+    pub fn take_cap_totals(&self, peer: &str, boot: u64, totals: &BTreeMap<String, f64>) {
+        let now_ms = self.now_ms();
+        let mut caps = self.caps.lock();
+        for (organisation, total) in totals {
+            if let Some(shared) = caps.get_mut(organisation) {
+                shared.take_report(peer, boot, *total, now_ms);
+            }
+        }
+    }
+
+    /// Counts a caller's request to a service, for the retry budget.
+    pub fn add_request(&self, service: &str) {
+        let now_ms = self.now_ms();
+        self.with_retries(service, |share| share.add_request(now_ms));
+    }
+
+    /// Takes one repeat from the retry budget of a service.
+    pub fn try_take_retry(&self, service: &str) -> bool {
+        let now_ms = self.now_ms();
+        let instances = self.members.lock().count(now_ms);
+        let is_granted = self.with_retries(service, |share| share.try_take(instances, now_ms));
+        let name = if is_granted { "granted" } else { "denied" };
+        metrics::counter!("hickorycourse_retries_total", "outcome" => name).increment(1);
+        is_granted
+    }
+
+    fn with_retries<T>(&self, service: &str, act: impl FnOnce(&mut RetryShare) -> T) -> T {
+        let bounds = &self.settings.bounds;
+        let limits = RetryShareLimits {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window_ms: bounds.retry_window_ms,
+        };
+        let mut retries = self.retries.lock();
+        act(retries.entry(service.to_owned()).or_insert_with(|| RetryShare::new(limits)))
+    }
+
+    /// Counts a run that begins now.
+    pub fn add_run(&self, organisation: &str) {
+        let now_ms = self.now_ms();
+        let true_ms = self.time.lock().now_ms(now_ms);
+        let mut usage = self.usage.lock();
+        usage.add(organisation, true_ms);
+        let windows = usage.newest(1);
+        drop(usage);
+        self.fleet_usage.lock().take(&self.settings.instance, self.boot, &windows);
+    }
+
+    /// The newest windows of this process's runs.
+    pub fn newest_windows(&self) -> Vec<WindowCounts> {
+        self.usage.lock().newest(WINDOWS_TOLD)
+    }
+}
+
+/// Counts a request as in flight until it is dropped.
+pub struct InFlightGuard {
+    relay: Arc<Relay>,
+}
+
+impl InFlightGuard {
+    /// Counts one more.
+    pub fn new(relay: &Arc<Relay>) -> Self {
+        relay.in_flight.fetch_add(1, Ordering::SeqCst);
+        Self { relay: Arc::clone(relay) }
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.relay.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/whole.rs
@@ -0,0 +1,152 @@
+//! Answers that are read whole before the caller gets any of them, so that none arrives half.
+
+use std::time::Duration;
+
+use hickorycourse_codes::{ErrorCode, Problem};
+use hickorycourse_placement::AttemptEnd;
+use http::HeaderMap;
+use http_body_util::BodyExt;
+use hyper::body::{Bytes, Incoming};
+use ntex::time::timeout;
+
+use crate::call::{Call, Opened, Progress};
+
+/// The largest answer that is read whole.
+const ANSWER_BYTES_MOST: usize = 16 * 1024 * 1024;
+
+/// A whole answer of an upstream.
+#[derive(Clone, Debug)]
+pub struct WholeAnswer {
+    /// Its status.
+    pub status: u16,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// The upstream that made it.
+    pub upstream: String,
+}
+
+/// Sends a call until one answer is whole.
+///
+/// # Errors
+/// What the caller is told.
+pub async fn fetch(call: &Call, progress: &mut Progress) -> Result<WholeAnswer, Problem> {
+    loop {
+        let opened = call.open(progress, None).await?;
+        let upstream = opened.attempt.placement.upstream.clone();
+        call.count_run();
+        match finish(call, opened, progress).await {
+            Ok(answer) => return Ok(answer),
+            Err(Unfinished::Failed(answer)) => {
+                // A failure of the upstream itself; another one may do better.
+                progress.excluded.push(upstream);
+                progress.may_have_run = true;
+                if !can_repeat(call, progress) {
+                    return Ok(answer);
+                }
+                let failure = format!("answered {}", answer.status);
+                progress.failure = Some(failure);
+                match Box::pin(fetch_again(call, progress)).await {
+                    Ok(better) => return Ok(better),
+                    Err(_) => return Ok(answer),
+                }
+            }
+            Err(Unfinished::Broken(detail)) => {
+                progress.excluded.push(upstream);
+                progress.may_have_run = true;
+                progress.failure = Some(detail);
+                if !call.may_send_again(progress) {
+                    return Err(call.give_up(progress));
+                }
+            }
+        }
+    }
+}
+
+async fn fetch_again(call: &Call, progress: &mut Progress) -> Result<WholeAnswer, Problem> {
+    let opened = call.open(progress, None).await?;
+    call.count_run();
+    match finish(call, opened, progress).await {
+        Ok(answer) | Err(Unfinished::Failed(answer)) => Ok(answer),
+        Err(Unfinished::Broken(_)) => Err(call.give_up(progress)),
+    }
+}
+
+fn can_repeat(call: &Call, progress: &Progress) -> bool {
+    call.route.repeat.allows_repeat() && call.may_send_again(progress)
+}
+
+enum Unfinished {
+    /// A whole answer that tells a failure.
+    Failed(WholeAnswer),
+    /// The answer broke off.
+    Broken(String),
+}
+
+/// Reads the rest of an answer.
+async fn finish(
+    call: &Call,
+    opened: Opened,
+    _progress: &Progress,
+) -> Result<WholeAnswer, Unfinished> {
+    let Opened { mut attempt, connection, response } = opened;
+    attempt.note_first_byte();
+    let (head, body) = response.into_parts();
+    let limit = Duration::from_millis(call.left_ms().max(1));
+    let body = match timeout(limit, read_body(body)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(detail)) => {
+            attempt.end(AttemptEnd::Failed);
+            return Err(Unfinished::Broken(detail));
+        }
+        Err(()) => {
+            attempt.end(AttemptEnd::Silent);
+            return Err(Unfinished::Broken("the body stopped coming".to_owned()));
+        }
+    };
+    let answer = WholeAnswer {
+        status: head.status.as_u16(),
+        headers: head.headers,
+        body,
+        upstream: attempt.placement.upstream.clone(),
+    };
+    call.connections.give_back(connection, call.relay.now_ms());
+    if head.status.is_server_error() {
+        attempt.end(AttemptEnd::Failed);
+        return Err(Unfinished::Failed(answer));
+    }
+    attempt.end(AttemptEnd::Answered);
+    Ok(answer)
+}
+
+async fn read_body(mut body: Incoming) -> Result<Bytes, String> {
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+        if bytes.len() > ANSWER_BYTES_MOST {
+            return Err(format!("the answer is larger than {ANSWER_BYTES_MOST} bytes"));
+        }
+    }
+    Ok(Bytes::from(bytes))
+}
+
+/// Reads the rest of a stream's answer that is no stream, such as an error document.
+///
+/// # Errors
+/// What the caller is told.
+pub async fn finish_failure(
+    call: &Call,
+    opened: Opened,
+    progress: &Progress,
+) -> Result<WholeAnswer, Problem> {
+    match finish(call, opened, progress).await {
+        Ok(answer) | Err(Unfinished::Failed(answer)) => Ok(answer),
+        Err(Unfinished::Broken(detail)) => {
+            Err(Problem::new(ErrorCode::UpstreamFailed).with_detail(detail))
+        }
+    }
+}
--- a/crates/routing/src/prefix.rs
+++ b/crates/routing/src/prefix.rs
@@ -89,6 +89,11 @@
         blocks.hashes.iter().take_while(|hash| self.used_at.contains_key(hash)).count()
     }
 
+    /// Whether it holds this block.
+    pub fn holds(&self, hash: u64) -> bool {
+        self.used_at.contains_key(&hash)
+    }
+
     /// How many blocks it holds.
     pub fn len(&self) -> usize {
         self.used_at.len()
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::stream;
-use hickorycourse_platform::{
+use hickorycourse_store::{
     FleetInstance, GatewayKeyValue, InstanceState, StartRequest, Stored, WatchFrame, decode,
 };
 use ntex::util::Bytes;
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -10,15 +10,15 @@
 
 use bpaf::Bpaf;
 use hickorycourse_clock::{Clock, SystemClock};
-use hickorycourse_platform::{
-    Fleet, FleetClient, GatewayClient, KeyValue, Lease, PlatformError, StartRequest, Swap,
-    build_client,
-};
 use hickorycourse_settings::document::{Document, DocumentName};
 use hickorycourse_settings::{
     MachineClass, ProcessSettings, Site, UpstreamSettings, parse_document,
 };
 use hickorycourse_steward::{LeaseTenure, ORDER_FLIGHT_MS, ReplacementPlanner, StartChoice};
+use hickorycourse_store::{
+    Fleet, FleetClient, GatewayClient, KeyValue, Lease, PlatformError, StartRequest, Swap,
+    build_client,
+};
 use hickorycourse_telemetry::{LogOptions, start_logs};
 use ntex::client::Client;
 use ntex::time::{sleep, timeout};
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use hickorycourse_codes::{ErrorCode, Execution};
-use hickorycourse_platform::LocalFuture;
+use hickorycourse_store::LocalFuture;
 use ntex::http::HeaderMap;
 use ntex::util::Bytes;
 use serde_json::Value;
--- a/crates/upstream/src/http.rs
+++ b/crates/upstream/src/http.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
-use hickorycourse_platform::{LocalFuture, build_client};
+use hickorycourse_store::{LocalFuture, build_client};
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientRequest, ClientResponse};
 use ntex::http::{HeaderMap, Method, header};
@@ -22,8 +22,8 @@
 use crate::load::UpstreamReport;
 use crate::stream::HttpTokenStream;
 
-/// Headers that belong to one hop (RFC 9110, 7.6.1) and are never passed on.
-const HOP_HEADERS: &[&str] = &[
+/// Headers that belong to one hop (RFC 9110, 7.6.1) and are never passed on; the length is written anew.
+pub const HOP_HEADERS: &[&str] = &[
     "connection",
     "keep-alive",
     "proxy-authenticate",
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -26,5 +26,5 @@
     TokenStream, UpstreamAddress,
 };
 pub use chat::{Chunk, ChunkUsage, EngineEvent};
-pub use http::{HttpUpstreams, copy_end_to_end};
+pub use http::{HOP_HEADERS, HttpUpstreams, copy_end_to_end};
 pub use load::{CacheEvents, UpstreamReport};
--- a/crates/upstream/src/stream.rs
+++ b/crates/upstream/src/stream.rs
@@ -4,7 +4,7 @@
 
 use eventsource_stream::{EventStream, Eventsource};
 use futures_util::StreamExt;
-use hickorycourse_platform::LocalFuture;
+use hickorycourse_store::LocalFuture;
 use ntex::client::ClientResponse;
 use ntex::time::timeout;
 
