Capacity planned on arrivals; caps use their allowance; tests of the cores

Cause: the plan followed requests in flight, which an overload inflates (24 upstreams ordered for a load of 6), and shrank to the minimum before traffic came. Digests now go out at once when 3% of a bucket was used.

--- a/crates/caps/src/shared_cap.rs
+++ b/crates/caps/src/shared_cap.rs
@@ -18,6 +18,21 @@
     pub per_second: f64,
     /// Units that may be saved up.
     pub burst: f64,
+    /// Units that may be used beyond these in the window of the cap. They cover what instances have
+    /// not heard of each other yet.
+    pub allowance: f64,
+}
+
+/// Part of the allowance that is granted like the burst; the rest covers use that is not heard of.
+const ALLOWANCE_PART: f64 = 0.5;
+/// Part of a full bucket that an instance uses before it tells the others without waiting.
+const TELL_PART: f64 = 0.03;
+
+impl CapLimits {
+    /// The level of a full bucket.
+    fn capacity(&self) -> f64 {
+        self.burst + self.allowance * ALLOWANCE_PART
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -40,20 +55,29 @@
     level: f64,
     updated_at_ms: u64,
     own_total: f64,
+    /// What the others have been told of `own_total`.
+    told_total: f64,
     peers: HashMap<String, PeerUse>,
 }
 
 impl SharedCap {
     /// Creates the cap of a process that has just started among `instances` instances.
     pub fn new(limits: CapLimits, instances: usize, now_ms: u64) -> Self {
-        let level = limits.burst * START_PART / instances.max(1) as f64;
-        Self { limits, level, updated_at_ms: now_ms, own_total: 0.0, peers: HashMap::new() }
+        let level = limits.capacity() * START_PART / instances.max(1) as f64;
+        Self {
+            limits,
+            level,
+            updated_at_ms: now_ms,
+            own_total: 0.0,
+            told_total: 0.0,
+            peers: HashMap::new(),
+        }
     }
 
     /// Changes the cap. A lower burst cuts what is saved up.
     pub fn set_limits(&mut self, limits: CapLimits) {
         self.limits = limits;
-        self.level = self.level.min(limits.burst);
+        self.level = self.level.min(limits.capacity());
     }
 
     /// Takes units if the cap has them.
@@ -63,7 +87,7 @@
     pub fn try_take(&mut self, units: f64, instances: usize, now_ms: u64) -> Result<(), u64> {
         self.refill(instances, now_ms);
         // A request larger than what can ever be saved up passes when the bucket is full.
-        let needed = units.min(self.limits.burst.max(1.0));
+        let needed = units.min(self.limits.capacity().max(1.0));
         if self.level < needed {
             let missing = needed - self.level;
             let rate = (self.limits.per_second / instances.max(1) as f64).max(1e-9);
@@ -76,7 +100,7 @@
 
     /// Gives units back that were taken for a request that did not run.
     pub fn give_back(&mut self, units: f64) {
-        self.level = (self.level + units).min(self.limits.burst);
+        self.level = (self.level + units).min(self.limits.capacity());
         self.own_total -= units;
     }
 
@@ -85,6 +109,17 @@
         self.own_total
     }
 
+    /// Whether so much was used since the others were told that they must be told now.
+    pub fn must_tell(&self) -> bool {
+        self.own_total - self.told_total > self.limits.capacity() * TELL_PART
+    }
+
+    /// The units to tell the others, who are told now.
+    pub fn tell(&mut self) -> f64 {
+        self.told_total = self.own_total;
+        self.own_total
+    }
+
     /// Takes a peer's report of what it has used since its start.
     pub fn take_report(&mut self, peer: &str, boot: u64, total: f64, now_ms: u64) {
         let known = self.peers.get(peer).copied().filter(|known| known.boot == boot);
@@ -95,7 +130,7 @@
         };
         let used = (total - known.total).max(0.0);
         let elapsed_s = now_ms.saturating_sub(known.heard_at_ms).max(1) as f64 / 1_000.0;
-        self.level = (self.level + known.assumed - used).min(self.limits.burst);
+        self.level = (self.level + known.assumed - used).min(self.limits.capacity());
         let heard = PeerUse {
             boot,
             total: total.max(known.total),
@@ -125,6 +160,6 @@
         // Instances that were never heard of hold their part of the rate.
         let unheard = instances.saturating_sub(1 + heard.max(self.peers.len()));
         self.level -= share * unheard as f64 * elapsed_s;
-        self.level = self.level.min(self.limits.burst);
+        self.level = self.level.min(self.limits.capacity());
     }
 }
--- /dev/null
+++ b/crates/caps/tests/caps.rs
@@ -0,0 +1,124 @@
+//! Caps and retry budgets over many instances.
+
+use hickorycourse_caps::{CapLimits, RetryShare, RetryShareLimits, SharedCap};
+
+const LIMITS: CapLimits = CapLimits { per_second: 1_000.0, burst: 1_000.0, allowance: 1_300.0 };
+/// Instances tell each other their use this often.
+const TELL_MS: u64 = 400;
+
+/// Shortest time between two tellings.
+const TELL_LEAST_MS: u64 = 50;
+
+/// Lets `instances` instances take as much as they can from `start_s` on; returns the units taken in
+/// each second. `is_cut` tells which instances hear nothing and are not heard.
+fn flood(instances: usize, start_s: u64, seconds: u64, is_cut: impl Fn(usize) -> bool) -> Vec<f64> {
+    let mut caps: Vec<SharedCap> =
+        (0..instances).map(|_| SharedCap::new(LIMITS, instances, 0)).collect();
+    let mut told_at_ms = vec![0; instances];
+    let mut taken = vec![0.0; seconds as usize];
+    for now_ms in 0..seconds * 1_000 {
+        for (index, cap) in caps.iter_mut().enumerate() {
+            // A flood: each instance is asked for twice the whole cap.
+            let is_asked = now_ms >= start_s * 1_000 && (now_ms + index as u64) % 10 == 0;
+            if is_asked && cap.try_take(20.0, instances, now_ms).is_ok() {
+                taken[(now_ms / 1_000) as usize] += 20.0;
+            }
+        }
+        for from in 0..instances {
+            let since_ms = now_ms - told_at_ms[from];
+            let is_due =
+                since_ms >= TELL_MS || (caps[from].must_tell() && since_ms >= TELL_LEAST_MS);
+            if !is_due || is_cut(from) {
+                continue;
+            }
+            told_at_ms[from] = now_ms;
+            let total = caps[from].tell();
+            for (to, cap) in caps.iter_mut().enumerate() {
+                if from != to && !is_cut(to) {
+                    cap.take_report(&format!("node-{from}"), 1, total, now_ms);
+                }
+            }
+        }
+    }
+    taken
+}
+
+/// The most taken in any window of eight seconds, against what the cap and its allowance allow.
+fn worst_window(taken: &[f64]) -> f64 {
+    let allowed = LIMITS.per_second * 8.0 + LIMITS.burst + LIMITS.allowance;
+    let windows = taken.windows(8).map(|window| window.iter().sum::<f64>() / allowed);
+    windows.fold(0.0, f64::max)
+}
+
+#[test]
+fn try_take_in_a_flood() {
+    let taken = flood(7, 0, 24, |_| false);
+    assert!(worst_window(&taken) <= 1.0, "{taken:?}");
+    let later: f64 = taken[8..].iter().sum::<f64>() / 16.0;
+    assert!(later >= 0.85 * LIMITS.per_second, "{taken:?}");
+}
+
+#[test]
+fn try_take_in_a_flood_with_a_cut() {
+    let taken = flood(7, 0, 24, |index| index >= 5);
+    assert!(worst_window(&taken) <= 1.0, "{taken:?}");
+}
+
+#[test]
+fn try_take_in_a_flood_after_calm() {
+    // The bucket is full when the flood starts, and nobody has told of any use.
+    let taken = flood(7, 10, 24, |_| false);
+    assert!(worst_window(&taken) <= 1.0, "{taken:?}");
+}
+
+#[test]
+fn try_take_alone() {
+    let limits = CapLimits { allowance: 0.0, ..LIMITS };
+    let mut cap = SharedCap::new(limits, 1, 0);
+    assert!(cap.try_take(250.0, 1, 0).is_ok());
+    assert_eq!(cap.try_take(500.0, 1, 0), Err(500));
+    assert!(cap.try_take(500.0, 1, 500).is_ok());
+}
+
+#[test]
+fn try_take_larger_than_the_burst() {
+    let mut cap = SharedCap::new(LIMITS, 1, 0);
+    assert!(cap.try_take(1_500.0, 1, 2_000).is_ok(), "the allowance covers it");
+    assert!(cap.try_take(5_000.0, 1, 2_000).is_err());
+    assert!(cap.try_take(5_000.0, 1, 6_000).is_ok(), "a full bucket lets any request pass");
+}
+
+#[test]
+fn give_back_not_run() {
+    let mut cap = SharedCap::new(LIMITS, 1, 0);
+    assert!(cap.try_take(250.0, 1, 0).is_ok());
+    cap.give_back(250.0);
+    assert!(cap.own_total().abs() < f64::EPSILON);
+    assert!(cap.try_take(250.0, 1, 0).is_ok());
+}
+
+#[test]
+fn set_limits_lower() {
+    let mut cap = SharedCap::new(LIMITS, 1, 0);
+    cap.set_limits(CapLimits { per_second: 10.0, burst: 10.0, allowance: 0.0 });
+    assert!(cap.try_take(10.0, 1, 0).is_ok());
+    assert!(cap.try_take(10.0, 1, 0).is_err());
+}
+
+#[test]
+fn try_take_retries_of_all_instances() {
+    let limits = RetryShareLimits { ratio: 0.2, slack: 54.0, window_ms: 10_000 };
+    let mut shares: Vec<RetryShare> = (0..7).map(|_| RetryShare::new(limits)).collect();
+    let mut granted = 0;
+    for now_ms in 0..10_000 {
+        for share in &mut shares {
+            if now_ms % 50 == 0 {
+                share.add_request(now_ms);
+            }
+            granted += u64::from(share.try_take(7, now_ms));
+        }
+    }
+    let allowed = 0.2 * 7.0 * 200.0 + 54.0;
+    assert!(granted as f64 <= allowed, "{granted} of {allowed}");
+    assert!(granted as f64 >= allowed / 2.0, "{granted} of {allowed}");
+}
--- a/crates/duties/src/capacity.rs
+++ b/crates/duties/src/capacity.rs
@@ -3,6 +3,7 @@
 //! Answers two load patterns: quiet hours, in which most upstreams would be paid for nothing, and
 //! the reclaim of a whole availability zone while a flood runs.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 use hickorycourse_routes::CapacityLimits;
@@ -33,8 +34,9 @@
 /// What the requests need.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct CapacityDemand {
-    /// Upstreams that the present load would fill.
-    pub busy_upstreams: f64,
+    /// Upstreams that the present load keeps as busy as they may be; none while no request has
+    /// come yet.
+    pub busy_upstreams: Option<f64>,
 }
 
 /// An order of the wished-for number of upstreams.
@@ -51,14 +53,19 @@
 /// Weights of the plan.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CapacityPlannerOptions {
-    /// Capacity over the present load, as a factor.
+    /// Capacity that must be left after a reclaim, for each upstream that the load needs.
     pub headroom: f64,
-    /// Upstreams that are never reclaimable, as a part of the demand.
+    /// On-demand upstreams for each upstream that the load needs.
     pub on_demand_part: f64,
-    /// Time for which capacity is kept after the load has gone down.
+    /// Reclaimable upstreams for each upstream that the load needs; they cost little.
+    pub reclaimable_part: f64,
+    /// Part of the upstreams present at the start that the load is taken to need before any request
+    /// has come.
+    pub initial_part: f64,
+    /// Time for which a peak of the load counts.
     pub keep_ms: u64,
-    /// Time between two orders for the same zone and kind.
-    pub repeat_ms: u64,
+    /// Shortest time between two changes of an order that take upstreams away.
+    pub shrink_ms: u64,
     /// Time for which a kind that is not to be had in a zone is not asked for again.
     pub refused_ms: u64,
 }
@@ -67,25 +74,37 @@
 struct Ordered {
     count: u32,
     at_ms: u64,
-    refused_until_ms: u64,
 }
 
+/// Counts by zone.
+type Plan = BTreeMap<String, CapacityCounts>;
+
 /// Plans the capacity of one service.
 #[derive(Clone, Debug)]
 pub struct CapacityPlanner {
     options: CapacityPlannerOptions,
     ordered: BTreeMap<(String, bool), Ordered>,
+    /// Until when a kind is not asked for in a zone.
+    refused: BTreeMap<(String, bool), u64>,
     /// Demand with the time until which it counts.
     peaks: Vec<(f64, u64)>,
+    /// Upstreams that were present when the first plan was made.
+    initial: Option<u32>,
 }
 
 impl CapacityPlanner {
     /// Creates a planner that has ordered nothing.
     pub fn new(options: CapacityPlannerOptions) -> Self {
-        Self { options, ordered: BTreeMap::new(), peaks: Vec::new() }
+        Self {
+            options,
+            ordered: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            peaks: Vec::new(),
+            initial: None,
+        }
     }
 
-    /// Lists the orders that are due.
+    /// Lists the orders that are due, additions first.
     pub fn plan(
         &mut self,
         limits: &CapacityLimits,
@@ -93,46 +112,71 @@
         demand: CapacityDemand,
         now_ms: u64,
     ) -> Vec<CapacityOrder> {
-        let needed = self.peak(demand.busy_upstreams, now_ms) * self.options.headroom;
+        let present: u32 = zones.values().map(|zone| zone.ready.total()).sum();
+        let initial = *self.initial.get_or_insert(present);
+        // Until the load has been seen for a while, the operators' own number is the best guess.
+        let guess = f64::from(initial) * self.options.initial_part;
+        let needed = match demand.busy_upstreams {
+            Some(busy) if self.peaks.is_empty() => self.peak(busy.max(guess), now_ms),
+            Some(busy) => self.peak(busy, now_ms),
+            None => self.peaks.iter().map(|(peak, _)| *peak).fold(guess, f64::max),
+        };
         let wished = self.wish(limits, zones, needed, now_ms);
-        let mut orders = Vec::new();
-        for (zone, counts) in wished {
-            let ready = zones.get(&zone).copied().unwrap_or_default().ready;
+        let mut additions = Vec::new();
+        let mut removals = Vec::new();
+        let mut spare = f64::from(present) - needed * self.options.headroom;
+        for (zone, counts) in &wished {
+            let ready = zones.get(zone).copied().unwrap_or_default().ready;
             let kinds = [
                 (false, counts.on_demand, ready.on_demand),
                 (true, counts.reclaimable, ready.reclaimable),
             ];
             for (is_reclaimable, count, present) in kinds {
-                if self.is_due(&zone, is_reclaimable, count, present, limits, now_ms) {
-                    orders.push(CapacityOrder {
-                        availability_zone: zone.clone(),
-                        is_reclaimable,
-                        count,
-                    });
+                let order =
+                    CapacityOrder { availability_zone: zone.clone(), is_reclaimable, count };
+                match count.cmp(&self.standing(&order, present)) {
+                    Ordering::Equal => {}
+                    Ordering::Greater => additions.push(order),
+                    // What goes must not be missed before what was ordered is there.
+                    Ordering::Less => {
+                        let lost = f64::from(present.saturating_sub(count));
+                        if lost <= spare && self.may_shrink(&order, now_ms) {
+                            spare -= lost;
+                            removals.push(order);
+                        }
+                    }
                 }
             }
         }
-        // Additions go first, so that nothing is given up before its replacement was ordered.
-        orders.sort_by_key(|order| {
-            let ready = zones.get(&order.availability_zone).copied().unwrap_or_default().ready;
-            let present = if order.is_reclaimable { ready.reclaimable } else { ready.on_demand };
-            order.count < present
-        });
-        orders
+        additions.extend(removals);
+        additions
+    }
+
+    /// The count that was ordered last, or that stands there without an order.
+    fn standing(&self, order: &CapacityOrder, present: u32) -> u32 {
+        self.ordered.get(&key(order)).map_or(present, |ordered| ordered.count)
+    }
+
+    fn may_shrink(&self, order: &CapacityOrder, now_ms: u64) -> bool {
+        let ordered = self.ordered.get(&key(order));
+        ordered.is_none_or(|ordered| now_ms >= ordered.at_ms + self.options.shrink_ms)
     }
 
     /// Notes that an order was accepted.
     pub fn note_ordered(&mut self, order: &CapacityOrder, now_ms: u64) {
-        let key = (order.availability_zone.clone(), order.is_reclaimable);
-        self.ordered
-            .insert(key, Ordered { count: order.count, at_ms: now_ms, refused_until_ms: 0 });
+        self.ordered.insert(key(order), Ordered { count: order.count, at_ms: now_ms });
+        self.refused.remove(&key(order));
     }
 
     /// Notes that none was to be had.
     pub fn note_refused(&mut self, order: &CapacityOrder, now_ms: u64) {
-        let key = (order.availability_zone.clone(), order.is_reclaimable);
-        let refused_until_ms = now_ms + self.options.refused_ms;
-        self.ordered.insert(key, Ordered { count: 0, at_ms: now_ms, refused_until_ms });
+        self.ordered.remove(&key(order));
+        self.refused.insert(key(order), now_ms + self.options.refused_ms);
+    }
+
+    /// Takes what is present now: an order whose upstreams were taken back stands no longer.
+    pub fn note_reclaimed(&mut self, zone: &str) {
+        self.ordered.remove(&(zone.to_owned(), true));
     }
 
     fn peak(&mut self, busy: f64, now_ms: u64) -> f64 {
@@ -141,111 +185,104 @@
         self.peaks.iter().map(|(peak, _)| *peak).fold(0.0, f64::max)
     }
 
-    fn is_refused(&self, zone: &str, is_reclaimable: bool, now_ms: u64) -> bool {
-        let ordered = self.ordered.get(&(zone.to_owned(), is_reclaimable));
-        ordered.is_some_and(|ordered| ordered.refused_until_ms > now_ms)
+    /// Whether reclaimable upstreams are to be had in a zone, as far as is known.
+    fn is_open(&self, limits: &CapacityLimits, zone: &str, now_ms: u64) -> bool {
+        let refused_until_ms = self.refused.get(&(zone.to_owned(), true)).copied().unwrap_or(0);
+        limits.reclaimable_price.is_some() && refused_until_ms <= now_ms
     }
 
-    /// The cheapest mix that carries the need after the loss of any one zone's reclaimable
-    /// upstreams.
+    /// Reclaimable upstreams wherever they are to be had, and so many on demand that the load is
+    /// carried after any one zone has lost its reclaimable ones.
     fn wish(
         &self,
         limits: &CapacityLimits,
         zones: &BTreeMap<String, ZoneCapacity>,
         needed: f64,
         now_ms: u64,
-    ) -> BTreeMap<String, CapacityCounts> {
-        let mut names: Vec<&String> = zones.keys().collect();
+    ) -> Plan {
         let price = |zone: &str| limits.zone_prices.get(zone).copied().unwrap_or(1.0);
+        let mut names: Vec<&String> = zones.keys().collect();
         names.sort_by(|one, other| price(one).total_cmp(&price(other)).then(one.cmp(other)));
-        let mut wished: BTreeMap<String, CapacityCounts> =
-            names.iter().map(|name| ((*name).clone(), CapacityCounts::default())).collect();
-        let can_reclaim = limits.reclaimable_price.is_some();
-        let open: Vec<&String> = names
-            .iter()
-            .filter(|name| can_reclaim && !self.is_refused(name, true, now_ms))
-            .copied()
-            .collect();
-        let base = (needed * self.options.on_demand_part).ceil() as u32;
-        let target = needed.ceil() as u32;
-        // The least number a zone must hold; reclaimable ones count.
+        let (open, closed): (Vec<&String>, Vec<&String>) =
+            names.iter().partition(|zone| self.is_open(limits, zone, now_ms));
+        let mut plan = Plan::new();
         for name in &names {
-            let counts = wished.entry((*name).clone()).or_default();
-            match open.contains(name) {
-                true => counts.reclaimable = limits.min,
-                false => counts.on_demand = limits.min,
-            }
+            plan.insert((*name).clone(), CapacityCounts::default());
+        }
+        for zone in closed {
+            let present = zones.get(zone).copied().unwrap_or_default().ready.reclaimable;
+            plan.entry(zone.clone()).or_default().reclaimable = present;
         }
+        let on_demand = (needed * self.options.on_demand_part).ceil() as u32;
+        let reclaimable = (needed * self.options.reclaimable_part).ceil() as u32;
+        let left = (needed * self.options.headroom).ceil() as u32;
         fill(
-            &mut wished,
+            &mut plan,
             &names,
             limits.max,
-            |all| all.values().map(|counts| counts.on_demand).sum::<u32>() < base,
-            |counts| counts.on_demand += 1,
+            |plan| sum(plan).on_demand < on_demand,
+            |counts| {
+                counts.on_demand += 1;
+            },
         );
         fill(
-            &mut wished,
+            &mut plan,
             &open,
             limits.max,
-            |all| count_after_reclaim(all) < target,
+            |plan| sum(plan).reclaimable < reclaimable,
             |counts| {
                 counts.reclaimable += 1;
             },
         );
         fill(
-            &mut wished,
+            &mut plan,
             &names,
             limits.max,
-            |all| count_after_reclaim(all) < target,
+            |plan| count_after_reclaim(plan) < left,
             |counts| {
                 counts.on_demand += 1;
             },
         );
-        wished
-    }
-
-    fn is_due(
-        &self,
-        zone: &str,
-        is_reclaimable: bool,
-        count: u32,
-        present: u32,
-        limits: &CapacityLimits,
-        now_ms: u64,
-    ) -> bool {
-        match self.ordered.get(&(zone.to_owned(), is_reclaimable)) {
-            None => count != present,
-            Some(ordered) if ordered.refused_until_ms > now_ms => false,
-            Some(ordered) if ordered.count != count => {
-                count > ordered.count || now_ms >= ordered.at_ms + self.options.repeat_ms
-            }
-            Some(ordered) => {
-                let settle_ms = self.options.repeat_ms + limits.start_ms;
-                count != present && now_ms >= ordered.at_ms + settle_ms
+        for (zone, counts) in &mut plan {
+            let missing = limits.min.saturating_sub(counts.total());
+            match open.contains(&zone) {
+                true => counts.reclaimable += missing,
+                false => counts.on_demand += missing,
             }
         }
+        plan
+    }
+}
+
+fn key(order: &CapacityOrder) -> (String, bool) {
+    (order.availability_zone.clone(), order.is_reclaimable)
+}
+
+fn sum(plan: &Plan) -> CapacityCounts {
+    CapacityCounts {
+        on_demand: plan.values().map(|counts| counts.on_demand).sum(),
+        reclaimable: plan.values().map(|counts| counts.reclaimable).sum(),
     }
 }
 
 /// Upstreams that are left after the zone with most reclaimable ones has lost them.
-fn count_after_reclaim(wished: &BTreeMap<String, CapacityCounts>) -> u32 {
-    let all: u32 = wished.values().map(|counts| counts.total()).sum();
-    let lost = wished.values().map(|counts| counts.reclaimable).max().unwrap_or(0);
-    all - lost
+fn count_after_reclaim(plan: &Plan) -> u32 {
+    let lost = plan.values().map(|counts| counts.reclaimable).max().unwrap_or(0);
+    sum(plan).total() - lost
 }
 
 /// Adds one upstream at a time to the zone that holds fewest, the cheapest of these first.
 fn fill(
-    wished: &mut BTreeMap<String, CapacityCounts>,
+    plan: &mut Plan,
     zones: &[&String],
     most: u32,
-    is_short: impl Fn(&BTreeMap<String, CapacityCounts>) -> bool,
+    is_short: impl Fn(&Plan) -> bool,
     add: impl Fn(&mut CapacityCounts),
 ) {
-    while is_short(wished) {
-        let count = |zone: &&&String| wished.get(**zone).copied().unwrap_or_default().total();
+    while is_short(plan) {
+        let count = |zone: &&&String| plan.get(**zone).copied().unwrap_or_default().total();
         let open = zones.iter().filter(|zone| count(zone) < most);
         let Some(zone) = open.min_by_key(count) else { return };
-        add(wished.entry((*zone).clone()).or_default());
+        add(plan.entry((*zone).clone()).or_default());
     }
 }
--- a/crates/placement/src/book.rs
+++ b/crates/placement/src/book.rs
@@ -41,6 +41,8 @@
 pub struct UpstreamLoad {
     /// Requests in flight.
     pub running: u64,
+    /// Those of them whose first byte has come.
+    pub answering: u64,
     /// Prompt tokens of requests that wait for their first byte.
     pub pending_tokens: u64,
 }
@@ -65,6 +67,7 @@
     slots: u64,
     is_leaving: bool,
     running: u64,
+    answering: u64,
     /// Prompt tokens that wait for their first byte, by rank.
     pending: BTreeMap<u8, u64>,
     peers: HashMap<String, PeerLoad>,
@@ -81,6 +84,7 @@
             slots: entry.slots.max(1),
             is_leaving: entry.phase == UpstreamPhase::Leaving,
             running: 0,
+            answering: 0,
             pending: BTreeMap::new(),
             peers: HashMap::new(),
             report: None,
@@ -89,6 +93,19 @@
         }
     }
 
+    fn load(&self) -> UpstreamLoad {
+        UpstreamLoad {
+            running: self.running,
+            answering: self.answering,
+            pending_tokens: self.pending.values().sum(),
+        }
+    }
+
+    /// Requests of all instances whose answers have begun.
+    fn count_answering(&self, now_ms: u64) -> u64 {
+        self.answering + self.fresh_peers(now_ms).map(|peer| peer.load.answering).sum::<u64>()
+    }
+
     fn estimate_running(&self, now_ms: u64) -> u64 {
         let peers = self.fresh_peers(now_ms).map(|peer| peer.load.running).sum::<u64>();
         let reported = self
@@ -279,14 +296,19 @@
     /// Notes that the first byte has come after `elapsed_ms`, and learns from it.
     pub fn note_first_byte(&mut self, placement: &Placement, urgency: u8, elapsed_ms: u64) {
         self.clear_pending(&placement.upstream, urgency, placement.uncached_tokens);
+        if let Some(known) = self.upstreams.get_mut(&placement.upstream) {
+            known.answering += 1;
+        }
         let work = (placement.uncached_tokens + placement.ahead_tokens) as f64;
         let elapsed_ms = elapsed_ms as f64;
         let reading_ms = work / self.reading_tokens_per_ms;
-        if reading_ms > self.idle_first_byte_ms {
+        // Behind others' prompts the time says little: how far they were is not known.
+        let is_alone = placement.ahead_tokens == 0;
+        if is_alone && reading_ms > self.idle_first_byte_ms {
             let spent_ms = (elapsed_ms - self.idle_first_byte_ms).max(1.0);
             let seen = (work / spent_ms).clamp(READING_RATE_RANGE.0, READING_RATE_RANGE.1);
             self.reading_tokens_per_ms += (seen - self.reading_tokens_per_ms) * AVERAGE_WEIGHT;
-        } else {
+        } else if is_alone {
             let seen_ms = (elapsed_ms - reading_ms).max(0.0);
             self.idle_first_byte_ms += (seen_ms - self.idle_first_byte_ms) * AVERAGE_WEIGHT;
         }
@@ -307,6 +329,7 @@
         }
         let Some(known) = self.upstreams.get_mut(&placement.upstream) else { return };
         known.running = known.running.saturating_sub(1);
+        known.answering = known.answering.saturating_sub(u64::from(has_first_byte));
         known.health.record(end, now_ms);
     }
 
@@ -341,10 +364,8 @@
 
     /// The load of this instance by upstream, of those that have any.
     pub fn own_loads(&self) -> impl Iterator<Item = (&str, UpstreamLoad)> {
-        self.upstreams.iter().filter(|(_, upstream)| upstream.running > 0).map(|(id, upstream)| {
-            let pending_tokens = upstream.pending.values().sum();
-            (id.as_str(), UpstreamLoad { running: upstream.running, pending_tokens })
-        })
+        let loaded = self.upstreams.iter().filter(|(_, upstream)| upstream.running > 0);
+        loaded.map(|(id, upstream)| (id.as_str(), upstream.load()))
     }
 
     /// All upstreams that take requests.
@@ -352,10 +373,7 @@
         let open = self.upstreams.iter().filter(|(_, upstream)| !upstream.is_leaving);
         open.map(|(id, upstream)| UpstreamSummary {
             upstream: id.clone(),
-            own: UpstreamLoad {
-                running: upstream.running,
-                pending_tokens: upstream.pending.values().sum(),
-            },
+            own: upstream.load(),
             running: upstream.estimate_running(now_ms),
             failure_rate: upstream.health.failure_rate(),
         })
@@ -388,6 +406,16 @@
         self.peer_work.insert(peer.to_owned(), tokens_per_ms);
     }
 
+    /// Requests of all instances whose answers have begun.
+    pub fn count_answering(&self, now_ms: u64) -> u64 {
+        self.upstreams.values().map(|upstream| upstream.count_answering(now_ms)).sum()
+    }
+
+    /// Whether any request has come in the time over which work is averaged.
+    pub fn has_work(&self, now_ms: u64) -> bool {
+        self.work_tokens_per_ms(now_ms) > 0.0
+    }
+
     /// Requests that one upstream runs at once.
     pub fn slots_each(&self) -> u64 {
         self.upstreams.values().map(|upstream| upstream.slots).max().unwrap_or(1)
--- a/crates/relay/src/duty_tasks.rs
+++ b/crates/relay/src/duty_tasks.rs
@@ -227,11 +227,15 @@
     fn plan(&mut self, name: &str, service: &Service) -> Vec<CapacityOrder> {
         let Some(limits) = &service.capacity else { return Vec::new() };
         let now_ms = self.relay.now_ms();
-        let demand = planning::measure_demand(&self.relay, name, service, now_ms);
+        let demand = planning::measure_demand(&self.relay, name, now_ms);
         let zones = self.count_zones(name, limits.zone_prices.keys());
+        let reclaimed = self.list_reclaimed_zones(name);
         let options = planning::options();
         let planner =
             self.planners.entry(name.to_owned()).or_insert_with(|| CapacityPlanner::new(options));
+        for zone in reclaimed {
+            planner.note_reclaimed(&zone);
+        }
         let orders = planner.plan(limits, &zones, demand, now_ms);
         if !orders.is_empty() {
             self.relay.log.write("capacity_planned", || {
@@ -265,6 +269,17 @@
         zones
     }
 
+    /// Zones in which reclaimable upstreams are leaving.
+    fn list_reclaimed_zones(&self, service: &str) -> Vec<String> {
+        let directory = self.relay.directory.lock();
+        let leaving = directory.entries().filter(|entry| {
+            entry.service == service
+                && entry.is_reclaimable
+                && entry.phase == UpstreamPhase::Leaving
+        });
+        leaving.map(|entry| entry.availability_zone.clone()).collect()
+    }
+
     async fn send_order(&mut self, service: &str, order: &CapacityOrder) {
         let Some(fence) = self.fence() else { return };
         let relay = &self.relay;
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -6,9 +6,11 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::select;
 use hickorycourse_duties::WindowCounts;
 use hickorycourse_placement::UpstreamLoad;
 use hickorycourse_routes::{RouteDocument, UpstreamEntry};
@@ -24,6 +26,8 @@
 
 /// Shortest time between two digests.
 const DIGEST_LEAST_MS: u64 = 300;
+/// Shortest time between two digests when much has changed.
+const URGENT_LEAST_MS: u64 = 60;
 /// Added to that time for each instance, so that what an instance receives stays bounded.
 const DIGEST_PER_INSTANCE_MS: u64 = 15;
 /// Age of the own proof from which peers are asked.
@@ -58,6 +62,7 @@
     service: String,
     upstream: String,
     running: u64,
+    answering: u64,
     pending_tokens: u64,
 }
 
@@ -110,7 +115,9 @@
             relay.expire_upstreams();
             let instances = addresses.len() as u64 + 1;
             let pause_ms = DIGEST_LEAST_MS + DIGEST_PER_INSTANCE_MS * instances;
-            sleep(Duration::from_millis(pause_ms)).await;
+            sleep(Duration::from_millis(URGENT_LEAST_MS)).await;
+            let rest = Duration::from_millis(pause_ms.saturating_sub(URGENT_LEAST_MS));
+            select(pin!(sleep(rest)), pin!(relay.tell_now.notified())).await;
         }
     }
 
@@ -144,6 +151,7 @@
                     service: service.clone(),
                     upstream: upstream.to_owned(),
                     running: load.running,
+                    answering: load.answering,
                     pending_tokens: load.pending_tokens,
                 });
             }
@@ -153,7 +161,7 @@
             boot: relay.boot,
             peer_address: relay.settings.peer_address,
             own_time_ms: relay.time.lock().own_ms(now_ms),
-            cap_totals: relay.cap_totals(),
+            cap_totals: relay.tell_cap_totals(),
             windows: relay.newest_windows(),
             loads,
             work_tokens_per_ms,
@@ -222,8 +230,11 @@
                 book.take_peer_work(name, *work);
             }
             for told in digest.loads.iter().filter(|told| told.service == service) {
-                let load =
-                    UpstreamLoad { running: told.running, pending_tokens: told.pending_tokens };
+                let load = UpstreamLoad {
+                    running: told.running,
+                    answering: told.answering,
+                    pending_tokens: told.pending_tokens,
+                };
                 book.take_peer_load(name, &told.upstream, load, now_ms);
             }
         }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -19,6 +19,7 @@
 use hickorycourse_telemetry::{EventLog, Meter};
 use parking_lot::{Mutex, RwLock};
 use serde_json::json;
+use tokio::sync::Notify;
 
 use crate::borders::Protocol;
 use crate::drain::DrainState;
@@ -75,6 +76,8 @@
     pub lease: Mutex<DutyLease>,
     /// The true time of day.
     pub time: Mutex<TrueTime>,
+    /// Asks for a digest to the others at once.
+    pub tell_now: Notify,
     /// Runs counted by all processes.
     pub fleet_usage: Mutex<FleetUsage>,
     books: RwLock<BTreeMap<String, SharedBook>>,
@@ -112,6 +115,7 @@
             in_flight: AtomicU64::new(0),
             lease: Mutex::new(DutyLease::new(LeaseOptions::from_ttl(bounds.lease_ms))),
             time: Mutex::new(TrueTime::new(clock.wall_ms(), now_ms)),
+            tell_now: Notify::new(),
             fleet_usage: Mutex::default(),
             books: RwLock::default(),
             caps: Mutex::default(),
@@ -281,7 +285,7 @@
         let now_ms = self.now_ms();
         for organisation in organisations {
             let Some(cap) = organisation.cap else { continue };
-            let limits = CapLimits { per_second: cap.per_second, burst: cap.burst };
+            let limits = self.cap_limits(&cap);
             let shared = caps.remove(&organisation.name).map(|mut shared| {
                 shared.set_limits(limits);
                 shared
@@ -294,6 +298,13 @@
         *caps = kept;
     }
 
+    fn cap_limits(&self, cap: &UsageCap) -> CapLimits {
+        let bounds = &self.settings.bounds;
+        let in_window = cap.per_second * bounds.cap_window_ms as f64 / 1_000.0 + cap.burst;
+        let allowance = in_window * bounds.cap_overshoot + bounds.cap_slack;
+        CapLimits { per_second: cap.per_second, burst: cap.burst, allowance }
+    }
+
     /// Takes units from an organisation's cap.
     ///
     /// # Errors
@@ -301,12 +312,16 @@
     pub fn take_cap(&self, organisation: &str, cap: &UsageCap, units: f64) -> Result<(), u64> {
         let now_ms = self.now_ms();
         let instances = self.members.lock().count(now_ms);
-        let limits = CapLimits { per_second: cap.per_second, burst: cap.burst };
+        let limits = self.cap_limits(cap);
         let mut caps = self.caps.lock();
         let shared = caps
             .entry(organisation.to_owned())
             .or_insert_with(|| SharedCap::new(limits, instances, now_ms));
-        shared.try_take(units, instances, now_ms)
+        let taken = shared.try_take(units, instances, now_ms);
+        if shared.must_tell() {
+            self.tell_now.notify_one();
+        }
+        taken
     }
 
     /// Gives units back that were taken for a request that did not run.
@@ -316,10 +331,10 @@
         }
     }
 
-    /// What this process has used of the caps since its start.
-    pub fn cap_totals(&self) -> BTreeMap<String, f64> {
-        let caps = self.caps.lock();
-        caps.iter().map(|(name, shared)| (name.clone(), shared.own_total())).collect()
+    /// What this process has used of the caps since its start; the others are told now.
+    pub fn tell_cap_totals(&self) -> BTreeMap<String, f64> {
+        let mut caps = self.caps.lock();
+        caps.iter_mut().map(|(name, shared)| (name.clone(), shared.tell())).collect()
     }
 
     /// Takes what another process has used of the caps.
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -80,6 +80,12 @@
     pub retry_slack: f64,
     /// Window in which repeats are counted.
     pub retry_window_ms: u64,
+    /// Window in which an organisation's use is held against its cap.
+    pub cap_window_ms: u64,
+    /// Part of a window's cap that may be used beyond it.
+    pub cap_overshoot: f64,
+    /// Units that may be used in a window beyond its cap and that part.
+    pub cap_slack: f64,
     /// Time of the lease of the duties' holder.
     pub lease_ms: u64,
     /// Shortest lease that the store grants.
@@ -102,6 +108,9 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_ms: 10_000,
+            cap_window_ms: 8_000,
+            cap_overshoot: 0.1,
+            cap_slack: 0.0,
             lease_ms: 3_000,
             lease_least_ms: 1_000,
             usage_window_ms: 5_000,
@@ -141,7 +150,7 @@
     fn default() -> Self {
         Self {
             admission: AdmissionPolicy::default(),
-            reading_tokens_per_ms: 80.0,
+            reading_tokens_per_ms: 100.0,
             idle_first_byte_ms: 40.0,
             cross_zone_ms: 4.0,
             full_batch_ms: 60.0,
--- /dev/null
+++ b/crates/routes/tests/directory.rs
@@ -0,0 +1,85 @@
+//! What becomes of upstreams that the platform lists, and of those that it no longer lists.
+
+use hickorycourse_routes::{DirectoryChange, UpstreamDirectory, UpstreamEntry, UpstreamPhase};
+
+fn entry(id: &str, started_at_ms: u64, sequence: u64) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id.to_owned(),
+        service: "advice".to_owned(),
+        address: "127.0.0.1:9000".parse().expect("an address"),
+        availability_zone: "east".to_owned(),
+        slots: 4,
+        phase: UpstreamPhase::Ready,
+        warm_up_left_ms: 0,
+        is_reclaimable: false,
+        started_at_ms: Some(started_at_ms),
+        sequence,
+    }
+}
+
+fn leaving(entry: UpstreamEntry) -> UpstreamEntry {
+    UpstreamEntry { phase: UpstreamPhase::Leaving, ..entry }
+}
+
+#[test]
+fn put_late_entry_of_earlier_start() {
+    let mut directory = UpstreamDirectory::default();
+    assert_eq!(directory.put(entry("a", 200, 1)), DirectoryChange::Added);
+    assert_eq!(directory.put(entry("a", 100, 9)), DirectoryChange::None);
+    assert_eq!(directory.entries().next().and_then(|entry| entry.started_at_ms), Some(200));
+}
+
+#[test]
+fn put_late_ready_after_leaving() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(entry("a", 100, 1));
+    assert_eq!(directory.put(leaving(entry("a", 100, 3))), DirectoryChange::Leaving);
+    assert_eq!(directory.put(entry("a", 100, 2)), DirectoryChange::None);
+    assert_eq!(directory.entries().next().map(|entry| entry.phase), Some(UpstreamPhase::Leaving));
+}
+
+#[test]
+fn put_new_start_under_same_id() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(leaving(entry("a", 100, 7)));
+    assert_eq!(directory.put(entry("a", 300, 1)), DirectoryChange::Restarted);
+    assert_eq!(directory.entries().next().map(|entry| entry.phase), Some(UpstreamPhase::Ready));
+}
+
+#[test]
+fn remove_in_calm() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(entry("a", 100, 1));
+    assert_eq!(directory.remove("a", None), DirectoryChange::Gone);
+    assert_eq!(directory.entries().count(), 0);
+}
+
+#[test]
+fn remove_after_outage() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(entry("a", 100, 1));
+    directory.put(entry("b", 100, 1));
+    assert_eq!(directory.remove("a", Some(1_000)), DirectoryChange::Doubted);
+    assert_eq!(directory.remove("b", Some(1_000)), DirectoryChange::Doubted);
+    directory.put(entry("b", 100, 2));
+    assert!(directory.expire(999).is_empty());
+    assert_eq!(directory.expire(1_000), ["a"]);
+    assert_eq!(directory.entries().map(|entry| entry.id.as_str()).collect::<Vec<_>>(), ["b"]);
+}
+
+#[test]
+fn remove_leaving_after_outage() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(leaving(entry("a", 100, 1)));
+    assert_eq!(directory.remove("a", Some(1_000)), DirectoryChange::Gone);
+}
+
+#[test]
+fn replace_without_entry() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(entry("a", 100, 1));
+    directory.put(entry("b", 100, 1));
+    let changes = directory.replace(vec![entry("b", 100, 2)], None);
+    assert_eq!(changes[0], ("a".to_owned(), DirectoryChange::Gone));
+    assert_eq!(directory.entries().count(), 1);
+}
--- /dev/null
+++ b/crates/routes/tests/routes.rs
@@ -0,0 +1,109 @@
+//! Routes, keys and the document in force.
+
+use std::collections::BTreeMap;
+
+use hickorycourse_routes::{
+    Access, InForce, OfferOutcome, Organisation, RepeatRule, Route, RouteDocument, RouteTable,
+    RouteTarget,
+};
+use proptest::prelude::*;
+
+fn route(name: &str, path_prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "desk.example".to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        repeat: RepeatRule::Idempotent,
+        timeout_ms: 1_000,
+        target_ms: 100,
+        urgency: 1,
+        targets: vec![
+            RouteTarget { service: "old".to_owned(), weight: 90 },
+            RouteTarget { service: "new".to_owned(), weight: 10 },
+        ],
+        attempt_limit: 2,
+        is_public: false,
+        has_prompt_parts: false,
+        pause_target_ms: None,
+        patience_ms: None,
+    }
+}
+
+fn document(version: u64) -> RouteDocument {
+    let organisation = Organisation {
+        name: "dealer".to_owned(),
+        keys: vec!["key".to_owned()],
+        ..Organisation::default()
+    };
+    RouteDocument {
+        version,
+        routes: vec![route("all", "/a/"), route("part", "/a/b/")],
+        services: BTreeMap::new(),
+        organisations: Some(vec![organisation]),
+        ..RouteDocument::default()
+    }
+}
+
+#[test]
+fn find_route_longest_prefix() {
+    let table = RouteTable::new(document(1));
+    let name = |host: &str, path: &str| table.find_route(host, path).map(|route| &*route.name);
+    assert_eq!(name("desk.example", "/a/b/c"), Some("part"));
+    assert_eq!(name("Desk.Example:80", "/a/c"), Some("all"));
+    assert_eq!(name("desk.example", "/a/b"), Some("all"));
+    assert_eq!(name("desk.example", "/ab/"), None);
+    assert_eq!(name("other.example", "/a/"), None);
+}
+
+#[test]
+fn check_access_by_key() {
+    let table = RouteTable::new(document(1));
+    let closed = route("all", "/a/");
+    let open = Route { is_public: true, ..closed.clone() };
+    assert!(
+        matches!(table.check_access(&closed, Some("key")), Access::Organisation(o) if o.name == "dealer")
+    );
+    assert_eq!(table.check_access(&closed, Some("other")), Access::Denied);
+    assert_eq!(table.check_access(&closed, None), Access::Denied);
+    assert_eq!(table.check_access(&open, None), Access::Open);
+}
+
+#[test]
+fn offer_older_version() {
+    let mut in_force = InForce::default();
+    assert_eq!(in_force.offer(document(7)), OfferOutcome::Applied);
+    assert_eq!(in_force.offer(document(5)), OfferOutcome::NotNewer);
+    assert_eq!(in_force.offer(document(7)), OfferOutcome::NotNewer);
+    assert_eq!(in_force.version(), Some(7));
+}
+
+#[test]
+fn prove_other_version() {
+    let mut in_force = InForce::default();
+    in_force.offer(document(7));
+    in_force.prove(6, 900);
+    assert_eq!(in_force.proof_age_ms(1_000), None);
+    in_force.prove(7, 900);
+    in_force.prove(7, 800);
+    assert_eq!(in_force.proof_age_ms(1_000), Some(100));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(64) })]
+
+    #[test]
+    fn choose_service_same_request(id in "[0-9a-f]{16}") {
+        let route = route("all", "/a/");
+        let chosen = RouteTable::choose_service(&route, &id);
+        prop_assert!(chosen.is_some());
+        prop_assert_eq!(chosen, RouteTable::choose_service(&route, &id));
+    }
+}
+
+#[test]
+fn choose_service_by_weight() {
+    let route = route("all", "/a/");
+    let ids = (0..10_000).map(|number| format!("{number:016x}"));
+    let new = ids.filter(|id| RouteTable::choose_service(&route, id) == Some("new")).count();
+    assert!((900..1_100).contains(&new), "{new} of 10000");
+}
