Caps: a peer's rate is averaged, and Retry-After is counted on the whole cap's rate

Retry-After was counted on one instance's part of the rate, so callers came back seven times too late. Ruled out: a cap lowered by the operators (one of five organisations only; the log gives levels).

--- a/crates/caps/src/shared_cap.rs
+++ b/crates/caps/src/shared_cap.rs
@@ -5,6 +5,9 @@
 /// Silence after which a peer's part of the rate is held back instead of its reported use: several
 /// reports must have been lost by then.
 const PEER_SILENT_MS: u64 = 2_500;
+/// Time over which a peer's rate is averaged. A single large request must not be taken for a rate
+/// that goes on.
+const RATE_TIME_MS: f64 = 1_000.0;
 /// Time after which a silent peer is forgotten.
 const PEER_FORGOTTEN_MS: u64 = 20_000;
 /// Part of the burst that a process may use right after its start, when it knows nothing of what
@@ -40,7 +43,7 @@
     boot: u64,
     /// Units used since that process started.
     total: f64,
-    /// Units a second between the last two reports.
+    /// Units a second, averaged over the last reports.
     rate: f64,
     heard_at_ms: u64,
     /// Units taken from the level since the last report, in place of what it has not told yet.
@@ -90,8 +93,7 @@
         let needed = units.min(self.limits.capacity().max(1.0));
         if self.level < needed {
             let missing = needed - self.level;
-            let rate = (self.limits.per_second / instances.max(1) as f64).max(1e-9);
-            return Err((missing / rate * 1_000.0) as u64);
+            return Err((missing / self.limits.per_second.max(1e-9) * 1_000.0) as u64);
         }
         self.level -= units;
         self.own_total += units;
@@ -104,6 +106,11 @@
         self.own_total -= units;
     }
 
+    /// The units that are there, as far as this instance knows.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
     /// Units that this process has used since its start.
     pub fn own_total(&self) -> f64 {
         self.own_total
@@ -129,12 +136,14 @@
             return;
         };
         let used = (total - known.total).max(0.0);
-        let elapsed_s = now_ms.saturating_sub(known.heard_at_ms).max(1) as f64 / 1_000.0;
+        let elapsed_ms = now_ms.saturating_sub(known.heard_at_ms).max(1) as f64;
+        let weight = 1.0 - (-elapsed_ms / RATE_TIME_MS).exp();
+        let seen_rate = used / elapsed_ms * 1_000.0;
         self.level = (self.level + known.assumed - used).min(self.limits.capacity());
         let heard = PeerUse {
             boot,
             total: total.max(known.total),
-            rate: used / elapsed_s,
+            rate: known.rate + (seen_rate - known.rate) * weight,
             heard_at_ms: now_ms,
             assumed: 0.0,
         };
--- a/crates/caps/tests/caps.rs
+++ b/crates/caps/tests/caps.rs
@@ -71,6 +71,17 @@
     assert!(worst_window(&taken) <= 1.0, "{taken:?}");
 }
 
+#[test]
+fn take_report_of_one_large_request() {
+    let mut cap = SharedCap::new(LIMITS, 2, 0);
+    cap.take_report("peer", 1, 0.0, 4_940);
+    assert!(cap.try_take(10.0, 2, 4_940).is_ok());
+    // Half of a full bucket within one digest's time; that is no rate that goes on.
+    cap.take_report("peer", 1, 800.0, 5_000);
+    assert!(cap.try_take(10.0, 2, 5_060).is_ok());
+    assert!(cap.level() > 500.0, "{}", cap.level());
+}
+
 #[test]
 fn try_take_alone() {
     let limits = CapLimits { allowance: 0.0, ..LIMITS };
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -321,6 +321,16 @@
         if shared.must_tell() {
             self.tell_now.notify_one();
         }
+        if let Err(retry_after_ms) = taken {
+            let level = shared.level();
+            self.log.write("cap_refused", || {
+                json!({
+                    "organisation": organisation, "units": units, "level": level,
+                    "per_second": cap.per_second, "burst": cap.burst, "instances": instances,
+                    "retry_after_ms": retry_after_ms,
+                })
+            });
+        }
         taken
     }
 
