Instances that are cut off leave the rotation early; caps leave room for urgent ranks

Readiness now fails after four missing digests of all other zones, if the store is silent too. An outage of the store alone changes nothing. Cause 2: an organisation beyond its cap lost urgent and other requests alike. Large requests now leave 10% of the bucket to each more urgent rank.

--- a/crates/caps/src/shared_cap.rs
+++ b/crates/caps/src/shared_cap.rs
@@ -5,6 +5,13 @@
 /// Silence after which a peer's part of the rate is held back instead of its reported use: several
 /// reports must have been lost by then.
 const PEER_SILENT_MS: u64 = 2_500;
+/// Part of a full bucket that each rank leaves to the next more urgent one. When an organisation asks
+/// for more than its cap, its urgent requests go first.
+const RESERVE_PART: f64 = 0.1;
+/// Ranks that leave more than the one before; all later ones leave the same.
+const RESERVED_RANKS: u8 = 3;
+/// Part of a full bucket above which a request is large.
+const LARGE_PART: f64 = 0.002;
 /// Time over which a peer's rate is averaged. A single large request must not be taken for a rate
 /// that goes on.
 const RATE_TIME_MS: f64 = 1_000.0;
@@ -83,14 +90,25 @@
         self.level = self.level.min(limits.capacity());
     }
 
-    /// Takes units if the cap has them.
+    /// Takes units if the cap has them. Large requests leave a part of the bucket to those of more
+    /// urgent ranks.
     ///
     /// # Errors
     /// The time after which the units are expected to be there, in milliseconds.
-    pub fn try_take(&mut self, units: f64, instances: usize, now_ms: u64) -> Result<(), u64> {
+    pub fn try_take(
+        &mut self,
+        units: f64,
+        urgency: u8,
+        instances: usize,
+        now_ms: u64,
+    ) -> Result<(), u64> {
         self.refill(instances, now_ms);
+        let capacity = self.limits.capacity().max(1.0);
+        let is_large = units > capacity * LARGE_PART;
+        let ranks = if is_large { urgency.min(RESERVED_RANKS) } else { 0 };
+        let reserve = capacity * RESERVE_PART * f64::from(ranks);
         // A request larger than what can ever be saved up passes when the bucket is full.
-        let needed = units.min(self.limits.capacity().max(1.0));
+        let needed = (units + reserve).min(capacity);
         if self.level < needed {
             let missing = needed - self.level;
             return Err((missing / self.limits.per_second.max(1e-9) * 1_000.0) as u64);
--- a/crates/caps/tests/caps.rs
+++ b/crates/caps/tests/caps.rs
@@ -19,8 +19,8 @@
     for now_ms in 0..seconds * 1_000 {
         for (index, cap) in caps.iter_mut().enumerate() {
             // A flood: each instance is asked for twice the whole cap.
-            let is_asked = now_ms >= start_s * 1_000 && (now_ms + index as u64) % 10 == 0;
-            if is_asked && cap.try_take(20.0, instances, now_ms).is_ok() {
+            let is_asked = now_ms >= start_s * 1_000 && (now_ms + index as u64).is_multiple_of(10);
+            if is_asked && cap.try_take(20.0, 0, instances, now_ms).is_ok() {
                 taken[(now_ms / 1_000) as usize] += 20.0;
             }
         }
@@ -75,10 +75,10 @@
 fn take_report_of_one_large_request() {
     let mut cap = SharedCap::new(LIMITS, 2, 0);
     cap.take_report("peer", 1, 0.0, 4_940);
-    assert!(cap.try_take(10.0, 2, 4_940).is_ok());
+    assert!(cap.try_take(10.0, 0, 2, 4_940).is_ok());
     // Half of a full bucket within one digest's time; that is no rate that goes on.
     cap.take_report("peer", 1, 800.0, 5_000);
-    assert!(cap.try_take(10.0, 2, 5_060).is_ok());
+    assert!(cap.try_take(10.0, 0, 2, 5_060).is_ok());
     assert!(cap.level() > 500.0, "{}", cap.level());
 }
 
@@ -86,34 +86,51 @@
 fn try_take_alone() {
     let limits = CapLimits { allowance: 0.0, ..LIMITS };
     let mut cap = SharedCap::new(limits, 1, 0);
-    assert!(cap.try_take(250.0, 1, 0).is_ok());
-    assert_eq!(cap.try_take(500.0, 1, 0), Err(500));
-    assert!(cap.try_take(500.0, 1, 500).is_ok());
+    assert!(cap.try_take(250.0, 0, 1, 0).is_ok());
+    assert_eq!(cap.try_take(500.0, 0, 1, 0), Err(500));
+    assert!(cap.try_take(500.0, 0, 1, 500).is_ok());
 }
 
 #[test]
 fn try_take_larger_than_the_burst() {
     let mut cap = SharedCap::new(LIMITS, 1, 0);
-    assert!(cap.try_take(1_500.0, 1, 2_000).is_ok(), "the allowance covers it");
-    assert!(cap.try_take(5_000.0, 1, 2_000).is_err());
-    assert!(cap.try_take(5_000.0, 1, 6_000).is_ok(), "a full bucket lets any request pass");
+    assert!(cap.try_take(1_500.0, 0, 1, 2_000).is_ok(), "the allowance covers it");
+    assert!(cap.try_take(5_000.0, 0, 1, 2_000).is_err());
+    assert!(cap.try_take(5_000.0, 0, 1, 6_000).is_ok(), "a full bucket lets any request pass");
+}
+
+#[test]
+fn try_take_by_rank_in_a_flood() {
+    let mut cap = SharedCap::new(LIMITS, 1, 0);
+    let mut taken = [0.0; 3];
+    for now_ms in (0..20_000).step_by(10) {
+        for rank in [2_u8, 1, 0] {
+            // The urgent rank asks for half of the cap, the others for four times all of it.
+            let units = if rank == 0 { 5.0 } else { 20.0 };
+            if cap.try_take(units, rank, 1, now_ms).is_ok() {
+                taken[usize::from(rank)] += units;
+            }
+        }
+    }
+    assert!(taken[0] >= 0.99 * 10_000.0, "{taken:?}");
+    assert!(taken[1] + taken[2] >= 8_000.0, "{taken:?}");
 }
 
 #[test]
 fn give_back_not_run() {
     let mut cap = SharedCap::new(LIMITS, 1, 0);
-    assert!(cap.try_take(250.0, 1, 0).is_ok());
+    assert!(cap.try_take(250.0, 0, 1, 0).is_ok());
     cap.give_back(250.0);
     assert!(cap.own_total().abs() < f64::EPSILON);
-    assert!(cap.try_take(250.0, 1, 0).is_ok());
+    assert!(cap.try_take(250.0, 0, 1, 0).is_ok());
 }
 
 #[test]
 fn set_limits_lower() {
     let mut cap = SharedCap::new(LIMITS, 1, 0);
     cap.set_limits(CapLimits { per_second: 10.0, burst: 10.0, allowance: 0.0 });
-    assert!(cap.try_take(10.0, 1, 0).is_ok());
-    assert!(cap.try_take(10.0, 1, 0).is_err());
+    assert!(cap.try_take(10.0, 0, 1, 0).is_ok());
+    assert!(cap.try_take(10.0, 0, 1, 0).is_err());
 }
 
 #[test]
@@ -121,9 +138,9 @@
     let limits = RetryShareLimits { ratio: 0.2, slack: 54.0, window_ms: 10_000 };
     let mut shares: Vec<RetryShare> = (0..7).map(|_| RetryShare::new(limits)).collect();
     let mut granted = 0;
-    for now_ms in 0..10_000 {
+    for now_ms in 0..10_000_u64 {
         for share in &mut shares {
-            if now_ms % 50 == 0 {
+            if now_ms.is_multiple_of(50) {
                 share.add_request(now_ms);
             }
             granted += u64::from(share.try_take(7, now_ms));
--- a/crates/placement/src/book.rs
+++ b/crates/placement/src/book.rs
@@ -133,9 +133,8 @@
     }
 
     fn is_usable(&self, now_ms: u64) -> bool {
-        !self.is_leaving
-            && !self.health.is_ejected(now_ms)
-            && !(self.health.is_on_trial() && self.running > 0)
+        let is_tried_already = self.health.is_on_trial() && self.running > 0;
+        !self.is_leaving && !self.health.is_ejected(now_ms) && !is_tried_already
     }
 }
 
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -103,6 +103,7 @@
         () if !relay.are_keys_proven(now_ms) => {
             HttpResponse::ServiceUnavailable().body("keys are not proven\n")
         }
+        () if relay.is_isolated(now_ms) => HttpResponse::ServiceUnavailable().body("cut off\n"),
         () => HttpResponse::Ok().body("ready\n"),
     }
 }
@@ -157,7 +158,7 @@
         .ok_or_else(|| later(ErrorCode::NoUpstream))?;
     outcome.service = Some(service.to_owned());
     if let Some((name, cap)) = organisation.and_then(|o| Some((&o.name, o.cap.as_ref()?))) {
-        outcome.cap = Some(take_cap(relay, name, cap, facts.tokens)?);
+        outcome.cap = Some(take_cap(relay, name, cap, facts.tokens, route.urgency)?);
     }
     relay.add_request(service);
     let urgency = organisation.and_then(|o| o.urgency).unwrap_or(route.urgency);
@@ -202,13 +203,14 @@
     organisation: &str,
     cap: &UsageCap,
     tokens: Option<TokenCounts>,
+    urgency: u8,
 ) -> Result<CapUse, Problem> {
     let units = match (cap.unit, tokens) {
         (CapUnit::Requests, _) => 1.0,
         (CapUnit::Tokens, Some(tokens)) => (tokens.prompt + tokens.output_most) as f64,
         (CapUnit::Tokens, None) => cap.default_units,
     };
-    match relay.take_cap(organisation, cap, units) {
+    match relay.take_cap(organisation, cap, units, urgency) {
         Ok(()) => Ok(CapUse { organisation: organisation.to_owned(), units }),
         Err(retry_after_ms) => {
             Err(Problem::new(ErrorCode::CapReached).with_retry_after_ms(retry_after_ms))
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -216,7 +216,11 @@
     let ttl_ms = MEMBER_TTL_MS.max(settings.bounds.lease_least_ms);
     let lease = key_value.grant_lease(ttl_ms).await?;
     let key = format!("{MEMBER_PREFIX}{}", settings.instance);
-    let record = MemberRecord { peer_address: settings.peer_address, boot: relay.boot };
+    let record = MemberRecord {
+        peer_address: settings.peer_address,
+        availability_zone: settings.availability_zone.clone(),
+        boot: relay.boot,
+    };
     let value =
         serde_json::to_vec(&record).map_err(|error| PlatformError::Nonsense(error.to_string()))?;
     let mut expected_revision = 0;
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -39,11 +39,17 @@
 /// The largest datagram over IPv4.
 const DATAGRAM_BYTES_MOST: usize = 65_507;
 
+/// The time between two digests of an instance among this many.
+pub fn digest_period_ms(instances: usize) -> u64 {
+    DIGEST_LEAST_MS + DIGEST_PER_INSTANCE_MS * instances as u64
+}
+
 /// What an instance tells all others.
 #[derive(Debug, Deserialize, Serialize)]
 struct Digest {
     instance: String,
     boot: u64,
+    availability_zone: String,
     peer_address: SocketAddr,
     /// Its own time of day.
     own_time_ms: u64,
@@ -113,8 +119,7 @@
             self.send_all(&digest, &addresses).await;
             self.ask_if_needed(&addresses, now_ms).await;
             relay.expire_upstreams();
-            let instances = addresses.len() as u64 + 1;
-            let pause_ms = DIGEST_LEAST_MS + DIGEST_PER_INSTANCE_MS * instances;
+            let pause_ms = digest_period_ms(addresses.len() + 1);
             sleep(Duration::from_millis(URGENT_LEAST_MS)).await;
             let rest = Duration::from_millis(pause_ms.saturating_sub(URGENT_LEAST_MS));
             select(pin!(sleep(rest)), pin!(relay.tell_now.notified())).await;
@@ -159,6 +164,7 @@
         Digest {
             instance: relay.settings.instance.clone(),
             boot: relay.boot,
+            availability_zone: relay.settings.availability_zone.clone(),
             peer_address: relay.settings.peer_address,
             own_time_ms: relay.time.lock().own_ms(now_ms),
             cap_totals: relay.tell_cap_totals(),
@@ -219,7 +225,8 @@
         }
         let now_ms = relay.now_ms();
         let name = &digest.instance;
-        relay.members.lock().hear(name, digest.peer_address, now_ms);
+        let zone = &digest.availability_zone;
+        relay.members.lock().hear(name, zone, digest.peer_address, now_ms);
         relay.time.lock().take_peer(name, digest.own_time_ms, now_ms);
         relay.take_cap_totals(name, digest.boot, &digest.cap_totals);
         relay.fleet_usage.lock().take(name, digest.boot, &digest.windows);
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -15,6 +15,8 @@
 pub struct MemberRecord {
     /// Where its datagrams arrive.
     pub peer_address: SocketAddr,
+    /// Its availability zone.
+    pub availability_zone: String,
     /// The number of its start.
     pub boot: u64,
 }
@@ -22,6 +24,7 @@
 #[derive(Clone, Debug)]
 struct Member {
     peer_address: SocketAddr,
+    availability_zone: String,
     is_listed: bool,
     heard_at_ms: u64,
 }
@@ -35,8 +38,9 @@
 impl Members {
     /// Takes a record from the store.
     pub fn list(&mut self, instance: &str, record: &MemberRecord, now_ms: u64) {
-        let member = self.others.entry(instance.to_owned()).or_insert(Member {
+        let member = self.others.entry(instance.to_owned()).or_insert_with(|| Member {
             peer_address: record.peer_address,
+            availability_zone: record.availability_zone.clone(),
             is_listed: true,
             heard_at_ms: now_ms,
         });
@@ -58,9 +62,16 @@
     }
 
     /// A datagram has come from an instance.
-    pub fn hear(&mut self, instance: &str, peer_address: SocketAddr, now_ms: u64) {
-        let member = self.others.entry(instance.to_owned()).or_insert(Member {
+    pub fn hear(
+        &mut self,
+        instance: &str,
+        availability_zone: &str,
+        peer_address: SocketAddr,
+        now_ms: u64,
+    ) {
+        let member = self.others.entry(instance.to_owned()).or_insert_with(|| Member {
             peer_address,
+            availability_zone: availability_zone.to_owned(),
             is_listed: false,
             heard_at_ms: now_ms,
         });
@@ -78,6 +89,15 @@
         1 + self.present(now_ms).count()
     }
 
+    /// Whether there are instances in other availability zones and none of them has been heard for
+    /// this time.
+    pub fn hears_no_other_zone(&self, own_zone: &str, silence_ms: u64, now_ms: u64) -> bool {
+        let mut others =
+            self.others.values().filter(|member| member.availability_zone != own_zone).peekable();
+        others.peek().is_some()
+            && others.all(|member| now_ms.saturating_sub(member.heard_at_ms) > silence_ms)
+    }
+
     fn present(&self, now_ms: u64) -> impl Iterator<Item = &Member> {
         let is_present = move |member: &&Member| {
             member.is_listed || now_ms.saturating_sub(member.heard_at_ms) < SILENT_MS
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -23,6 +23,7 @@
 
 use crate::borders::Protocol;
 use crate::drain::DrainState;
+use crate::gossip::digest_period_ms;
 use crate::members::Members;
 use crate::settings::{AdmissionPolicy, RelaySettings};
 
@@ -34,6 +35,9 @@
 /// Part of the bound for leaving upstreams during which an upstream whose entry has lapsed is used:
 /// it may have left, and what is on its way must arrive within the bound.
 const DOUBT_PERCENT: u64 = 60;
+/// Digests of all other availability zones that must be missing before this instance takes itself
+/// to be cut off.
+const ISOLATION_DIGESTS: u64 = 4;
 /// The age of the proof that keys are current may use up to this part of the revocation's bound; the
 /// rest covers a store that tells of changes late.
 const PROOF_PERCENT: u64 = 65;
@@ -149,6 +153,16 @@
         age_ms.is_some_and(|age_ms| age_ms <= limit_ms)
     }
 
+    /// Whether this instance is cut off from the platform and from all other availability zones, so
+    /// that callers are served better elsewhere. An outage of the store alone is no reason.
+    pub fn is_isolated(&self, now_ms: u64) -> bool {
+        let age_ms = self.in_force.read().proof_age_ms(now_ms);
+        let members = self.members.lock();
+        let silence_ms = ISOLATION_DIGESTS * digest_period_ms(members.count(now_ms));
+        age_ms.is_none_or(|age_ms| age_ms > silence_ms)
+            && members.hears_no_other_zone(&self.settings.availability_zone, silence_ms, now_ms)
+    }
+
     /// Takes a document if it is newer.
     pub fn offer_document(&self, document: RouteDocument, source: &str) {
         let version = document.version;
@@ -309,7 +323,13 @@
     ///
     /// # Errors
     /// The time after which they are expected to be there, in milliseconds.
-    pub fn take_cap(&self, organisation: &str, cap: &UsageCap, units: f64) -> Result<(), u64> {
+    pub fn take_cap(
+        &self,
+        organisation: &str,
+        cap: &UsageCap,
+        units: f64,
+        urgency: u8,
+    ) -> Result<(), u64> {
         let now_ms = self.now_ms();
         let instances = self.members.lock().count(now_ms);
         let limits = self.cap_limits(cap);
@@ -317,7 +337,7 @@
         let shared = caps
             .entry(organisation.to_owned())
             .or_insert_with(|| SharedCap::new(limits, instances, now_ms));
-        let taken = shared.try_take(units, instances, now_ms);
+        let taken = shared.try_take(units, urgency, instances, now_ms);
         if shared.must_tell() {
             self.tell_now.notify_one();
         }
