--- a/crates/duties/src/capacity.rs
+++ b/crates/duties/src/capacity.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 
 use hickorycourse_routes::CapacityLimits;
+use serde::{Deserialize, Serialize};
 
 /// Upstreams of one kind or the other.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -51,7 +52,8 @@
 }
 
 /// Weights of the plan.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct CapacityPlannerOptions {
     /// Capacity that must be left after a reclaim, for each upstream that the load needs.
     pub headroom: f64,
@@ -70,6 +72,20 @@
     pub refused_ms: u64,
 }
 
+impl Default for CapacityPlannerOptions {
+    fn default() -> Self {
+        Self {
+            headroom: 1.0,
+            on_demand_part: 0.4,
+            reclaimable_part: 3.0,
+            initial_part: 0.6,
+            keep_ms: 20_000,
+            shrink_ms: 3_000,
+            refused_ms: 3_000,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Ordered {
     count: u32,
--- a/crates/relay/src/duty_tasks.rs
+++ b/crates/relay/src/duty_tasks.rs
@@ -230,7 +230,7 @@
         let demand = planning::measure_demand(&self.relay, name, now_ms);
         let zones = self.count_zones(name, limits.zone_prices.keys());
         let reclaimed = self.list_reclaimed_zones(name);
-        let options = planning::options();
+        let options = self.relay.settings.policy.capacity;
         let planner =
             self.planners.entry(name.to_owned()).or_insert_with(|| CapacityPlanner::new(options));
         for zone in reclaimed {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use hickorycourse_duties::CapacityPlannerOptions;
 use hickorycourse_settings::{Check, Fault};
 use serde::{Deserialize, Serialize};
 
@@ -144,6 +145,13 @@
     pub cross_zone_ms: f64,
     /// Delay of a full batch against an empty one.
     pub full_batch_ms: f64,
+    /// Part of an upstream's places that may be taken while events still come in time.
+    pub places_fill: f64,
+    /// Part of an engine's time that may go into reading prompts: prompts come in clumps, and each
+    /// delays the events of the streams beside it.
+    pub reading_fill: f64,
+    /// How capacity is planned.
+    pub capacity: CapacityPlannerOptions,
 }
 
 impl Default for PolicySettings {
@@ -154,6 +162,9 @@
             idle_first_byte_ms: 40.0,
             cross_zone_ms: 4.0,
             full_batch_ms: 60.0,
+            places_fill: 0.6,
+            reading_fill: 0.6,
+            capacity: CapacityPlannerOptions::default(),
         }
     }
 }
@@ -206,11 +217,15 @@
             "bounds.retry_ratio",
             "must not be below 0, nor retry_slack",
         );
-        require(
-            self.policy.reading_tokens_per_ms > 0.0,
-            "policy.reading_tokens_per_ms",
-            "must be above 0",
-        );
+        let policy = &self.policy;
+        let positive = [
+            (policy.reading_tokens_per_ms, "policy.reading_tokens_per_ms"),
+            (policy.places_fill, "policy.places_fill"),
+            (policy.reading_fill, "policy.reading_fill"),
+        ];
+        for (value, path) in positive {
+            require(value > 0.0, path, "must be above 0");
+        }
         faults
     }
 }
