--- a/crates/duties/src/capacity.rs
+++ b/crates/duties/src/capacity.rs
@@ -76,7 +76,7 @@
     fn default() -> Self {
         Self {
             headroom: 1.0,
-            on_demand_part: 0.4,
+            on_demand_part: 0.2,
             reclaimable_part: 3.0,
             initial_part: 0.6,
             keep_ms: 20_000,
--- a/crates/placement/src/book.rs
+++ b/crates/placement/src/book.rs
@@ -34,6 +34,9 @@
     pub cross_zone_ms: f64,
     /// Delay of a full batch against an empty one.
     pub full_batch_ms: f64,
+    /// How much dearer it is to read a shared part once more than to read other tokens: it takes
+    /// room from other parts, and is paid for.
+    pub shared_weight: f64,
 }
 
 /// Load that an instance has put on an upstream.
@@ -263,6 +266,8 @@
         let rate = self.reading_tokens_per_ms;
         let cached = count_cached(upstream, request, home == Some(id));
         let uncached = request.prompt_tokens.saturating_sub(cached);
+        let shared = request.shared_tokens().saturating_sub(cached) as f64;
+        let shared_ms = shared * (self.options.shared_weight - 1.0) / rate;
         let ahead = upstream.estimate_pending(request.urgency, rate, now_ms);
         let running = upstream.estimate_running(now_ms) as f64;
         let fill = running / upstream.slots as f64;
@@ -272,7 +277,8 @@
             + fill * self.options.full_batch_ms;
         let is_near = upstream.availability_zone == self.availability_zone;
         let distance_ms = if is_near { 0.0 } else { self.options.cross_zone_ms };
-        let cost = first_byte_ms + distance_ms + upstream.health.failure_rate() * FAILURE_COST_MS;
+        let failure_ms = upstream.health.failure_rate() * FAILURE_COST_MS;
+        let cost = first_byte_ms + distance_ms + shared_ms + failure_ms;
         let placement = Placement {
             upstream: id.to_owned(),
             address: upstream.address,
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -30,4 +30,10 @@
         let shared = self.parts.len().checked_sub(1)?;
         self.parts[..shared].last().copied()
     }
+
+    /// Tokens of the parts that others share; the last part is the request's own.
+    pub fn shared_tokens(&self) -> u64 {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|part| part.tokens).sum()
+    }
 }
--- /dev/null
+++ b/crates/placement/tests/placement.rs
@@ -0,0 +1,161 @@
+//! Which upstream is chosen, and what is refused.
+
+use hickorycourse_placement::{
+    Admission, AdmissionRule, AdmitAll, AttemptEnd, Forecast, PlacementBook, PlacementOptions,
+    PlacementRequest, PromptPart, TargetAdmission, UpstreamLoad,
+};
+use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
+
+const OPTIONS: PlacementOptions = PlacementOptions {
+    reading_tokens_per_ms: 100.0,
+    idle_first_byte_ms: 40.0,
+    cross_zone_ms: 10.0,
+    full_batch_ms: 60.0,
+    shared_weight: 1.0,
+};
+
+fn entry(id: usize, zone: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        id: format!("i-{id}"),
+        service: "advice".to_owned(),
+        address: format!("127.0.0.1:{}", 9_000 + id).parse().expect("an address"),
+        availability_zone: zone.to_owned(),
+        slots: 16,
+        phase: UpstreamPhase::Ready,
+        warm_up_left_ms: 0,
+        is_reclaimable: false,
+        started_at_ms: None,
+        sequence: 1,
+    }
+}
+
+fn book(count: usize) -> (PlacementBook, Vec<UpstreamEntry>) {
+    let entries: Vec<UpstreamEntry> =
+        (0..count).map(|id| entry(id, if id < count / 2 { "east" } else { "west" })).collect();
+    let mut book = PlacementBook::new("east", OPTIONS);
+    book.set_upstreams(entries.iter());
+    (book, entries)
+}
+
+fn parts(subject: u64, request: u64) -> [PromptPart; 2] {
+    [
+        PromptPart { hash: subject, tokens: 5_000 },
+        PromptPart { hash: 1_000_000 + request, tokens: 1_000 },
+    ]
+}
+
+fn request<'a>(parts: &'a [PromptPart], excluded: &'a [String]) -> PlacementRequest<'a> {
+    PlacementRequest { parts, prompt_tokens: 6_000, output_tokens: 100, urgency: 1, excluded }
+}
+
+#[test]
+fn choose_own_zone_when_idle() {
+    let (book, _) = book(4);
+    let placement = book.choose(&PlacementRequest::default(), 0).expect("an upstream");
+    assert!(["i-0", "i-1"].contains(&placement.upstream.as_str()));
+}
+
+#[test]
+fn choose_same_home_at_each_instance() {
+    let (one, entries) = book(8);
+    let mut other = PlacementBook::new("west", OPTIONS);
+    other.set_upstreams(entries.iter());
+    for subject in 0..200 {
+        let parts = parts(subject, subject);
+        let request = request(&parts, &[]);
+        let chosen = one.choose(&request, 0).expect("an upstream").upstream;
+        assert_eq!(chosen, other.choose(&request, 0).expect("an upstream").upstream);
+    }
+}
+
+#[test]
+fn choose_under_a_hot_prefix() {
+    // One subject gets all requests: its home takes what it can, then others help.
+    let (mut book, _) = book(8);
+    let mut counts = std::collections::BTreeMap::new();
+    for number in 0..64 {
+        let parts = parts(7, number);
+        let request = request(&parts, &[]);
+        let placement = book.choose(&request, 0).expect("an upstream");
+        book.start(&placement.upstream, &request, placement.uncached_tokens);
+        *counts.entry(placement.upstream).or_insert(0) += 1;
+    }
+    let most = counts.values().max().copied().unwrap_or(0);
+    assert!(most <= 24, "{counts:?}");
+    assert!(counts.len() >= 4, "{counts:?}");
+}
+
+#[test]
+fn choose_with_load_of_others() {
+    let (mut book, _) = book(2);
+    let load = UpstreamLoad { running: 12, answering: 0, pending_tokens: 60_000 };
+    book.take_peer_load("peer", "i-0", load, 0);
+    let parts = [PromptPart { hash: 1, tokens: 100 }];
+    let placement = book.choose(&request(&parts, &[]), 0).expect("an upstream");
+    assert_eq!(placement.upstream, "i-1");
+    // What others told is old by then, and read meanwhile.
+    let later = book.choose(&request(&parts, &[]), 3_000).expect("an upstream");
+    assert_eq!(later.upstream, "i-0");
+}
+
+#[test]
+fn choose_after_failures() {
+    let (mut book, _) = book(2);
+    let plain = PlacementRequest::default();
+    let excluded = ["i-1".to_owned()];
+    let only = PlacementRequest { excluded: &excluded, ..plain };
+    for _ in 0..2 {
+        let placement = book.choose(&only, 0).expect("an upstream");
+        book.start(&placement.upstream, &plain, 0);
+        book.finish(&placement, 0, false, AttemptEnd::Silent, 0);
+    }
+    assert_eq!(book.choose(&plain, 10).expect("an upstream").upstream, "i-1");
+    // An ejected upstream is better than none.
+    assert_eq!(book.choose(&only, 10).expect("an upstream").upstream, "i-0");
+    // After a while one request tries it; an answer brings it back.
+    let trial = book.choose(&only, 2_000).expect("an upstream");
+    book.start(&trial.upstream, &plain, 0);
+    assert_eq!(book.choose(&plain, 2_000).expect("an upstream").upstream, "i-1");
+    book.finish(&trial, 0, false, AttemptEnd::Answered, 2_000);
+    assert_eq!(book.choose(&plain, 2_001).expect("an upstream").upstream, "i-0");
+}
+
+#[test]
+fn choose_none_when_all_leave() {
+    let (mut book, entries) = book(2);
+    let leaving: Vec<UpstreamEntry> = entries
+        .into_iter()
+        .map(|entry| UpstreamEntry { phase: UpstreamPhase::Leaving, ..entry })
+        .collect();
+    book.set_upstreams(leaving.iter());
+    assert!(book.choose(&PlacementRequest::default(), 0).is_none());
+    assert!(!book.is_open("i-0"));
+}
+
+#[test]
+fn finish_gives_everything_back() {
+    let (mut book, _) = book(2);
+    let parts = parts(1, 1);
+    let request = request(&parts, &[]);
+    for _ in 0..10 {
+        let placement = book.choose(&request, 0).expect("an upstream");
+        book.start(&placement.upstream, &request, placement.uncached_tokens);
+        book.note_first_byte(&placement, 1, 100);
+        book.finish(&placement, 1, true, AttemptEnd::Answered, 100);
+    }
+    assert_eq!(book.own_loads().count(), 0);
+    assert_eq!(book.count_answering(100), 0);
+}
+
+fn forecast(first_byte_ms: u64) -> Forecast {
+    Forecast { first_byte_ms, waited_ms: 100, target_ms: 400, patience_ms: 2_000 }
+}
+
+#[test]
+fn decide_in_a_flood() {
+    assert_eq!(TargetAdmission.decide(&forecast(300)), Admission::Send);
+    assert_eq!(TargetAdmission.decide(&forecast(1_200)), Admission::Send);
+    let refused = TargetAdmission.decide(&forecast(3_000));
+    assert_eq!(refused, Admission::Refuse { retry_after_ms: 2_700 });
+    assert_eq!(AdmitAll.decide(&forecast(3_000)), Admission::Send);
+}
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -278,6 +278,7 @@
             idle_first_byte_ms: policy.idle_first_byte_ms,
             cross_zone_ms: policy.cross_zone_ms,
             full_batch_ms: policy.full_batch_ms,
+            shared_weight: policy.shared_weight,
         }
     }
 
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -145,6 +145,8 @@
     pub cross_zone_ms: f64,
     /// Delay of a full batch against an empty one.
     pub full_batch_ms: f64,
+    /// How much dearer it is to read a shared prompt part once more than to read other tokens.
+    pub shared_weight: f64,
     /// Part of an upstream's places that may be taken while events still come in time.
     pub places_fill: f64,
     /// Part of an engine's time that may go into reading prompts: prompts come in clumps, and each
@@ -162,6 +164,7 @@
             idle_first_byte_ms: 40.0,
             cross_zone_ms: 4.0,
             full_batch_ms: 60.0,
+            shared_weight: 1.0,
             places_fill: 0.6,
             reading_fill: 0.6,
             capacity: CapacityPlannerOptions::default(),
