A stopping instance refuses after 36% of its time to stop

Requests were taken until 4.8 s. Now they are refused from 2.9 s on, as not run, and the process uses 95% of its time. Ruled out: readiness (it failed at once).

--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -14,11 +14,12 @@
 const POLL: Duration = Duration::from_millis(50);
 /// Time during which callers may still come: the balancer takes two misses, a second apart, to
 /// notice that this instance is not ready.
-const STILL_SERVED_MS: u64 = 3_200;
+const STILL_SERVED_MS: u64 = 2_800;
 /// Part of the time to stop that requests in flight may use; the rest is for their last bytes.
-const FINISH_PERCENT: u64 = 90;
-/// Part of the time to stop after which new requests are refused, so that none is cut off.
-const REFUSE_PERCENT: u64 = 60;
+const FINISH_PERCENT: u64 = 95;
+/// Part of the time to stop after which new requests are refused, so that none is cut off. The
+/// balancer has noticed by then; what still comes uses connections that were kept.
+const REFUSE_PERCENT: u64 = 36;
 
 /// Whether and since when this process stops.
 #[derive(Debug, Default)]
