Capacity: each zone holds reclaimable upstreams for the whole load

Unfilled orders are repeated, dry zones are asked without counting on them. Now four reclaimable upstreams for each that is needed, none on demand while they are to be had: any three of four zones may be reclaimed.

--- a/crates/duties/src/capacity.rs
+++ b/crates/duties/src/capacity.rs
@@ -68,7 +68,8 @@
     pub keep_ms: u64,
     /// Shortest time between two changes of an order that take upstreams away.
     pub shrink_ms: u64,
-    /// Time for which a kind that is not to be had in a zone is not asked for again.
+    /// Time after which a zone that had no reclaimable upstreams is asked again. Until it has some,
+    /// the plan does without them.
     pub refused_ms: u64,
 }
 
@@ -76,8 +77,8 @@
     fn default() -> Self {
         Self {
             headroom: 1.0,
-            on_demand_part: 0.2,
-            reclaimable_part: 3.0,
+            on_demand_part: 0.0,
+            reclaimable_part: 4.0,
             initial_part: 0.6,
             keep_ms: 20_000,
             shrink_ms: 3_000,
@@ -92,6 +93,10 @@
     at_ms: u64,
 }
 
+/// Time after an upstream's start was due from which it is taken to be missing: entries are written
+/// about every second, and read a while later.
+const LATE_MS: u64 = 3_000;
+
 /// Counts by zone.
 type Plan = BTreeMap<String, CapacityCounts>;
 
@@ -100,7 +105,7 @@
 pub struct CapacityPlanner {
     options: CapacityPlannerOptions,
     ordered: BTreeMap<(String, bool), Ordered>,
-    /// Until when a kind is not asked for in a zone.
+    /// When to ask again for what was not to be had.
     refused: BTreeMap<(String, bool), u64>,
     /// Demand with the time until which it counts.
     peaks: Vec<(f64, u64)>,
@@ -137,7 +142,7 @@
             Some(busy) => self.peak(busy, now_ms),
             None => self.peaks.iter().map(|(peak, _)| *peak).fold(guess, f64::max),
         };
-        let wished = self.wish(limits, zones, needed, now_ms);
+        let wished = self.wish(limits, zones, needed);
         let mut additions = Vec::new();
         let mut removals = Vec::new();
         let mut spare = f64::from(present) - needed * self.options.headroom;
@@ -150,7 +155,8 @@
             for (is_reclaimable, count, present) in kinds {
                 let order =
                     CapacityOrder { availability_zone: zone.clone(), is_reclaimable, count };
-                match count.cmp(&self.standing(&order, present)) {
+                let standing = self.standing(&order, present, limits.start_ms, now_ms);
+                match count.cmp(&standing) {
                     Ordering::Equal => {}
                     Ordering::Greater => additions.push(order),
                     // What goes must not be missed before what was ordered is there.
@@ -164,13 +170,43 @@
                 }
             }
         }
+        additions.extend(self.probe(limits, zones, needed, now_ms));
         additions.extend(removals);
         additions
     }
 
-    /// The count that was ordered last, or that stands there without an order.
-    fn standing(&self, order: &CapacityOrder, present: u32) -> u32 {
-        self.ordered.get(&key(order)).map_or(present, |ordered| ordered.count)
+    /// Orders that ask again where none were to be had.
+    fn probe(
+        &self,
+        limits: &CapacityLimits,
+        zones: &BTreeMap<String, ZoneCapacity>,
+        needed: f64,
+        now_ms: u64,
+    ) -> Vec<CapacityOrder> {
+        let share = needed * self.options.reclaimable_part / zones.len().max(1) as f64;
+        let mut probes = Vec::new();
+        for ((zone, is_reclaimable), retry_at_ms) in &self.refused {
+            let ready = zones.get(zone).copied().unwrap_or_default().ready;
+            let count = (share.ceil() as u32).min(limits.max.saturating_sub(ready.on_demand));
+            if *is_reclaimable && *retry_at_ms <= now_ms && count > ready.reclaimable {
+                probes.push(CapacityOrder {
+                    availability_zone: zone.clone(),
+                    is_reclaimable: true,
+                    count,
+                });
+            }
+        }
+        probes
+    }
+
+    /// The count that was ordered last, or that stands there without an order. An order that was
+    /// accepted and not filled in time, as the zone was full then, is made again.
+    fn standing(&self, order: &CapacityOrder, present: u32, start_ms: u64, now_ms: u64) -> u32 {
+        match self.ordered.get(&key(order)) {
+            Some(ordered) if now_ms < ordered.at_ms + start_ms + LATE_MS => ordered.count,
+            Some(ordered) => ordered.count.min(present),
+            None => present,
+        }
     }
 
     fn may_shrink(&self, order: &CapacityOrder, now_ms: u64) -> bool {
@@ -202,9 +238,8 @@
     }
 
     /// Whether reclaimable upstreams are to be had in a zone, as far as is known.
-    fn is_open(&self, limits: &CapacityLimits, zone: &str, now_ms: u64) -> bool {
-        let refused_until_ms = self.refused.get(&(zone.to_owned(), true)).copied().unwrap_or(0);
-        limits.reclaimable_price.is_some() && refused_until_ms <= now_ms
+    fn is_open(&self, limits: &CapacityLimits, zone: &str) -> bool {
+        limits.reclaimable_price.is_some() && !self.refused.contains_key(&(zone.to_owned(), true))
     }
 
     /// Reclaimable upstreams wherever they are to be had, and so many on demand that the load is
@@ -214,13 +249,12 @@
         limits: &CapacityLimits,
         zones: &BTreeMap<String, ZoneCapacity>,
         needed: f64,
-        now_ms: u64,
     ) -> Plan {
         let price = |zone: &str| limits.zone_prices.get(zone).copied().unwrap_or(1.0);
         let mut names: Vec<&String> = zones.keys().collect();
         names.sort_by(|one, other| price(one).total_cmp(&price(other)).then(one.cmp(other)));
         let (open, closed): (Vec<&String>, Vec<&String>) =
-            names.iter().partition(|zone| self.is_open(limits, zone, now_ms));
+            names.iter().partition(|zone| self.is_open(limits, zone));
         let mut plan = Plan::new();
         for name in &names {
             plan.insert((*name).clone(), CapacityCounts::default());
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -165,8 +165,8 @@
             cross_zone_ms: 4.0,
             full_batch_ms: 60.0,
             shared_weight: 1.0,
-            places_fill: 0.6,
-            reading_fill: 0.6,
+            places_fill: 0.7,
+            reading_fill: 0.75,
             capacity: CapacityPlannerOptions::default(),
         }
     }
