Digests and the watch fit larger fleets

They now have short names, urgent ones are at most five in the time of one, and the watch rests longer the more instances pay for it.

--- a/crates/duties/src/usage_windows.rs
+++ b/crates/duties/src/usage_windows.rs
@@ -11,8 +11,10 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WindowCounts {
     /// The window's number.
+    #[serde(rename = "w")]
     pub window: u64,
     /// Runs by organisation.
+    #[serde(rename = "c")]
     pub counts: BTreeMap<String, u64>,
 }
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -18,8 +18,12 @@
 use crate::members::{MEMBER_PREFIX, MemberRecord};
 use crate::node::Relay;
 
-/// The watch rests for the shortest bound divided by this.
-const REST_DIVISOR: u64 = 4;
+/// Part of the shortest bound for which the watch rests, in a fleet of one.
+const REST_PERCENT: u64 = 25;
+/// Largest such part. What is left covers two calls that fail.
+const REST_MOST_PERCENT: u64 = 40;
+/// Instances for which the part grows by one percent: calls to the store are paid for by all.
+const REST_INSTANCES: u64 = 4;
 /// Bounds of the wait after a failure; drawn anew each time, so that instances don't come together.
 const BACKOFF_MS: std::ops::Range<u64> = 100..400;
 /// Time that the store keeps a member's key without renewal; covers a short outage.
@@ -58,7 +62,7 @@
     key_value: &dyn KeyValue,
 ) -> Result<(), PlatformError> {
     let bounds = &relay.settings.bounds;
-    let rest_ms = bounds.apply_ms.min(bounds.leaving_ms) / REST_DIVISOR;
+    let shortest_ms = bounds.apply_ms.min(bounds.leaving_ms);
     // Opened before the listing, so that no change falls between the two.
     let mut watch = key_value.watch("").await?;
     let started_at_ms = relay.now_ms();
@@ -75,7 +79,9 @@
         note_proof(relay, started_at_ms);
         relay.expire_upstreams();
         if !events.is_empty() {
-            sleep(Duration::from_millis(rest_ms)).await;
+            let instances = relay.members.lock().count(relay.now_ms()) as u64;
+            let percent = (REST_PERCENT + instances / REST_INSTANCES).min(REST_MOST_PERCENT);
+            sleep(Duration::from_millis(shortest_ms * percent / 100)).await;
         }
     }
 }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -26,10 +26,10 @@
 
 /// Shortest time between two digests.
 const DIGEST_LEAST_MS: u64 = 300;
-/// Shortest time between two digests when much has changed.
-const URGENT_LEAST_MS: u64 = 60;
 /// Added to that time for each instance, so that what an instance receives stays bounded.
 const DIGEST_PER_INSTANCE_MS: u64 = 15;
+/// Digests that may be sent in the time of one when much has changed.
+const URGENT_DIGESTS: u64 = 5;
 /// Age of the own proof from which peers are asked.
 const ASK_AGE_MS: u64 = 1_500;
 /// Peers asked at a time.
@@ -44,32 +44,39 @@
     DIGEST_LEAST_MS + DIGEST_PER_INSTANCE_MS * instances as u64
 }
 
-/// What an instance tells all others.
+/// What an instance tells all others. Fields have short names, as each datagram goes to everybody.
 #[derive(Debug, Deserialize, Serialize)]
 struct Digest {
+    #[serde(rename = "n")]
     instance: String,
+    #[serde(rename = "b")]
     boot: u64,
+    #[serde(rename = "z")]
     availability_zone: String,
+    #[serde(rename = "a")]
     peer_address: SocketAddr,
     /// Its own time of day.
+    #[serde(rename = "t")]
     own_time_ms: u64,
     /// Units used of the caps since its start.
+    #[serde(rename = "c")]
     cap_totals: BTreeMap<String, f64>,
     /// Its newest windows of usage.
+    #[serde(rename = "u")]
     windows: Vec<WindowCounts>,
-    /// Its load on upstreams, by service.
-    loads: Vec<ToldLoad>,
-    /// Prompt tokens a millisecond that its requests bring, by service.
-    work_tokens_per_ms: BTreeMap<String, f64>,
+    /// What it has put on each service.
+    #[serde(rename = "s")]
+    services: BTreeMap<String, ToldService>,
 }
 
-#[derive(Debug, Deserialize, Serialize)]
-struct ToldLoad {
-    service: String,
-    upstream: String,
-    running: u64,
-    answering: u64,
-    pending_tokens: u64,
+#[derive(Debug, Default, Deserialize, Serialize)]
+struct ToldService {
+    /// Prompt tokens a millisecond that its requests bring.
+    #[serde(rename = "w")]
+    work_tokens_per_ms: f64,
+    /// Upstream, requests in flight, those whose answers have begun, prompt tokens that wait.
+    #[serde(rename = "l")]
+    loads: Vec<(String, u64, u64, u64)>,
 }
 
 /// What an instance that reaches the store tells one that does not.
@@ -120,8 +127,9 @@
             self.ask_if_needed(&addresses, now_ms).await;
             relay.expire_upstreams();
             let pause_ms = digest_period_ms(addresses.len() + 1);
-            sleep(Duration::from_millis(URGENT_LEAST_MS)).await;
-            let rest = Duration::from_millis(pause_ms.saturating_sub(URGENT_LEAST_MS));
+            let least_ms = pause_ms / URGENT_DIGESTS;
+            sleep(Duration::from_millis(least_ms)).await;
+            let rest = Duration::from_millis(pause_ms - least_ms);
             select(pin!(sleep(rest)), pin!(relay.tell_now.notified())).await;
         }
     }
@@ -146,20 +154,17 @@
 
     fn make_digest(&self, now_ms: u64) -> Digest {
         let relay = &self.relay;
-        let mut loads = Vec::new();
-        let mut work_tokens_per_ms = BTreeMap::new();
+        let mut services = BTreeMap::new();
         for (service, book) in relay.books() {
             let book = book.lock();
-            work_tokens_per_ms.insert(service.clone(), book.own_work_tokens_per_ms(now_ms));
-            for (upstream, load) in book.own_loads() {
-                loads.push(ToldLoad {
-                    service: service.clone(),
-                    upstream: upstream.to_owned(),
-                    running: load.running,
-                    answering: load.answering,
-                    pending_tokens: load.pending_tokens,
-                });
-            }
+            let loads = book.own_loads().map(|(upstream, load)| {
+                (upstream.to_owned(), load.running, load.answering, load.pending_tokens)
+            });
+            let told = ToldService {
+                work_tokens_per_ms: book.own_work_tokens_per_ms(now_ms),
+                loads: loads.collect(),
+            };
+            services.insert(service, told);
         }
         Digest {
             instance: relay.settings.instance.clone(),
@@ -169,8 +174,7 @@
             own_time_ms: relay.time.lock().own_ms(now_ms),
             cap_totals: relay.tell_cap_totals(),
             windows: relay.newest_windows(),
-            loads,
-            work_tokens_per_ms,
+            services,
         }
     }
 
@@ -233,16 +237,15 @@
         for (service, book) in relay.books() {
             let mut book = book.lock();
             book.clear_peer(name);
-            if let Some(work) = digest.work_tokens_per_ms.get(&service) {
-                book.take_peer_work(name, *work);
-            }
-            for told in digest.loads.iter().filter(|told| told.service == service) {
+            let Some(told) = digest.services.get(&service) else { continue };
+            book.take_peer_work(name, told.work_tokens_per_ms);
+            for (upstream, running, answering, pending_tokens) in &told.loads {
                 let load = UpstreamLoad {
-                    running: told.running,
-                    answering: told.answering,
-                    pending_tokens: told.pending_tokens,
+                    running: *running,
+                    answering: *answering,
+                    pending_tokens: *pending_tokens,
                 };
-                book.take_peer_load(name, &told.upstream, load, now_ms);
+                book.take_peer_load(name, upstream, load, now_ms);
             }
         }
     }
