--- a/crates/placement/src/book.rs
+++ b/crates/placement/src/book.rs
@@ -7,6 +7,7 @@
 use hickorycourse_routing::PrefixIndex;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::cost::{CandidateView, CostRule};
 use crate::health::{AttemptEnd, Health};
 use crate::request::PlacementRequest;
 
@@ -170,10 +171,10 @@
 }
 
 /// The upstreams of one service.
-#[derive(Debug)]
 pub struct PlacementBook {
     availability_zone: String,
     options: PlacementOptions,
+    cost_rule: Box<dyn CostRule>,
     upstreams: BTreeMap<String, Upstream>,
     reading_tokens_per_ms: f64,
     idle_first_byte_ms: f64,
@@ -185,10 +186,15 @@
 
 impl PlacementBook {
     /// Creates a book without upstreams for an instance in this availability zone.
-    pub fn new(availability_zone: &str, options: PlacementOptions) -> Self {
+    pub fn new(
+        availability_zone: &str,
+        options: PlacementOptions,
+        cost_rule: Box<dyn CostRule>,
+    ) -> Self {
         Self {
             availability_zone: availability_zone.to_owned(),
             options,
+            cost_rule,
             upstreams: BTreeMap::new(),
             reading_tokens_per_ms: options.reading_tokens_per_ms,
             idle_first_byte_ms: options.idle_first_byte_ms,
@@ -277,8 +283,13 @@
             + fill * self.options.full_batch_ms;
         let is_near = upstream.availability_zone == self.availability_zone;
         let distance_ms = if is_near { 0.0 } else { self.options.cross_zone_ms };
-        let failure_ms = upstream.health.failure_rate() * FAILURE_COST_MS;
-        let cost = first_byte_ms + distance_ms + shared_ms + failure_ms;
+        let cost = self.cost_rule.cost(&CandidateView {
+            first_byte_ms,
+            distance_ms,
+            shared_ms,
+            failure_ms: upstream.health.failure_rate() * FAILURE_COST_MS,
+            running: running as u64,
+        });
         let placement = Placement {
             upstream: id.to_owned(),
             address: upstream.address,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod book;
+mod cost;
 mod health;
 mod request;
 
@@ -19,5 +20,6 @@
 
 pub use admission::{Admission, AdmissionRule, AdmitAll, Forecast, TargetAdmission};
 pub use book::{Placement, PlacementBook, PlacementOptions, UpstreamLoad, UpstreamSummary};
+pub use cost::{CandidateView, CostRule, ExpectedWait, LeastRequests};
 pub use health::{AttemptEnd, Health};
 pub use request::{PlacementRequest, PromptPart};
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -1,8 +1,9 @@
 //! Which upstream is chosen, and what is refused.
 
 use hickorycourse_placement::{
-    Admission, AdmissionRule, AdmitAll, AttemptEnd, Forecast, PlacementBook, PlacementOptions,
-    PlacementRequest, PromptPart, TargetAdmission, UpstreamLoad,
+    Admission, AdmissionRule, AdmitAll, AttemptEnd, CostRule, ExpectedWait, Forecast,
+    LeastRequests, PlacementBook, PlacementOptions, PlacementRequest, PromptPart, TargetAdmission,
+    UpstreamLoad,
 };
 use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
 
@@ -32,7 +33,7 @@
 fn book(count: usize) -> (PlacementBook, Vec<UpstreamEntry>) {
     let entries: Vec<UpstreamEntry> =
         (0..count).map(|id| entry(id, if id < count / 2 { "east" } else { "west" })).collect();
-    let mut book = PlacementBook::new("east", OPTIONS);
+    let mut book = PlacementBook::new("east", OPTIONS, Box::new(ExpectedWait));
     book.set_upstreams(entries.iter());
     (book, entries)
 }
@@ -58,7 +59,7 @@
 #[test]
 fn choose_same_home_at_each_instance() {
     let (one, entries) = book(8);
-    let mut other = PlacementBook::new("west", OPTIONS);
+    let mut other = PlacementBook::new("west", OPTIONS, Box::new(ExpectedWait));
     other.set_upstreams(entries.iter());
     for subject in 0..200 {
         let parts = parts(subject, subject);
@@ -147,6 +148,48 @@
     assert_eq!(book.count_answering(100), 0);
 }
 
+/// Sends clumps of twelve prompts, one of them ten times as long, to engines that read one prompt after the
+/// other; returns the share of the others' first bytes that come within 150 ms.
+fn serve_clumps(cost_rule: Box<dyn CostRule>) -> f64 {
+    let mut book = PlacementBook::new("east", OPTIONS, cost_rule);
+    let entries: Vec<UpstreamEntry> = (0..4).map(|id| entry(id, "east")).collect();
+    book.set_upstreams(entries.iter());
+    let mut free_at_ms = std::collections::BTreeMap::<String, f64>::new();
+    let mut waiting = Vec::new();
+    let (mut short, mut on_time) = (0, 0);
+    for number in 0..4_000_u64 {
+        let now_ms = number / 12 * 150;
+        let (done, left): (Vec<_>, Vec<_>) =
+            waiting.into_iter().partition(|(at_ms, _)| *at_ms <= now_ms as f64);
+        waiting = left;
+        for (at_ms, placement) in done {
+            book.note_first_byte(&placement, 1, 50);
+            book.finish(&placement, 1, true, AttemptEnd::Answered, at_ms as u64);
+        }
+        let tokens = if number % 12 == 0 { 20_000 } else { 2_000 };
+        let parts = [PromptPart { hash: 1_000 + number, tokens }];
+        let request = PlacementRequest { prompt_tokens: tokens, ..request(&parts, &[]) };
+        let placement = book.choose(&request, now_ms).expect("an upstream");
+        book.start(&placement.upstream, &request, placement.uncached_tokens);
+        let free = free_at_ms.entry(placement.upstream.clone()).or_default();
+        *free = free.max(now_ms as f64) + tokens as f64 / OPTIONS.reading_tokens_per_ms;
+        if tokens == 2_000 {
+            short += 1;
+            on_time += u32::from(*free - now_ms as f64 <= 150.0);
+        }
+        waiting.push((*free, placement));
+    }
+    f64::from(on_time) / f64::from(short)
+}
+
+#[test]
+fn choose_in_clumps_against_the_baseline() {
+    let expected_wait = serve_clumps(Box::new(ExpectedWait));
+    let least_requests = serve_clumps(Box::new(LeastRequests));
+    assert!(expected_wait > 0.95, "{expected_wait} against {least_requests}");
+    assert!(expected_wait > least_requests + 0.03, "{expected_wait} against {least_requests}");
+}
+
 fn forecast(first_byte_ms: u64) -> Forecast {
     Forecast { first_byte_ms, waited_ms: 100, target_ms: 400, patience_ms: 2_000 }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,5 +33,5 @@
 pub use members::{MemberRecord, Members};
 pub use server::{Borders, run};
 pub use settings::{
-    AdmissionPolicy, Bounds, Duty, EventLogSettings, PolicySettings, RelaySettings,
+    AdmissionPolicy, Bounds, Duty, EventLogSettings, PlacementPolicy, PolicySettings, RelaySettings,
 };
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -10,7 +10,8 @@
     DutyLease, FleetUsage, LeaseOptions, TrueTime, UsageWindows, WindowCounts,
 };
 use hickorycourse_placement::{
-    AdmissionRule, AdmitAll, PlacementBook, PlacementOptions, TargetAdmission,
+    AdmissionRule, AdmitAll, CostRule, ExpectedWait, LeastRequests, PlacementBook,
+    PlacementOptions, TargetAdmission,
 };
 use hickorycourse_routes::{
     DirectoryChange, InForce, OfferOutcome, RouteDocument, RouteTable, UpstreamDirectory,
@@ -25,7 +26,7 @@
 use crate::drain::DrainState;
 use crate::gossip::digest_period_ms;
 use crate::members::Members;
-use crate::settings::{AdmissionPolicy, RelaySettings};
+use crate::settings::{AdmissionPolicy, PlacementPolicy, RelaySettings};
 
 /// The upstreams of one service, under one lock.
 pub type SharedBook = Arc<Mutex<PlacementBook>>;
@@ -264,7 +265,12 @@
         for service in services {
             let book = books.entry(service.clone()).or_insert_with(|| {
                 let zone = &self.settings.availability_zone;
-                Arc::new(Mutex::new(PlacementBook::new(zone, self.placement_options())))
+                let cost_rule: Box<dyn CostRule> = match self.settings.policy.placement {
+                    PlacementPolicy::ExpectedWait => Box::new(ExpectedWait),
+                    PlacementPolicy::LeastRequests => Box::new(LeastRequests),
+                };
+                let book = PlacementBook::new(zone, self.placement_options(), cost_rule);
+                Arc::new(Mutex::new(book))
             });
             let entries = directory.entries().filter(|entry| entry.service == service);
             book.lock().set_upstreams(entries);
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -131,12 +131,25 @@
     Target,
 }
 
+/// How an upstream is chosen.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlacementPolicy {
+    /// The shortest expected time to the first byte.
+    #[default]
+    ExpectedWait,
+    /// The fewest requests in flight; the baseline.
+    LeastRequests,
+}
+
 /// How requests are admitted and placed.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PolicySettings {
     /// How requests are admitted.
     pub admission: AdmissionPolicy,
+    /// How an upstream is chosen.
+    pub placement: PlacementPolicy,
     /// Prompt tokens that an engine reads in a millisecond, until it has been measured.
     pub reading_tokens_per_ms: f64,
     /// Time to the first byte at an idle engine, until it has been measured.
@@ -160,6 +173,7 @@
     fn default() -> Self {
         Self {
             admission: AdmissionPolicy::default(),
+            placement: PlacementPolicy::default(),
             reading_tokens_per_ms: 100.0,
             idle_first_byte_ms: 40.0,
             cross_zone_ms: 4.0,
