--- a/crates/duties/src/capacity.rs
+++ b/crates/duties/src/capacity.rs
@@ -111,6 +111,9 @@
     peaks: Vec<(f64, u64)>,
     /// Upstreams that were present when the first plan was made.
     initial: Option<u32>,
+    /// Until then nothing is given up: a holder that takes over under load knows neither the peaks
+    /// of before nor which zones are dry.
+    learns_until_ms: Option<u64>,
 }
 
 impl CapacityPlanner {
@@ -122,6 +125,7 @@
             refused: BTreeMap::new(),
             peaks: Vec::new(),
             initial: None,
+            learns_until_ms: None,
         }
     }
 
@@ -135,6 +139,8 @@
     ) -> Vec<CapacityOrder> {
         let present: u32 = zones.values().map(|zone| zone.ready.total()).sum();
         let initial = *self.initial.get_or_insert(present);
+        let keep_ms = if demand.busy_upstreams.is_some() { self.options.keep_ms } else { 0 };
+        self.learns_until_ms.get_or_insert(now_ms + keep_ms);
         // Until the load has been seen for a while, the operators' own number is the best guess.
         let guess = f64::from(initial) * self.options.initial_part;
         let needed = match demand.busy_upstreams {
@@ -210,6 +216,9 @@
     }
 
     fn may_shrink(&self, order: &CapacityOrder, now_ms: u64) -> bool {
+        if self.learns_until_ms.is_some_and(|until_ms| now_ms < until_ms) {
+            return false;
+        }
         let ordered = self.ordered.get(&key(order));
         ordered.is_none_or(|ordered| now_ms >= ordered.at_ms + self.options.shrink_ms)
     }
--- a/crates/duties/tests/capacity.rs
+++ b/crates/duties/tests/capacity.rs
@@ -191,3 +191,25 @@
         .sum();
     assert_eq!(orders, 0);
 }
+
+#[test]
+fn plan_after_a_change_of_the_holder() {
+    // The new holder does not know that the zones are dry and that on-demand upstreams stand in.
+    let mut market = Market::new(2);
+    for now_ms in (0..30_000).step_by(1_000) {
+        market.step(Some(3.0), now_ms);
+    }
+    market.is_dry = true;
+    for zone in ["a", "b", "c"] {
+        market.reclaim(zone);
+    }
+    for now_ms in (30_000..40_000).step_by(1_000) {
+        market.step(Some(3.0), now_ms);
+    }
+    market.planner = CapacityPlanner::new(CapacityPlannerOptions::default());
+    let before = market.total();
+    for now_ms in (40_000..60_000).step_by(1_000) {
+        market.step(Some(3.0), now_ms);
+        assert!(market.total() >= before, "{:?} at {now_ms}", market.zones);
+    }
+}
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -30,6 +30,11 @@
 const DIGEST_PER_INSTANCE_MS: u64 = 15;
 /// Digests that may be sent in the time of one when much has changed.
 const URGENT_DIGESTS: u64 = 5;
+/// Instances above which the own availability zone is told more often than the others: most requests
+/// stay in their zone, so old knowledge of its load costs most.
+const INSTANCES_TOLD_ALIKE: usize = 16;
+/// Digests to the own availability zone for each one to the others, in a fleet above that.
+const ZONE_DIGESTS: u64 = 3;
 /// Age of the own proof from which peers are asked.
 const ASK_AGE_MS: u64 = 1_500;
 /// Peers asked at a time.
@@ -118,15 +123,22 @@
 
     /// Tells the others and asks them, for as long as the process lives.
     pub async fn tell(self: Arc<Self>) {
-        loop {
+        for turn in 0_u64.. {
             let relay = &self.relay;
             let now_ms = relay.now_ms();
-            let addresses = relay.members.lock().addresses(now_ms);
+            let (all, zone) = {
+                let members = relay.members.lock();
+                let zone = members.addresses_in(&relay.settings.availability_zone, now_ms);
+                (members.addresses(now_ms), zone)
+            };
+            let is_large = all.len() >= INSTANCES_TOLD_ALIKE;
+            let is_for_all = !is_large || turn.is_multiple_of(ZONE_DIGESTS);
             let digest = Message::Digest(Box::new(self.make_digest(now_ms)));
-            self.send_all(&digest, &addresses).await;
-            self.ask_if_needed(&addresses, now_ms).await;
+            self.send_all(&digest, if is_for_all { &all } else { &zone }).await;
+            self.ask_if_needed(&all, now_ms).await;
             relay.expire_upstreams();
-            let pause_ms = digest_period_ms(addresses.len() + 1);
+            let period_ms = digest_period_ms(all.len() + 1);
+            let pause_ms = if is_large { period_ms / ZONE_DIGESTS } else { period_ms };
             let least_ms = pause_ms / URGENT_DIGESTS;
             sleep(Duration::from_millis(least_ms)).await;
             let rest = Duration::from_millis(pause_ms - least_ms);
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -84,6 +84,14 @@
         self.present(now_ms).map(|member| member.peer_address).collect()
     }
 
+    /// Where datagrams to the instances of one availability zone go.
+    pub fn addresses_in(&self, availability_zone: &str, now_ms: u64) -> Vec<SocketAddr> {
+        self.present(now_ms)
+            .filter(|member| member.availability_zone == availability_zone)
+            .map(|member| member.peer_address)
+            .collect()
+    }
+
     /// How many instances there are, this one included.
     pub fn count(&self, now_ms: u64) -> usize {
         1 + self.present(now_ms).count()
