Relay: reading and writing messages apart from the callers' port; one loop for whole answers, one for streams

Behaviour as before, but that a stream whose upstream answered with a failure and for which no other is found gets that answer instead of a refusal that is not true.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -82,6 +82,15 @@
     pub failure: Option<String>,
 }
 
+impl Progress {
+    /// Notes that an upstream may have run the call and failed.
+    pub fn note_failure(&mut self, upstream: String, failure: String) {
+        self.may_have_run = true;
+        self.excluded.push(upstream);
+        self.failure = Some(failure);
+    }
+}
+
 /// A request's place at an upstream. Dropping it without an end means that the caller left.
 pub struct Attempt {
     relay: Arc<Relay>,
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -5,14 +5,11 @@
 use std::time::Duration;
 
 use hickorycourse_codes::{ErrorCode, Problem};
-use hickorycourse_routes::{Access, CapUnit, Route, RouteTable, UsageCap};
-use hickorycourse_upstream::HOP_HEADERS;
-use http::header::{self, HeaderName, HeaderValue};
+use hickorycourse_routes::{Access, CapUnit, Organisation, Route, RouteTable, UsageCap};
 use http::{HeaderMap, Method};
 use hyper::body::Bytes;
 use ntex::http::{ConnectionType, StatusCode};
 use ntex::io::IoRef;
-use ntex::time::timeout;
 use ntex::web::types::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
 use serde_json::json;
@@ -20,9 +17,10 @@
 use crate::borders::{RequestFacts, TokenCounts};
 use crate::call::{Call, Progress, RETRY_AFTER_DEFAULT_MS};
 use crate::connections::UpstreamConnections;
+use crate::messages::{copy_headers, read_body, read_host, write_headers, write_whole};
 use crate::node::{InFlightGuard, Relay};
 use crate::stream::{self, StreamAnswer};
-use crate::whole::{self, WholeAnswer};
+use crate::whole;
 
 thread_local! {
     static CONNECTIONS: UpstreamConnections = UpstreamConnections::default();
@@ -108,16 +106,20 @@
     }
 }
 
-async fn serve(
-    relay: &Arc<Relay>,
+/// A request that has been read whole.
+struct Received {
+    headers: HeaderMap,
+    host: String,
+    facts: RequestFacts,
+    body: Bytes,
+}
+
+async fn receive(
+    relay: &Relay,
     request: &HttpRequest,
     payload: Payload,
-    arrived_at_ms: u64,
-    in_flight: InFlightGuard,
-    outcome: &mut Outcome,
-) -> Result<HttpResponse, Problem> {
-    let table = relay.table();
-    let limits = table.as_ref().map(|table| table.document().limits.clone()).unwrap_or_default();
+) -> Result<Received, Problem> {
+    let limits = relay.table().map(|table| table.document().limits.clone()).unwrap_or_default();
     // The body is read first: an answer that overtakes it would be lost with the connection.
     let body_timeout = Duration::from_millis(limits.header_timeout_ms);
     let body = read_body(payload, limits.body_bytes, body_timeout).await?;
@@ -127,71 +129,112 @@
         .protocol
         .read_request(&headers)
         .map_err(|detail| Problem::new(ErrorCode::InvalidHeader).with_detail(detail))?;
-    outcome.request_id = facts.request_id.clone().unwrap_or_default();
-    let later = |code| Problem::new(code).with_retry_after_ms(RETRY_AFTER_DEFAULT_MS);
-    let now_ms = relay.now_ms();
-    if relay.drain.is_closed(now_ms, relay.settings.bounds.stop_ms) {
-        return Err(later(ErrorCode::Draining));
+    Ok(Received { headers, host, facts, body })
+}
+
+async fn serve(
+    relay: &Arc<Relay>,
+    request: &HttpRequest,
+    payload: Payload,
+    arrived_at_ms: u64,
+    in_flight: InFlightGuard,
+    outcome: &mut Outcome,
+) -> Result<HttpResponse, Problem> {
+    let received = receive(relay, request, payload).await?;
+    outcome.request_id = received.facts.request_id.clone().unwrap_or_default();
+    if relay.drain.is_closed(relay.now_ms(), relay.settings.bounds.stop_ms) {
+        return Err(refuse_for_now(ErrorCode::Draining));
     }
     // The newest table, as the body may have taken a while.
-    let Some(table) = relay.table() else { return Err(later(ErrorCode::SettingsMissing)) };
-    let is_current = relay.are_keys_proven(now_ms);
-    let Some(route) = table.find_route(&host, request.path()) else {
-        // A route that was added since can't be told from one that never was.
-        return Err(if is_current {
-            later(ErrorCode::UnknownPath)
-        } else {
-            later(ErrorCode::KeysUnproven)
-        });
-    };
+    let table = relay.table().ok_or_else(|| refuse_for_now(ErrorCode::SettingsMissing))?;
+    let route = find_route(relay, &table, &received.host, request.path())?;
     outcome.route = Some(route.name.clone());
-    let organisation = match table.check_access(route, facts.key.as_deref()) {
-        Access::Open => None,
-        Access::Organisation(_) | Access::Denied if !is_current => {
-            return Err(later(ErrorCode::KeysUnproven));
-        }
-        Access::Denied => return Err(ErrorCode::UnknownKey.into()),
-        Access::Organisation(organisation) => Some(organisation),
-    };
+    let organisation = find_organisation(relay, &table, route, received.facts.key.as_deref())?;
     outcome.organisation = organisation.map(|organisation| organisation.name.clone());
     let service = RouteTable::choose_service(route, &outcome.request_id)
-        .ok_or_else(|| later(ErrorCode::NoUpstream))?;
+        .ok_or_else(|| refuse_for_now(ErrorCode::NoUpstream))?;
     outcome.service = Some(service.to_owned());
     if let Some((name, cap)) = organisation.and_then(|o| Some((&o.name, o.cap.as_ref()?))) {
-        outcome.cap = Some(take_cap(relay, name, cap, facts.tokens, route.urgency)?);
+        outcome.cap = Some(take_cap(relay, name, cap, received.facts.tokens, route.urgency)?);
     }
     relay.add_request(service);
-    let urgency = organisation.and_then(|o| o.urgency).unwrap_or(route.urgency);
-    let call = Call {
+    let last_event_id = received.facts.last_event_id;
+    let call = make_call(relay, request, received, route, organisation, service, arrived_at_ms)?;
+    match route.repeat.is_stream() {
+        true => {
+            let connection = request.io().cloned();
+            answer_stream(call, last_event_id, in_flight, connection, outcome).await
+        }
+        false => answer_whole(&call, outcome).await,
+    }
+}
+
+fn refuse_for_now(code: ErrorCode) -> Problem {
+    Problem::new(code).with_retry_after_ms(RETRY_AFTER_DEFAULT_MS)
+}
+
+fn find_route<'a>(
+    relay: &Relay,
+    table: &'a RouteTable,
+    host: &str,
+    path: &str,
+) -> Result<&'a Route, Problem> {
+    table.find_route(host, path).ok_or_else(|| {
+        // A route that was added since can't be told from one that never was.
+        let is_current = relay.are_keys_proven(relay.now_ms());
+        let code = if is_current { ErrorCode::UnknownPath } else { ErrorCode::KeysUnproven };
+        refuse_for_now(code)
+    })
+}
+
+fn find_organisation<'a>(
+    relay: &Relay,
+    table: &'a RouteTable,
+    route: &Route,
+    key: Option<&str>,
+) -> Result<Option<&'a Organisation>, Problem> {
+    let is_current = relay.are_keys_proven(relay.now_ms());
+    match table.check_access(route, key) {
+        Access::Open => Ok(None),
+        Access::Organisation(_) | Access::Denied if !is_current => {
+            Err(refuse_for_now(ErrorCode::KeysUnproven))
+        }
+        Access::Denied => Err(ErrorCode::UnknownKey.into()),
+        Access::Organisation(organisation) => Ok(Some(organisation)),
+    }
+}
+
+fn make_call(
+    relay: &Arc<Relay>,
+    request: &HttpRequest,
+    received: Received,
+    route: &Route,
+    organisation: Option<&Organisation>,
+    service: &str,
+    arrived_at_ms: u64,
+) -> Result<Call, Problem> {
+    let facts = received.facts;
+    let method = Method::from_bytes(request.method().as_str().as_bytes())
+        .map_err(|error| Problem::new(ErrorCode::InvalidHeader).with_detail(error.to_string()))?;
+    let path_and_query = request.uri().path_and_query();
+    Ok(Call {
         relay: Arc::clone(relay),
         connections: CONNECTIONS.with(UpstreamConnections::clone),
-        request_id: outcome.request_id.clone(),
+        deadline_at_ms: deadline_at_ms(arrived_at_ms, route, &facts),
+        request_id: facts.request_id.unwrap_or_default(),
         service: service.to_owned(),
-        key: facts.key.clone(),
-        organisation: outcome.organisation.clone(),
-        urgency,
-        method: Method::from_bytes(request.method().as_str().as_bytes()).map_err(|error| {
-            Problem::new(ErrorCode::InvalidHeader).with_detail(error.to_string())
-        })?,
-        path_and_query: request
-            .uri()
-            .path_and_query()
-            .map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned()),
-        body,
+        key: facts.key,
+        organisation: organisation.map(|organisation| organisation.name.clone()),
+        urgency: organisation.and_then(|o| o.urgency).unwrap_or(route.urgency),
+        method,
+        path_and_query: path_and_query.map_or_else(|| "/".to_owned(), |p| p.as_str().to_owned()),
+        body: received.body,
         tokens: facts.tokens.unwrap_or_default(),
         arrived_at_ms,
-        deadline_at_ms: deadline_at_ms(arrived_at_ms, route, &facts),
         parts: facts.parts,
         route: route.clone(),
-        headers,
-    };
-    match route.repeat.is_stream() {
-        true => {
-            let connection = request.io().cloned();
-            answer_stream(call, facts.last_event_id, in_flight, connection, outcome).await
-        }
-        false => answer_whole(&call, outcome).await,
-    }
+        headers: received.headers,
+    })
 }
 
 fn deadline_at_ms(arrived_at_ms: u64, route: &Route, facts: &RequestFacts) -> u64 {
@@ -235,7 +278,7 @@
     connection: Option<IoRef>,
     outcome: &mut Outcome,
 ) -> Result<HttpResponse, Problem> {
-    match stream::open(call, Progress::default(), last_event_id, in_flight).await {
+    match stream::open(call, last_event_id, in_flight).await {
         Ok(StreamAnswer::Whole(answer)) => {
             outcome.upstream = Some(answer.upstream.clone());
             Ok(write_whole(&answer))
@@ -246,7 +289,7 @@
             write_headers(&relayed.headers, &mut response);
             Ok(response.streaming(Box::pin(stream::into_body(relayed, connection))))
         }
-        Err((_, progress, problem)) => {
+        Err((progress, problem)) => {
             outcome.attempts = progress.sent;
             outcome.failure = progress.failure;
             Err(problem)
@@ -254,84 +297,6 @@
     }
 }
 
-async fn read_body(
-    payload: Payload,
-    limit_bytes: usize,
-    limit: Duration,
-) -> Result<Bytes, Problem> {
-    match timeout(limit, read_parts(payload, limit_bytes)).await {
-        Ok(result) => result,
-        Err(()) => Err(ErrorCode::SlowRequest.into()),
-    }
-}
-
-async fn read_parts(mut payload: Payload, limit_bytes: usize) -> Result<Bytes, Problem> {
-    let mut body = Vec::new();
-    while let Some(part) = payload.recv().await {
-        let part = part.map_err(|_| Problem::new(ErrorCode::BrokenBody))?;
-        if body.len() + part.len() > limit_bytes {
-            let detail = format!("The body may have {limit_bytes} bytes.");
-            return Err(Problem::new(ErrorCode::BodyTooLarge).with_detail(detail));
-        }
-        body.extend_from_slice(&part);
-    }
-    Ok(Bytes::from(body))
-}
-
-/// Copies a request's headers without those of the hop, those that `Connection` names included.
-fn copy_headers(request: &HttpRequest, limit_bytes: usize) -> Result<HeaderMap, Problem> {
-    let source = request.headers();
-    let named: Vec<String> = source
-        .get_all("connection")
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let mut headers = HeaderMap::new();
-    let mut bytes = 0;
-    for (name, value) in source {
-        let name = name.as_str();
-        bytes += name.len() + value.as_bytes().len();
-        if bytes > limit_bytes {
-            return Err(ErrorCode::HeadersTooLarge.into());
-        }
-        if HOP_HEADERS.contains(&name) || named.iter().any(|named| named == name) {
-            continue;
-        }
-        let name = HeaderName::from_bytes(name.as_bytes());
-        let value = HeaderValue::from_bytes(value.as_bytes());
-        let (Ok(name), Ok(value)) = (name, value) else {
-            return Err(ErrorCode::InvalidHeader.into());
-        };
-        headers.append(name, value);
-    }
-    Ok(headers)
-}
-
-/// Exactly one host must be named (RFC 9112, 3.2).
-fn read_host(headers: &HeaderMap) -> Result<&str, Problem> {
-    let mut hosts = headers.get_all(header::HOST).iter();
-    match (hosts.next(), hosts.next()) {
-        (Some(host), None) => host.to_str().map_err(|_| ErrorCode::InvalidHost.into()),
-        _ => Err(ErrorCode::InvalidHost.into()),
-    }
-}
-
-fn write_headers(headers: &HeaderMap, response: &mut ntex::web::HttpResponseBuilder) {
-    for (name, value) in headers {
-        if !HOP_HEADERS.contains(&name.as_str()) {
-            response.header(name.as_str(), value.as_bytes());
-        }
-    }
-}
-
-fn write_whole(answer: &WholeAnswer) -> HttpResponse {
-    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut response = HttpResponse::build(status);
-    write_headers(&answer.headers, &mut response);
-    response.body(ntex::util::Bytes::copy_from_slice(&answer.body))
-}
-
 fn refuse(relay: &Relay, outcome: &mut Outcome, problem: &Problem) -> HttpResponse {
     let number = problem.code.number().to_string();
     metrics::counter!("hickorycourse_problems_total", "code" => number).increment(1);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod follow;
 mod gossip;
 mod members;
+mod messages;
 mod node;
 mod planning;
 mod server;
--- /dev/null
+++ b/crates/relay/src/messages.rs
@@ -0,0 +1,96 @@
+//! Reading callers' requests and writing their answers.
+
+use std::time::Duration;
+
+use hickorycourse_codes::{ErrorCode, Problem};
+use hickorycourse_upstream::HOP_HEADERS;
+use http::HeaderMap;
+use http::header::{self, HeaderName, HeaderValue};
+use hyper::body::Bytes;
+use ntex::http::StatusCode;
+use ntex::time::timeout;
+use ntex::web::types::Payload;
+use ntex::web::{HttpRequest, HttpResponse, HttpResponseBuilder};
+
+use crate::whole::WholeAnswer;
+
+/// Reads a whole body. The time limit holds for all of it, so a slow sender can't stretch it.
+pub async fn read_body(
+    payload: Payload,
+    limit_bytes: usize,
+    limit: Duration,
+) -> Result<Bytes, Problem> {
+    match timeout(limit, read_parts(payload, limit_bytes)).await {
+        Ok(result) => result,
+        Err(()) => Err(ErrorCode::SlowRequest.into()),
+    }
+}
+
+async fn read_parts(mut payload: Payload, limit_bytes: usize) -> Result<Bytes, Problem> {
+    let mut body = Vec::new();
+    while let Some(part) = payload.recv().await {
+        let part = part.map_err(|_| Problem::new(ErrorCode::BrokenBody))?;
+        if body.len() + part.len() > limit_bytes {
+            let detail = format!("The body may have {limit_bytes} bytes.");
+            return Err(Problem::new(ErrorCode::BodyTooLarge).with_detail(detail));
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(Bytes::from(body))
+}
+
+/// Copies a request's headers without those of the hop, those that `Connection` names included.
+pub fn copy_headers(request: &HttpRequest, limit_bytes: usize) -> Result<HeaderMap, Problem> {
+    let source = request.headers();
+    let named: Vec<String> = source
+        .get_all("connection")
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut headers = HeaderMap::new();
+    let mut bytes = 0;
+    for (name, value) in source {
+        let name = name.as_str();
+        bytes += name.len() + value.as_bytes().len();
+        if bytes > limit_bytes {
+            return Err(ErrorCode::HeadersTooLarge.into());
+        }
+        if HOP_HEADERS.contains(&name) || named.iter().any(|named| named == name) {
+            continue;
+        }
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value.as_bytes());
+        let (Ok(name), Ok(value)) = (name, value) else {
+            return Err(ErrorCode::InvalidHeader.into());
+        };
+        headers.append(name, value);
+    }
+    Ok(headers)
+}
+
+/// Exactly one host must be named (RFC 9112, 3.2).
+pub fn read_host(headers: &HeaderMap) -> Result<&str, Problem> {
+    let mut hosts = headers.get_all(header::HOST).iter();
+    match (hosts.next(), hosts.next()) {
+        (Some(host), None) => host.to_str().map_err(|_| ErrorCode::InvalidHost.into()),
+        _ => Err(ErrorCode::InvalidHost.into()),
+    }
+}
+
+/// Passes an upstream's headers on, without those of the hop.
+pub fn write_headers(headers: &HeaderMap, response: &mut HttpResponseBuilder) {
+    for (name, value) in headers {
+        if !HOP_HEADERS.contains(&name.as_str()) {
+            response.header(name.as_str(), value.as_bytes());
+        }
+    }
+}
+
+/// Passes a whole answer on.
+pub fn write_whole(answer: &WholeAnswer) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    write_headers(&answer.headers, &mut response);
+    response.body(ntex::util::Bytes::copy_from_slice(&answer.body))
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -26,6 +26,9 @@
 /// Silence after which a resumable stream is moved before its first event.
 const FIRST_SILENCE_LEAST_MS: u64 = 1_500;
 
+/// Statuses from here on tell a failure of the upstream; another one may do better.
+const STATUS_SERVER_ERROR: u16 = 500;
+
 /// What a stream's caller gets.
 pub enum StreamAnswer {
     /// The stream; its first events have come.
@@ -70,74 +73,99 @@
 /// Opens a stream and waits for its first events.
 ///
 /// # Errors
-/// What the caller is told.
+/// What the caller is told, and what became of the call.
 pub async fn open(
     call: Call,
-    mut progress: Progress,
     last_event_id: Option<u64>,
     in_flight: InFlightGuard,
-) -> Result<StreamAnswer, (Call, Progress, Problem)> {
+) -> Result<StreamAnswer, (Progress, Problem)> {
+    let mut progress = Progress::default();
     let mut events = EventTracker::after(last_event_id);
+    let mut failed: Option<WholeAnswer> = None;
     loop {
         let opened = match call.open(&mut progress, last_event_id).await {
             Ok(opened) => opened,
-            Err(problem) => return Err((call, progress, problem)),
+            Err(problem) => {
+                return failed.map(StreamAnswer::Whole).ok_or((progress, problem));
+            }
         };
         let upstream = opened.attempt.placement.upstream.clone();
-        if !opened.response.status().is_success() {
-            progress.may_have_run = true;
-            progress.excluded.push(upstream);
-            let answer = match whole::finish_failure(&call, opened, &progress).await {
-                Ok(answer) if !call.may_send_again(&progress) || answer.status < 500 => {
-                    return Ok(StreamAnswer::Whole(answer));
-                }
-                Ok(answer) => Some(answer),
-                Err(problem) if !call.may_send_again(&progress) => {
-                    return Err((call, progress, problem));
-                }
-                Err(_) => None,
-            };
-            if let Some(answer) = answer {
-                progress.failure = Some(format!("answered {}", answer.status));
-            }
-            continue;
-        }
-        let (head, mut source) = split(opened);
-        match next_step(&call, &progress, &mut source, &mut events, true).await {
-            Step::Broken(detail) => {
-                progress.may_have_run = true;
-                progress.excluded.push(upstream);
-                progress.failure = Some(detail.clone());
-                source.fail(&call, &detail);
-                events.drop_partial();
-                if !call.may_send_again(&progress) {
-                    let problem = call.give_up(&progress);
-                    return Err((call, progress, problem));
-                }
-            }
-            step => {
-                source.attempt.note_first_byte();
+        match wait_for_start(&call, &progress, opened, &mut events).await {
+            Start::Stream(started) => {
                 call.count_run();
-                let (first, source) = match step {
-                    Step::Events(first) => (first, Some(source)),
-                    Step::End | Step::Broken(_) => {
-                        source.complete(&call);
-                        (Vec::new(), None)
-                    }
-                };
                 return Ok(StreamAnswer::Stream(Box::new(RelayedStream {
                     call,
                     progress,
-                    headers: head.headers,
-                    status: head.status.as_u16(),
-                    source,
+                    headers: started.head.headers,
+                    status: started.head.status.as_u16(),
+                    source: started.source,
                     events,
-                    first: Some(first),
+                    first: Some(started.first),
                     upstreams: vec![upstream],
                     is_ended: false,
                     _in_flight: in_flight,
                 })));
             }
+            Start::Whole(answer) if answer.status < STATUS_SERVER_ERROR => {
+                return Ok(StreamAnswer::Whole(answer));
+            }
+            Start::Whole(answer) => {
+                progress.note_failure(upstream, format!("answered {}", answer.status));
+                failed = Some(answer);
+            }
+            Start::Broken(detail) => {
+                progress.note_failure(upstream, detail);
+                events.drop_partial();
+            }
+        }
+        if !call.may_send_again(&progress) {
+            let problem = call.give_up(&progress);
+            return failed.map(StreamAnswer::Whole).ok_or((progress, problem));
+        }
+    }
+}
+
+/// How an upstream's answer to a stream's call starts.
+enum Start {
+    Stream(Started),
+    /// It is no stream.
+    Whole(WholeAnswer),
+    Broken(String),
+}
+
+struct Started {
+    head: http::response::Parts,
+    first: Vec<u8>,
+    /// Absent if the stream has ended already.
+    source: Option<Source>,
+}
+
+async fn wait_for_start(
+    call: &Call,
+    progress: &Progress,
+    opened: Opened,
+    events: &mut EventTracker,
+) -> Start {
+    if !opened.response.status().is_success() {
+        return match whole::finish_failure(call, opened).await {
+            Ok(answer) => Start::Whole(answer),
+            Err(detail) => Start::Broken(detail),
+        };
+    }
+    let (head, mut source) = split(opened);
+    match next_step(call, progress, &mut source, events, true).await {
+        Step::Broken(detail) => {
+            source.fail(call, &detail);
+            Start::Broken(detail)
+        }
+        Step::Events(first) => {
+            source.attempt.note_first_byte();
+            Start::Stream(Started { head, first, source: Some(source) })
+        }
+        Step::End => {
+            source.attempt.note_first_byte();
+            source.complete(call);
+            Start::Stream(Started { head, first: Vec::new(), source: None })
         }
     }
 }
--- a/crates/relay/src/whole.rs
+++ b/crates/relay/src/whole.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hickorycourse_codes::{ErrorCode, Problem};
+use hickorycourse_codes::Problem;
 use hickorycourse_placement::AttemptEnd;
 use http::HeaderMap;
 use http_body_util::BodyExt;
@@ -32,51 +32,29 @@
 /// # Errors
 /// What the caller is told.
 pub async fn fetch(call: &Call, progress: &mut Progress) -> Result<WholeAnswer, Problem> {
+    let mut failed: Option<WholeAnswer> = None;
     loop {
-        let opened = call.open(progress, None).await?;
+        let opened = match call.open(progress, None).await {
+            Ok(opened) => opened,
+            // An upstream's own failure tells the caller more than that there is no other.
+            Err(problem) => return failed.ok_or(problem),
+        };
         let upstream = opened.attempt.placement.upstream.clone();
         call.count_run();
-        match finish(call, opened, progress).await {
+        match finish(call, opened).await {
             Ok(answer) => return Ok(answer),
             Err(Unfinished::Failed(answer)) => {
-                // A failure of the upstream itself; another one may do better.
-                progress.excluded.push(upstream);
-                progress.may_have_run = true;
-                if !can_repeat(call, progress) {
-                    return Ok(answer);
-                }
-                let failure = format!("answered {}", answer.status);
-                progress.failure = Some(failure);
-                match Box::pin(fetch_again(call, progress)).await {
-                    Ok(better) => return Ok(better),
-                    Err(_) => return Ok(answer),
-                }
-            }
-            Err(Unfinished::Broken(detail)) => {
-                progress.excluded.push(upstream);
-                progress.may_have_run = true;
-                progress.failure = Some(detail);
-                if !call.may_send_again(progress) {
-                    return Err(call.give_up(progress));
-                }
+                progress.note_failure(upstream, format!("answered {}", answer.status));
+                failed = Some(answer);
             }
+            Err(Unfinished::Broken(detail)) => progress.note_failure(upstream, detail),
+        }
+        if !call.may_send_again(progress) {
+            return failed.ok_or_else(|| call.give_up(progress));
         }
     }
 }
 
-async fn fetch_again(call: &Call, progress: &mut Progress) -> Result<WholeAnswer, Problem> {
-    let opened = call.open(progress, None).await?;
-    call.count_run();
-    match finish(call, opened, progress).await {
-        Ok(answer) | Err(Unfinished::Failed(answer)) => Ok(answer),
-        Err(Unfinished::Broken(_)) => Err(call.give_up(progress)),
-    }
-}
-
-fn can_repeat(call: &Call, progress: &Progress) -> bool {
-    call.route.repeat.allows_repeat() && call.may_send_again(progress)
-}
-
 enum Unfinished {
     /// A whole answer that tells a failure.
     Failed(WholeAnswer),
@@ -85,11 +63,7 @@
 }
 
 /// Reads the rest of an answer.
-async fn finish(
-    call: &Call,
-    opened: Opened,
-    _progress: &Progress,
-) -> Result<WholeAnswer, Unfinished> {
+async fn finish(call: &Call, opened: Opened) -> Result<WholeAnswer, Unfinished> {
     let Opened { mut attempt, connection, response } = opened;
     attempt.note_first_byte();
     let (head, body) = response.into_parts();
@@ -137,16 +111,10 @@
 /// Reads the rest of a stream's answer that is no stream, such as an error document.
 ///
 /// # Errors
-/// What the caller is told.
-pub async fn finish_failure(
-    call: &Call,
-    opened: Opened,
-    progress: &Progress,
-) -> Result<WholeAnswer, Problem> {
-    match finish(call, opened, progress).await {
+/// How it broke off.
+pub async fn finish_failure(call: &Call, opened: Opened) -> Result<WholeAnswer, String> {
+    match finish(call, opened).await {
         Ok(answer) | Err(Unfinished::Failed(answer)) => Ok(answer),
-        Err(Unfinished::Broken(detail)) => {
-            Err(Problem::new(ErrorCode::UpstreamFailed).with_detail(detail))
-        }
+        Err(Unfinished::Broken(detail)) => Err(detail),
     }
 }
