Kept connections belong to an address; one host is asked for; run-local ends on one signal

Cause 1: idle connections were kept by the upstream's id. Cause 2: hickorycourse-entry answered requests without Host, or with two, with 200 (RFC 9112 3.2). Now 1013 with 400, as the relay does.

--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -98,6 +98,10 @@
         return Err(Problem::new(ErrorCode::TooManyRequests).with_retry_after_s(1));
     }
     let headers = request.headers();
+    // Exactly one host must be named (RFC 9112, 3.2).
+    if headers.get_all("host").count() != 1 {
+        return Err(ErrorCode::InvalidHost.into());
+    }
     let bytes: usize =
         headers.iter().map(|(name, value)| name.as_str().len() + value.as_bytes().len()).sum();
     if bytes > limits.header_bytes || headers.len() > limits.header_count {
--- a/crates/entry/tests/bad_input.rs
+++ b/crates/entry/tests/bad_input.rs
@@ -88,6 +88,24 @@
     assert_eq!(entry.status()["linked"].as_array().unwrap().len(), 1);
 }
 
+#[test]
+fn request_without_one_host_is_refused() {
+    let fleet = FleetBuilder::new().with_per_zone(1, 1, 1).start();
+    for hosts in ["", "host: a\r\nhost: b\r\n"] {
+        let mut stream = TcpStream::connect(fleet.entries[0].caller_address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        let head = format!(
+            "GET /v1/models HTTP/1.1\r\n{hosts}authorization: Bearer {DEALER_KEY}\r\n\
+             connection: close\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 400"), "{hosts:?}: {answer}");
+        assert!(answer.contains("1013"), "{hosts:?}: {answer}");
+    }
+}
+
 #[test]
 fn slow_sender_is_refused() {
     let limits = json!({ "body_timeout_ms": 300 });
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -43,6 +43,13 @@
     Broken(String),
 }
 
+/// Where a connection leads. An upstream that starts anew under its id may be at another address.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Peer {
+    upstream: String,
+    address: SocketAddr,
+}
+
 /// Ends the task that drives a connection, and with it the connection.
 #[derive(Debug)]
 struct Driver(JoinHandle<()>);
@@ -58,16 +65,16 @@
 pub struct UpstreamConnection {
     sender: SendRequest<Full<Bytes>>,
     _driver: Driver,
-    upstream: String,
+    peer: Peer,
     idle_since_ms: u64,
     idle_limit_ms: u64,
 }
 
 impl UpstreamConnection {
     /// Opens a connection.
-    async fn open(upstream: &str, address: SocketAddr) -> Result<Self, ExchangeError> {
+    async fn open(peer: Peer) -> Result<Self, ExchangeError> {
         let not_sent = |detail: String| ExchangeError::NotSent(detail);
-        let stream = timeout(DIAL_TIMEOUT, TcpStream::connect(address))
+        let stream = timeout(DIAL_TIMEOUT, TcpStream::connect(peer.address))
             .await
             .map_err(|()| not_sent(format!("no connection in {} ms", DIAL_TIMEOUT.as_millis())))?
             .map_err(|error| not_sent(error.to_string()))?;
@@ -82,7 +89,7 @@
         Ok(Self {
             sender,
             _driver: Driver(driver),
-            upstream: upstream.to_owned(),
+            peer,
             idle_since_ms: 0,
             idle_limit_ms: IDLE_DEFAULT_MS,
         })
@@ -135,7 +142,7 @@
 /// The idle connections of one thread, by upstream.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamConnections {
-    idle: Rc<RefCell<HashMap<String, Vec<UpstreamConnection>>>>,
+    idle: Rc<RefCell<HashMap<Peer, Vec<UpstreamConnection>>>>,
 }
 
 impl UpstreamConnections {
@@ -150,13 +157,14 @@
         idle_most_ms: u64,
         now_ms: u64,
     ) -> Result<UpstreamConnection, ExchangeError> {
-        let held = self.idle.borrow_mut().get_mut(upstream).and_then(|connections| {
+        let peer = Peer { upstream: upstream.to_owned(), address };
+        let held = self.idle.borrow_mut().get_mut(&peer).and_then(|connections| {
             connections.retain(|connection| connection.is_reusable(u64::MAX, now_ms));
             connections.pop_if(|connection| connection.is_reusable(idle_most_ms, now_ms))
         });
         match held {
             Some(connection) => Ok(connection),
-            None => UpstreamConnection::open(upstream, address).await,
+            None => UpstreamConnection::open(peer).await,
         }
     }
 
@@ -167,7 +175,7 @@
         }
         connection.idle_since_ms = now_ms;
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(connection.upstream.clone()).or_default();
+        let connections = idle.entry(connection.peer.clone()).or_default();
         if connections.len() < IDLE_MOST {
             connections.push(connection);
         }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -127,7 +127,7 @@
 
 /// How an upstream's answer to a stream's call starts.
 enum Start {
-    Stream(Started),
+    Stream(Box<Started>),
     /// It is no stream.
     Whole(WholeAnswer),
     Broken(String),
@@ -160,12 +160,12 @@
         }
         Step::Events(first) => {
             source.attempt.note_first_byte();
-            Start::Stream(Started { head, first, source: Some(source) })
+            Start::Stream(Box::new(Started { head, first, source: Some(source) }))
         }
         Step::End => {
             source.attempt.note_first_byte();
             source.complete(call);
-            Start::Stream(Started { head, first: Vec::new(), source: None })
+            Start::Stream(Box::new(Started { head, first: Vec::new(), source: None }))
         }
     }
 }
--- a/crates/testkit/src/bin/run_local.rs
+++ b/crates/testkit/src/bin/run_local.rs
@@ -9,6 +9,7 @@
 use hickorycourse_testkit::http::{Answer, ask, chat_body, read_stream};
 use hickorycourse_testkit::process::{Process, program_dir};
 use serde_json::{Value, json};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Starts stand-ins and two entries on loopback and sends one call of each kind.
 #[derive(Bpaf, Clone, Debug)]
@@ -36,8 +37,8 @@
         eprintln!("failed: {error:#}\nlogs are in {}", logs.display());
     } else if options.keep {
         print_hints(&logs);
-        // Ctrl-C reaches all processes of the terminal's group; entries drain, then all is over.
-        wait_for_ever();
+
+        wait_for_signal()?;
     }
     drop(processes);
     if result.is_ok() {
@@ -187,8 +188,16 @@
     );
 }
 
-fn wait_for_ever() {
-    loop {
-        std::thread::park();
-    }
+/// Waits for the first signal that asks to end; dropping the processes ends them.
+fn wait_for_signal() -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        Ok(())
+    })
 }
