--- a/crates/placement/src/book.rs
+++ b/crates/placement/src/book.rs
@@ -157,19 +157,6 @@
     pub ahead_tokens: u64,
 }
 
-/// An upstream as operators and the capacity planner see it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct UpstreamSummary {
-    /// Its id.
-    pub upstream: String,
-    /// Load of this instance.
-    pub own: UpstreamLoad,
-    /// Estimated requests in flight of all instances.
-    pub running: u64,
-    /// Part of the recent attempts that failed.
-    pub failure_rate: f64,
-}
-
 /// The upstreams of one service.
 pub struct PlacementBook {
     availability_zone: String,
@@ -384,18 +371,6 @@
         loaded.map(|(id, upstream)| (id.as_str(), upstream.load()))
     }
 
-    /// All upstreams that take requests.
-    pub fn summaries(&self, now_ms: u64) -> Vec<UpstreamSummary> {
-        let open = self.upstreams.iter().filter(|(_, upstream)| !upstream.is_leaving);
-        open.map(|(id, upstream)| UpstreamSummary {
-            upstream: id.clone(),
-            own: upstream.load(),
-            running: upstream.estimate_running(now_ms),
-            failure_rate: upstream.health.failure_rate(),
-        })
-        .collect()
-    }
-
     /// Counts the prompt tokens of a request that came, whether it is sent or refused.
     pub fn add_work(&mut self, uncached_tokens: u64, now_ms: u64) {
         self.work.push_back((now_ms, uncached_tokens));
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -19,7 +19,7 @@
 }
 
 pub use admission::{Admission, AdmissionRule, AdmitAll, Forecast, TargetAdmission};
-pub use book::{Placement, PlacementBook, PlacementOptions, UpstreamLoad, UpstreamSummary};
+pub use book::{Placement, PlacementBook, PlacementOptions, UpstreamLoad};
 pub use cost::{CandidateView, CostRule, ExpectedWait, LeastRequests};
 pub use health::{AttemptEnd, Health};
 pub use request::{PlacementRequest, PromptPart};
