Forecasts by rank, and a model of what the relay serves under load

What other instances told of their waiting prompts was not told by rank, a full batch was counted without a bound, and the time of an idle engine was learned while places were short.

Changed: digests carry waiting requests and tokens by rank; reading that more urgent requests will take meanwhile is left out of a rank's share (Cobham); the time for a request ahead is learned; a standing queue is told from a clump (Nichols and Jacobson), by the wait in the queue alone.

--- /dev/null
+++ b/crates/model/src/relay.rs
@@ -0,0 +1,106 @@
+//! The decisions of one relay.
+
+use std::collections::HashMap;
+
+use hickorycourse_caps::{CapLimits, ReturnSchedule, SharedCap};
+use hickorycourse_placement::{
+    AdmissionRule, AdmitAll, CostRule, ExpectedWait, LeastRequests, PlacementBook,
+    PlacementOptions, TargetAdmission,
+};
+use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
+
+use crate::engine::{IDLE_FIRST_BYTE_MS, READING_TOKENS_PER_MS, SLOTS};
+use crate::pattern::LoadPattern;
+
+/// Which decisions are made.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Policy {
+    /// Those of the product.
+    Chosen,
+    /// Fewest requests in flight, everything is sent, everybody comes back after the same time.
+    Baseline,
+}
+
+/// Window and overshoot of the caps.
+const CAP_WINDOW_S: f64 = 8.0;
+const CAP_OVERSHOOT: f64 = 0.1;
+
+/// A relay.
+pub struct Relay {
+    /// Number of its zone.
+    pub zone: usize,
+    /// The engines as it knows them.
+    pub book: PlacementBook,
+    /// Caps by organisation.
+    pub caps: HashMap<&'static str, SharedCap>,
+    /// Places promised to refused callers, by organisation or for all engines.
+    pub returns: HashMap<&'static str, ReturnSchedule>,
+}
+
+impl Relay {
+    /// Creates a relay that knows all engines.
+    pub fn new(pattern: &LoadPattern, zone: usize, policy: Policy) -> Self {
+        let cost_rule: Box<dyn CostRule> = match policy {
+            Policy::Chosen => Box::new(ExpectedWait),
+            Policy::Baseline => Box::new(LeastRequests),
+        };
+        let admission_rule: Box<dyn AdmissionRule> = match policy {
+            Policy::Chosen => Box::new(TargetAdmission::default()),
+            Policy::Baseline => Box::new(AdmitAll),
+        };
+        let options = PlacementOptions {
+            reading_tokens_per_ms: READING_TOKENS_PER_MS,
+            idle_first_byte_ms: IDLE_FIRST_BYTE_MS,
+            cross_zone_ms: 12.0,
+            full_batch_ms: 60.0,
+            shared_weight: 3.0,
+        };
+        let caps = pattern.caps.iter().map(|cap| {
+            let in_window = cap.per_second * (CAP_WINDOW_S + 1.0);
+            let limits = CapLimits {
+                per_second: cap.per_second,
+                burst: cap.per_second,
+                allowance: in_window * CAP_OVERSHOOT,
+            };
+            (cap.organisation, SharedCap::new(limits, pattern.relays, 0))
+        });
+        Self {
+            zone,
+            book: PlacementBook::new(&zone_name(zone), options, cost_rule, admission_rule),
+            caps: caps.collect(),
+            returns: HashMap::new(),
+        }
+    }
+
+    /// Takes the list of engines that run.
+    pub fn set_engines(&mut self, engines: impl Iterator<Item = (usize, usize)>) {
+        let entries: Vec<UpstreamEntry> =
+            engines.map(|(number, zone)| entry(number, zone)).collect();
+        self.book.set_upstreams(entries.iter());
+    }
+}
+
+/// The name of a zone.
+fn zone_name(zone: usize) -> String {
+    format!("zone-{zone}")
+}
+
+/// The id of an engine.
+pub fn engine_id(number: usize) -> String {
+    format!("engine-{number:03}")
+}
+
+fn entry(number: usize, zone: usize) -> UpstreamEntry {
+    UpstreamEntry {
+        id: engine_id(number),
+        service: "desk".to_owned(),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 9_000 + number as u16)),
+        availability_zone: zone_name(zone),
+        slots: SLOTS,
+        phase: UpstreamPhase::Ready,
+        warm_up_left_ms: 0,
+        is_reclaimable: false,
+        started_at_ms: None,
+        sequence: 1,
+    }
+}
--- a/crates/placement/src/book.rs
+++ b/crates/placement/src/book.rs
@@ -1,15 +1,18 @@
 //! What is known of the upstreams of one service, and the choice among them.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
 use hickorycourse_routing::PrefixIndex;
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::admission::{Admission, AdmissionRule, Forecast};
 use crate::cost::{CandidateView, CostRule};
 use crate::health::{AttemptEnd, Health};
 use crate::request::PlacementRequest;
+use crate::work::{RankedRates, WorkMeter};
 
 /// Prompt parts remembered for each upstream; engines hold some hundred.
 const PARTS_MOST: usize = 4_096;
@@ -17,10 +20,17 @@
 const REPORT_VALID_MS: u64 = 1_500;
 /// Smallest and largest reading rate believed, in tokens a millisecond.
 const READING_RATE_RANGE: (f64, f64) = (5.0, 1_000.0);
-/// Time over which the work of a service is averaged.
-const WORK_WINDOW_MS: u64 = 3_000;
+/// Part of the reading that more urgent ranks may be believed to take; the rest keeps forecasts finite.
+const URGENT_PART_MOST: f64 = 0.9;
 /// Weight of one measurement in the moving averages: about the last 32 count.
 const AVERAGE_WEIGHT: f64 = 0.03;
+/// Weight of one measurement of the time for a request ahead: about the last ten count, so that an
+/// overload is noticed within a second of it.
+const TURN_WEIGHT: f64 = 0.1;
+/// Requests ahead from which a wait tells how long each of them takes.
+const TURN_REQUESTS_LEAST: f64 = 2.0;
+/// Longest time for a request ahead that is believed.
+const TURN_MOST_MS: f64 = 500.0;
 /// Expected cost of a failing upstream: time lost if the attempt fails.
 const FAILURE_COST_MS: f64 = 500.0;
 
@@ -40,18 +50,29 @@
     pub shared_weight: f64,
 }
 
+/// Requests that wait for their first byte.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Waiting {
+    /// How many.
+    #[serde(rename = "n")]
+    pub requests: u64,
+    /// Prompt tokens that are read for them.
+    #[serde(rename = "t")]
+    pub tokens: u64,
+}
+
 /// Load that an instance has put on an upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct UpstreamLoad {
     /// Requests in flight.
     pub running: u64,
     /// Those of them whose first byte has come.
     pub answering: u64,
-    /// Prompt tokens of requests that wait for their first byte.
-    pub pending_tokens: u64,
+    /// Those that wait for their first byte, by rank.
+    pub waiting: BTreeMap<u8, Waiting>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct PeerLoad {
     load: UpstreamLoad,
     at_ms: u64,
@@ -72,8 +93,7 @@
     is_leaving: bool,
     running: u64,
     answering: u64,
-    /// Prompt tokens that wait for their first byte, by rank.
-    pending: BTreeMap<u8, u64>,
+    waiting: BTreeMap<u8, Waiting>,
     peers: HashMap<String, PeerLoad>,
     report: Option<Report>,
     health: Health,
@@ -89,7 +109,7 @@
             is_leaving: entry.phase == UpstreamPhase::Leaving,
             running: 0,
             answering: 0,
-            pending: BTreeMap::new(),
+            waiting: BTreeMap::new(),
             peers: HashMap::new(),
             report: None,
             health: Health::default(),
@@ -101,10 +121,15 @@
         UpstreamLoad {
             running: self.running,
             answering: self.answering,
-            pending_tokens: self.pending.values().sum(),
+            waiting: self.waiting_by_rank(),
         }
     }
 
+    fn waiting_by_rank(&self) -> BTreeMap<u8, Waiting> {
+        let present = self.waiting.iter().filter(|(_, waiting)| waiting.requests > 0);
+        present.map(|(urgency, waiting)| (*urgency, *waiting)).collect()
+    }
+
     /// Requests of all instances whose answers have begun.
     fn count_answering(&self, now_ms: u64) -> u64 {
         self.answering + self.fresh_peers(now_ms).map(|peer| peer.load.answering).sum::<u64>()
@@ -123,17 +148,20 @@
         self.peers.values().filter(move |peer| now_ms.saturating_sub(peer.at_ms) < REPORT_VALID_MS)
     }
 
-    /// Prompt tokens that are read before those of a new request of this rank.
-    fn estimate_pending(&self, urgency: u8, rate: f64, now_ms: u64) -> f64 {
-        let own: u64 = self.pending.range(..=urgency).map(|(_, tokens)| tokens).sum();
-        let peers: f64 = self
-            .fresh_peers(now_ms)
-            .map(|peer| {
-                let read = now_ms.saturating_sub(peer.at_ms) as f64 * rate;
-                (peer.load.pending_tokens as f64 - read).max(0.0)
-            })
-            .sum();
-        own as f64 + peers
+    /// What waits before a new request of this rank: its requests, and prompt tokens, of which what
+    /// has been read since a peer told of them no longer counts.
+    fn estimate_ahead(&self, urgency: u8, rate: f64, now_ms: u64) -> (f64, f64) {
+        let own = sum_waiting(&self.waiting, urgency);
+        let mut requests = own.requests as f64;
+        let mut tokens = own.tokens as f64;
+        for peer in self.fresh_peers(now_ms) {
+            let told = sum_waiting(&peer.load.waiting, urgency);
+            let read = now_ms.saturating_sub(peer.at_ms) as f64 * rate;
+            let left = (told.tokens as f64 - read).max(0.0);
+            requests += told.requests as f64 * left / (told.tokens as f64).max(1.0);
+            tokens += left;
+        }
+        (requests, tokens)
     }
 
     fn is_usable(&self, now_ms: u64) -> bool {
@@ -151,10 +179,16 @@
     pub address: SocketAddr,
     /// Expected time to the first byte.
     pub first_byte_ms: u64,
+    /// The part of it that is spent behind other requests.
+    pub queue_ms: u64,
     /// Prompt tokens that it is expected to read.
     pub uncached_tokens: u64,
     /// Prompt tokens ahead of them.
     pub ahead_tokens: u64,
+    /// Requests ahead of it.
+    pub requests_ahead: f64,
+    /// Whether the upstream has places for more requests than it has.
+    pub has_free_places: bool,
 }
 
 /// The upstreams of one service.
@@ -165,10 +199,24 @@
     upstreams: BTreeMap<String, Upstream>,
     reading_tokens_per_ms: f64,
     idle_first_byte_ms: f64,
-    /// Prompt tokens to read, by the time at which their requests came.
-    work: VecDeque<(u64, u64)>,
-    /// What other instances have told of theirs, in tokens a millisecond.
-    peer_work: HashMap<String, f64>,
+    /// Time for each request ahead where several wait: besides the reading of its prompt it may
+    /// need a place that another one holds.
+    turn_ms: f64,
+    admission_rule: Box<dyn AdmissionRule>,
+    /// Prompt tokens of requests that came.
+    work: WorkMeter,
+    /// Prompt tokens of requests that were sent.
+    sent_work: WorkMeter,
+    peer_work: HashMap<String, PeerWork>,
+}
+
+/// Prompt tokens a millisecond that an instance's requests bring.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PeerWork {
+    /// Of all requests that came.
+    pub come_per_ms: f64,
+    /// Of those that were sent, by rank.
+    pub sent_per_ms: RankedRates,
 }
 
 impl PlacementBook {
@@ -177,6 +225,7 @@
         availability_zone: &str,
         options: PlacementOptions,
         cost_rule: Box<dyn CostRule>,
+        admission_rule: Box<dyn AdmissionRule>,
     ) -> Self {
         Self {
             availability_zone: availability_zone.to_owned(),
@@ -185,7 +234,10 @@
             upstreams: BTreeMap::new(),
             reading_tokens_per_ms: options.reading_tokens_per_ms,
             idle_first_byte_ms: options.idle_first_byte_ms,
-            work: VecDeque::new(),
+            turn_ms: 0.0,
+            admission_rule,
+            work: WorkMeter::default(),
+            sent_work: WorkMeter::default(),
             peer_work: HashMap::new(),
         }
     }
@@ -222,13 +274,18 @@
         let open = |(id, upstream): &(&String, &Upstream)| {
             !upstream.is_leaving && !request.excluded.contains(id)
         };
-        let home = self.find_home(request, now_ms);
+        let view = RequestView {
+            request,
+            home: self.find_home(request, now_ms),
+            reading_rate: self.reading_left(request.urgency, now_ms),
+            now_ms,
+        };
         let choose = |is_candidate: &dyn Fn(&Upstream) -> bool| {
             self.upstreams
                 .iter()
                 .filter(open)
                 .filter(|(_, upstream)| is_candidate(upstream))
-                .map(|(id, upstream)| self.rate(id, upstream, request, home, now_ms))
+                .map(|(id, upstream)| self.rate(id, upstream, &view))
                 .min_by(|one, other| one.0.total_cmp(&other.0))
                 .map(|(_, placement)| placement)
         };
@@ -248,25 +305,35 @@
             .map(|(id, _)| id.as_str())
     }
 
-    fn rate(
-        &self,
-        id: &str,
-        upstream: &Upstream,
-        request: &PlacementRequest<'_>,
-        home: Option<&str>,
-        now_ms: u64,
-    ) -> (f64, Placement) {
+    /// Prompt tokens a millisecond that an upstream reads for this rank. While the prompts that wait
+    /// are read, more urgent ones come and are read first (Cobham, 1954).
+    fn reading_left(&self, urgency: u8, now_ms: u64) -> f64 {
+        let usable = self.upstreams.values().filter(|upstream| upstream.is_usable(now_ms)).count();
+        let capacity = self.reading_tokens_per_ms * usable.max(1) as f64;
+        let own = self.sent_work.rates(now_ms);
+        let peers = self.peer_work.values().map(|work| sum_before(&work.sent_per_ms, urgency));
+        let urgent = sum_before(&own, urgency) + peers.sum::<f64>();
+        self.reading_tokens_per_ms * (1.0 - (urgent / capacity).min(URGENT_PART_MOST))
+    }
+
+    fn rate(&self, id: &str, upstream: &Upstream, view: &RequestView<'_>) -> (f64, Placement) {
+        let RequestView { request, home, reading_rate, now_ms } = *view;
         let rate = self.reading_tokens_per_ms;
         let cached = count_cached(upstream, request, home == Some(id));
         let uncached = request.prompt_tokens.saturating_sub(cached);
         let shared = request.shared_tokens().saturating_sub(cached) as f64;
         let shared_ms = shared * (self.options.shared_weight - 1.0) / rate;
-        let ahead = upstream.estimate_pending(request.urgency, rate, now_ms);
+        let (requests_ahead, ahead) = upstream.estimate_ahead(request.urgency, rate, now_ms);
         let running = upstream.estimate_running(now_ms) as f64;
-        let fill = running / upstream.slots as f64;
-        let over = (running + 1.0 - upstream.slots as f64).max(0.0) / upstream.slots as f64;
-        let first_byte_ms = self.idle_first_byte_ms * (1.0 + over)
-            + (ahead + uncached as f64) / rate
+        let slots = upstream.slots as f64;
+        let fill = (running / slots).min(1.0);
+        let before = upstream.count_answering(now_ms) as f64 + requests_ahead;
+        let over = (before + 1.0 - slots).max(0.0) / slots;
+        let ahead_ms = (ahead / reading_rate).max(requests_ahead * self.turn_ms);
+        let queue_ms = self.idle_first_byte_ms * over + ahead_ms;
+        let first_byte_ms = self.idle_first_byte_ms
+            + queue_ms
+            + uncached as f64 / reading_rate
             + fill * self.options.full_batch_ms;
         let is_near = upstream.availability_zone == self.availability_zone;
         let distance_ms = if is_near { 0.0 } else { self.options.cross_zone_ms };
@@ -281,32 +348,39 @@
             upstream: id.to_owned(),
             address: upstream.address,
             first_byte_ms: first_byte_ms as u64,
+            queue_ms: queue_ms as u64,
             uncached_tokens: uncached,
             ahead_tokens: ahead as u64,
+            requests_ahead,
+            has_free_places: running < slots,
         };
         (cost, placement)
     }
 
     /// Notes that a request is sent to an upstream.
-    pub fn start(&mut self, upstream: &str, request: &PlacementRequest<'_>, uncached_tokens: u64) {
-        let Some(known) = self.upstreams.get_mut(upstream) else { return };
+    pub fn start(&mut self, placement: &Placement, request: &PlacementRequest<'_>, now_ms: u64) {
+        let Some(known) = self.upstreams.get_mut(&placement.upstream) else { return };
+        self.sent_work.add(request.urgency, placement.uncached_tokens, now_ms);
         known.running += 1;
-        *known.pending.entry(request.urgency).or_default() += uncached_tokens;
+        let waiting = known.waiting.entry(request.urgency).or_default();
+        waiting.requests += 1;
+        waiting.tokens += placement.uncached_tokens;
         let hashes: Vec<u64> = request.parts.iter().map(|part| part.hash).collect();
         known.parts.add(&hashes);
     }
 
     /// Notes that the first byte has come after `elapsed_ms`, and learns from it.
     pub fn note_first_byte(&mut self, placement: &Placement, urgency: u8, elapsed_ms: u64) {
-        self.clear_pending(&placement.upstream, urgency, placement.uncached_tokens);
+        self.clear_waiting(placement, urgency);
         if let Some(known) = self.upstreams.get_mut(&placement.upstream) {
             known.answering += 1;
         }
-        let work = (placement.uncached_tokens + placement.ahead_tokens) as f64;
         let elapsed_ms = elapsed_ms as f64;
+        self.learn_turn(placement, elapsed_ms);
+        let work = (placement.uncached_tokens + placement.ahead_tokens) as f64;
         let reading_ms = work / self.reading_tokens_per_ms;
-        // Behind others' prompts the time says little: how far they were is not known.
-        let is_alone = placement.ahead_tokens == 0;
+        // Behind others' prompts, or where places are taken, the time says little of reading.
+        let is_alone = placement.ahead_tokens == 0 && placement.has_free_places;
         if is_alone && reading_ms > self.idle_first_byte_ms {
             let spent_ms = (elapsed_ms - self.idle_first_byte_ms).max(1.0);
             let seen = (work / spent_ms).clamp(READING_RATE_RANGE.0, READING_RATE_RANGE.1);
@@ -317,6 +391,25 @@
         }
     }
 
+    /// Learns from a wait behind others how long each of them took.
+    fn learn_turn(&mut self, placement: &Placement, elapsed_ms: f64) {
+        if placement.requests_ahead < TURN_REQUESTS_LEAST || placement.ahead_tokens == 0 {
+            return;
+        }
+        let own_ms = placement.uncached_tokens as f64 / self.reading_tokens_per_ms;
+        let waited_ms = (elapsed_ms - self.idle_first_byte_ms - own_ms).max(0.0);
+        let seen_ms = (waited_ms / placement.requests_ahead).min(TURN_MOST_MS);
+        self.turn_ms += (seen_ms - self.turn_ms) * TURN_WEIGHT;
+    }
+
+    /// Notes that a caller left after `elapsed_ms` without a first byte: it would have waited for
+    /// longer still.
+    pub fn note_wait(&mut self, placement: &Placement, elapsed_ms: u64) {
+        if elapsed_ms > placement.first_byte_ms {
+            self.learn_turn(placement, elapsed_ms as f64);
+        }
+    }
+
     /// Notes the end of an attempt. `has_first_byte` tells whether [`Self::note_first_byte`] was
     /// called for it.
     pub fn finish(
@@ -328,7 +421,7 @@
         now_ms: u64,
     ) {
         if !has_first_byte {
-            self.clear_pending(&placement.upstream, urgency, placement.uncached_tokens);
+            self.clear_waiting(placement, urgency);
         }
         let Some(known) = self.upstreams.get_mut(&placement.upstream) else { return };
         known.running = known.running.saturating_sub(1);
@@ -336,10 +429,11 @@
         known.health.record(end, now_ms);
     }
 
-    fn clear_pending(&mut self, upstream: &str, urgency: u8, tokens: u64) {
-        let Some(known) = self.upstreams.get_mut(upstream) else { return };
-        if let Some(pending) = known.pending.get_mut(&urgency) {
-            *pending = pending.saturating_sub(tokens);
+    fn clear_waiting(&mut self, placement: &Placement, urgency: u8) {
+        let Some(known) = self.upstreams.get_mut(&placement.upstream) else { return };
+        if let Some(waiting) = known.waiting.get_mut(&urgency) {
+            waiting.requests = waiting.requests.saturating_sub(1);
+            waiting.tokens = waiting.tokens.saturating_sub(placement.uncached_tokens);
         }
     }
 
@@ -372,29 +466,29 @@
     }
 
     /// Counts the prompt tokens of a request that came, whether it is sent or refused.
-    pub fn add_work(&mut self, uncached_tokens: u64, now_ms: u64) {
-        self.work.push_back((now_ms, uncached_tokens));
-        let oldest_ms = now_ms.saturating_sub(WORK_WINDOW_MS);
-        while self.work.front().is_some_and(|(at_ms, _)| *at_ms < oldest_ms) {
-            self.work.pop_front();
-        }
+    pub fn add_work(&mut self, urgency: u8, uncached_tokens: u64, now_ms: u64) {
+        self.work.add(urgency, uncached_tokens, now_ms);
     }
 
-    /// Prompt tokens a millisecond that this instance's requests bring.
-    pub fn own_work_tokens_per_ms(&self, now_ms: u64) -> f64 {
-        let oldest_ms = now_ms.saturating_sub(WORK_WINDOW_MS);
-        let recent = self.work.iter().filter(|(at_ms, _)| *at_ms >= oldest_ms);
-        recent.map(|(_, tokens)| *tokens).sum::<u64>() as f64 / WORK_WINDOW_MS as f64
+    /// The work that this instance's requests bring.
+    pub fn own_work(&self, now_ms: u64) -> PeerWork {
+        PeerWork { come_per_ms: self.work.rate(now_ms), sent_per_ms: self.sent_work.rates(now_ms) }
     }
 
     /// Prompt tokens a millisecond that all instances' requests bring.
     pub fn work_tokens_per_ms(&self, now_ms: u64) -> f64 {
-        self.own_work_tokens_per_ms(now_ms) + self.peer_work.values().sum::<f64>()
+        let peers = self.peer_work.values().map(|work| work.come_per_ms).sum::<f64>();
+        self.work.rate(now_ms) + peers
     }
 
     /// Takes what another instance tells of its requests.
-    pub fn take_peer_work(&mut self, peer: &str, tokens_per_ms: f64) {
-        self.peer_work.insert(peer.to_owned(), tokens_per_ms);
+    pub fn take_peer_work(&mut self, peer: &str, work: PeerWork) {
+        self.peer_work.insert(peer.to_owned(), work);
+    }
+
+    /// Decides whether a request is sent.
+    pub fn admit(&mut self, forecast: &Forecast, now_ms: u64) -> Admission {
+        self.admission_rule.decide(forecast, now_ms)
     }
 
     /// Requests of all instances whose answers have begun.
@@ -418,6 +512,30 @@
     }
 }
 
+/// A request with what is the same for all upstreams.
+#[derive(Clone, Copy)]
+struct RequestView<'a> {
+    request: &'a PlacementRequest<'a>,
+    /// The upstream to which requests with its shared part go.
+    home: Option<&'a str>,
+    /// Prompt tokens a millisecond that are read for its rank.
+    reading_rate: f64,
+    now_ms: u64,
+}
+
+/// What waits of this rank and more urgent ones.
+fn sum_waiting(waiting: &BTreeMap<u8, Waiting>, urgency: u8) -> Waiting {
+    waiting.range(..=urgency).fold(Waiting::default(), |sum, (_, waiting)| Waiting {
+        requests: sum.requests + waiting.requests,
+        tokens: sum.tokens + waiting.tokens,
+    })
+}
+
+/// What ranks more urgent than this one bring.
+fn sum_before(rates: &RankedRates, urgency: u8) -> f64 {
+    rates.range(..urgency).map(|(_, rate)| rate).sum()
+}
+
 /// Tokens of the leading parts that an upstream is believed to hold. The home of a shared part is
 /// believed to hold it, as other instances send their requests there too.
 fn count_cached(upstream: &Upstream, request: &PlacementRequest<'_>, is_home: bool) -> u64 {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -9,6 +9,7 @@
 mod cost;
 mod health;
 mod request;
+mod work;
 
 /// The types most users of this crate need.
 pub mod prelude {
@@ -19,7 +20,8 @@
 }
 
 pub use admission::{Admission, AdmissionRule, AdmitAll, Forecast, TargetAdmission};
-pub use book::{Placement, PlacementBook, PlacementOptions, UpstreamLoad};
+pub use book::{PeerWork, Placement, PlacementBook, PlacementOptions, UpstreamLoad, Waiting};
 pub use cost::{CandidateView, CostRule, ExpectedWait, LeastRequests};
 pub use health::{AttemptEnd, Health};
 pub use request::{PlacementRequest, PromptPart};
+pub use work::{RankedRates, WorkMeter};
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -106,13 +106,14 @@
 impl Attempt {
     fn start(call: &Call, book: SharedBook, placement: Placement, excluded: &[String]) -> Self {
         let request = call.placement_request(excluded);
-        book.lock().start(&placement.upstream, &request, placement.uncached_tokens);
+        let now_ms = call.relay.now_ms();
+        book.lock().start(&placement, &request, now_ms);
         Self {
             relay: Arc::clone(&call.relay),
             book,
             placement,
             urgency: call.urgency,
-            started_at_ms: call.relay.now_ms(),
+            started_at_ms: now_ms,
             has_first_byte: false,
             is_ended: false,
         }
@@ -136,6 +137,9 @@
         if !std::mem::replace(&mut self.is_ended, true) {
             let now_ms = self.relay.now_ms();
             let mut book = self.book.lock();
+            if end == AttemptEnd::Cancelled && !self.has_first_byte {
+                book.note_wait(&self.placement, now_ms.saturating_sub(self.started_at_ms));
+            }
             book.finish(&self.placement, self.urgency, self.has_first_byte, end, now_ms);
         }
     }
@@ -237,7 +241,7 @@
         let request = self.placement_request(&progress.excluded);
         let chosen = book.lock().choose(&request, now_ms);
         let Some(placement) = chosen else { return Err(self.give_up(progress)) };
-        book.lock().add_work(placement.uncached_tokens, now_ms);
+        book.lock().add_work(self.urgency, placement.uncached_tokens, now_ms);
         if progress.sent > 0 {
             if relay.try_take_retry(&self.service) {
                 return Ok((book, placement));
@@ -245,18 +249,22 @@
             return Err(self.give_up(progress));
         }
         let forecast = Forecast {
+            urgency: self.urgency,
             first_byte_ms: placement.first_byte_ms,
+            queue_ms: placement.queue_ms,
             waited_ms: now_ms.saturating_sub(self.arrived_at_ms),
             target_ms: self.route.target_ms,
             patience_ms: self.route.patience_ms.unwrap_or(self.route.timeout_ms),
         };
-        match relay.admission.decide(&forecast) {
+        let admission = book.lock().admit(&forecast, now_ms);
+        match admission {
             Admission::Send => Ok((book, placement)),
             Admission::Refuse { retry_after_ms } => {
                 relay.log.write("refused", || {
                     json!({
                         "request": self.request_id, "service": self.service,
                         "upstream": placement.upstream, "forecast_ms": forecast.first_byte_ms,
+                        "queue_ms": forecast.queue_ms,
                         "target_ms": forecast.target_ms, "retry_after_ms": retry_after_ms,
                     })
                 });
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -12,7 +12,7 @@
 
 use futures_util::future::select;
 use hickorycourse_duties::WindowCounts;
-use hickorycourse_placement::UpstreamLoad;
+use hickorycourse_placement::{PeerWork, RankedRates, UpstreamLoad, Waiting};
 use hickorycourse_routes::{RouteDocument, UpstreamEntry};
 use hickorycourse_telemetry::EventLog;
 use ntex::time::sleep;
@@ -78,10 +78,13 @@
 struct ToldService {
     /// Prompt tokens a millisecond that its requests bring.
     #[serde(rename = "w")]
-    work_tokens_per_ms: f64,
-    /// Upstream, requests in flight, those whose answers have begun, prompt tokens that wait.
+    come_per_ms: f64,
+    /// Those of the requests that were sent, by rank.
+    #[serde(rename = "r")]
+    sent_per_ms: RankedRates,
+    /// Upstream, requests in flight, those whose answers have begun, those that wait by rank.
     #[serde(rename = "l")]
-    loads: Vec<(String, u64, u64, u64)>,
+    loads: Vec<(String, u64, u64, BTreeMap<u8, Waiting>)>,
 }
 
 /// What an instance that reaches the store tells one that does not.
@@ -170,12 +173,10 @@
         for (service, book) in relay.books() {
             let book = book.lock();
             let loads = book.own_loads().map(|(upstream, load)| {
-                (upstream.to_owned(), load.running, load.answering, load.pending_tokens)
+                (upstream.to_owned(), load.running, load.answering, load.waiting)
             });
-            let told = ToldService {
-                work_tokens_per_ms: book.own_work_tokens_per_ms(now_ms),
-                loads: loads.collect(),
-            };
+            let PeerWork { come_per_ms, sent_per_ms } = book.own_work(now_ms);
+            let told = ToldService { come_per_ms, sent_per_ms, loads: loads.collect() };
             services.insert(service, told);
         }
         Digest {
@@ -250,12 +251,14 @@
             let mut book = book.lock();
             book.clear_peer(name);
             let Some(told) = digest.services.get(&service) else { continue };
-            book.take_peer_work(name, told.work_tokens_per_ms);
-            for (upstream, running, answering, pending_tokens) in &told.loads {
+            let work =
+                PeerWork { come_per_ms: told.come_per_ms, sent_per_ms: told.sent_per_ms.clone() };
+            book.take_peer_work(name, work);
+            for (upstream, running, answering, waiting) in &told.loads {
                 let load = UpstreamLoad {
                     running: *running,
                     answering: *answering,
-                    pending_tokens: *pending_tokens,
+                    waiting: waiting.clone(),
                 };
                 book.take_peer_load(name, upstream, load, now_ms);
             }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -71,8 +71,6 @@
     pub directory: Mutex<UpstreamDirectory>,
     /// The other instances.
     pub members: Mutex<Members>,
-    /// Whether requests are sent or refused.
-    pub admission: Box<dyn AdmissionRule + Sync>,
     /// Whether this process stops.
     pub drain: DrainState,
     /// Requests in flight.
@@ -103,10 +101,6 @@
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
         let now_ms = clock.now_ms();
         let bounds = &settings.bounds;
-        let admission: Box<dyn AdmissionRule + Sync> = match settings.policy.admission {
-            AdmissionPolicy::AdmitAll => Box::new(AdmitAll),
-            AdmissionPolicy::Target => Box::new(TargetAdmission),
-        };
         Arc::new(Self {
             boot: rand::random::<u64>() >> 1,
             protocol,
@@ -115,7 +109,6 @@
             in_force: RwLock::default(),
             directory: Mutex::default(),
             members: Mutex::default(),
-            admission,
             drain: DrainState::default(),
             in_flight: AtomicU64::new(0),
             lease: Mutex::new(DutyLease::new(LeaseOptions::from_ttl(bounds.lease_ms))),
@@ -269,7 +262,12 @@
                     PlacementPolicy::ExpectedWait => Box::new(ExpectedWait),
                     PlacementPolicy::LeastRequests => Box::new(LeastRequests),
                 };
-                let book = PlacementBook::new(zone, self.placement_options(), cost_rule);
+                let admission_rule: Box<dyn AdmissionRule> = match self.settings.policy.admission {
+                    AdmissionPolicy::AdmitAll => Box::new(AdmitAll),
+                    AdmissionPolicy::Target => Box::new(TargetAdmission::default()),
+                };
+                let options = self.placement_options();
+                let book = PlacementBook::new(zone, options, cost_rule, admission_rule);
                 Arc::new(Mutex::new(book))
             });
             let entries = directory.entries().filter(|entry| entry.service == service);
