--- a/crates/caps/src/lib.rs
+++ b/crates/caps/src/lib.rs
@@ -4,14 +4,12 @@
 //! once and extrapolates what it has not heard of yet.
 
 mod retry_share;
-mod return_schedule;
 mod shared_cap;
 
 /// The types most users of this crate need.
 pub mod prelude {
-    pub use crate::{CapLimits, RetryShare, RetryShareLimits, ReturnSchedule, SharedCap};
+    pub use crate::{CapLimits, RetryShare, RetryShareLimits, SharedCap};
 }
 
 pub use retry_share::{RetryShare, RetryShareLimits};
-pub use return_schedule::ReturnSchedule;
 pub use shared_cap::{CapLimits, SharedCap};
--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -5,6 +5,8 @@
 
 use std::collections::BTreeMap;
 
+use crate::return_schedule::ReturnSchedule;
+
 /// What is known when a request is to be sent.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Forecast {
@@ -20,6 +22,8 @@
     pub target_ms: u64,
     /// Time after which the caller leaves if nothing has come.
     pub patience_ms: u64,
+    /// Time that its prompt takes of what all upstreams read for this instance.
+    pub share_ms: u64,
 }
 
 /// What becomes of a request.
@@ -67,6 +71,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct TargetAdmission {
     ranks: BTreeMap<u8, RankState>,
+    returns: ReturnSchedule,
 }
 
 /// What the forecasts of one rank have told.
@@ -113,6 +118,9 @@
             return Admission::Send;
         }
         let excess_ms = forecast.first_byte_ms.saturating_sub(forecast.target_ms);
-        Admission::Refuse { retry_after_ms: excess_ms.max(RETRY_AFTER_LEAST_MS) }
+        let earliest_ms = excess_ms.max(RETRY_AFTER_LEAST_MS);
+        let left_ms = forecast.patience_ms.saturating_sub(forecast.waited_ms);
+        let retry_after_ms = self.returns.promise(forecast.share_ms, earliest_ms, left_ms, now_ms);
+        Admission::Refuse { retry_after_ms }
     }
 }
--- a/crates/placement/src/book.rs
+++ b/crates/placement/src/book.rs
@@ -181,6 +181,8 @@
     pub first_byte_ms: u64,
     /// The part of it that is spent behind other requests.
     pub queue_ms: u64,
+    /// Time that its prompt takes of what all upstreams read for one instance.
+    pub share_ms: u64,
     /// Prompt tokens that it is expected to read.
     pub uncached_tokens: u64,
     /// Prompt tokens ahead of them.
@@ -274,10 +276,14 @@
         let open = |(id, upstream): &(&String, &Upstream)| {
             !upstream.is_leaving && !request.excluded.contains(id)
         };
+        let reading_rate = self.reading_left(request.urgency, now_ms);
+        let usable = self.count_usable(now_ms) as f64;
+        let instances = (self.peer_work.len() + 1) as f64;
         let view = RequestView {
             request,
+            reading_share: reading_rate * usable / instances,
             home: self.find_home(request, now_ms),
-            reading_rate: self.reading_left(request.urgency, now_ms),
+            reading_rate,
             now_ms,
         };
         let choose = |is_candidate: &dyn Fn(&Upstream) -> bool| {
@@ -308,16 +314,21 @@
     /// Prompt tokens a millisecond that an upstream reads for this rank. While the prompts that wait
     /// are read, more urgent ones come and are read first (Cobham, 1954).
     fn reading_left(&self, urgency: u8, now_ms: u64) -> f64 {
-        let usable = self.upstreams.values().filter(|upstream| upstream.is_usable(now_ms)).count();
-        let capacity = self.reading_tokens_per_ms * usable.max(1) as f64;
+        let capacity = self.reading_tokens_per_ms * self.count_usable(now_ms) as f64;
         let own = self.sent_work.rates(now_ms);
         let peers = self.peer_work.values().map(|work| sum_before(&work.sent_per_ms, urgency));
         let urgent = sum_before(&own, urgency) + peers.sum::<f64>();
         self.reading_tokens_per_ms * (1.0 - (urgent / capacity).min(URGENT_PART_MOST))
     }
 
+    /// Upstreams that requests are sent to; at least one, as ejected ones are used if there is no other.
+    fn count_usable(&self, now_ms: u64) -> usize {
+        let usable = self.upstreams.values().filter(|upstream| upstream.is_usable(now_ms));
+        usable.count().max(1)
+    }
+
     fn rate(&self, id: &str, upstream: &Upstream, view: &RequestView<'_>) -> (f64, Placement) {
-        let RequestView { request, home, reading_rate, now_ms } = *view;
+        let RequestView { request, home, reading_rate, now_ms, .. } = *view;
         let rate = self.reading_tokens_per_ms;
         let cached = count_cached(upstream, request, home == Some(id));
         let uncached = request.prompt_tokens.saturating_sub(cached);
@@ -349,6 +360,7 @@
             address: upstream.address,
             first_byte_ms: first_byte_ms as u64,
             queue_ms: queue_ms as u64,
+            share_ms: (uncached as f64 / view.reading_share) as u64,
             uncached_tokens: uncached,
             ahead_tokens: ahead as u64,
             requests_ahead,
@@ -518,8 +530,10 @@
     request: &'a PlacementRequest<'a>,
     /// The upstream to which requests with its shared part go.
     home: Option<&'a str>,
-    /// Prompt tokens a millisecond that are read for its rank.
+    /// Prompt tokens a millisecond that an upstream reads for its rank.
     reading_rate: f64,
+    /// What all upstreams read for its rank, divided by the instances.
+    reading_share: f64,
     now_ms: u64,
 }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -9,6 +9,7 @@
 mod cost;
 mod health;
 mod request;
+mod return_schedule;
 mod work;
 
 /// The types most users of this crate need.
@@ -24,4 +25,5 @@
 pub use cost::{CandidateView, CostRule, ExpectedWait, LeastRequests};
 pub use health::{AttemptEnd, Health};
 pub use request::{PlacementRequest, PromptPart};
+pub use return_schedule::ReturnSchedule;
 pub use work::{RankedRates, WorkMeter};
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -199,6 +199,7 @@
         waited_ms: 100,
         target_ms: 400,
         patience_ms: 2_000,
+        share_ms: 0,
     }
 }
 
@@ -229,6 +230,28 @@
     assert_eq!(rule.decide(&forecast(500), 840), Admission::Send);
 }
 
+#[test]
+fn decide_for_a_crowd() {
+    // A hundred callers are refused at once: each is told its own place, until no place is left in
+    // the time for which callers wait.
+    let mut rule = TargetAdmission::default();
+    let crowd = Forecast { share_ms: 20, ..forecast(3_000) };
+    let mut told = Vec::new();
+    for _ in 0..100 {
+        if let Admission::Refuse { retry_after_ms } = rule.decide(&crowd, 0) {
+            told.push(retry_after_ms);
+        }
+    }
+    assert_eq!(told.len(), 100);
+    assert_eq!(told[0], 2_600);
+    let patient = Forecast { patience_ms: 12_000, target_ms: 1_000, ..crowd };
+    let mut rule = TargetAdmission::default();
+    let told: Vec<Admission> =
+        (0..3).map(|_| rule.decide(&Forecast { first_byte_ms: 9_000, ..patient }, 0)).collect();
+    let expected = [8_000, 8_020, 8_040];
+    assert_eq!(told, expected.map(|retry_after_ms| Admission::Refuse { retry_after_ms }));
+}
+
 #[test]
 fn decide_for_a_slow_service() {
     // Every answer takes longer than the target, and no queue is to blame: refusing helps nobody.
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -252,6 +252,7 @@
             urgency: self.urgency,
             first_byte_ms: placement.first_byte_ms,
             queue_ms: placement.queue_ms,
+            share_ms: placement.share_ms,
             waited_ms: now_ms.saturating_sub(self.arrived_at_ms),
             target_ms: self.route.target_ms,
             patience_ms: self.route.patience_ms.unwrap_or(self.route.timeout_ms),
