Usage counts requests, not attempts

The operators count each request of a caller that an upstream began, once, also when it ends with a failure; the relay counted plain requests for each attempt and failed streams not at all.

Ruled out: lost digests, which had been suspected (the windows before and after were right); counting failed streams for each attempt as well (off by 269 of 1,319 the other way).

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -1,5 +1,6 @@
 //! One attempt of a caller, and its attempts at upstreams.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -65,6 +66,9 @@
     pub arrived_at_ms: u64,
     /// When its answer is due at the latest.
     pub deadline_at_ms: u64,
+    /// Whether a run of it has been counted. Usage counts requests: one that runs again elsewhere,
+    /// or fails, is one request all the same.
+    pub is_run_counted: Cell<bool>,
 }
 
 /// What has become of a call so far.
@@ -418,8 +422,11 @@
         left_ms.min((placement.first_byte_ms * SILENCE_FORECASTS).max(least_ms))
     }
 
-    /// Counts a run that began.
+    /// Counts the request as one that an upstream has begun.
     pub fn count_run(&self) {
+        if self.is_run_counted.replace(true) {
+            return;
+        }
         if let Some(organisation) = &self.organisation {
             self.relay.add_run(organisation);
         }
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -231,6 +231,7 @@
         body: received.body,
         tokens: facts.tokens.unwrap_or_default(),
         arrived_at_ms,
+        is_run_counted: Cell::new(false),
         parts: facts.parts,
         route: route.clone(),
         headers: received.headers,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -107,9 +107,11 @@
                 })));
             }
             Start::Whole(answer) if answer.status < STATUS_SERVER_ERROR => {
+                call.count_run();
                 return Ok(StreamAnswer::Whole(answer));
             }
             Start::Whole(answer) => {
+                call.count_run();
                 progress.note_failure(upstream, format!("answered {}", answer.status));
                 failed = Some(answer);
             }
