Upstreams are compared by all ranks; caps of large fleets thin out a flood

Upstreams were compared by what waits before the request's rank; all ranks slow the others' events. Forecasts keep the rank, the comparison takes all.

Cause, caps: with 90 instances a digest takes 1.65 s and more, a full bucket lasts 1.5 s. Where reports are slower than the bucket each instance lets the same part of its demand through (Raghavan et al.), the own growth taken for the others' until they tell. Test: ninety instances, six times the cap, the worst second at 70% of it; before nothing for four seconds.

Digests carry waiting requests as arrays and caps as integers.

--- a/crates/caps/src/lib.rs
+++ b/crates/caps/src/lib.rs
@@ -3,6 +3,7 @@
 //! Instances tell each other what they have used, some times a second. Each counts its own use at
 //! once and extrapolates what it has not heard of yet.
 
+mod decaying_sum;
 mod retry_share;
 mod shared_cap;
 
@@ -12,4 +13,4 @@
 }
 
 pub use retry_share::{RetryShare, RetryShareLimits};
-pub use shared_cap::{CapLimits, SharedCap};
+pub use shared_cap::{CapLimits, CapTotals, SharedCap};
--- a/crates/model/src/relay.rs
+++ b/crates/model/src/relay.rs
@@ -59,6 +59,7 @@
                 per_second: cap.per_second,
                 burst: cap.per_second,
                 allowance: in_window * CAP_OVERSHOOT,
+                report_ms: digest_ms(pattern.relays),
             };
             (cap.organisation, SharedCap::new(limits, pattern.relays, 0))
         });
@@ -77,6 +78,11 @@
     }
 }
 
+/// Time between two digests of a relay among this many.
+pub fn digest_ms(relays: usize) -> u64 {
+    300 + 15 * relays as u64
+}
+
 /// The name of a zone.
 fn zone_name(zone: usize) -> String {
     format!("zone-{zone}")
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -11,7 +11,7 @@
 
 use crate::engine::Engine;
 use crate::pattern::{CallerGroup, Comeback, Fault, LoadPattern};
-use crate::relay::{Policy, Relay, engine_id};
+use crate::relay::{Policy, Relay, digest_ms, engine_id};
 use crate::report::{GroupReport, Report};
 
 /// Attempts that a caller makes before it gives up.
@@ -28,8 +28,7 @@
 const BASELINE_WAIT_MS: u64 = 500;
 /// Time until the list of upstreams shows that an engine is gone.
 const LISTED_MS: u64 = 1_500;
-/// Digests: usual period, and shortest one.
-const DIGEST_MS: u64 = 420;
+/// Shortest time between two digests.
 const DIGEST_LEAST_MS: u64 = 50;
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -131,7 +130,7 @@
         world.list_engines();
         world.schedule_faults();
         for relay in 0..pattern.relays {
-            let first_ms = world.random.random_range(0..DIGEST_MS);
+            let first_ms = world.random.random_range(0..digest_ms(pattern.relays));
             world.schedule(first_ms, Event::Digest { relay });
         }
         for group in 0..pattern.groups.len() {
@@ -228,7 +227,10 @@
             Event::Digest { relay } => {
                 self.tell(relay);
                 if self.now_ms < self.pattern.length_ms {
-                    self.schedule(self.now_ms + DIGEST_MS, Event::Digest { relay });
+                    self.schedule(
+                        self.now_ms + digest_ms(self.pattern.relays),
+                        Event::Digest { relay },
+                    );
                 }
             }
             Event::Lose { count } => self.lose(count),
--- a/crates/placement/src/book.rs
+++ b/crates/placement/src/book.rs
@@ -5,7 +5,6 @@
 
 use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
 use hickorycourse_routing::PrefixIndex;
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::admission::{Admission, AdmissionRule, Forecast};
@@ -51,13 +50,11 @@
 }
 
 /// Requests that wait for their first byte.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Waiting {
     /// How many.
-    #[serde(rename = "n")]
     pub requests: u64,
     /// Prompt tokens that are read for them.
-    #[serde(rename = "t")]
     pub tokens: u64,
 }
 
@@ -348,8 +345,14 @@
             + fill * self.options.full_batch_ms;
         let is_near = upstream.availability_zone == self.availability_zone;
         let distance_ms = if is_near { 0.0 } else { self.options.cross_zone_ms };
+        // All ranks count where upstreams are compared: each request there slows the others' events.
+        let (_, all_ahead) = upstream.estimate_ahead(u8::MAX, rate, now_ms);
+        let all_over = (running + 1.0 - slots).max(0.0) / slots;
+        let load_ms = self.idle_first_byte_ms * (1.0 + all_over)
+            + (all_ahead + uncached as f64) / rate
+            + running / slots * self.options.full_batch_ms;
         let cost = self.cost_rule.cost(&CandidateView {
-            first_byte_ms,
+            load_ms,
             distance_ms,
             shared_ms,
             failure_ms: upstream.health.failure_rate() * FAILURE_COST_MS,
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -3,8 +3,8 @@
 /// What is known of one upstream for one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CandidateView {
-    /// Expected time to the first byte.
-    pub first_byte_ms: f64,
+    /// Expected time to the first byte, with the requests of all ranks that are there.
+    pub load_ms: f64,
     /// Cost of the distance to it.
     pub distance_ms: f64,
     /// Cost of reading shared prompt parts once more.
@@ -28,7 +28,7 @@
 
 impl CostRule for ExpectedWait {
     fn cost(&self, candidate: &CandidateView) -> f64 {
-        candidate.first_byte_ms + candidate.distance_ms + candidate.shared_ms + candidate.failure_ms
+        candidate.load_ms + candidate.distance_ms + candidate.shared_ms + candidate.failure_ms
     }
 }
 
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use futures_util::future::select;
+use hickorycourse_caps::CapTotals;
 use hickorycourse_duties::WindowCounts;
 use hickorycourse_placement::{PeerWork, RankedRates, UpstreamLoad, Waiting};
 use hickorycourse_routes::{RouteDocument, UpstreamEntry};
@@ -63,9 +64,9 @@
     /// Its own time of day.
     #[serde(rename = "t")]
     own_time_ms: u64,
-    /// Units used of the caps since its start.
+    /// Units used of the caps and asked for since its start.
     #[serde(rename = "c")]
-    cap_totals: BTreeMap<String, f64>,
+    cap_totals: BTreeMap<String, (u64, u64)>,
     /// Its newest windows of usage.
     #[serde(rename = "u")]
     windows: Vec<WindowCounts>,
@@ -74,6 +75,10 @@
     services: BTreeMap<String, ToldService>,
 }
 
+/// Upstream, requests in flight, those whose answers have begun, those that wait by rank: rank,
+/// requests, prompt tokens. An array rather than a map, as there is one for each upstream.
+type ToldLoad = (String, u64, u64, Vec<(u8, u64, u64)>);
+
 #[derive(Debug, Default, Deserialize, Serialize)]
 struct ToldService {
     /// Prompt tokens a millisecond that its requests bring.
@@ -82,9 +87,8 @@
     /// Those of the requests that were sent, by rank.
     #[serde(rename = "r")]
     sent_per_ms: RankedRates,
-    /// Upstream, requests in flight, those whose answers have begun, those that wait by rank.
     #[serde(rename = "l")]
-    loads: Vec<(String, u64, u64, BTreeMap<u8, Waiting>)>,
+    loads: Vec<ToldLoad>,
 }
 
 /// What an instance that reaches the store tells one that does not.
@@ -173,7 +177,10 @@
         for (service, book) in relay.books() {
             let book = book.lock();
             let loads = book.own_loads().map(|(upstream, load)| {
-                (upstream.to_owned(), load.running, load.answering, load.waiting)
+                let waiting = load.waiting.iter();
+                let waiting =
+                    waiting.map(|(rank, waiting)| (*rank, waiting.requests, waiting.tokens));
+                (upstream.to_owned(), load.running, load.answering, waiting.collect())
             });
             let PeerWork { come_per_ms, sent_per_ms } = book.own_work(now_ms);
             let told = ToldService { come_per_ms, sent_per_ms, loads: loads.collect() };
@@ -185,7 +192,13 @@
             availability_zone: relay.settings.availability_zone.clone(),
             peer_address: relay.settings.peer_address,
             own_time_ms: relay.time.lock().own_ms(now_ms),
-            cap_totals: relay.tell_cap_totals(),
+            cap_totals: relay
+                .tell_cap_totals()
+                .into_iter()
+                .map(|(organisation, totals)| {
+                    (organisation, (totals.used as u64, totals.asked as u64))
+                })
+                .collect(),
             windows: relay.newest_windows(),
             services,
         }
@@ -245,7 +258,10 @@
         let zone = &digest.availability_zone;
         relay.members.lock().hear(name, zone, digest.peer_address, now_ms);
         relay.time.lock().take_peer(name, digest.own_time_ms, now_ms);
-        relay.take_cap_totals(name, digest.boot, &digest.cap_totals);
+        for (organisation, (used, asked)) in &digest.cap_totals {
+            let totals = CapTotals { used: *used as f64, asked: *asked as f64 };
+            relay.take_cap_totals(name, digest.boot, organisation, totals);
+        }
         relay.fleet_usage.lock().take(name, digest.boot, &digest.windows);
         for (service, book) in relay.books() {
             let mut book = book.lock();
@@ -258,7 +274,12 @@
                 let load = UpstreamLoad {
                     running: *running,
                     answering: *answering,
-                    waiting: waiting.clone(),
+                    waiting: waiting
+                        .iter()
+                        .map(|(rank, requests, tokens)| {
+                            (*rank, Waiting { requests: *requests, tokens: *tokens })
+                        })
+                        .collect(),
                 };
                 book.take_peer_load(name, upstream, load, now_ms);
             }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use hickorycourse_caps::{CapLimits, RetryShare, RetryShareLimits, SharedCap};
+use hickorycourse_caps::{CapLimits, CapTotals, RetryShare, RetryShareLimits, SharedCap};
 use hickorycourse_clock::{Clock, SystemClock};
 use hickorycourse_duties::{
     DutyLease, FleetUsage, LeaseOptions, TrueTime, UsageWindows, WindowCounts,
@@ -302,26 +302,26 @@
         let organisations = table.document().organisations.iter().flatten();
         let mut kept = HashMap::new();
         let now_ms = self.now_ms();
+        let instances = self.members.lock().count(now_ms);
         for organisation in organisations {
             let Some(cap) = organisation.cap else { continue };
-            let limits = self.cap_limits(&cap);
+            let limits = self.cap_limits(&cap, instances);
             let shared = caps.remove(&organisation.name).map(|mut shared| {
                 shared.set_limits(limits);
                 shared
             });
-            let shared = shared.unwrap_or_else(|| {
-                SharedCap::new(limits, self.members.lock().count(now_ms), now_ms)
-            });
+            let shared = shared.unwrap_or_else(|| SharedCap::new(limits, instances, now_ms));
             kept.insert(organisation.name.clone(), shared);
         }
         *caps = kept;
     }
 
-    fn cap_limits(&self, cap: &UsageCap) -> CapLimits {
+    fn cap_limits(&self, cap: &UsageCap, instances: usize) -> CapLimits {
         let bounds = &self.settings.bounds;
         let in_window = cap.per_second * bounds.cap_window_ms as f64 / 1_000.0 + cap.burst;
         let allowance = in_window * bounds.cap_overshoot + bounds.cap_slack;
-        CapLimits { per_second: cap.per_second, burst: cap.burst, allowance }
+        let report_ms = digest_period_ms(instances);
+        CapLimits { per_second: cap.per_second, burst: cap.burst, allowance, report_ms }
     }
 
     /// Takes units from an organisation's cap.
@@ -337,11 +337,12 @@
     ) -> Result<(), u64> {
         let now_ms = self.now_ms();
         let instances = self.members.lock().count(now_ms);
-        let limits = self.cap_limits(cap);
+        let limits = self.cap_limits(cap, instances);
         let mut caps = self.caps.lock();
         let shared = caps
             .entry(organisation.to_owned())
             .or_insert_with(|| SharedCap::new(limits, instances, now_ms));
+        shared.set_limits(limits);
         let taken = shared.try_take(units, urgency, instances, now_ms);
         if shared.must_tell() {
             self.tell_now.notify_one();
@@ -367,19 +368,16 @@
     }
 
     /// What this process has used of the caps since its start; the others are told now.
-    pub fn tell_cap_totals(&self) -> BTreeMap<String, f64> {
+    pub fn tell_cap_totals(&self) -> BTreeMap<String, CapTotals> {
         let mut caps = self.caps.lock();
         caps.iter_mut().map(|(name, shared)| (name.clone(), shared.tell())).collect()
     }
 
-    /// Takes what another process has used of the caps.
-    pub fn take_cap_totals(&self, peer: &str, boot: u64, totals: &BTreeMap<String, f64>) {
+    /// Takes what another process has counted of a cap.
+    pub fn take_cap_totals(&self, peer: &str, boot: u64, organisation: &str, totals: CapTotals) {
         let now_ms = self.now_ms();
-        let mut caps = self.caps.lock();
-        for (organisation, total) in totals {
-            if let Some(shared) = caps.get_mut(organisation) {
-                shared.take_report(peer, boot, *total, now_ms);
-            }
+        if let Some(shared) = self.caps.lock().get_mut(organisation) {
+            shared.take_report(peer, boot, totals, now_ms);
         }
     }
 
