--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -61,8 +61,7 @@
     relay: &Arc<Relay>,
     key_value: &dyn KeyValue,
 ) -> Result<(), PlatformError> {
-    let bounds = &relay.settings.bounds;
-    let shortest_ms = bounds.apply_ms.min(bounds.leaving_ms);
+    let shortest_ms = relay.settings.bounds.change_known_ms();
     // Opened before the listing, so that no change falls between the two.
     let mut watch = key_value.watch("").await?;
     let started_at_ms = relay.now_ms();
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -36,8 +36,6 @@
 const INSTANCES_TOLD_ALIKE: usize = 16;
 /// Digests to the own availability zone for each one to the others, in a fleet above that.
 const ZONE_DIGESTS: u64 = 3;
-/// Age of the own proof from which peers are asked.
-const ASK_AGE_MS: u64 = 1_500;
 /// Peers asked at a time.
 const ASKED: usize = 3;
 /// Time for which an answer to a question is accepted.
@@ -209,7 +207,8 @@
             let in_force = self.relay.in_force.read();
             (in_force.version(), in_force.proof_age_ms(now_ms))
         };
-        if age_ms.is_some_and(|age_ms| age_ms < ASK_AGE_MS) {
+        let asked_ms = self.relay.settings.bounds.proof_asked_ms();
+        if age_ms.is_some_and(|age_ms| age_ms < asked_ms) {
             return;
         }
         let nonce = rand::random();
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -39,9 +39,6 @@
 /// Digests of all other availability zones that must be missing before this instance takes itself
 /// to be cut off.
 const ISOLATION_DIGESTS: u64 = 4;
-/// The age of the proof that keys are current may use up to this part of the revocation's bound; the
-/// rest covers a store that tells of changes late.
-const PROOF_PERCENT: u64 = 65;
 
 /// How the platform's store answers this instance.
 #[derive(Debug, Default)]
@@ -142,7 +139,7 @@
         if !bounds.is_revocation_strict {
             return true;
         }
-        let limit_ms = bounds.revocation_ms * PROOF_PERCENT / 100;
+        let limit_ms = bounds.proof_valid_ms();
         let age_ms = self.in_force.read().proof_age_ms(now_ms);
         age_ms.is_some_and(|age_ms| age_ms <= limit_ms)
     }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -97,6 +97,44 @@
     pub usage_delay_ms: u64,
 }
 
+/// The age of the proof that keys are current may use up to this part of the revocation's bound; the
+/// rest covers a store that tells of changes late.
+const PROOF_PERCENT: u64 = 65;
+/// Longest wait of a watch: each return shows that the store is there.
+const WATCH_WAIT_MOST_MS: u64 = 1_000;
+/// Shortest wait of a watch; calls to the store are paid for.
+const WATCH_WAIT_LEAST_MS: u64 = 100;
+/// Waits of a watch, each with the rest behind it, that fit into the age that a proof may have: the proof
+/// is as old as one wait when it comes and as two when the next one does.
+const WAITS_IN_PROOF: u64 = 3;
+/// Part of the age that a proof may have from which others are asked for theirs.
+const ASK_PERCENT: u64 = 60;
+
+impl Bounds {
+    /// Age up to which a proof that the document is the newest allows the use of keys.
+    pub fn proof_valid_ms(&self) -> u64 {
+        self.revocation_ms * PROOF_PERCENT / 100
+    }
+
+    /// Age of the own proof from which others are asked for theirs.
+    pub fn proof_asked_ms(&self) -> u64 {
+        self.proof_valid_ms() * ASK_PERCENT / 100
+    }
+
+    /// The shorter of the bounds within which changes must be known.
+    pub fn change_known_ms(&self) -> u64 {
+        self.apply_ms.min(self.leaving_ms)
+    }
+
+    /// Time for which a watch waits for a change, so that proofs don't grow too old in a quiet store.
+    pub fn watch_wait_ms(&self) -> u64 {
+        if !self.is_revocation_strict {
+            return WATCH_WAIT_MOST_MS;
+        }
+        (self.proof_valid_ms() / WAITS_IN_PROOF).clamp(WATCH_WAIT_LEAST_MS, WATCH_WAIT_MOST_MS)
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
--- a/crates/testkit/src/bin/measure/cores.rs
+++ b/crates/testkit/src/bin/measure/cores.rs
@@ -30,13 +30,15 @@
     Ok(())
 }
 
-fn time_us(rounds: u32, mut work: impl FnMut(u32)) -> f64 {
+/// Microseconds of one of these rounds.
+pub fn time_us(rounds: u32, mut work: impl FnMut(u32)) -> f64 {
     let started = Instant::now();
     (0..rounds).for_each(&mut work);
     started.elapsed().as_secs_f64() * 1e6 / f64::from(rounds)
 }
 
-fn read_memory_kib() -> u64 {
+/// Memory of this process.
+pub fn read_memory_kib() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or("");
     line.split_whitespace().nth(1).and_then(|number| number.parse().ok()).unwrap_or(0)
--- a/crates/testkit/src/bin/measure/main.rs
+++ b/crates/testkit/src/bin/measure/main.rs
@@ -6,6 +6,7 @@
 mod entries;
 mod overhead;
 mod policies;
+mod relay_cores;
 
 use bpaf::Bpaf;
 
@@ -48,6 +49,6 @@
             policies::run(&output, seeds, scenario.as_deref())
         }
         Options::Entries { counts } => entries::run(&counts),
-        Options::Cores => cores::run(),
+        Options::Cores => cores::run().and_then(|()| relay_cores::run()),
     }
 }
--- /dev/null
+++ b/crates/testkit/src/bin/measure/relay_cores.rs
@@ -0,0 +1,148 @@
+//! Cost of the relay's decisions, in this process.
+
+use std::collections::BTreeMap;
+
+use hickorycourse_caps::{CapLimits, CapTotals, SharedCap};
+use hickorycourse_duties::{
+    CapacityCounts, CapacityDemand, CapacityPlanner, CapacityPlannerOptions, FleetUsage,
+    WindowCounts, ZoneCapacity,
+};
+use hickorycourse_placement::{
+    ExpectedWait, PlacementBook, PlacementOptions, PlacementRequest, PromptPart, TargetAdmission,
+    UpstreamLoad,
+};
+use hickorycourse_routes::{CapacityLimits, UpstreamEntry, UpstreamPhase};
+
+use crate::cores::{read_memory_kib, time_us};
+
+/// Runs all measurements.
+pub fn run() -> eyre::Result<()> {
+    println!("choosing among that many upstreams, microseconds, and kibibytes of the book");
+    for count in [10, 100, 1_000, 10_000] {
+        measure_placement(count, 0)?;
+    }
+    println!("choosing among 1,000 upstreams with that many requests waiting, microseconds");
+    for waiting in [100, 1_000, 10_000, 100_000] {
+        measure_placement(1_000, waiting)?;
+    }
+    println!("caps with that many instances: microseconds to take units and to take a report");
+    for count in [7, 70, 350, 1_100] {
+        measure_caps(count);
+    }
+    println!("usage of that many instances: microseconds to take a report and to add up a window");
+    for count in [7, 70, 350, 1_100] {
+        measure_usage(count);
+    }
+    println!("planning for that many upstreams in nine zones, microseconds");
+    for count in [10, 100, 1_000, 10_000] {
+        measure_plan(count);
+    }
+    Ok(())
+}
+
+fn entry(number: usize) -> eyre::Result<UpstreamEntry> {
+    Ok(UpstreamEntry {
+        id: format!("engine-{number:05}"),
+        service: "desk".to_owned(),
+        address: "127.0.0.1:8000".parse()?,
+        availability_zone: format!("zone-{}", number % 9),
+        slots: 16,
+        phase: UpstreamPhase::Ready,
+        warm_up_left_ms: 0,
+        is_reclaimable: false,
+        started_at_ms: None,
+        sequence: 1,
+    })
+}
+
+fn measure_placement(count: usize, waiting: u64) -> eyre::Result<()> {
+    let before_kib = read_memory_kib();
+    let entries = (0..count).map(entry).collect::<eyre::Result<Vec<UpstreamEntry>>>()?;
+    let options = PlacementOptions {
+        reading_tokens_per_ms: 100.0,
+        idle_first_byte_ms: 40.0,
+        cross_zone_ms: 12.0,
+        full_batch_ms: 60.0,
+        shared_weight: 3.0,
+    };
+    let rules = (Box::new(ExpectedWait), Box::new(TargetAdmission::default()));
+    let mut book = PlacementBook::new("zone-0", options, rules.0, rules.1);
+    book.set_upstreams(entries.iter());
+    for (number, entry) in entries.iter().enumerate() {
+        let load = UpstreamLoad { running: number as u64 % 16, ..UpstreamLoad::default() };
+        book.take_peer_load("peer", &entry.id, load, 0);
+    }
+    let mut send = |round: u64| {
+        let parts = [
+            PromptPart { hash: round % 64, tokens: 2_000 },
+            PromptPart { hash: 1_000 + round, tokens: 500 },
+        ];
+        let request = PlacementRequest {
+            parts: &parts,
+            prompt_tokens: 2_500,
+            output_tokens: 100,
+            urgency: (round % 3) as u8,
+            excluded: &[],
+        };
+        if let Some(placement) = book.choose(&request, round / 100) {
+            book.start(&placement, &request, round / 100);
+        }
+    };
+    (0..waiting).for_each(&mut send);
+    let kib = read_memory_kib().saturating_sub(before_kib);
+    let rounds = (1_000_000 / count.max(1_000)) as u32;
+    let us = time_us(rounds, |round| send(waiting + u64::from(round)));
+    println!("{count:>7} upstreams {waiting:>7} waiting {us:>10.2} us {kib:>8} KiB");
+    Ok(())
+}
+
+fn measure_caps(count: usize) {
+    let limits =
+        CapLimits { per_second: 1e6, burst: 1e6, allowance: 1e5, report_ms: 15 * count as u64 };
+    let mut cap = SharedCap::new(limits, count, 0);
+    let report_us = time_us(20_000, |round| {
+        let totals = CapTotals { used: f64::from(round), asked: f64::from(round) };
+        let peer = format!("relay-{}", round as usize % (count - 1));
+        cap.take_report(&peer, 1, totals, u64::from(round) / 100);
+    });
+    let take_us = time_us(20_000, |round| {
+        let taken = cap.try_take(10.0, (round % 3) as u8, count, 200 + u64::from(round) / 100);
+        std::hint::black_box(taken.is_ok());
+    });
+    println!("{count:>7} instances {take_us:>10.2} us {report_us:>10.2} us");
+}
+
+fn measure_usage(count: usize) {
+    let counts: BTreeMap<String, u64> =
+        (0..16).map(|number| (format!("organisation-{number}"), 100)).collect();
+    let windows = [WindowCounts { window: 1, counts }];
+    let mut usage = FleetUsage::default();
+    let take_us = time_us(20_000, |round| {
+        usage.take(&format!("relay-{}", round as usize % count), 1, &windows);
+    });
+    let total_us = time_us(200, |_| {
+        std::hint::black_box(usage.total(1));
+    });
+    println!("{count:>7} instances {take_us:>10.2} us {total_us:>10.2} us");
+}
+
+fn measure_plan(count: u32) {
+    let names: Vec<String> = (0..9).map(|number| format!("zone-{number}")).collect();
+    let limits = CapacityLimits {
+        min: 1,
+        max: count,
+        start_ms: 4_000,
+        reclaimable_price: Some(0.2),
+        zone_prices: names.iter().map(|name| (name.clone(), 1.0)).collect(),
+    };
+    let ready = CapacityCounts { on_demand: count / 18, reclaimable: count / 18 };
+    let zones = names.into_iter().map(|name| (name, ZoneCapacity { ready })).collect();
+    let mut planner = CapacityPlanner::new(CapacityPlannerOptions::default());
+    let us = time_us(200, |round| {
+        let busy = f64::from(count) / 4.0 + f64::from(round % 10);
+        let demand = CapacityDemand { busy_upstreams: Some(busy) };
+        let orders = planner.plan(&limits, &zones, demand, u64::from(round) * 500);
+        std::hint::black_box(orders);
+    });
+    println!("{count:>7} upstreams {us:>10.2} us");
+}
--- a/crates/testkit/src/relay.rs
+++ b/crates/testkit/src/relay.rs
@@ -12,6 +12,9 @@
     /// Connections of an epoch below this one carry nothing any more.
     silent_below: AtomicU64,
     epoch: AtomicU64,
+    /// Whether what the target sends is swallowed.
+    is_one_way: AtomicBool,
+    delay_ms: AtomicU64,
     is_stopped: AtomicBool,
 }
 
@@ -25,12 +28,13 @@
 const POLL: Duration = Duration::from_millis(20);
 
 impl Relay {
-    /// Starts a relay.
+    /// Starts a relay; with port 0 at a port that is free.
     ///
     /// # Panics
     /// If the address can't be listened on.
     pub fn start(address: SocketAddr, target: SocketAddr) -> Self {
         let listener = TcpListener::bind(address).expect("the relay's address is free");
+        let address = listener.local_addr().expect("a listener has an address");
         let state = Arc::new(State::default());
         let shared = Arc::clone(&state);
         std::thread::spawn(move || {
@@ -62,6 +66,25 @@
     }
 }
 
+impl Relay {
+    /// Swallows all that the target sends, or lets it through again. Connections stay open.
+    pub fn set_one_way(&self, is_one_way: bool) {
+        self.state.is_one_way.store(is_one_way, Ordering::SeqCst);
+    }
+
+    /// Passes everything on later by this time.
+    pub fn set_delay_ms(&self, delay_ms: u64) {
+        self.state.delay_ms.store(delay_ms, Ordering::SeqCst);
+    }
+
+    /// Takes back all faults. Connections that were silenced stay silent.
+    pub fn heal(&self) {
+        self.set_one_way(false);
+        self.set_delay_ms(0);
+        self.state.is_cut.store(false, Ordering::SeqCst);
+    }
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         self.state.is_stopped.store(true, Ordering::SeqCst);
@@ -74,15 +97,16 @@
     let _ = caller.set_nodelay(true);
     let _ = called.set_nodelay(true);
     let epoch = state.epoch.load(Ordering::SeqCst);
-    let pairs = [(&caller, &called), (&called, &caller)];
-    for (from, to) in pairs {
+    let pairs = [(&caller, &called, false), (&called, &caller, true)];
+    for (from, to, is_answer) in pairs {
         let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { return };
         let state = Arc::clone(state);
-        std::thread::spawn(move || copy(from, to, &state, epoch));
+        std::thread::spawn(move || copy(from, to, &state, (epoch, is_answer)));
     }
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, state: &State, epoch: u64) {
+fn copy(mut from: TcpStream, mut to: TcpStream, state: &State, kind: (u64, bool)) {
+    let (epoch, is_answer) = kind;
     let _ = from.set_read_timeout(Some(POLL));
     let mut buffer = [0; 16 * 1024];
     loop {
@@ -98,7 +122,10 @@
                 break;
             }
             Ok(count) => {
-                if !is_silent && to.write_all(&buffer[..count]).is_err() {
+                let delay_ms = state.delay_ms.load(Ordering::SeqCst);
+                std::thread::sleep(Duration::from_millis(delay_ms));
+                let is_swallowed = is_answer && state.is_one_way.load(Ordering::SeqCst);
+                if !is_silent && !is_swallowed && to.write_all(&buffer[..count]).is_err() {
                     break;
                 }
             }
