--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bpaf::Bpaf;
+use hickorycourse_relay::RelaySettings;
 use hickorycourse_settings::document::{Document, DocumentName, Edit, write_text};
 use hickorycourse_settings::{
     EffectivePolicy, Fault, Organisation, ProcessSettings, SettingsTree, Site, parse_document,
@@ -65,7 +66,7 @@
         #[bpaf(positional("NAME"))]
         name: DocumentName,
     },
-    /// Check a file: a tree, a site, an organisation or the settings of a process
+    /// Check a file: a tree, a site, an organisation or the settings of an entry or a relay
     #[bpaf(command)]
     Check {
         #[bpaf(positional("FILE"))]
@@ -291,6 +292,7 @@
         FileKind::Site => parse_document::<Site>(&text).map(|_| ()),
         FileKind::Organisation => parse_document::<Organisation>(&text).map(|_| ()),
         FileKind::Process => parse_document::<ProcessSettings>(&text).map(|_| ()),
+        FileKind::Relay => parse_document::<RelaySettings>(&text).map(|_| ()),
     };
     result.map_err(|faults| describe_faults(path, &faults))?;
     println!("{} is valid.", path.display());
@@ -302,10 +304,14 @@
     Site,
     Organisation,
     Process,
+    Relay,
 }
 
 fn guess_kind(text: &str) -> FileKind {
     let has = |field: &str| text.contains(&format!("\"{field}\""));
+    if has("store_address") {
+        return FileKind::Relay;
+    }
     if has("caller_address") {
         return FileKind::Process;
     }
--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -46,6 +46,49 @@
     std::fs::remove_dir_all(dir).unwrap();
 }
 
+/// What the platform makes of the template, with sample values.
+fn render_template() -> String {
+    let template = include_str!("../../../deploy/relay.jsonc");
+    let sample = |name: &str| match name {
+        "nodeName|json" => "\"edge-1\"",
+        "zone|json" => "\"east\"",
+        "listenAddrs.frontend|json" => "\"127.0.0.1:7000\"",
+        "listenAddrs.ready|json" => "\"127.0.0.1:7001\"",
+        "platform.address|json" | "cloudApi.address|json" => "\"127.0.0.1:7002\"",
+        "cloudApi.duties|json" => "[\"usage\", \"capacity\"]",
+        "ipAddress" => "127.0.0.1",
+        "bounds.strictRevocation" => "true",
+        "#cloudApi.address" | "/cloudApi.address" => "",
+        _ => "5",
+    };
+    let mut rendered = String::new();
+    let mut rest = template;
+    while let Some((before, after)) = rest.split_once("{{") {
+        let (name, after) = after.split_once("}}").unwrap();
+        rendered.push_str(before);
+        rendered.push_str(sample(name));
+        rest = after;
+    }
+    rendered + rest
+}
+
+#[test]
+fn check_relay_template() {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("relay.jsonc");
+    let check = || hickoryctl(None, &["settings", "check", &file.display().to_string()]);
+    std::fs::write(&file, render_template()).unwrap();
+    assert_eq!(check().status.code(), Some(0), "{}", text(&check()));
+    let bad = render_template().replace("\"usage_window_ms\": 5000", "\"usage_window_ms\": 0");
+    std::fs::write(&file, bad).unwrap();
+    let bad = check();
+    assert_eq!(bad.status.code(), Some(2));
+    assert!(text(&bad).contains("bounds.usage_window_ms"), "{}", text(&bad));
+    let unknown = render_template().replace("\"worker_threads\"", "\"workers\"");
+    std::fs::write(&file, unknown).unwrap();
+    assert!(text(&check()).contains("workers"), "{}", text(&check()));
+}
+
 #[test]
 fn command_settings_and_bills() {
     let fleet = FleetBuilder::new().with_timing(json!({ "usage_flush_ms": 100 })).start();
--- a/crates/placement/src/book.rs
+++ b/crates/placement/src/book.rs
@@ -394,13 +394,13 @@
         self.learn_turn(placement, elapsed_ms);
         let work = (placement.uncached_tokens + placement.ahead_tokens) as f64;
         let reading_ms = work / self.reading_tokens_per_ms;
-        // Behind others' prompts, or where places are taken, the time says little of reading.
-        let is_alone = placement.ahead_tokens == 0 && placement.has_free_places;
+        // Behind others' prompts the time says little of reading.
+        let is_alone = placement.ahead_tokens == 0;
         if is_alone && reading_ms > self.idle_first_byte_ms {
             let spent_ms = (elapsed_ms - self.idle_first_byte_ms).max(1.0);
             let seen = (work / spent_ms).clamp(READING_RATE_RANGE.0, READING_RATE_RANGE.1);
             self.reading_tokens_per_ms += (seen - self.reading_tokens_per_ms) * AVERAGE_WEIGHT;
-        } else if is_alone {
+        } else if is_alone && placement.has_free_places {
             let seen_ms = (elapsed_ms - reading_ms).max(0.0);
             self.idle_first_byte_ms += (seen_ms - self.idle_first_byte_ms) * AVERAGE_WEIGHT;
         }
