--- a/crates/entry/src/caller/body.rs
+++ b/crates/body/src/lib.rs
@@ -1,24 +1,33 @@
-//! Reading a caller's body within the limits.
+//! Reads callers' bodies within limits; shared by all programs that serve callers.
 
 use std::time::Duration;
 
 use hickorycourse_codes::{ErrorCode, Problem};
-use hickorycourse_settings::Limits;
 use ntex::time::timeout;
-use ntex::util::{Bytes, BytesMut};
 use ntex::web::types::Payload;
 
+/// The types most users of this crate need.
+pub mod prelude {
+    pub use crate::read_body;
+}
+
 /// Reads a whole body. The time limit holds for all of it, so a slow sender can't stretch it.
-pub async fn read(payload: Payload, limits: &Limits) -> Result<Bytes, Problem> {
-    let limit = Duration::from_millis(limits.body_timeout_ms);
-    match timeout(limit, read_parts(payload, limits.body_bytes)).await {
+///
+/// # Errors
+/// The body is too large, too slow, or breaks off.
+pub async fn read_body(
+    payload: Payload,
+    limit_bytes: usize,
+    limit: Duration,
+) -> Result<Vec<u8>, Problem> {
+    match timeout(limit, read_parts(payload, limit_bytes)).await {
         Ok(result) => result,
-        Err(_) => Err(ErrorCode::SlowRequest.into()),
+        Err(()) => Err(ErrorCode::SlowRequest.into()),
     }
 }
 
-async fn read_parts(mut payload: Payload, limit_bytes: usize) -> Result<Bytes, Problem> {
-    let mut body = BytesMut::new();
+async fn read_parts(mut payload: Payload, limit_bytes: usize) -> Result<Vec<u8>, Problem> {
+    let mut body = Vec::new();
     while let Some(part) = payload.recv().await {
         let part = part.map_err(|_| Problem::new(ErrorCode::BrokenBody))?;
         if body.len() + part.len() > limit_bytes {
@@ -27,5 +36,5 @@
         }
         body.extend_from_slice(&part);
     }
-    Ok(body.freeze())
+    Ok(body)
 }
--- a/crates/entry/src/caller/chat.rs
+++ b/crates/entry/src/caller/chat.rs
@@ -1,8 +1,10 @@
 //! Chat completions, plain and streamed.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_util::stream;
+use hickorycourse_body::read_body;
 use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_idempotency::StoredAnswer;
 use hickorycourse_jobs::JobCopy;
@@ -14,7 +16,7 @@
 
 use super::context::{CallContext, RANK_HEADER, RoutedCall, header};
 use super::session::{ChatSession, SessionEvent};
-use super::{body, job_calls, respond};
+use super::{job_calls, respond};
 use crate::state::Entry;
 
 /// A chat-completions request that has been checked.
@@ -122,7 +124,9 @@
     request: &HttpRequest,
     payload: types::Payload,
 ) -> Result<HttpResponse, Problem> {
-    let bytes = body::read(payload, &context.entry.settings.limits).await?;
+    let limits = &context.entry.settings.limits;
+    let body_timeout = Duration::from_millis(limits.body_timeout_ms);
+    let bytes = read_body(payload, limits.body_bytes, body_timeout).await?;
     let chat = ChatRequest::parse(&bytes)?;
     let service = find_service(context, &chat.model)?;
     let routed = context.route(&service, header(request, RANK_HEADER))?;
--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -1,7 +1,6 @@
 //! The callers' port.
 
 mod answer_chunk;
-mod body;
 mod chat;
 mod context;
 mod job_calls;
--- a/crates/entry/src/caller/plain.rs
+++ b/crates/entry/src/caller/plain.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickorycourse_body::read_body;
 use hickorycourse_codes::{ErrorCode, Execution, Problem};
 use hickorycourse_routing::{PrefixBlocks, draw_backoff_ms};
 use hickorycourse_settings::{RetryKind, ServiceKind, Site};
@@ -17,7 +18,7 @@
 use ntex::web::{HttpRequest, HttpResponse, types};
 
 use super::context::{CallContext, RANK_HEADER, RoutedCall, header as read_header};
-use super::{body, order_calls, upstreams};
+use super::{order_calls, upstreams};
 use crate::pool::{Grant, ServicePool};
 
 /// A call to a plain service, read whole.
@@ -50,7 +51,9 @@
         .iter()
         .any(|method| method.eq_ignore_ascii_case(request.method().as_str()));
     let routed = context.route(&service, read_header(request, RANK_HEADER))?;
-    let body = body::read(payload, &context.entry.settings.limits).await?;
+    let limits = &context.entry.settings.limits;
+    let body_timeout = Duration::from_millis(limits.body_timeout_ms);
+    let body = Bytes::from(read_body(payload, limits.body_bytes, body_timeout).await?);
     let call = PlainCall {
         method: request.method().as_str().to_owned(),
         path_and_query: request
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickorycourse_body::read_body;
 use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_routes::{Access, CapUnit, Organisation, Route, RouteTable, UsageCap};
 use http::{HeaderMap, Method};
@@ -17,7 +18,7 @@
 use crate::borders::{RequestFacts, TokenCounts};
 use crate::call::{Call, Progress, RETRY_AFTER_DEFAULT_MS};
 use crate::connections::UpstreamConnections;
-use crate::messages::{copy_headers, read_body, read_host, write_headers, write_whole};
+use crate::messages::{copy_headers, read_host, write_headers, write_whole};
 use crate::node::{InFlightGuard, Relay};
 use crate::stream::{self, StreamAnswer};
 use crate::whole;
@@ -122,7 +123,7 @@
     let limits = relay.table().map(|table| table.document().limits.clone()).unwrap_or_default();
     // The body is read first: an answer that overtakes it would be lost with the connection.
     let body_timeout = Duration::from_millis(limits.header_timeout_ms);
-    let body = read_body(payload, limits.body_bytes, body_timeout).await?;
+    let body = Bytes::from(read_body(payload, limits.body_bytes, body_timeout).await?);
     let headers = copy_headers(request, limits.header_bytes)?;
     let host = read_host(&headers)?.to_owned();
     let facts = relay
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -1,44 +1,14 @@
 //! Reading callers' requests and writing their answers.
 
-use std::time::Duration;
-
 use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_upstream::HOP_HEADERS;
 use http::HeaderMap;
 use http::header::{self, HeaderName, HeaderValue};
-use hyper::body::Bytes;
 use ntex::http::StatusCode;
-use ntex::time::timeout;
-use ntex::web::types::Payload;
 use ntex::web::{HttpRequest, HttpResponse, HttpResponseBuilder};
 
 use crate::whole::WholeAnswer;
 
-/// Reads a whole body. The time limit holds for all of it, so a slow sender can't stretch it.
-pub async fn read_body(
-    payload: Payload,
-    limit_bytes: usize,
-    limit: Duration,
-) -> Result<Bytes, Problem> {
-    match timeout(limit, read_parts(payload, limit_bytes)).await {
-        Ok(result) => result,
-        Err(()) => Err(ErrorCode::SlowRequest.into()),
-    }
-}
-
-async fn read_parts(mut payload: Payload, limit_bytes: usize) -> Result<Bytes, Problem> {
-    let mut body = Vec::new();
-    while let Some(part) = payload.recv().await {
-        let part = part.map_err(|_| Problem::new(ErrorCode::BrokenBody))?;
-        if body.len() + part.len() > limit_bytes {
-            let detail = format!("The body may have {limit_bytes} bytes.");
-            return Err(Problem::new(ErrorCode::BodyTooLarge).with_detail(detail));
-        }
-        body.extend_from_slice(&part);
-    }
-    Ok(Bytes::from(body))
-}
-
 /// Copies a request's headers without those of the hop, those that `Connection` names included.
 pub fn copy_headers(request: &HttpRequest, limit_bytes: usize) -> Result<HeaderMap, Problem> {
     let source = request.headers();
