--- a/crates/caps/src/shared_cap.rs
+++ b/crates/caps/src/shared_cap.rs
@@ -258,6 +258,11 @@
         self.own.used -= units;
     }
 
+    /// Whether the last request was answered by thinning out rather than by the level.
+    pub fn is_thinning(&self) -> bool {
+        self.is_thinning
+    }
+
     /// The units that are there, as far as this instance knows.
     pub fn level(&self) -> f64 {
         self.level
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -243,7 +243,7 @@
                     self.send_all(&Message::Proof(Box::new(proof)), &[source]).await;
                 }
             }
-            Message::Proof(proof) => self.take_proof(*proof),
+            Message::Proof(proof) => self.take_proof(*proof, source),
         }
     }
 
@@ -301,7 +301,7 @@
         })
     }
 
-    fn take_proof(&self, proof: Proof) {
+    fn take_proof(&self, proof: Proof, peer: SocketAddr) {
         let relay = &self.relay;
         // The answer was made after the question, whatever time it took on its way.
         let Some(asked_at_ms) = self.asked.lock().get(&proof.nonce).copied() else { return };
@@ -318,10 +318,12 @@
         }
         relay.replace_upstreams(proof.upstreams);
         relay.in_force.write().prove(proof.version, proven_at_ms);
-        relay.log.write(
-            "proof_from_peer",
-            || json!({ "version": proof.version, "age_ms": now_ms.saturating_sub(proven_at_ms) }),
-        );
+        relay.log.write("proof_from_peer", || {
+            json!({
+                "peer": peer, "version": proof.version, "own_age_ms": own_age_ms,
+                "age_ms": now_ms.saturating_sub(proven_at_ms),
+            })
+        });
     }
 }
 
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -345,11 +345,12 @@
             self.tell_now.notify_one();
         }
         if let Err(retry_after_ms) = taken {
-            let level = shared.level();
+            let (level, is_thinned) = (shared.level(), shared.is_thinning());
             self.log.write("cap_refused", || {
                 json!({
                     "organisation": organisation, "units": units, "level": level,
                     "per_second": cap.per_second, "burst": cap.burst, "instances": instances,
+                    "is_thinned": is_thinned, "process_age_ms": now_ms,
                     "retry_after_ms": retry_after_ms,
                 })
             });
