--- a/crates/caps/src/shared_cap.rs
+++ b/crates/caps/src/shared_cap.rs
@@ -153,10 +153,10 @@
     /// Takes units if the cap has them. Large requests leave a part of the bucket to those of more
     /// urgent ranks.
     ///
-    /// When all instances together are asked for more than the rate, and hear of each other too late to
-    /// share a bucket, each lets the same part of what it is asked for through (Raghavan et al., Cloud Control with Distributed Rate Limiting, 2007).
-    /// A bucket alone would be seen as full by all of them until they hear of each other, overdrawn
-    /// by all, and then refused by all.
+    /// When all instances together are asked for more than the rate, and hear of each other too late
+    /// to share a bucket, each lets the same part of what it is asked for through (Raghavan et al.,
+    /// Cloud Control with Distributed Rate Limiting, 2007). A bucket alone would be seen as full by
+    /// all of them until they hear of each other, and then be overdrawn and refuse everybody.
     ///
     /// # Errors
     /// The time after which the units are expected to be there, in milliseconds.
@@ -181,8 +181,11 @@
             false => self.level >= (units + reserve).min(capacity),
         };
         if !is_granted {
-            let missing = ((units + reserve).min(capacity) - self.level).max(units);
-            let least_ms = if self.is_thinning { RETRY_LEAST_MS } else { 0 };
+            let needed = (units + reserve).min(capacity);
+            let (missing, least_ms) = match self.is_thinning {
+                true => ((needed - self.level).max(units), RETRY_LEAST_MS),
+                false => (needed - self.level, 0),
+            };
             let missing_ms = (missing / self.limits.per_second.max(1e-9) * 1_000.0) as u64;
             return Err(missing_ms.max(least_ms));
         }
--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -65,9 +65,8 @@
 ///
 /// A short clump is let through as long as callers wait for it: it is over before many of them are
 /// late. When a rank's queue stays longer than the target for as long as the target, a queue stands
-/// that makes every answer late without making any sooner; then what can be on time is sent, and what
-/// is late already only if there is room
-/// (Nichols and Jacobson, Controlling Queue Delay, 2012).
+/// that makes every answer late without making any sooner; then what can be on time is sent, and
+/// what is late already only if there is room (Nichols and Jacobson, Controlling Queue Delay, 2012).
 #[derive(Clone, Debug, Default)]
 pub struct TargetAdmission {
     ranks: BTreeMap<u8, RankState>,
