--- a/crates/placement/src/book.rs
+++ b/crates/placement/src/book.rs
@@ -4,32 +4,18 @@
 use std::net::SocketAddr;
 
 use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
-use hickorycourse_routing::PrefixIndex;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::admission::{Admission, AdmissionRule, Forecast};
 use crate::cost::{CandidateView, CostRule};
-use crate::health::{AttemptEnd, Health};
+use crate::health::AttemptEnd;
+use crate::reading::ReadingEstimate;
 use crate::request::PlacementRequest;
+use crate::upstream::{Upstream, UpstreamLoad};
 use crate::work::{RankedRates, WorkMeter};
 
-/// Prompt parts remembered for each upstream; engines hold some hundred.
-const PARTS_MOST: usize = 4_096;
-/// Reports older than this say nothing of the load of now.
-const REPORT_VALID_MS: u64 = 1_500;
-/// Smallest and largest reading rate believed, in tokens a millisecond.
-const READING_RATE_RANGE: (f64, f64) = (5.0, 1_000.0);
 /// Part of the reading that more urgent ranks may be believed to take; the rest keeps forecasts finite.
 const URGENT_PART_MOST: f64 = 0.9;
-/// Weight of one measurement in the moving averages: about the last 32 count.
-const AVERAGE_WEIGHT: f64 = 0.03;
-/// Weight of one measurement of the time for a request ahead: about the last ten count, so that an
-/// overload is noticed within a second of it.
-const TURN_WEIGHT: f64 = 0.1;
-/// Requests ahead from which a wait tells how long each of them takes.
-const TURN_REQUESTS_LEAST: f64 = 2.0;
-/// Longest time for a request ahead that is believed.
-const TURN_MOST_MS: f64 = 500.0;
 /// Expected cost of a failing upstream: time lost if the attempt fails.
 const FAILURE_COST_MS: f64 = 500.0;
 
@@ -49,124 +35,6 @@
     pub shared_weight: f64,
 }
 
-/// Requests that wait for their first byte.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Waiting {
-    /// How many.
-    pub requests: u64,
-    /// Prompt tokens that are read for them.
-    pub tokens: u64,
-}
-
-/// Load that an instance has put on an upstream.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct UpstreamLoad {
-    /// Requests in flight.
-    pub running: u64,
-    /// Those of them whose first byte has come.
-    pub answering: u64,
-    /// Those that wait for their first byte, by rank.
-    pub waiting: BTreeMap<u8, Waiting>,
-}
-
-#[derive(Clone, Debug)]
-struct PeerLoad {
-    load: UpstreamLoad,
-    at_ms: u64,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Report {
-    running: u64,
-    waiting: u64,
-    at_ms: u64,
-}
-
-#[derive(Debug)]
-struct Upstream {
-    address: SocketAddr,
-    availability_zone: String,
-    slots: u64,
-    is_leaving: bool,
-    running: u64,
-    answering: u64,
-    waiting: BTreeMap<u8, Waiting>,
-    peers: HashMap<String, PeerLoad>,
-    report: Option<Report>,
-    health: Health,
-    parts: PrefixIndex,
-}
-
-impl Upstream {
-    fn new(entry: &UpstreamEntry) -> Self {
-        Self {
-            address: entry.address,
-            availability_zone: entry.availability_zone.clone(),
-            slots: entry.slots.max(1),
-            is_leaving: entry.phase == UpstreamPhase::Leaving,
-            running: 0,
-            answering: 0,
-            waiting: BTreeMap::new(),
-            peers: HashMap::new(),
-            report: None,
-            health: Health::default(),
-            parts: PrefixIndex::new(PARTS_MOST),
-        }
-    }
-
-    fn load(&self) -> UpstreamLoad {
-        UpstreamLoad {
-            running: self.running,
-            answering: self.answering,
-            waiting: self.waiting_by_rank(),
-        }
-    }
-
-    fn waiting_by_rank(&self) -> BTreeMap<u8, Waiting> {
-        let present = self.waiting.iter().filter(|(_, waiting)| waiting.requests > 0);
-        present.map(|(urgency, waiting)| (*urgency, *waiting)).collect()
-    }
-
-    /// Requests of all instances whose answers have begun.
-    fn count_answering(&self, now_ms: u64) -> u64 {
-        self.answering + self.fresh_peers(now_ms).map(|peer| peer.load.answering).sum::<u64>()
-    }
-
-    fn estimate_running(&self, now_ms: u64) -> u64 {
-        let peers = self.fresh_peers(now_ms).map(|peer| peer.load.running).sum::<u64>();
-        let reported = self
-            .report
-            .filter(|report| now_ms.saturating_sub(report.at_ms) < REPORT_VALID_MS)
-            .map_or(0, |report| report.running + report.waiting);
-        (self.running + peers).max(reported.min(self.running + peers + self.slots))
-    }
-
-    fn fresh_peers(&self, now_ms: u64) -> impl Iterator<Item = &PeerLoad> {
-        self.peers.values().filter(move |peer| now_ms.saturating_sub(peer.at_ms) < REPORT_VALID_MS)
-    }
-
-    /// What waits before a new request of this rank: its requests, and prompt tokens, of which what
-    /// has been read since a peer told of them no longer counts.
-    fn estimate_ahead(&self, urgency: u8, rate: f64, now_ms: u64) -> (f64, f64) {
-        let own = sum_waiting(&self.waiting, urgency);
-        let mut requests = own.requests as f64;
-        let mut tokens = own.tokens as f64;
-        for peer in self.fresh_peers(now_ms) {
-            let told = sum_waiting(&peer.load.waiting, urgency);
-            let read = now_ms.saturating_sub(peer.at_ms) as f64 * rate;
-            let left = (told.tokens as f64 - read).max(0.0);
-            requests += told.requests as f64 * left / (told.tokens as f64).max(1.0);
-            tokens += left;
-        }
-        (requests, tokens)
-    }
-
-    fn is_usable(&self, now_ms: u64) -> bool {
-        let is_tried_already = self.health.is_on_trial() && self.running > 0;
-        !self.is_leaving && !self.health.is_ejected(now_ms) && !is_tried_already
-    }
-}
-
 /// A chosen upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
@@ -196,11 +64,7 @@
     options: PlacementOptions,
     cost_rule: Box<dyn CostRule>,
     upstreams: BTreeMap<String, Upstream>,
-    reading_tokens_per_ms: f64,
-    idle_first_byte_ms: f64,
-    /// Time for each request ahead where several wait: besides the reading of its prompt it may
-    /// need a place that another one holds.
-    turn_ms: f64,
+    reading: ReadingEstimate,
     admission_rule: Box<dyn AdmissionRule>,
     /// Prompt tokens of requests that came.
     work: WorkMeter,
@@ -231,9 +95,7 @@
             options,
             cost_rule,
             upstreams: BTreeMap::new(),
-            reading_tokens_per_ms: options.reading_tokens_per_ms,
-            idle_first_byte_ms: options.idle_first_byte_ms,
-            turn_ms: 0.0,
+            reading: ReadingEstimate::new(&options),
             admission_rule,
             work: WorkMeter::default(),
             sent_work: WorkMeter::default(),
@@ -256,9 +118,7 @@
     /// Forgets what was known of an upstream that has started anew.
     pub fn restart(&mut self, upstream: &str) {
         if let Some(known) = self.upstreams.get_mut(upstream) {
-            known.health = Health::default();
-            known.parts.clear();
-            known.report = None;
+            known.restart();
         }
     }
 
@@ -311,11 +171,11 @@
     /// Prompt tokens a millisecond that an upstream reads for this rank. While the prompts that wait
     /// are read, more urgent ones come and are read first (Cobham, 1954).
     fn reading_left(&self, urgency: u8, now_ms: u64) -> f64 {
-        let capacity = self.reading_tokens_per_ms * self.count_usable(now_ms) as f64;
+        let capacity = self.reading.tokens_per_ms * self.count_usable(now_ms) as f64;
         let own = self.sent_work.rates(now_ms);
         let peers = self.peer_work.values().map(|work| sum_before(&work.sent_per_ms, urgency));
         let urgent = sum_before(&own, urgency) + peers.sum::<f64>();
-        self.reading_tokens_per_ms * (1.0 - (urgent / capacity).min(URGENT_PART_MOST))
+        self.reading.tokens_per_ms * (1.0 - (urgent / capacity).min(URGENT_PART_MOST))
     }
 
     /// Upstreams that requests are sent to; at least one, as ejected ones are used if there is no other.
@@ -326,8 +186,8 @@
 
     fn rate(&self, id: &str, upstream: &Upstream, view: &RequestView<'_>) -> (f64, Placement) {
         let RequestView { request, home, reading_rate, now_ms, .. } = *view;
-        let rate = self.reading_tokens_per_ms;
-        let cached = count_cached(upstream, request, home == Some(id));
+        let rate = self.reading.tokens_per_ms;
+        let cached = upstream.count_cached(request, home == Some(id));
         let uncached = request.prompt_tokens.saturating_sub(cached);
         let shared = request.shared_tokens().saturating_sub(cached) as f64;
         let shared_ms = shared * (self.options.shared_weight - 1.0) / rate;
@@ -337,9 +197,9 @@
         let fill = (running / slots).min(1.0);
         let before = upstream.count_answering(now_ms) as f64 + requests_ahead;
         let over = (before + 1.0 - slots).max(0.0) / slots;
-        let ahead_ms = (ahead / reading_rate).max(requests_ahead * self.turn_ms);
-        let queue_ms = self.idle_first_byte_ms * over + ahead_ms;
-        let first_byte_ms = self.idle_first_byte_ms
+        let ahead_ms = (ahead / reading_rate).max(requests_ahead * self.reading.turn_ms);
+        let queue_ms = self.reading.idle_first_byte_ms * over + ahead_ms;
+        let first_byte_ms = self.reading.idle_first_byte_ms
             + queue_ms
             + uncached as f64 / reading_rate
             + fill * self.options.full_batch_ms;
@@ -348,7 +208,7 @@
         // All ranks count where upstreams are compared: each request there slows the others' events.
         let (_, all_ahead) = upstream.estimate_ahead(u8::MAX, rate, now_ms);
         let all_over = (running + 1.0 - slots).max(0.0) / slots;
-        let load_ms = self.idle_first_byte_ms * (1.0 + all_over)
+        let load_ms = self.reading.idle_first_byte_ms * (1.0 + all_over)
             + (all_ahead + uncached as f64) / rate
             + running / slots * self.options.full_batch_ms;
         let cost = self.cost_rule.cost(&CandidateView {
@@ -390,38 +250,14 @@
         if let Some(known) = self.upstreams.get_mut(&placement.upstream) {
             known.answering += 1;
         }
-        let elapsed_ms = elapsed_ms as f64;
-        self.learn_turn(placement, elapsed_ms);
-        let work = (placement.uncached_tokens + placement.ahead_tokens) as f64;
-        let reading_ms = work / self.reading_tokens_per_ms;
-        // Behind others' prompts the time says little of reading.
-        let is_alone = placement.ahead_tokens == 0;
-        if is_alone && reading_ms > self.idle_first_byte_ms {
-            let spent_ms = (elapsed_ms - self.idle_first_byte_ms).max(1.0);
-            let seen = (work / spent_ms).clamp(READING_RATE_RANGE.0, READING_RATE_RANGE.1);
-            self.reading_tokens_per_ms += (seen - self.reading_tokens_per_ms) * AVERAGE_WEIGHT;
-        } else if is_alone && placement.has_free_places {
-            let seen_ms = (elapsed_ms - reading_ms).max(0.0);
-            self.idle_first_byte_ms += (seen_ms - self.idle_first_byte_ms) * AVERAGE_WEIGHT;
-        }
-    }
-
-    /// Learns from a wait behind others how long each of them took.
-    fn learn_turn(&mut self, placement: &Placement, elapsed_ms: f64) {
-        if placement.requests_ahead < TURN_REQUESTS_LEAST || placement.ahead_tokens == 0 {
-            return;
-        }
-        let own_ms = placement.uncached_tokens as f64 / self.reading_tokens_per_ms;
-        let waited_ms = (elapsed_ms - self.idle_first_byte_ms - own_ms).max(0.0);
-        let seen_ms = (waited_ms / placement.requests_ahead).min(TURN_MOST_MS);
-        self.turn_ms += (seen_ms - self.turn_ms) * TURN_WEIGHT;
+        self.reading.note_first_byte(placement, elapsed_ms as f64);
     }
 
     /// Notes that a caller left after `elapsed_ms` without a first byte: it would have waited for
     /// longer still.
     pub fn note_wait(&mut self, placement: &Placement, elapsed_ms: u64) {
         if elapsed_ms > placement.first_byte_ms {
-            self.learn_turn(placement, elapsed_ms as f64);
+            self.reading.learn_turn(placement, elapsed_ms as f64);
         }
     }
 
@@ -455,21 +291,21 @@
     /// Takes an upstream's own word on its load.
     pub fn report(&mut self, upstream: &str, running: u64, waiting: u64, now_ms: u64) {
         if let Some(known) = self.upstreams.get_mut(upstream) {
-            known.report = Some(Report { running, waiting, at_ms: now_ms });
+            known.set_report(running, waiting, now_ms);
         }
     }
 
     /// Takes the load that another instance has put on an upstream.
     pub fn take_peer_load(&mut self, peer: &str, upstream: &str, load: UpstreamLoad, now_ms: u64) {
         if let Some(known) = self.upstreams.get_mut(upstream) {
-            known.peers.insert(peer.to_owned(), PeerLoad { load, at_ms: now_ms });
+            known.set_peer_load(peer, load, now_ms);
         }
     }
 
     /// Forgets the load that another instance has put on upstreams, before it tells anew.
     pub fn clear_peer(&mut self, peer: &str) {
         for upstream in self.upstreams.values_mut() {
-            upstream.peers.remove(peer);
+            upstream.clear_peer(peer);
         }
         self.peer_work.remove(peer);
     }
@@ -523,7 +359,7 @@
 
     /// Prompt tokens that an engine reads in a millisecond, as measured.
     pub fn reading_tokens_per_ms(&self) -> f64 {
-        self.reading_tokens_per_ms
+        self.reading.tokens_per_ms
     }
 }
 
@@ -540,28 +376,7 @@
     now_ms: u64,
 }
 
-/// What waits of this rank and more urgent ones.
-fn sum_waiting(waiting: &BTreeMap<u8, Waiting>, urgency: u8) -> Waiting {
-    waiting.range(..=urgency).fold(Waiting::default(), |sum, (_, waiting)| Waiting {
-        requests: sum.requests + waiting.requests,
-        tokens: sum.tokens + waiting.tokens,
-    })
-}
-
 /// What ranks more urgent than this one bring.
 fn sum_before(rates: &RankedRates, urgency: u8) -> f64 {
     rates.range(..urgency).map(|(_, rate)| rate).sum()
 }
-
-/// Tokens of the leading parts that an upstream is believed to hold. The home of a shared part is
-/// believed to hold it, as other instances send their requests there too.
-fn count_cached(upstream: &Upstream, request: &PlacementRequest<'_>, is_home: bool) -> u64 {
-    let shared = request.parts.len().saturating_sub(1);
-    request
-        .parts
-        .iter()
-        .enumerate()
-        .take_while(|(index, part)| upstream.parts.holds(part.hash) || (is_home && *index < shared))
-        .map(|(_, part)| part.tokens)
-        .sum()
-}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,8 +8,10 @@
 mod book;
 mod cost;
 mod health;
+mod reading;
 mod request;
 mod return_schedule;
+mod upstream;
 mod work;
 
 /// The types most users of this crate need.
@@ -21,9 +23,10 @@
 }
 
 pub use admission::{Admission, AdmissionRule, AdmitAll, Forecast, TargetAdmission};
-pub use book::{PeerWork, Placement, PlacementBook, PlacementOptions, UpstreamLoad, Waiting};
+pub use book::{PeerWork, Placement, PlacementBook, PlacementOptions};
 pub use cost::{CandidateView, CostRule, ExpectedWait, LeastRequests};
 pub use health::{AttemptEnd, Health};
 pub use request::{PlacementRequest, PromptPart};
 pub use return_schedule::ReturnSchedule;
+pub use upstream::{UpstreamLoad, Waiting};
 pub use work::{RankedRates, WorkMeter};
