--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -85,7 +85,6 @@
     relays: Vec<Relay>,
     told_at_ms: Vec<u64>,
     engines: Vec<Engine>,
-    listed: usize,
     requests: Vec<Request>,
     report: Report,
 }
@@ -122,7 +121,6 @@
             events: BinaryHeap::new(),
             relays: relays.collect(),
             told_at_ms: vec![0; pattern.relays],
-            listed: pattern.engines,
             engines,
             requests: Vec::new(),
             report,
@@ -176,6 +174,7 @@
             }
             let request = self.requests.len();
             let subject = self.random.random_range(0..group.subjects.max(1));
+            // Hashes of shared parts and of own ones lie apart.
             let shared = PromptPart {
                 hash: (index as u64 + 1) << 32 | subject,
                 tokens: group.shared_tokens,
@@ -234,10 +233,7 @@
                 }
             }
             Event::Lose { count } => self.lose(count),
-            Event::List => {
-                self.listed = self.engines.iter().filter(|engine| engine.is_alive).count();
-                self.list_engines();
-            }
+            Event::List => self.list_engines(),
             Event::Cut { zone } => self.cut(zone),
         }
     }
