--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -18,7 +18,7 @@
 use hickorycourse_telemetry::EventLog;
 use ntex::time::sleep;
 use parking_lot::Mutex;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::net::UdpSocket;
@@ -139,7 +139,11 @@
             let is_large = all.len() >= INSTANCES_TOLD_ALIKE;
             let is_for_all = !is_large || turn.is_multiple_of(ZONE_DIGESTS);
             let digest = Message::Digest(Box::new(self.make_digest(now_ms)));
-            self.send_all(&digest, if is_for_all { &all } else { &zone }).await;
+            let mut told = if is_for_all { all.clone() } else { zone };
+            // A burst to a large fleet can overflow a link's queue; what is dropped must not be what
+            // is for the same instances each time.
+            told.shuffle(&mut rand::rng());
+            self.send_all(&digest, &told).await;
             self.ask_if_needed(&all, now_ms).await;
             relay.expire_upstreams();
             let period_ms = digest_period_ms(all.len() + 1);
