--- a/crates/caps/src/shared_cap.rs
+++ b/crates/caps/src/shared_cap.rs
@@ -74,6 +74,18 @@
 const TELL_PART: f64 = 0.03;
 
 impl CapLimits {
+    /// A cap whose use in any window of `window_ms` may go beyond it by a part `overshoot` and by
+    /// `slack` units.
+    pub fn new(
+        per_second: f64,
+        burst: f64,
+        (window_ms, overshoot, slack): (u64, f64, f64),
+        report_ms: u64,
+    ) -> Self {
+        let in_window = per_second * window_ms as f64 / 1_000.0 + burst;
+        Self { per_second, burst, allowance: in_window * overshoot + slack, report_ms }
+    }
+
     /// Silence after which a peer's part of the rate is held back instead of its reported use.
     fn silent_ms(&self) -> u64 {
         SILENT_LEAST_MS.max(self.report_ms * SILENT_REPORTS)
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -21,7 +21,7 @@
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
-use hickorycourse_settings::{LogForm, LogLevel, ProcessSettings, parse_document};
+use hickorycourse_settings::{LogForm, LogLevel, ProcessSettings, read_document};
 
 /// The entry process of hickorycourse. SIGTERM or SIGINT drains it: requests in flight are finished,
 /// then it ends.
@@ -63,21 +63,8 @@
 
 /// Reads the settings or ends the process with what is wrong with them.
 fn read_settings(options: &Options) -> ProcessSettings {
-    let path = options.file.display();
-    let text = match std::fs::read_to_string(&options.file) {
-        Ok(text) => text,
-        Err(error) => {
-            eprintln!("[5006] {path}: {error}");
-            std::process::exit(EXIT_BAD_SETTINGS);
-        }
-    };
-    match parse_document(&text) {
-        Ok(settings) => settings,
-        Err(faults) => {
-            for fault in faults {
-                eprintln!("[5001] {path}: {fault}");
-            }
-            std::process::exit(EXIT_BAD_SETTINGS);
-        }
-    }
+    read_document(&options.file).unwrap_or_else(|faults| {
+        eprintln!("{}", faults.join("\n"));
+        std::process::exit(EXIT_BAD_SETTINGS)
+    })
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 mod patterns;
 mod relay;
 mod report;
+mod request;
 mod world;
 
 /// The types most users of this crate need.
--- a/crates/model/src/relay.rs
+++ b/crates/model/src/relay.rs
@@ -7,7 +7,8 @@
     AdmissionRule, AdmitAll, CostRule, ExpectedWait, LeastRequests, PlacementBook,
     PlacementOptions, TargetAdmission,
 };
-use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
+use hickorycourse_relay::digest_period_ms;
+use hickorycourse_routes::UpstreamEntry;
 
 use crate::engine::{IDLE_FIRST_BYTE_MS, READING_TOKENS_PER_MS, SLOTS};
 use crate::pattern::LoadPattern;
@@ -21,9 +22,8 @@
     Baseline,
 }
 
-/// Window and overshoot of the caps.
-const CAP_WINDOW_S: f64 = 8.0;
-const CAP_OVERSHOOT: f64 = 0.1;
+/// Window of the caps in milliseconds, and the part and the units by which use may go beyond them.
+const CAP_EXCESS: (u64, f64, f64) = (8_000, 0.1, 0.0);
 
 /// A relay.
 pub struct Relay {
@@ -49,18 +49,11 @@
         let options = PlacementOptions {
             reading_tokens_per_ms: READING_TOKENS_PER_MS,
             idle_first_byte_ms: IDLE_FIRST_BYTE_MS,
-            cross_zone_ms: 12.0,
-            full_batch_ms: 60.0,
-            shared_weight: 3.0,
+            ..PlacementOptions::default()
         };
         let caps = pattern.caps.iter().map(|cap| {
-            let in_window = cap.per_second * (CAP_WINDOW_S + 1.0);
-            let limits = CapLimits {
-                per_second: cap.per_second,
-                burst: cap.per_second,
-                allowance: in_window * CAP_OVERSHOOT,
-                report_ms: digest_ms(pattern.relays),
-            };
+            let report_ms = digest_period_ms(pattern.relays);
+            let limits = CapLimits::new(cap.per_second, cap.per_second, CAP_EXCESS, report_ms);
             (cap.organisation, SharedCap::new(limits, pattern.relays, 0))
         });
         Self {
@@ -78,11 +71,6 @@
     }
 }
 
-/// Time between two digests of a relay among this many.
-pub fn digest_ms(relays: usize) -> u64 {
-    300 + 15 * relays as u64
-}
-
 /// The name of a zone.
 fn zone_name(zone: usize) -> String {
     format!("zone-{zone}")
@@ -94,16 +82,6 @@
 }
 
 fn entry(number: usize, zone: usize) -> UpstreamEntry {
-    UpstreamEntry {
-        id: engine_id(number),
-        service: "desk".to_owned(),
-        address: std::net::SocketAddr::from(([127, 0, 0, 1], 9_000 + number as u16)),
-        availability_zone: zone_name(zone),
-        slots: SLOTS,
-        phase: UpstreamPhase::Ready,
-        warm_up_left_ms: 0,
-        is_reclaimable: false,
-        started_at_ms: None,
-        sequence: 1,
-    }
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 9_000 + number as u16));
+    UpstreamEntry::ready(&engine_id(number), "desk", address, &zone_name(zone), SLOTS)
 }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -3,16 +3,16 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use hickorycourse_placement::{
-    Admission, AttemptEnd, Forecast, Placement, PlacementRequest, PromptPart,
-};
+use hickorycourse_placement::{Admission, AttemptEnd, Placement, PlacementRequest};
+use hickorycourse_relay::digest_period_ms;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::engine::Engine;
 use crate::pattern::{CallerGroup, Comeback, Fault, LoadPattern};
-use crate::relay::{Policy, Relay, digest_ms, engine_id};
+use crate::relay::{Policy, Relay, engine_id};
 use crate::report::{GroupReport, Report};
+use crate::request::{Outcome, Place, Request, draw_requests};
 
 /// Attempts that a caller makes before it gives up.
 const ATTEMPTS_MOST: u32 = 5;
@@ -44,37 +44,6 @@
     Cut { zone: usize },
 }
 
-#[derive(Clone, Debug)]
-struct Place {
-    relay: usize,
-    engine: usize,
-    placement: Placement,
-    sent_at_ms: u64,
-}
-
-#[derive(Debug)]
-struct Request {
-    group: usize,
-    parts: Vec<PromptPart>,
-    zone: usize,
-    first_at_ms: u64,
-    /// When its present attempt came; relays know no more, as each attempt has an id of its own.
-    arrived_at_ms: u64,
-    attempt: u32,
-    excluded: Vec<String>,
-    place: Option<Place>,
-    first_byte_at_ms: Option<u64>,
-    is_ended: bool,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Outcome {
-    Answered,
-    Refused,
-    Failed,
-    Left,
-}
-
 struct World<'a> {
     pattern: &'a LoadPattern,
     policy: Policy,
@@ -128,7 +97,7 @@
         world.list_engines();
         world.schedule_faults();
         for relay in 0..pattern.relays {
-            let first_ms = world.random.random_range(0..digest_ms(pattern.relays));
+            let first_ms = world.random.random_range(0..digest_period_ms(pattern.relays));
             world.schedule(first_ms, Event::Digest { relay });
         }
         for group in 0..pattern.groups.len() {
@@ -159,42 +128,14 @@
         }
     }
 
-    /// Draws the arrivals of a group: independent of each other, so many a second on average.
     fn schedule_group(&mut self, index: usize) {
-        let group = &self.pattern.groups[index];
-        let mut at_ms = 0.0;
-        loop {
-            let surge =
-                group.surge.filter(|s| (s.from_ms as f64..s.until_ms as f64).contains(&at_ms));
-            let per_second = group.per_second * surge.map_or(1.0, |surge| surge.times);
-            let uniform: f64 = self.random.random();
-            at_ms += -(1.0 - uniform).ln() / per_second * 1_000.0;
-            if at_ms >= self.pattern.length_ms as f64 {
-                return;
-            }
-            let request = self.requests.len();
-            let subject = self.random.random_range(0..group.subjects.max(1));
-            // Hashes of shared parts and of own ones lie apart.
-            let shared = PromptPart {
-                hash: (index as u64 + 1) << 32 | subject,
-                tokens: group.shared_tokens,
-            };
-            let own = PromptPart { hash: 1 << 60 | request as u64, tokens: group.own_tokens };
-            let parts = if group.shared_tokens > 0 { vec![shared, own] } else { vec![own] };
-            self.requests.push(Request {
-                group: index,
-                parts,
-                zone: self.random.random_range(0..self.pattern.zones),
-                first_at_ms: at_ms as u64,
-                arrived_at_ms: at_ms as u64,
-                attempt: 0,
-                excluded: Vec::new(),
-                place: None,
-                first_byte_at_ms: None,
-                is_ended: false,
-            });
-            self.schedule(at_ms as u64, Event::Arrive { request });
-            self.schedule(at_ms as u64 + group.patience_ms, Event::Leave { request });
+        let first = self.requests.len();
+        self.requests.extend(draw_requests(self.pattern, index, first, &mut self.random));
+        for request in first..self.requests.len() {
+            let at_ms = self.requests[request].first_at_ms;
+            self.schedule(at_ms, Event::Arrive { request });
+            let patience_ms = self.pattern.groups[index].patience_ms;
+            self.schedule(at_ms + patience_ms, Event::Leave { request });
         }
     }
 
@@ -227,7 +168,7 @@
                 self.tell(relay);
                 if self.now_ms < self.pattern.length_ms {
                     self.schedule(
-                        self.now_ms + digest_ms(self.pattern.relays),
+                        self.now_ms + digest_period_ms(self.pattern.relays),
                         Event::Digest { relay },
                     );
                 }
@@ -283,7 +224,6 @@
         let wanted = PlacementRequest {
             parts: &known.parts,
             prompt_tokens: group.shared_tokens + group.own_tokens,
-            output_tokens: group.output_tokens,
             urgency: group.urgency,
             excluded: &known.excluded,
         };
@@ -294,15 +234,8 @@
             return;
         };
         book.add_work(group.urgency, placement.uncached_tokens, self.now_ms);
-        let forecast = Forecast {
-            urgency: group.urgency,
-            first_byte_ms: placement.first_byte_ms,
-            queue_ms: placement.queue_ms,
-            share_ms: placement.share_ms,
-            waited_ms: self.now_ms - known.arrived_at_ms,
-            target_ms: group.target_ms,
-            patience_ms: group.patience_ms,
-        };
+        let waited_ms = self.now_ms - known.arrived_at_ms;
+        let forecast = placement.forecast(waited_ms, group.target_ms, group.patience_ms);
         if let Admission::Refuse { retry_after_ms } = book.admit(&forecast, self.now_ms) {
             if let Some(cap) = self.relays[relay].caps.get_mut(group.organisation) {
                 cap.give_back(tokens as f64);
@@ -344,7 +277,7 @@
         };
         let known = &mut self.requests[request];
         known.excluded.push(placement.upstream.clone());
-        known.place = Some(Place { relay, engine, placement, sent_at_ms: self.now_ms });
+        known.place = Some(Place { relay, engine, placement });
         let attempt = known.attempt;
         if !is_linked {
             self.schedule(self.now_ms + DIAL_LIMIT_MS, Event::Silent { request, attempt });
@@ -378,9 +311,8 @@
         let known = &mut self.requests[request];
         known.first_byte_at_ms = Some(self.now_ms);
         if let Some(place) = &known.place {
-            let elapsed_ms = self.now_ms - place.sent_at_ms;
             let book = &mut self.relays[place.relay].book;
-            book.note_first_byte(&place.placement, group.urgency, elapsed_ms);
+            book.note_first_byte(&place.placement, self.now_ms);
         }
         let done_ms = self.now_ms + self.engines[engine].answer_ms(group.output_tokens);
         self.schedule(done_ms, Event::Finished { engine, request, attempt });
@@ -389,14 +321,10 @@
 
     /// Gives the place back that a request holds.
     fn release(&mut self, request: usize, end: AttemptEnd) {
-        let urgency = self.group(request).urgency;
         let has_first_byte = self.requests[request].first_byte_at_ms.is_some();
         if let Some(place) = self.requests[request].place.take() {
             let book = &mut self.relays[place.relay].book;
-            if !has_first_byte && matches!(end, AttemptEnd::Cancelled) {
-                book.note_wait(&place.placement, self.now_ms - place.sent_at_ms);
-            }
-            book.finish(&place.placement, urgency, has_first_byte, end, self.now_ms);
+            book.finish(&place.placement, has_first_byte, end, self.now_ms);
         }
     }
 
--- a/crates/placement/src/book.rs
+++ b/crates/placement/src/book.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
-use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
+use hickorycourse_routes::UpstreamEntry;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::admission::{Admission, AdmissionRule, Forecast};
@@ -11,7 +11,7 @@
 use crate::health::AttemptEnd;
 use crate::reading::ReadingEstimate;
 use crate::request::PlacementRequest;
-use crate::upstream::{Upstream, UpstreamLoad};
+use crate::upstream::{LoadEstimate, Upstream, UpstreamLoad};
 use crate::work::{RankedRates, WorkMeter};
 
 /// Part of the reading that more urgent ranks may be believed to take; the rest keeps forecasts finite.
@@ -35,6 +35,18 @@
     pub shared_weight: f64,
 }
 
+impl Default for PlacementOptions {
+    fn default() -> Self {
+        Self {
+            reading_tokens_per_ms: 100.0,
+            idle_first_byte_ms: 40.0,
+            cross_zone_ms: 12.0,
+            full_batch_ms: 60.0,
+            shared_weight: 3.0,
+        }
+    }
+}
+
 /// A chosen upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
@@ -42,6 +54,10 @@
     pub upstream: String,
     /// Where it listens.
     pub address: SocketAddr,
+    /// The request's rank.
+    pub urgency: u8,
+    /// When it was chosen.
+    pub placed_at_ms: u64,
     /// Expected time to the first byte.
     pub first_byte_ms: u64,
     /// The part of it that is spent behind other requests.
@@ -58,6 +74,25 @@
     pub has_free_places: bool,
 }
 
+impl Placement {
+    /// What admission needs to know of a request that would be sent there.
+    pub fn forecast(&self, waited_ms: u64, target_ms: u64, patience_ms: u64) -> Forecast {
+        Forecast {
+            urgency: self.urgency,
+            first_byte_ms: self.first_byte_ms,
+            queue_ms: self.queue_ms,
+            waited_ms,
+            target_ms,
+            patience_ms,
+            share_ms: self.share_ms,
+        }
+    }
+
+    fn elapsed_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.placed_at_ms)
+    }
+}
+
 /// The upstreams of one service.
 pub struct PlacementBook {
     availability_zone: String,
@@ -109,8 +144,7 @@
         for entry in entries {
             let kept = known.remove(&entry.id).filter(|upstream| upstream.address == entry.address);
             let mut upstream = kept.unwrap_or_else(|| Upstream::new(entry));
-            upstream.is_leaving = entry.phase == UpstreamPhase::Leaving;
-            upstream.slots = entry.slots.max(1);
+            upstream.update(entry);
             self.upstreams.insert(entry.id.clone(), upstream);
         }
     }
@@ -133,14 +167,14 @@
         let open = |(id, upstream): &(&String, &Upstream)| {
             !upstream.is_leaving && !request.excluded.contains(id)
         };
-        let reading_rate = self.reading_left(request.urgency, now_ms);
         let usable = self.count_usable(now_ms) as f64;
         let instances = (self.peer_work.len() + 1) as f64;
+        let reading_rate = self.reading_left(request.urgency, usable, now_ms);
         let view = RequestView {
             request,
-            reading_share: reading_rate * usable / instances,
             home: self.find_home(request, now_ms),
             reading_rate,
+            reading_share: reading_rate * usable / instances,
             now_ms,
         };
         let choose = |is_candidate: &dyn Fn(&Upstream) -> bool| {
@@ -148,13 +182,13 @@
                 .iter()
                 .filter(open)
                 .filter(|(_, upstream)| is_candidate(upstream))
-                .map(|(id, upstream)| self.rate(id, upstream, &view))
-                .min_by(|one, other| one.0.total_cmp(&other.0))
-                .map(|(_, placement)| placement)
+                .map(|(id, upstream)| self.compare(id, upstream, &view))
+                .min_by(|one, other| one.cost.total_cmp(&other.cost))
         };
-        choose(&|upstream| upstream.is_usable(now_ms))
+        let chosen = choose(&|upstream| upstream.is_usable(now_ms))
             .or_else(|| choose(&|upstream| !upstream.health.is_ejected(now_ms)))
-            .or_else(|| choose(&|_| true))
+            .or_else(|| choose(&|_| true))?;
+        Some(self.place(&chosen, &view))
     }
 
     /// The upstream to which all instances send requests with the same shared part, by rendezvous
@@ -170,8 +204,8 @@
 
     /// Prompt tokens a millisecond that an upstream reads for this rank. While the prompts that wait
     /// are read, more urgent ones come and are read first (Cobham, 1954).
-    fn reading_left(&self, urgency: u8, now_ms: u64) -> f64 {
-        let capacity = self.reading.tokens_per_ms * self.count_usable(now_ms) as f64;
+    fn reading_left(&self, urgency: u8, usable: f64, now_ms: u64) -> f64 {
+        let capacity = self.reading.tokens_per_ms * usable;
         let own = self.sent_work.rates(now_ms);
         let peers = self.peer_work.values().map(|work| sum_before(&work.sent_per_ms, urgency));
         let urgent = sum_before(&own, urgency) + peers.sum::<f64>();
@@ -184,81 +218,82 @@
         usable.count().max(1)
     }
 
-    fn rate(&self, id: &str, upstream: &Upstream, view: &RequestView<'_>) -> (f64, Placement) {
-        let RequestView { request, home, reading_rate, now_ms, .. } = *view;
+    /// Rates an upstream. All ranks count where upstreams are compared: each request there slows the
+    /// others' events.
+    fn compare<'a>(
+        &self,
+        id: &'a str,
+        upstream: &'a Upstream,
+        view: &RequestView<'_>,
+    ) -> Candidate<'a> {
+        let RequestView { request, home, now_ms, .. } = *view;
         let rate = self.reading.tokens_per_ms;
         let cached = upstream.count_cached(request, home == Some(id));
         let uncached = request.prompt_tokens.saturating_sub(cached);
         let shared = request.shared_tokens().saturating_sub(cached) as f64;
-        let shared_ms = shared * (self.options.shared_weight - 1.0) / rate;
-        let (requests_ahead, ahead) = upstream.estimate_ahead(request.urgency, rate, now_ms);
-        let running = upstream.estimate_running(now_ms) as f64;
-        let slots = upstream.slots as f64;
-        let fill = (running / slots).min(1.0);
-        let before = upstream.count_answering(now_ms) as f64 + requests_ahead;
-        let over = (before + 1.0 - slots).max(0.0) / slots;
-        let ahead_ms = (ahead / reading_rate).max(requests_ahead * self.reading.turn_ms);
-        let queue_ms = self.reading.idle_first_byte_ms * over + ahead_ms;
-        let first_byte_ms = self.reading.idle_first_byte_ms
-            + queue_ms
-            + uncached as f64 / reading_rate
-            + fill * self.options.full_batch_ms;
+        let load = upstream.estimate_load(request.urgency, rate, now_ms);
+        let (running, slots) = (load.running as f64, upstream.slots as f64);
+        let over = (running + 1.0 - slots).max(0.0) / slots;
         let is_near = upstream.availability_zone == self.availability_zone;
-        let distance_ms = if is_near { 0.0 } else { self.options.cross_zone_ms };
-        // All ranks count where upstreams are compared: each request there slows the others' events.
-        let (_, all_ahead) = upstream.estimate_ahead(u8::MAX, rate, now_ms);
-        let all_over = (running + 1.0 - slots).max(0.0) / slots;
-        let load_ms = self.reading.idle_first_byte_ms * (1.0 + all_over)
-            + (all_ahead + uncached as f64) / rate
-            + running / slots * self.options.full_batch_ms;
         let cost = self.cost_rule.cost(&CandidateView {
-            load_ms,
-            distance_ms,
-            shared_ms,
+            load_ms: self.reading.idle_first_byte_ms * (1.0 + over)
+                + (load.tokens_of_all + uncached as f64) / rate
+                + running / slots * self.options.full_batch_ms,
+            distance_ms: if is_near { 0.0 } else { self.options.cross_zone_ms },
+            shared_ms: shared * (self.options.shared_weight - 1.0) / rate,
             failure_ms: upstream.health.failure_rate() * FAILURE_COST_MS,
-            running: running as u64,
+            running: load.running,
         });
-        let placement = Placement {
-            upstream: id.to_owned(),
-            address: upstream.address,
+        Candidate { id, upstream, load, uncached_tokens: uncached, cost }
+    }
+
+    /// Forecasts what a request meets at the upstream that was chosen for it.
+    fn place(&self, chosen: &Candidate<'_>, view: &RequestView<'_>) -> Placement {
+        let Candidate { load, uncached_tokens, .. } = *chosen;
+        let (running, slots) = (load.running as f64, chosen.upstream.slots as f64);
+        let before = load.answering as f64 + load.requests_ahead;
+        let over = (before + 1.0 - slots).max(0.0) / slots;
+        let ahead_ms =
+            (load.tokens_ahead / view.reading_rate).max(load.requests_ahead * self.reading.turn_ms);
+        let queue_ms = self.reading.idle_first_byte_ms * over + ahead_ms;
+        let first_byte_ms = self.reading.idle_first_byte_ms
+            + queue_ms
+            + uncached_tokens as f64 / view.reading_rate
+            + (running / slots).min(1.0) * self.options.full_batch_ms;
+        Placement {
+            upstream: chosen.id.to_owned(),
+            address: chosen.upstream.address,
+            urgency: view.request.urgency,
+            placed_at_ms: view.now_ms,
             first_byte_ms: first_byte_ms as u64,
             queue_ms: queue_ms as u64,
-            share_ms: (uncached as f64 / view.reading_share) as u64,
-            uncached_tokens: uncached,
-            ahead_tokens: ahead as u64,
-            requests_ahead,
+            share_ms: (uncached_tokens as f64 / view.reading_share) as u64,
+            uncached_tokens,
+            ahead_tokens: load.tokens_ahead as u64,
+            requests_ahead: load.requests_ahead,
             has_free_places: running < slots,
-        };
-        (cost, placement)
+        }
     }
 
     /// Notes that a request is sent to an upstream.
     pub fn start(&mut self, placement: &Placement, request: &PlacementRequest<'_>, now_ms: u64) {
         let Some(known) = self.upstreams.get_mut(&placement.upstream) else { return };
-        self.sent_work.add(request.urgency, placement.uncached_tokens, now_ms);
+        self.sent_work.add(placement.urgency, placement.uncached_tokens, now_ms);
         known.running += 1;
-        let waiting = known.waiting.entry(request.urgency).or_default();
+        let waiting = known.waiting.entry(placement.urgency).or_default();
         waiting.requests += 1;
         waiting.tokens += placement.uncached_tokens;
         let hashes: Vec<u64> = request.parts.iter().map(|part| part.hash).collect();
         known.parts.add(&hashes);
     }
 
-    /// Notes that the first byte has come after `elapsed_ms`, and learns from it.
-    pub fn note_first_byte(&mut self, placement: &Placement, urgency: u8, elapsed_ms: u64) {
-        self.clear_waiting(placement, urgency);
+    /// Notes that the first byte has come, and learns from it.
+    pub fn note_first_byte(&mut self, placement: &Placement, now_ms: u64) {
+        self.clear_waiting(placement);
         if let Some(known) = self.upstreams.get_mut(&placement.upstream) {
             known.answering += 1;
         }
-        self.reading.note_first_byte(placement, elapsed_ms as f64);
-    }
-
-    /// Notes that a caller left after `elapsed_ms` without a first byte: it would have waited for
-    /// longer still.
-    pub fn note_wait(&mut self, placement: &Placement, elapsed_ms: u64) {
-        if elapsed_ms > placement.first_byte_ms {
-            self.reading.learn_turn(placement, elapsed_ms as f64);
-        }
+        self.reading.note_first_byte(placement, placement.elapsed_ms(now_ms) as f64);
     }
 
     /// Notes the end of an attempt. `has_first_byte` tells whether [`Self::note_first_byte`] was
@@ -266,13 +301,13 @@
     pub fn finish(
         &mut self,
         placement: &Placement,
-        urgency: u8,
         has_first_byte: bool,
         end: AttemptEnd,
         now_ms: u64,
     ) {
         if !has_first_byte {
-            self.clear_waiting(placement, urgency);
+            self.clear_waiting(placement);
+            self.note_wait_in_vain(placement, end, now_ms);
         }
         let Some(known) = self.upstreams.get_mut(&placement.upstream) else { return };
         known.running = known.running.saturating_sub(1);
@@ -280,9 +315,17 @@
         known.health.record(end, now_ms);
     }
 
-    fn clear_waiting(&mut self, placement: &Placement, urgency: u8) {
+    /// A caller that left later than its first byte was expected would have waited for longer still.
+    fn note_wait_in_vain(&mut self, placement: &Placement, end: AttemptEnd, now_ms: u64) {
+        let elapsed_ms = placement.elapsed_ms(now_ms);
+        if end == AttemptEnd::Cancelled && elapsed_ms > placement.first_byte_ms {
+            self.reading.learn_turn(placement, elapsed_ms as f64);
+        }
+    }
+
+    fn clear_waiting(&mut self, placement: &Placement) {
         let Some(known) = self.upstreams.get_mut(&placement.upstream) else { return };
-        if let Some(waiting) = known.waiting.get_mut(&urgency) {
+        if let Some(waiting) = known.waiting.get_mut(&placement.urgency) {
             waiting.requests = waiting.requests.saturating_sub(1);
             waiting.tokens = waiting.tokens.saturating_sub(placement.uncached_tokens);
         }
@@ -363,6 +406,16 @@
     }
 }
 
+/// An upstream with its cost for one request.
+struct Candidate<'a> {
+    id: &'a str,
+    upstream: &'a Upstream,
+    load: LoadEstimate,
+    /// Prompt tokens that it would read.
+    uncached_tokens: u64,
+    cost: f64,
+}
+
 /// A request with what is the same for all upstreams.
 #[derive(Clone, Copy)]
 struct RequestView<'a> {
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -16,8 +16,6 @@
     pub parts: &'a [PromptPart],
     /// All prompt tokens.
     pub prompt_tokens: u64,
-    /// Most tokens that will be generated.
-    pub output_tokens: u64,
     /// Rank; 0 is the most urgent.
     pub urgency: u8,
     /// Upstreams that were tried.
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -13,6 +13,7 @@
 const PARTS_MOST: usize = 4_096;
 /// Reports older than this say nothing of the load of now.
 const REPORT_VALID_MS: u64 = 1_500;
+
 /// Requests that wait for their first byte.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Waiting {
@@ -33,6 +34,21 @@
     pub waiting: BTreeMap<u8, Waiting>,
 }
 
+/// What all instances have put on an upstream, as far as is known.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadEstimate {
+    /// Requests in flight.
+    pub(crate) running: u64,
+    /// Those of them whose first byte has come.
+    pub(crate) answering: u64,
+    /// Requests that are read before a new one of the rank asked for.
+    pub(crate) requests_ahead: f64,
+    /// Their prompt tokens.
+    pub(crate) tokens_ahead: f64,
+    /// Prompt tokens of all ranks.
+    pub(crate) tokens_of_all: f64,
+}
+
 /// What another instance has told of the upstream.
 #[derive(Clone, Debug)]
 struct PeerLoad {
@@ -65,12 +81,13 @@
 }
 
 impl Upstream {
+    /// An upstream of which nothing is known but its entry.
     pub(crate) fn new(entry: &UpstreamEntry) -> Self {
-        Self {
+        let mut upstream = Self {
             address: entry.address,
             availability_zone: entry.availability_zone.clone(),
-            slots: entry.slots.max(1),
-            is_leaving: entry.phase == UpstreamPhase::Leaving,
+            slots: 1,
+            is_leaving: false,
             running: 0,
             answering: 0,
             waiting: BTreeMap::new(),
@@ -78,7 +95,15 @@
             report: None,
             health: Health::default(),
             parts: PrefixIndex::new(PARTS_MOST),
-        }
+        };
+        upstream.update(entry);
+        upstream
+    }
+
+    /// Takes what may change in its entry while it lives.
+    pub(crate) fn update(&mut self, entry: &UpstreamEntry) {
+        self.slots = entry.slots.max(1);
+        self.is_leaving = entry.phase == UpstreamPhase::Leaving;
     }
 
     pub(crate) fn load(&self) -> UpstreamLoad {
@@ -99,33 +124,38 @@
         self.answering + self.fresh_peers(now_ms).map(|peer| peer.load.answering).sum::<u64>()
     }
 
-    pub(crate) fn estimate_running(&self, now_ms: u64) -> u64 {
-        let peers = self.fresh_peers(now_ms).map(|peer| peer.load.running).sum::<u64>();
-        let reported = self
-            .report
-            .filter(|report| now_ms.saturating_sub(report.at_ms) < REPORT_VALID_MS)
-            .map_or(0, |report| report.running + report.waiting);
-        (self.running + peers).max(reported.min(self.running + peers + self.slots))
-    }
-
     fn fresh_peers(&self, now_ms: u64) -> impl Iterator<Item = &PeerLoad> {
         self.peers.values().filter(move |peer| now_ms.saturating_sub(peer.at_ms) < REPORT_VALID_MS)
     }
 
-    /// What waits before a new request of this rank: its requests, and prompt tokens, of which what
-    /// has been read since a peer told of them no longer counts.
-    pub(crate) fn estimate_ahead(&self, urgency: u8, rate: f64, now_ms: u64) -> (f64, f64) {
-        let own = sum_waiting(&self.waiting, urgency);
-        let mut requests = own.requests as f64;
-        let mut tokens = own.tokens as f64;
+    /// Estimates the load that a new request of this rank meets. Of the prompt tokens that a peer
+    /// told of, what has been read since no longer counts.
+    pub(crate) fn estimate_load(&self, urgency: u8, rate: f64, now_ms: u64) -> LoadEstimate {
+        let ahead = sum_waiting(&self.waiting, urgency);
+        let mut load = LoadEstimate {
+            running: self.running,
+            answering: self.answering,
+            requests_ahead: ahead.requests as f64,
+            tokens_ahead: ahead.tokens as f64,
+            tokens_of_all: sum_waiting(&self.waiting, u8::MAX).tokens as f64,
+        };
         for peer in self.fresh_peers(now_ms) {
-            let told = sum_waiting(&peer.load.waiting, urgency);
             let read = now_ms.saturating_sub(peer.at_ms) as f64 * rate;
-            let left = (told.tokens as f64 - read).max(0.0);
-            requests += told.requests as f64 * left / (told.tokens as f64).max(1.0);
-            tokens += left;
+            let unread = |tokens: u64| (tokens as f64 - read).max(0.0);
+            let ahead = sum_waiting(&peer.load.waiting, urgency);
+            let left = unread(ahead.tokens);
+            load.running += peer.load.running;
+            load.answering += peer.load.answering;
+            load.requests_ahead += ahead.requests as f64 * left / (ahead.tokens as f64).max(1.0);
+            load.tokens_ahead += left;
+            load.tokens_of_all += unread(sum_waiting(&peer.load.waiting, u8::MAX).tokens);
         }
-        (requests, tokens)
+        let reported = self
+            .report
+            .filter(|report| now_ms.saturating_sub(report.at_ms) < REPORT_VALID_MS)
+            .map_or(0, |report| report.running + report.waiting);
+        load.running = load.running.max(reported.min(load.running + self.slots));
+        load
     }
 
     pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -16,18 +16,8 @@
 };
 
 fn entry(id: usize, zone: &str) -> UpstreamEntry {
-    UpstreamEntry {
-        id: format!("i-{id}"),
-        service: "advice".to_owned(),
-        address: format!("127.0.0.1:{}", 9_000 + id).parse().expect("an address"),
-        availability_zone: zone.to_owned(),
-        slots: 16,
-        phase: UpstreamPhase::Ready,
-        warm_up_left_ms: 0,
-        is_reclaimable: false,
-        started_at_ms: None,
-        sequence: 1,
-    }
+    let address = format!("127.0.0.1:{}", 9_000 + id).parse().expect("an address");
+    UpstreamEntry::ready(&format!("i-{id}"), "advice", address, zone, 16)
 }
 
 fn book(count: usize) -> (PlacementBook, Vec<UpstreamEntry>) {
@@ -46,7 +36,7 @@
 }
 
 fn request<'a>(parts: &'a [PromptPart], excluded: &'a [String]) -> PlacementRequest<'a> {
-    PlacementRequest { parts, prompt_tokens: 6_000, output_tokens: 100, urgency: 1, excluded }
+    PlacementRequest { parts, prompt_tokens: 6_000, urgency: 1, excluded }
 }
 
 #[test]
@@ -109,7 +99,7 @@
     for _ in 0..2 {
         let placement = book.choose(&only, 0).expect("an upstream");
         book.start(&placement, &plain, 0);
-        book.finish(&placement, 0, false, AttemptEnd::Silent, 0);
+        book.finish(&placement, false, AttemptEnd::Silent, 0);
     }
     assert_eq!(book.choose(&plain, 10).expect("an upstream").upstream, "i-1");
     // An ejected upstream is better than none.
@@ -118,7 +108,7 @@
     let trial = book.choose(&only, 2_000).expect("an upstream");
     book.start(&trial, &plain, 0);
     assert_eq!(book.choose(&plain, 2_000).expect("an upstream").upstream, "i-1");
-    book.finish(&trial, 0, false, AttemptEnd::Answered, 2_000);
+    book.finish(&trial, false, AttemptEnd::Answered, 2_000);
     assert_eq!(book.choose(&plain, 2_001).expect("an upstream").upstream, "i-0");
 }
 
@@ -142,8 +132,8 @@
     for _ in 0..10 {
         let placement = book.choose(&request, 0).expect("an upstream");
         book.start(&placement, &request, 0);
-        book.note_first_byte(&placement, 1, 100);
-        book.finish(&placement, 1, true, AttemptEnd::Answered, 100);
+        book.note_first_byte(&placement, 100);
+        book.finish(&placement, true, AttemptEnd::Answered, 100);
     }
     assert_eq!(book.own_loads().count(), 0);
     assert_eq!(book.count_answering(100), 0);
@@ -164,8 +154,8 @@
             waiting.into_iter().partition(|(at_ms, _)| *at_ms <= now_ms as f64);
         waiting = left;
         for (at_ms, placement) in done {
-            book.note_first_byte(&placement, 1, 50);
-            book.finish(&placement, 1, true, AttemptEnd::Answered, at_ms as u64);
+            book.note_first_byte(&placement, placement.placed_at_ms + 50);
+            book.finish(&placement, true, AttemptEnd::Answered, at_ms as u64);
         }
         let tokens = if number % 12 == 0 { 20_000 } else { 2_000 };
         let parts = [PromptPart { hash: 1_000 + number, tokens }];
--- /dev/null
+++ b/crates/relay/src/attempt.rs
@@ -0,0 +1,82 @@
+//! A call's attempt at one upstream.
+
+use std::sync::Arc;
+
+use hickorycourse_placement::{AttemptEnd, Placement};
+use http::Response;
+use hyper::body::Incoming;
+
+use crate::call::Call;
+use crate::connections::UpstreamConnection;
+use crate::node::{Relay, SharedBook};
+
+/// A request's place at an upstream. Dropping it without an end means that the caller left.
+pub struct Attempt {
+    relay: Arc<Relay>,
+    book: SharedBook,
+    /// Where it is placed.
+    pub placement: Placement,
+    has_first_byte: bool,
+    is_ended: bool,
+}
+
+impl Attempt {
+    /// Takes the place.
+    pub fn start(call: &Call, book: SharedBook, placement: Placement, excluded: &[String]) -> Self {
+        let request = call.placement_request(excluded);
+        book.lock().start(&placement, &request, call.relay.now_ms());
+        Self {
+            relay: Arc::clone(&call.relay),
+            book,
+            placement,
+            has_first_byte: false,
+            is_ended: false,
+        }
+    }
+
+    /// Whether the upstream still takes requests.
+    pub fn is_open(&self) -> bool {
+        self.book.lock().is_open(&self.placement.upstream)
+    }
+
+    /// Takes the upstream's own word on its load.
+    pub fn report(&self, running: u64, waiting: u64) {
+        let now_ms = self.relay.now_ms();
+        self.book.lock().report(&self.placement.upstream, running, waiting, now_ms);
+    }
+
+    /// The first byte of the answer has come.
+    pub fn note_first_byte(&mut self) {
+        if !std::mem::replace(&mut self.has_first_byte, true) {
+            self.book.lock().note_first_byte(&self.placement, self.relay.now_ms());
+        }
+    }
+
+    /// Ends the attempt.
+    pub fn end(mut self, end: AttemptEnd) {
+        self.finish(end);
+    }
+
+    fn finish(&mut self, end: AttemptEnd) {
+        if !std::mem::replace(&mut self.is_ended, true) {
+            let now_ms = self.relay.now_ms();
+            self.book.lock().finish(&self.placement, self.has_first_byte, end, now_ms);
+        }
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.finish(AttemptEnd::Cancelled);
+    }
+}
+
+/// An upstream's answer whose head has come.
+pub struct Opened {
+    /// The place at the upstream.
+    pub attempt: Attempt,
+    /// The connection; the answer's body comes over it.
+    pub connection: UpstreamConnection,
+    /// The answer.
+    pub response: Response<Incoming>,
+}
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -5,15 +5,14 @@
 use std::time::Duration;
 
 use hickorycourse_codes::{ErrorCode, Problem};
-use hickorycourse_placement::{
-    Admission, AttemptEnd, Forecast, Placement, PlacementRequest, PromptPart,
-};
+use hickorycourse_placement::{Admission, AttemptEnd, Placement, PlacementRequest, PromptPart};
 use hickorycourse_routes::{Access, Route};
 use http::{HeaderMap, Method, Request, Response};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use serde_json::{Value, json};
 
+use crate::attempt::{Attempt, Opened};
 use crate::borders::{AnswerFacts, CallFacts, TokenCounts};
 use crate::connections::{ExchangeError, UpstreamConnection, UpstreamConnections};
 use crate::node::{Relay, SharedBook};
@@ -95,82 +94,12 @@
     }
 }
 
-/// A request's place at an upstream. Dropping it without an end means that the caller left.
-pub struct Attempt {
-    relay: Arc<Relay>,
-    book: SharedBook,
-    /// Where it is placed.
-    pub placement: Placement,
-    urgency: u8,
-    started_at_ms: u64,
-    has_first_byte: bool,
-    is_ended: bool,
-}
-
-impl Attempt {
-    fn start(call: &Call, book: SharedBook, placement: Placement, excluded: &[String]) -> Self {
-        let request = call.placement_request(excluded);
-        let now_ms = call.relay.now_ms();
-        book.lock().start(&placement, &request, now_ms);
-        Self {
-            relay: Arc::clone(&call.relay),
-            book,
-            placement,
-            urgency: call.urgency,
-            started_at_ms: now_ms,
-            has_first_byte: false,
-            is_ended: false,
-        }
-    }
-
-    /// The first byte of the answer has come.
-    pub fn note_first_byte(&mut self) {
-        if !self.has_first_byte {
-            self.has_first_byte = true;
-            let elapsed_ms = self.relay.now_ms().saturating_sub(self.started_at_ms);
-            self.book.lock().note_first_byte(&self.placement, self.urgency, elapsed_ms);
-        }
-    }
-
-    /// Ends the attempt.
-    pub fn end(mut self, end: AttemptEnd) {
-        self.finish(end);
-    }
-
-    fn finish(&mut self, end: AttemptEnd) {
-        if !std::mem::replace(&mut self.is_ended, true) {
-            let now_ms = self.relay.now_ms();
-            let mut book = self.book.lock();
-            if end == AttemptEnd::Cancelled && !self.has_first_byte {
-                book.note_wait(&self.placement, now_ms.saturating_sub(self.started_at_ms));
-            }
-            book.finish(&self.placement, self.urgency, self.has_first_byte, end, now_ms);
-        }
-    }
-}
-
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        self.finish(AttemptEnd::Cancelled);
-    }
-}
-
-/// An upstream's answer whose head has come.
-pub struct Opened {
-    /// The place at the upstream.
-    pub attempt: Attempt,
-    /// The connection; the answer's body comes over it.
-    pub connection: UpstreamConnection,
-    /// The answer.
-    pub response: Response<Incoming>,
-}
-
 impl Call {
-    fn placement_request<'a>(&'a self, excluded: &'a [String]) -> PlacementRequest<'a> {
+    /// The call as placement sees it.
+    pub fn placement_request<'a>(&'a self, excluded: &'a [String]) -> PlacementRequest<'a> {
         PlacementRequest {
             parts: &self.parts,
             prompt_tokens: self.tokens.prompt,
-            output_tokens: self.tokens.output_most,
             urgency: self.urgency,
             excluded,
         }
@@ -243,25 +172,23 @@
         let now_ms = relay.now_ms();
         let Some(book) = relay.book(&self.service) else { return Err(self.give_up(progress)) };
         let request = self.placement_request(&progress.excluded);
-        let chosen = book.lock().choose(&request, now_ms);
-        let Some(placement) = chosen else { return Err(self.give_up(progress)) };
-        book.lock().add_work(self.urgency, placement.uncached_tokens, now_ms);
-        if progress.sent > 0 {
-            if relay.try_take_retry(&self.service) {
-                return Ok((book, placement));
-            }
+        let mut known = book.lock();
+        let Some(placement) = known.choose(&request, now_ms) else {
             return Err(self.give_up(progress));
-        }
-        let forecast = Forecast {
-            urgency: self.urgency,
-            first_byte_ms: placement.first_byte_ms,
-            queue_ms: placement.queue_ms,
-            share_ms: placement.share_ms,
-            waited_ms: now_ms.saturating_sub(self.arrived_at_ms),
-            target_ms: self.route.target_ms,
-            patience_ms: self.route.patience_ms.unwrap_or(self.route.timeout_ms),
         };
-        let admission = book.lock().admit(&forecast, now_ms);
+        known.add_work(self.urgency, placement.uncached_tokens, now_ms);
+        if progress.sent > 0 {
+            drop(known);
+            return match relay.try_take_retry(&self.service) {
+                true => Ok((book, placement)),
+                false => Err(self.give_up(progress)),
+            };
+        }
+        let waited_ms = now_ms.saturating_sub(self.arrived_at_ms);
+        let forecast =
+            placement.forecast(waited_ms, self.route.target_ms, self.route.patience_ms());
+        let admission = known.admit(&forecast, now_ms);
+        drop(known);
         match admission {
             Admission::Send => Ok((book, placement)),
             Admission::Refuse { retry_after_ms } => {
@@ -303,7 +230,7 @@
             }
         };
         // The upstream may have started to leave while the connection was opened.
-        if !attempt.book.lock().is_open(&upstream) {
+        if !attempt.is_open() {
             progress.failed_dials += 1;
             progress.excluded.push(upstream);
             return Err("the upstream leaves".to_owned());
@@ -357,12 +284,10 @@
         facts: AnswerFacts,
         progress: &mut Progress,
     ) -> Result<Opened, String> {
-        let relay = &self.relay;
         let upstream = attempt.placement.upstream.clone();
         let status = response.status().as_u16();
         if let Some(load) = facts.load {
-            let now_ms = relay.now_ms();
-            attempt.book.lock().report(&upstream, load.running, load.waiting, now_ms);
+            attempt.report(load.running, load.waiting);
         }
         if facts.is_not_run {
             let failure = format!("refused with {status}");
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -18,7 +18,7 @@
 use hickorycourse_telemetry::EventLog;
 use ntex::time::sleep;
 use parking_lot::Mutex;
-use rand::seq::{IndexedRandom, SliceRandom};
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::net::UdpSocket;
@@ -133,17 +133,14 @@
             let now_ms = relay.now_ms();
             let (all, zone) = {
                 let members = relay.members.lock();
-                let zone = members.addresses_in(&relay.settings.availability_zone, now_ms);
-                (members.addresses(now_ms), zone)
+                let own_zone = &relay.settings.availability_zone;
+                let zone = members.draw_addresses(Some(own_zone), &mut rand::rng(), now_ms);
+                (members.draw_addresses(None, &mut rand::rng(), now_ms), zone)
             };
             let is_large = all.len() >= INSTANCES_TOLD_ALIKE;
             let is_for_all = !is_large || turn.is_multiple_of(ZONE_DIGESTS);
             let digest = Message::Digest(Box::new(self.make_digest(now_ms)));
-            let mut told = if is_for_all { all.clone() } else { zone };
-            // A burst to a large fleet can overflow a link's queue; what is dropped must not be what
-            // is for the same instances each time.
-            told.shuffle(&mut rand::rng());
-            self.send_all(&digest, &told).await;
+            self.send_all(&digest, if is_for_all { &all } else { &zone }).await;
             self.ask_if_needed(&all, now_ms).await;
             relay.expire_upstreams();
             let period_ms = digest_period_ms(all.len() + 1);
@@ -261,10 +258,10 @@
         let zone = &digest.availability_zone;
         relay.members.lock().hear(name, zone, digest.peer_address, now_ms);
         relay.time.lock().take_peer(name, digest.own_time_ms, now_ms);
-        for (organisation, (used, asked)) in &digest.cap_totals {
-            let totals = CapTotals { used: *used as f64, asked: *asked as f64 };
-            relay.take_cap_totals(name, digest.boot, organisation, totals);
-        }
+        let totals = digest.cap_totals.iter().map(|(organisation, (used, asked))| {
+            (organisation.as_str(), CapTotals { used: *used as f64, asked: *asked as f64 })
+        });
+        relay.take_cap_totals(name, digest.boot, totals);
         relay.fleet_usage.lock().take(name, digest.boot, &digest.windows);
         for (service, book) in relay.books() {
             let mut book = book.lock();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! other through the platform's store and tell each other in datagrams what changes too often for
 //! it.
 
+mod attempt;
 pub mod borders;
 mod call;
 mod caller;
@@ -31,6 +32,7 @@
 }
 
 pub use events::EventTracker;
+pub use gossip::digest_period_ms;
 pub use members::{MemberRecord, Members};
 pub use server::{Borders, run};
 pub use settings::{
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use rand::Rng;
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 
 /// Where the members' keys stand in the store.
@@ -79,17 +81,22 @@
         member.heard_at_ms = now_ms;
     }
 
-    /// Where datagrams go.
-    pub fn addresses(&self, now_ms: u64) -> Vec<SocketAddr> {
-        self.present(now_ms).map(|member| member.peer_address).collect()
-    }
-
-    /// Where datagrams to the instances of one availability zone go.
-    pub fn addresses_in(&self, availability_zone: &str, now_ms: u64) -> Vec<SocketAddr> {
-        self.present(now_ms)
-            .filter(|member| member.availability_zone == availability_zone)
+    /// Where datagrams to all instances go, or to those of one availability zone, in random order: a
+    /// burst to a large fleet can overflow a link's queue, and what is dropped must not be what is
+    /// for the same instances each time.
+    pub fn draw_addresses(
+        &self,
+        availability_zone: Option<&str>,
+        random: &mut impl Rng,
+        now_ms: u64,
+    ) -> Vec<SocketAddr> {
+        let mut addresses: Vec<SocketAddr> = self
+            .present(now_ms)
+            .filter(|member| availability_zone.is_none_or(|zone| zone == member.availability_zone))
             .map(|member| member.peer_address)
-            .collect()
+            .collect();
+        addresses.shuffle(random);
+        addresses
     }
 
     /// How many instances there are, this one included.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -167,7 +167,6 @@
             "document_applied",
             || json!({ "version": version, "before": before, "source": source }),
         );
-        self.refresh_books();
         self.refresh_caps();
     }
 
@@ -175,44 +174,45 @@
     pub fn put_upstream(&self, entry: UpstreamEntry) {
         let id = entry.id.clone();
         let change = self.directory.lock().put(entry);
-        self.apply_change(&id, &change);
+        self.apply_changes(&[(id, change)]);
     }
 
     /// Takes the removal of an entry.
     pub fn remove_upstream(&self, id: &str) {
         let doubt_until_ms = self.doubt_until_ms();
         let change = self.directory.lock().remove(id, doubt_until_ms);
-        self.apply_change(id, &change);
+        self.apply_changes(&[(id.to_owned(), change)]);
     }
 
     /// Takes a whole list of upstreams.
     pub fn replace_upstreams(&self, entries: Vec<UpstreamEntry>) {
         let doubt_until_ms = self.doubt_until_ms();
         let changes = self.directory.lock().replace(entries, doubt_until_ms);
-        for (id, change) in &changes {
-            self.apply_change(id, change);
-        }
+        self.apply_changes(&changes);
     }
 
     /// Drops upstreams whose entries have been missing for too long.
     pub fn expire_upstreams(&self) {
         let expired = self.directory.lock().expire(self.now_ms());
-        for id in &expired {
-            self.apply_change(id, &DirectoryChange::Gone);
-        }
+        let gone = expired.into_iter().map(|id| (id, DirectoryChange::Gone));
+        self.apply_changes(&gone.collect::<Vec<_>>());
     }
 
-    fn apply_change(&self, id: &str, change: &DirectoryChange) {
-        if *change == DirectoryChange::None {
+    fn apply_changes(&self, changes: &[(String, DirectoryChange)]) {
+        let mut changed =
+            changes.iter().filter(|(_, change)| *change != DirectoryChange::None).peekable();
+        if changed.peek().is_none() {
             return;
         }
-        self.log.write(
-            "upstream_changed",
-            || json!({ "upstream": id, "change": format!("{change:?}") }),
-        );
-        if *change == DirectoryChange::Restarted {
-            for book in self.books.read().values() {
-                book.lock().restart(id);
+        for (id, change) in changed {
+            self.log.write(
+                "upstream_changed",
+                || json!({ "upstream": id, "change": format!("{change:?}") }),
+            );
+            if *change == DirectoryChange::Restarted {
+                for book in self.books.read().values() {
+                    book.lock().restart(id);
+                }
             }
         }
         self.refresh_books();
@@ -315,10 +315,8 @@
 
     fn cap_limits(&self, cap: &UsageCap, instances: usize) -> CapLimits {
         let bounds = &self.settings.bounds;
-        let in_window = cap.per_second * bounds.cap_window_ms as f64 / 1_000.0 + cap.burst;
-        let allowance = in_window * bounds.cap_overshoot + bounds.cap_slack;
-        let report_ms = digest_period_ms(instances);
-        CapLimits { per_second: cap.per_second, burst: cap.burst, allowance, report_ms }
+        let excess = (bounds.cap_window_ms, bounds.cap_overshoot, bounds.cap_slack);
+        CapLimits::new(cap.per_second, cap.burst, excess, digest_period_ms(instances))
     }
 
     /// Takes units from an organisation's cap.
@@ -371,11 +369,19 @@
         caps.iter_mut().map(|(name, shared)| (name.clone(), shared.tell())).collect()
     }
 
-    /// Takes what another process has counted of a cap.
-    pub fn take_cap_totals(&self, peer: &str, boot: u64, organisation: &str, totals: CapTotals) {
+    /// Takes what another process has counted of the caps.
+    pub fn take_cap_totals<'a>(
+        &self,
+        peer: &str,
+        boot: u64,
+        totals: impl Iterator<Item = (&'a str, CapTotals)>,
+    ) {
         let now_ms = self.now_ms();
-        if let Some(shared) = self.caps.lock().get_mut(organisation) {
-            shared.take_report(peer, boot, totals, now_ms);
+        let mut caps = self.caps.lock();
+        for (organisation, totals) in totals {
+            if let Some(shared) = caps.get_mut(organisation) {
+                shared.take_report(peer, boot, totals, now_ms);
+            }
         }
     }
 
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use hickorycourse_duties::CapacityPlannerOptions;
+use hickorycourse_placement::PlacementOptions;
 use hickorycourse_settings::{Check, Fault};
 use serde::{Deserialize, Serialize};
 
@@ -209,14 +210,15 @@
 
 impl Default for PolicySettings {
     fn default() -> Self {
+        let placement = PlacementOptions::default();
         Self {
             admission: AdmissionPolicy::default(),
             placement: PlacementPolicy::default(),
-            reading_tokens_per_ms: 100.0,
-            idle_first_byte_ms: 40.0,
-            cross_zone_ms: 12.0,
-            full_batch_ms: 60.0,
-            shared_weight: 3.0,
+            reading_tokens_per_ms: placement.reading_tokens_per_ms,
+            idle_first_byte_ms: placement.idle_first_byte_ms,
+            cross_zone_ms: placement.cross_zone_ms,
+            full_batch_ms: placement.full_batch_ms,
+            shared_weight: placement.shared_weight,
             places_fill: 0.7,
             reading_fill: 0.75,
             capacity: CapacityPlannerOptions::default(),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -12,11 +12,12 @@
 use ntex::time::timeout;
 use serde_json::json;
 
-use crate::call::{Attempt, Call, Opened, Progress};
+use crate::attempt::{Attempt, Opened};
+use crate::call::{Call, Progress};
 use crate::connections::UpstreamConnection;
 use crate::events::EventTracker;
 use crate::node::InFlightGuard;
-use crate::whole::{self, WholeAnswer};
+use crate::whole::{self, Unfinished, WholeAnswer};
 
 /// Silence after which a resumable stream is moved, as a multiple of the longest pause that is on
 /// time: its answer is late by then whatever comes.
@@ -26,9 +27,6 @@
 /// Silence after which a resumable stream is moved before its first event.
 const FIRST_SILENCE_LEAST_MS: u64 = 1_500;
 
-/// Statuses from here on tell a failure of the upstream; another one may do better.
-const STATUS_SERVER_ERROR: u16 = 500;
-
 /// What a stream's caller gets.
 pub enum StreamAnswer {
     /// The stream; its first events have come.
@@ -90,9 +88,12 @@
             }
         };
         let upstream = opened.attempt.placement.upstream.clone();
-        match wait_for_start(&call, &progress, opened, &mut events).await {
+        let start = wait_for_start(&call, &progress, opened, &mut events).await;
+        if !matches!(start, Start::Broken(_)) {
+            call.count_run();
+        }
+        match start {
             Start::Stream(started) => {
-                call.count_run();
                 return Ok(StreamAnswer::Stream(Box::new(RelayedStream {
                     call,
                     progress,
@@ -106,12 +107,8 @@
                     _in_flight: in_flight,
                 })));
             }
-            Start::Whole(answer) if answer.status < STATUS_SERVER_ERROR => {
-                call.count_run();
-                return Ok(StreamAnswer::Whole(answer));
-            }
-            Start::Whole(answer) => {
-                call.count_run();
+            Start::Whole(answer) => return Ok(StreamAnswer::Whole(answer)),
+            Start::Failed(answer) => {
                 progress.note_failure(upstream, format!("answered {}", answer.status));
                 failed = Some(answer);
             }
@@ -132,6 +129,8 @@
     Stream(Box<Started>),
     /// It is no stream.
     Whole(WholeAnswer),
+    /// It tells a failure of the upstream; another one may do better.
+    Failed(WholeAnswer),
     Broken(String),
 }
 
@@ -149,9 +148,10 @@
     events: &mut EventTracker,
 ) -> Start {
     if !opened.response.status().is_success() {
-        return match whole::finish_failure(call, opened).await {
+        return match whole::finish(call, opened).await {
             Ok(answer) => Start::Whole(answer),
-            Err(detail) => Start::Broken(detail),
+            Err(Unfinished::Failed(answer)) => Start::Failed(answer),
+            Err(Unfinished::Broken(detail)) => Start::Broken(detail),
         };
     }
     let (head, mut source) = split(opened);
--- a/crates/relay/src/whole.rs
+++ b/crates/relay/src/whole.rs
@@ -9,7 +9,8 @@
 use hyper::body::{Bytes, Incoming};
 use ntex::time::timeout;
 
-use crate::call::{Call, Opened, Progress};
+use crate::attempt::Opened;
+use crate::call::{Call, Progress};
 
 /// The largest answer that is read whole.
 const ANSWER_BYTES_MOST: usize = 16 * 1024 * 1024;
@@ -55,7 +56,8 @@
     }
 }
 
-enum Unfinished {
+/// Why an answer is not the last word.
+pub enum Unfinished {
     /// A whole answer that tells a failure.
     Failed(WholeAnswer),
     /// The answer broke off.
@@ -63,7 +65,10 @@
 }
 
 /// Reads the rest of an answer.
-async fn finish(call: &Call, opened: Opened) -> Result<WholeAnswer, Unfinished> {
+///
+/// # Errors
+/// The answer tells a failure of the upstream, or is not whole.
+pub async fn finish(call: &Call, opened: Opened) -> Result<WholeAnswer, Unfinished> {
     let Opened { mut attempt, connection, response } = opened;
     attempt.note_first_byte();
     let (head, body) = response.into_parts();
@@ -107,14 +112,3 @@
     }
     Ok(Bytes::from(bytes))
 }
-
-/// Reads the rest of a stream's answer that is no stream, such as an error document.
-///
-/// # Errors
-/// How it broke off.
-pub async fn finish_failure(call: &Call, opened: Opened) -> Result<WholeAnswer, String> {
-    match finish(call, opened).await {
-        Ok(answer) | Err(Unfinished::Failed(answer)) => Ok(answer),
-        Err(Unfinished::Broken(detail)) => Err(detail),
-    }
-}
--- a/crates/routes/src/directory.rs
+++ b/crates/routes/src/directory.rs
@@ -1,6 +1,6 @@
 //! The upstreams that the platform lists.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -57,6 +57,28 @@
 }
 
 impl UpstreamEntry {
+    /// An upstream that takes requests and says no more of itself.
+    pub fn ready(
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        availability_zone: &str,
+        slots: u64,
+    ) -> Self {
+        Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            address,
+            availability_zone: availability_zone.to_owned(),
+            slots,
+            phase: UpstreamPhase::Ready,
+            warm_up_left_ms: 0,
+            is_reclaimable: false,
+            started_at_ms: None,
+            sequence: 1,
+        }
+    }
+
     /// Whether this was written before `known`, by the same upstream or an earlier start of it.
     fn is_older_than(&self, known: &Self) -> bool {
         match self.started_at_ms.cmp(&known.started_at_ms) {
@@ -124,13 +146,13 @@
         entries: Vec<UpstreamEntry>,
         doubt_until_ms: Option<u64>,
     ) -> Vec<(String, DirectoryChange)> {
+        let present: BTreeSet<&str> = entries.iter().map(|entry| entry.id.as_str()).collect();
+        let missing: Vec<String> =
+            self.listed.keys().filter(|id| !present.contains(id.as_str())).cloned().collect();
         let mut changes = Vec::new();
-        let ids: Vec<String> = self.listed.keys().cloned().collect();
-        for id in ids {
-            if !entries.iter().any(|entry| entry.id == id) {
-                let change = self.remove(&id, doubt_until_ms);
-                changes.push((id, change));
-            }
+        for id in missing {
+            let change = self.remove(&id, doubt_until_ms);
+            changes.push((id, change));
         }
         for entry in entries {
             let id = entry.id.clone();
--- a/crates/routes/src/document.rs
+++ b/crates/routes/src/document.rs
@@ -80,8 +80,25 @@
     pub has_prompt_parts: bool,
     /// Longest pause between two events.
     pub pause_target_ms: Option<u64>,
-    /// Time after which callers leave a stream on which nothing comes.
-    pub patience_ms: Option<u64>,
+}
+
+/// Shortest time for which callers wait for an event.
+const PATIENCE_LEAST_MS: u64 = 2_000;
+/// Time for which callers wait for an event, as a multiple of the target.
+const PATIENCE_TARGETS: u64 = 4;
+/// Time for which callers wait for an event, as a multiple of the longest pause.
+const PATIENCE_PAUSES: u64 = 8;
+
+impl Route {
+    /// Time after which callers leave if nothing comes.
+    pub fn patience_ms(&self) -> u64 {
+        if !self.repeat.is_stream() {
+            return self.timeout_ms;
+        }
+        PATIENCE_LEAST_MS
+            .max(self.target_ms * PATIENCE_TARGETS)
+            .max(self.pause_target_ms.unwrap_or(0) * PATIENCE_PAUSES)
+    }
 }
 
 /// A service that routes lead to.
--- a/crates/routes/tests/directory.rs
+++ b/crates/routes/tests/directory.rs
@@ -3,18 +3,9 @@
 use hickorycourse_routes::{DirectoryChange, UpstreamDirectory, UpstreamEntry, UpstreamPhase};
 
 fn entry(id: &str, started_at_ms: u64, sequence: u64) -> UpstreamEntry {
-    UpstreamEntry {
-        id: id.to_owned(),
-        service: "advice".to_owned(),
-        address: "127.0.0.1:9000".parse().expect("an address"),
-        availability_zone: "east".to_owned(),
-        slots: 4,
-        phase: UpstreamPhase::Ready,
-        warm_up_left_ms: 0,
-        is_reclaimable: false,
-        started_at_ms: Some(started_at_ms),
-        sequence,
-    }
+    let address = "127.0.0.1:9000".parse().expect("an address");
+    let ready = UpstreamEntry::ready(id, "advice", address, "east", 4);
+    UpstreamEntry { started_at_ms: Some(started_at_ms), sequence, ..ready }
 }
 
 fn leaving(entry: UpstreamEntry) -> UpstreamEntry {
--- a/crates/routes/tests/routes.rs
+++ b/crates/routes/tests/routes.rs
@@ -25,7 +25,6 @@
         is_public: false,
         has_prompt_parts: false,
         pause_target_ms: None,
-        patience_ms: None,
     }
 }
 
@@ -55,6 +54,20 @@
     assert_eq!(name("other.example", "/a/"), None);
 }
 
+#[test]
+fn patience_ms_by_kind() {
+    assert_eq!(route("look", "/a/").patience_ms(), 1_000, "whole answers are waited for");
+    let stream = |target_ms: u64, pause_target_ms: Option<u64>| Route {
+        repeat: RepeatRule::Stream,
+        target_ms,
+        pause_target_ms,
+        ..route("chat", "/a/")
+    };
+    assert_eq!(stream(100, None).patience_ms(), 2_000);
+    assert_eq!(stream(800, Some(100)).patience_ms(), 3_200);
+    assert_eq!(stream(100, Some(500)).patience_ms(), 4_000);
+}
+
 #[test]
 fn check_access_by_key() {
     let table = RouteTable::new(document(1));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -39,7 +39,7 @@
 pub use effective::{EffectivePolicy, EffectiveValue};
 pub use fault::Fault;
 pub use keys::{Secret, hash_key, key_matches};
-pub use parse::{Check, parse_document};
+pub use parse::{Check, parse_document, read_document};
 pub use policy::{AdmissionKind, Policy, RetryKind, RouterKind};
 pub use process::{Limits, LogForm, LogLevel, LogSettings, ProcessSettings, TimingSettings};
 pub use tree::{
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -1,5 +1,7 @@
 //! Reading JSON with comments, with the line of each fault.
 
+use std::path::Path;
+
 use jsonc_parser::ast::{ObjectPropName, Value};
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
@@ -13,6 +15,18 @@
     fn check(&self) -> Vec<Fault>;
 }
 
+/// Reads a file and checks it.
+///
+/// # Errors
+/// A line for each fault, with its number and the file's path.
+pub fn read_document<T: Check + DeserializeOwned>(path: &Path) -> Result<T, Vec<String>> {
+    let shown = path.display();
+    let text =
+        std::fs::read_to_string(path).map_err(|error| vec![format!("[5006] {shown}: {error}")])?;
+    parse_document(&text)
+        .map_err(|faults| faults.iter().map(|fault| format!("[5001] {shown}: {fault}")).collect())
+}
+
 /// Reads a document and checks it.
 ///
 /// # Errors
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -4,7 +4,7 @@
 //! the settings wish for, with its fencing number, and replaces instances that leave. No request
 //! passes through it, so its pause or death touches none.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 use hickorycourse_clock::{Clock, SystemClock};
 use hickorycourse_settings::document::{Document, DocumentName};
 use hickorycourse_settings::{
-    MachineClass, ProcessSettings, Site, UpstreamSettings, parse_document,
+    MachineClass, ProcessSettings, Site, UpstreamSettings, parse_document, read_document,
 };
 use hickorycourse_steward::{LeaseTenure, ORDER_FLIGHT_MS, ReplacementPlanner, StartChoice};
 use hickorycourse_store::{
@@ -76,16 +76,10 @@
     }
 }
 
-fn read_settings(path: &PathBuf) -> ProcessSettings {
-    let text = std::fs::read_to_string(path).unwrap_or_else(|error| {
-        eprintln!("[5006] {}: {error}", path.display());
-        std::process::exit(EXIT_BAD_SETTINGS);
-    });
-    parse_document(&text).unwrap_or_else(|faults| {
-        for fault in faults {
-            eprintln!("[5001] {}: {fault}", path.display());
-        }
-        std::process::exit(EXIT_BAD_SETTINGS);
+fn read_settings(path: &Path) -> ProcessSettings {
+    read_document(path).unwrap_or_else(|faults| {
+        eprintln!("{}", faults.join("\n"));
+        std::process::exit(EXIT_BAD_SETTINGS)
     })
 }
 
--- a/crates/testkit/src/bin/measure/relay_cores.rs
+++ b/crates/testkit/src/bin/measure/relay_cores.rs
@@ -11,7 +11,7 @@
     ExpectedWait, PlacementBook, PlacementOptions, PlacementRequest, PromptPart, TargetAdmission,
     UpstreamLoad,
 };
-use hickorycourse_routes::{CapacityLimits, UpstreamEntry, UpstreamPhase};
+use hickorycourse_routes::{CapacityLimits, UpstreamEntry};
 
 use crate::cores::{read_memory_kib, time_us};
 
@@ -41,30 +41,15 @@
 }
 
 fn entry(number: usize) -> eyre::Result<UpstreamEntry> {
-    Ok(UpstreamEntry {
-        id: format!("engine-{number:05}"),
-        service: "desk".to_owned(),
-        address: "127.0.0.1:8000".parse()?,
-        availability_zone: format!("zone-{}", number % 9),
-        slots: 16,
-        phase: UpstreamPhase::Ready,
-        warm_up_left_ms: 0,
-        is_reclaimable: false,
-        started_at_ms: None,
-        sequence: 1,
-    })
+    let address = "127.0.0.1:8000".parse()?;
+    let (id, zone) = (format!("engine-{number:05}"), format!("zone-{}", number % 9));
+    Ok(UpstreamEntry::ready(&id, "desk", address, &zone, 16))
 }
 
 fn measure_placement(count: usize, waiting: u64) -> eyre::Result<()> {
     let before_kib = read_memory_kib();
     let entries = (0..count).map(entry).collect::<eyre::Result<Vec<UpstreamEntry>>>()?;
-    let options = PlacementOptions {
-        reading_tokens_per_ms: 100.0,
-        idle_first_byte_ms: 40.0,
-        cross_zone_ms: 12.0,
-        full_batch_ms: 60.0,
-        shared_weight: 3.0,
-    };
+    let options = PlacementOptions::default();
     let rules = (Box::new(ExpectedWait), Box::new(TargetAdmission::default()));
     let mut book = PlacementBook::new("zone-0", options, rules.0, rules.1);
     book.set_upstreams(entries.iter());
@@ -80,7 +65,6 @@
         let request = PlacementRequest {
             parts: &parts,
             prompt_tokens: 2_500,
-            output_tokens: 100,
             urgency: (round % 3) as u8,
             excluded: &[],
         };
