--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -61,12 +61,24 @@
     /// Time from which this instance may try to acquire the lease; set while the store shows no
     /// holder, or after a failed attempt.
     acquire_from_ms: Option<u64>,
+    /// Time until which a lease of an earlier era of the store may be valid for its holder, although
+    /// the store does not know it any more.
+    earlier_era_until_ms: u64,
 }
 
 impl DutyLease {
     /// Creates the state of an instance that has not observed the store yet.
     pub fn new(options: LeaseOptions) -> Self {
-        Self { options, held: None, acquire_from_ms: None }
+        Self { options, held: None, acquire_from_ms: None, earlier_era_until_ms: 0 }
+    }
+
+    /// Records that the store was restored from a backup, which may lack the lease and its key. The
+    /// own lease ends. Another instance that does not know of the restore may act under its lease for
+    /// a whole time to live.
+    pub fn record_restore(&mut self, now_ms: u64) {
+        self.held = None;
+        self.acquire_from_ms = None;
+        self.earlier_era_until_ms = now_ms + self.options.ttl_ms;
     }
 
     /// Records that the store has had no holder since `revision`; `None` for a listing, whose
@@ -142,7 +154,8 @@
     /// Returns the fencing token if this instance may act as the holder now.
     pub fn fencing_token(&self, now_ms: u64) -> Option<u64> {
         let held = self.held?;
-        let is_past_takeover = now_ms >= held.acquired_at_ms + self.options.takeover_delay_ms;
+        let takeover_at_ms = held.acquired_at_ms + self.options.takeover_delay_ms;
+        let is_past_takeover = now_ms >= takeover_at_ms.max(self.earlier_era_until_ms);
         let is_fresh = now_ms < held.renewed_at_ms + self.options.valid_ms;
         (is_past_takeover && is_fresh).then_some(held.fencing_token)
     }
--- a/crates/duties/tests/lease.rs
+++ b/crates/duties/tests/lease.rs
@@ -98,3 +98,22 @@
     assert!(!lease.is_holder());
     assert_eq!(lease.next_action(1_000), LeaseAction::Wait);
 }
+
+// Guards against two holders after the store was restored from a backup that lacks the lease: the
+// former holder may not know of the restore.
+#[test]
+fn fencing_token_after_restore_waits_out_earlier_lease() {
+    let options = LeaseOptions::from_ttl(3_000);
+    let mut lease = DutyLease::new(options);
+    lease.record_acquired(7, 0, 0);
+    assert_eq!(lease.fencing_token(1_800), Some(7));
+    lease.record_restore(1_800);
+    assert_eq!(lease.fencing_token(1_800), None);
+    assert_eq!(lease.next_action(1_900), LeaseAction::Wait);
+    lease.observe_vacant(None, 0, 2_000);
+    assert_eq!(lease.next_action(2_000), LeaseAction::Acquire);
+    lease.record_acquired(99, 2_000, 2_000);
+    assert_eq!(lease.fencing_token(1_800 + options.ttl_ms - 1), None);
+    lease.record_renewed(4_000);
+    assert_eq!(lease.fencing_token(1_800 + options.ttl_ms), Some(99));
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -12,9 +12,11 @@
 //! one dispatch of a request to an upstream.
 
 mod admission;
+mod backoff;
 mod cost;
 mod health;
 mod latency;
+mod pace;
 mod request;
 mod retry_schedule;
 mod table;
@@ -30,8 +32,10 @@
 }
 
 pub use admission::{Admission, AdmissionRule, AdmitAll, Forecast, TargetAdmission};
+pub use backoff::Backoff;
 pub use cost::{CostComponents, CostRule, ExpectedWait, LeastRequests};
 pub use health::{AttemptOutcome, Health};
+pub use pace::Pace;
 pub use request::{PlacementRequest, PromptPart};
 pub use retry_schedule::RetrySchedule;
 pub use table::{Placement, PlacementOptions, PlacementTable, TokenDemand};
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -74,6 +74,8 @@
     pub requests_ahead: f64,
     /// Whether the upstream has fewer requests in flight than batch slots.
     pub has_free_slots: bool,
+    /// Whether the request is a probe within a backoff that the upstream has requested.
+    pub is_backoff_probe: bool,
 }
 
 impl Placement {
@@ -160,17 +162,46 @@
         }
     }
 
-    /// Whether an upstream is listed and not draining.
-    pub fn is_open(&self, upstream: &str) -> bool {
-        self.upstreams.get(upstream).is_some_and(|upstream| !upstream.is_leaving)
+    /// Whether the upstream of a placement still accepts the request: it is listed, not draining, and
+    /// has not requested a backoff since the choice.
+    pub fn is_open(&self, placement: &Placement, now_ms: u64) -> bool {
+        self.upstreams.get(&placement.upstream).is_some_and(|upstream| {
+            let is_backing_off = upstream.backoff.is_active(now_ms);
+            !upstream.is_leaving && (placement.is_backoff_probe || !is_backing_off)
+        })
+    }
+
+    /// Records that an upstream wants no requests for `duration_ms`.
+    pub fn start_backoff(&mut self, upstream: &str, duration_ms: u64, now_ms: u64) {
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.backoff.start(duration_ms, now_ms);
+        }
+    }
+
+    /// Milliseconds until the first of the requested backoffs ends; `None` if an upstream without one
+    /// accepts the request, or none has requested one. Upstreams that have rejected this request count
+    /// too, as they may accept it later.
+    pub fn backoff_remaining_ms(&self, request: &PlacementRequest<'_>, now_ms: u64) -> Option<u64> {
+        let mut earliest_ms: Option<u64> = None;
+        for (id, upstream) in self.upstreams.iter().filter(|(_, upstream)| !upstream.is_leaving) {
+            match upstream.backoff.remaining_ms(now_ms) {
+                0 if request.excluded.contains(id) => {}
+                0 => return None,
+                remaining_ms => {
+                    earliest_ms = Some(earliest_ms.map_or(remaining_ms, |ms| ms.min(remaining_ms)));
+                }
+            }
+        }
+        earliest_ms
     }
 
     /// Chooses the upstream with the lowest cost: among the usable ones; if there are none, among those
-    /// that are not ejected, even with a probe in flight; else among the ejected ones. `None` if all are
-    /// draining or excluded.
+    /// that are not ejected, even with a probe in flight; else among the ejected ones. Of the upstreams
+    /// that have requested a backoff, only those with a due probe are used, and only if there are no
+    /// usable ones. `None` if all are draining, excluded or within a backoff.
     pub fn choose(&self, request: &PlacementRequest<'_>, now_ms: u64) -> Option<Placement> {
         let open = |(id, upstream): &(&String, &Upstream)| {
-            !upstream.is_leaving && !request.excluded.contains(id)
+            upstream.accepts_requests(now_ms) && !request.excluded.contains(id)
         };
         let usable = self.count_usable(now_ms) as f64;
         let instances = (self.peer_demand.len() + 1) as f64;
@@ -243,11 +274,13 @@
         let load = upstream.estimate_load(request.urgency, rate, now_ms);
         let (running, slots) = (load.running as f64, upstream.slots as f64);
         let overflow = (running + 1.0 - slots).max(0.0) / slots;
+        let pace = upstream.pace.factor(now_ms);
         let is_near = upstream.availability_zone == self.availability_zone;
         let cost = self.cost_rule.cost(&CostComponents {
-            load_ms: self.latency.idle_first_byte_ms * (1.0 + overflow)
-                + (load.tokens_of_all_ranks + uncached as f64) / rate
-                + running / slots * self.options.full_batch_ms,
+            load_ms: pace
+                * (self.latency.idle_first_byte_ms * (1.0 + overflow)
+                    + (load.tokens_of_all_ranks + uncached as f64) / rate
+                    + running / slots * self.options.full_batch_ms),
             distance_ms: if is_near { 0.0 } else { self.options.cross_zone_ms },
             shared_ms: shared * (self.options.shared_weight - 1.0) / rate,
             failure_ms: upstream.health.failure_rate() * FAILURE_COST_MS,
@@ -281,6 +314,7 @@
             ahead_tokens: load.tokens_ahead as u64,
             requests_ahead: load.requests_ahead,
             has_free_slots: running < slots,
+            is_backoff_probe: chosen.upstream.backoff.is_active(context.now_ms),
         }
     }
 
@@ -293,6 +327,7 @@
     ) {
         let Some(upstream) = self.upstreams.get_mut(&placement.upstream) else { return };
         self.sent_meter.add(placement.urgency, placement.uncached_tokens, now_ms);
+        upstream.backoff.record_request(now_ms);
         upstream.running += 1;
         let waiting = upstream.waiting.entry(placement.urgency).or_default();
         waiting.requests += 1;
@@ -358,6 +393,14 @@
         }
     }
 
+    /// Records how long work takes on the host of an upstream at this time, as the upstream reports
+    /// it; 100 percent is the usual time.
+    pub fn record_pace(&mut self, upstream: &str, percent: u64, now_ms: u64) {
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.pace.record(percent, now_ms);
+        }
+    }
+
     /// Records the load that a peer instance reported for an upstream.
     pub fn set_peer_load(&mut self, peer: &str, upstream: &str, load: UpstreamLoad, now_ms: u64) {
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -6,7 +6,9 @@
 use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
 use hickorycourse_routing::PrefixIndex;
 
+use crate::backoff::Backoff;
 use crate::health::Health;
+use crate::pace::Pace;
 use crate::request::PlacementRequest;
 
 /// Capacity of the prefix index of an upstream, in prompt parts; engines cache a few hundred.
@@ -80,6 +82,8 @@
     peers: HashMap<String, PeerLoad>,
     report: Option<Report>,
     pub(crate) health: Health,
+    pub(crate) backoff: Backoff,
+    pub(crate) pace: Pace,
     pub(crate) prefix_index: PrefixIndex,
 }
 
@@ -97,6 +101,8 @@
             peers: HashMap::new(),
             report: None,
             health: Health::default(),
+            backoff: Backoff::default(),
+            pace: Pace::default(),
             prefix_index: PrefixIndex::new(PREFIX_INDEX_CAPACITY),
         };
         upstream.update(entry);
@@ -166,10 +172,20 @@
         load
     }
 
-    /// Whether it is neither draining nor ejected and has no probe in flight.
+    /// Whether it is neither draining nor ejected, has no probe in flight and has not requested a
+    /// backoff.
     pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
         let has_probe_in_flight = self.health.is_probing() && self.running > 0;
-        !self.is_leaving && !self.health.is_ejected(now_ms) && !has_probe_in_flight
+        !self.is_leaving
+            && !self.health.is_ejected(now_ms)
+            && !has_probe_in_flight
+            && !self.backoff.is_active(now_ms)
+    }
+
+    /// Whether a request may be sent to it at all: it is not draining, and within a backoff that it
+    /// has requested a probe is due.
+    pub(crate) fn accepts_requests(&self, now_ms: u64) -> bool {
+        !self.is_leaving && (!self.backoff.is_active(now_ms) || self.backoff.may_probe(now_ms))
     }
 
     /// Estimated number of prompt tokens in its prefix cache, counted over the leading cached parts. The
@@ -210,6 +226,8 @@
     /// Discards health, cache contents and load report after the upstream has restarted.
     pub(crate) fn reset(&mut self) {
         self.health = Health::default();
+        self.backoff = Backoff::default();
+        self.pace = Pace::default();
         self.prefix_index.clear();
         self.report = None;
     }
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -117,13 +117,15 @@
 #[test]
 fn choose_with_all_upstreams_leaving_returns_none() {
     let (mut table, entries) = table(2);
+    let placement = table.choose(&PlacementRequest::default(), 0).expect("an upstream");
+    assert!(table.is_open(&placement, 0));
     let leaving: Vec<UpstreamEntry> = entries
         .into_iter()
         .map(|entry| UpstreamEntry { phase: UpstreamPhase::Leaving, ..entry })
         .collect();
     table.set_upstreams(leaving.iter());
     assert!(table.choose(&PlacementRequest::default(), 0).is_none());
-    assert!(!table.is_open("i-0"));
+    assert!(!table.is_open(&placement, 0));
 }
 
 #[test]
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -60,6 +60,19 @@
     pub is_not_run: bool,
     /// The upstream's load; absent if not reported.
     pub load: Option<LoadReport>,
+    /// Whether the upstream announces that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which the upstream wants no further requests; absent if not stated.
+    pub backoff: Option<BackoffRequest>,
+}
+
+/// Time for which an upstream that has rejected a request wants no further ones.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BackoffRequest {
+    /// Duration in milliseconds.
+    DurationMs(u64),
+    /// A value that is no duration, for the log; no backoff is observed.
+    Invalid(String),
 }
 
 /// Load that an upstream reports.
@@ -69,6 +82,9 @@
     pub running: u64,
     /// Queued requests.
     pub waiting: u64,
+    /// Time that work takes on the upstream's host at this moment, in percent of the usual time;
+    /// absent if not reported.
+    pub pace_percent: Option<u64>,
 }
 
 /// Decoded item of the platform's store.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -5,7 +5,9 @@
 use hickorycourse_placement::{AttemptOutcome, Placement};
 use http::Response;
 use hyper::body::Incoming;
+use serde_json::json;
 
+use crate::adapter::{BackoffRequest, ResponseMetadata};
 use crate::call::Call;
 use crate::connections::UpstreamConnection;
 use crate::state::{Relay, SharedPlacementTable};
@@ -40,20 +42,39 @@
         }
     }
 
-    /// Returns whether the upstream still accepts requests.
+    /// Returns whether the upstream still accepts the request.
     pub fn is_open(&self) -> bool {
-        self.placement_table.lock().is_open(&self.placement.upstream)
+        self.placement_table.lock().is_open(&self.placement, self.relay.now_ms())
     }
 
-    /// Records the load that the upstream reports.
-    pub fn record_load_report(&self, running: u64, waiting: u64) {
-        let now_ms = self.relay.now_ms();
-        self.placement_table.lock().record_load_report(
-            &self.placement.upstream,
-            running,
-            waiting,
-            now_ms,
-        );
+    /// Records what the upstream says of itself in the head of a response.
+    pub fn record_metadata(&self, metadata: &ResponseMetadata) {
+        let relay = &self.relay;
+        let now_ms = relay.now_ms();
+        let upstream = &self.placement.upstream;
+        if metadata.is_leaving {
+            relay.announce_departure(upstream, None, "response");
+        }
+        let mut placement_table = self.placement_table.lock();
+        if let Some(load) = metadata.load {
+            placement_table.record_load_report(upstream, load.running, load.waiting, now_ms);
+            if let Some(pace_percent) = load.pace_percent {
+                placement_table.record_pace(upstream, pace_percent, now_ms);
+            }
+        }
+        match &metadata.backoff {
+            None => {}
+            Some(BackoffRequest::DurationMs(duration_ms)) => {
+                placement_table.start_backoff(upstream, *duration_ms, now_ms);
+                relay.log.write(
+                    "backoff_requested",
+                    || json!({ "upstream": upstream, "duration_ms": duration_ms }),
+                );
+            }
+            Some(BackoffRequest::Invalid(value)) => relay
+                .log
+                .write("backoff_ignored", || json!({ "upstream": upstream, "value": value })),
+        }
     }
 
     /// Records the arrival of the response's first byte; later calls have no effect.
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -45,6 +45,12 @@
 /// Age at which a pending query is discarded, checked when the next one is sent; responses to a
 /// discarded query are ignored.
 const FRESHNESS_QUERY_TIMEOUT_MS: u64 = 2_000;
+/// Announced departures in a digest.
+const MAX_DEPARTURES_PER_DIGEST: usize = 32;
+/// Largest difference between the known era and one that another instance reports.
+const MAX_ERA_STEP: u64 = 64;
+/// Queries that may await a response at the same time.
+const MAX_PENDING_QUERIES: usize = 16;
 /// Largest UDP payload over IPv4.
 const MAX_DATAGRAM_BYTES: usize = 65_507;
 
@@ -77,6 +83,18 @@
     /// Load that the sender has placed, by service.
     #[serde(rename = "s")]
     services: BTreeMap<String, ServiceDigest>,
+    /// Highest era of the store that the sender knows; 0 from a build that knows none.
+    #[serde(rename = "e", default)]
+    store_era: u64,
+    /// Version of the sender's active document.
+    #[serde(rename = "v", default)]
+    version: Option<u64>,
+    /// Upstreams that have announced their departure in responses, with the times of their starts.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    departures: Vec<(String, Option<u64>)>,
+    /// Usage reports that were committed in the store, from the holder of the duties.
+    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+    committed_usage: Vec<WindowCounts>,
 }
 
 /// Upstream, requests in flight, requests with a started response, and queued requests by rank:
@@ -107,6 +125,9 @@
     /// The document, if it is newer than the version in the query.
     document: Option<RouteDocument>,
     upstreams: Vec<UpstreamEntry>,
+    /// Era of the store that attests; 0 from a build that knows none.
+    #[serde(default)]
+    store_era: u64,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -211,7 +232,30 @@
                 .collect(),
             windows: relay.newest_windows(),
             services,
+            store_era: relay.store_era(),
+            version: relay.active_document.read().version(),
+            departures: relay
+                .directory
+                .lock()
+                .announced_departures()
+                .take(MAX_DEPARTURES_PER_DIGEST)
+                .map(|(id, started_at_ms)| (id.to_owned(), started_at_ms))
+                .collect(),
+            committed_usage: self.committed_usage_for_digest(),
+        }
+    }
+
+    /// Returns the committed usage reports if this instance holds the duties; the others only keep
+    /// them.
+    fn committed_usage_for_digest(&self) -> Vec<WindowCounts> {
+        if !self.relay.duty_lease.lock().is_holder() {
+            return Vec::new();
         }
+        let committed = self.relay.committed_usage.lock();
+        committed
+            .iter()
+            .map(|(window, counts)| WindowCounts { window: *window, counts: counts.clone() })
+            .collect()
     }
 
     async fn query_freshness_if_stale(&self, addresses: &[SocketAddr], now_ms: u64) {
@@ -223,16 +267,33 @@
         if staleness_ms.is_some_and(|staleness_ms| staleness_ms < query_after_ms) {
             return;
         }
+        let chosen: Vec<SocketAddr> =
+            addresses.choose_multiple(&mut rand::rng(), FRESHNESS_QUERY_FANOUT).copied().collect();
+        self.query_freshness(version, &chosen, now_ms).await;
+    }
+
+    async fn query_freshness(&self, version: Option<u64>, addresses: &[SocketAddr], now_ms: u64) {
         let nonce = rand::random();
         {
             let mut pending_queries = self.pending_queries.lock();
             pending_queries
                 .retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < FRESHNESS_QUERY_TIMEOUT_MS);
+            if pending_queries.len() >= MAX_PENDING_QUERIES {
+                return;
+            }
             pending_queries.insert(nonce, now_ms);
         }
-        let chosen: Vec<SocketAddr> =
-            addresses.choose_multiple(&mut rand::rng(), FRESHNESS_QUERY_FANOUT).copied().collect();
-        self.send_all(&Message::Ask { nonce, version }, &chosen).await;
+        self.send_all(&Message::Ask { nonce, version }, addresses).await;
+    }
+
+    /// Asks another instance for its document if that is newer: a store that was restored from a
+    /// backup may list an older one until the operators have written the newer one again.
+    async fn query_newer_document(&self, digest: &Digest) {
+        let version = self.relay.active_document.read().version();
+        if digest.version > version {
+            let now_ms = self.relay.now_ms();
+            self.query_freshness(version, &[digest.peer_address], now_ms).await;
+        }
     }
 
     async fn send_all(&self, message: &Message, addresses: &[SocketAddr]) {
@@ -250,7 +311,10 @@
 
     async fn handle_message(&self, message: Message, source: SocketAddr) {
         match message {
-            Message::Digest(digest) => self.apply_digest(&digest),
+            Message::Digest(digest) => {
+                self.apply_digest(&digest);
+                self.query_newer_document(&digest).await;
+            }
             Message::Ask { nonce, version } => {
                 if let Some(attestation) = self.make_attestation(nonce, version) {
                     self.send_all(&Message::Proof(Box::new(attestation)), &[source]).await;
@@ -275,6 +339,11 @@
         });
         relay.apply_cap_totals(name, digest.boot, totals);
         relay.fleet_usage.lock().merge(name, digest.boot, &digest.windows);
+        relay.remember_committed_usage(&digest.committed_usage);
+        for (upstream, started_at_ms) in &digest.departures {
+            relay.announce_departure(upstream, *started_at_ms, "peer");
+        }
+        self.observe_peer_era(digest.store_era);
         for (service, placement_table) in relay.placement_tables() {
             let mut placement_table = placement_table.lock();
             placement_table.clear_peer(name);
@@ -300,6 +369,15 @@
         }
     }
 
+    /// Applies an era that another instance reports. One far above the known era is not plausible, as
+    /// eras rise by one.
+    fn observe_peer_era(&self, era: u64) {
+        let known = self.relay.store_era();
+        if era > known && era - known <= MAX_ERA_STEP {
+            self.relay.observe_store_era(era, "peer");
+        }
+    }
+
     fn make_attestation(
         &self,
         nonce: u64,
@@ -317,6 +395,7 @@
             age_ms,
             document: is_newer.then(|| table.document().clone()),
             upstreams: relay.directory.lock().entries().cloned().collect(),
+            store_era: relay.store_era(),
         })
     }
 
@@ -329,6 +408,14 @@
             return;
         };
         let Some(attested_at_ms) = queried_at_ms.checked_sub(attestation.age_ms) else { return };
+        self.observe_peer_era(attestation.store_era);
+        if attestation.store_era < relay.store_era() {
+            return;
+        }
+        // A newer document was acknowledged by the store, whatever the age of the attestation.
+        if let Some(document) = attestation.document {
+            relay.apply_document(document, "peer");
+        }
         let now_ms = relay.now_ms();
         let own_age_ms = relay.active_document.read().staleness_bound_ms(now_ms);
         let is_fresher =
@@ -336,9 +423,6 @@
         if !is_fresher {
             return;
         }
-        if let Some(document) = attestation.document {
-            relay.apply_document(document, "peer");
-        }
         relay.replace_upstreams(attestation.upstreams);
         relay.active_document.write().attest_freshness(attestation.version, attested_at_ms);
         relay.log.write("proof_from_peer", || {
--- a/crates/relay/src/buffered_response.rs
+++ b/crates/relay/src/buffered_response.rs
@@ -1,6 +1,7 @@
 //! Responses that are buffered completely before the caller receives any part, so that no caller
 //! receives a truncated one.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hickorycourse_codes::Problem;
@@ -15,6 +16,34 @@
 
 /// Largest response body that is accepted.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// Bytes that all responses in progress may buffer together in this process.
+const MAX_BUFFERED_BYTES: usize = 20 * 1024 * 1024;
+/// Bytes that each response may buffer, also when the others have reached that limit.
+const GUARANTEED_BYTES: usize = 64 * 1024;
+
+static BUFFERED_BYTES: AtomicUsize = AtomicUsize::new(0);
+
+/// The part of [`BUFFERED_BYTES`] that one response holds; released when dropped.
+#[derive(Default)]
+struct BufferReservation {
+    bytes: usize,
+}
+
+impl BufferReservation {
+    /// Reserves `bytes` more; returns whether they may be buffered.
+    fn grow(&mut self, bytes: usize) -> bool {
+        let before = BUFFERED_BYTES.fetch_add(bytes, Ordering::Relaxed);
+        self.bytes += bytes;
+        self.bytes <= GUARANTEED_BYTES
+            || (self.bytes <= MAX_RESPONSE_BYTES && before + bytes <= MAX_BUFFERED_BYTES)
+    }
+}
+
+impl Drop for BufferReservation {
+    fn drop(&mut self) {
+        BUFFERED_BYTES.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
 
 /// A complete response of an upstream.
 #[derive(Clone, Debug)]
@@ -108,14 +137,14 @@
 
 async fn read_body(mut body: Incoming) -> Result<Bytes, String> {
     let mut bytes = Vec::new();
+    let mut reservation = BufferReservation::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| error.to_string())?;
-        if let Ok(data) = frame.into_data() {
-            bytes.extend_from_slice(&data);
-        }
-        if bytes.len() > MAX_RESPONSE_BYTES {
-            return Err(format!("the response exceeds the limit of {MAX_RESPONSE_BYTES} bytes"));
+        let Ok(data) = frame.into_data() else { continue };
+        if !reservation.grow(data.len()) {
+            return Err(format!("the response is too large: {} bytes received", reservation.bytes));
         }
+        bytes.extend_from_slice(&data);
     }
     Ok(Bytes::from(bytes))
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -185,7 +185,9 @@
         let request = self.placement_request(&retry_state.excluded);
         let mut placements = placement_table.lock();
         let Some(placement) = placements.choose(&request, now_ms) else {
-            return Err(self.failure_problem(retry_state));
+            let backoff_ms = placements.backoff_remaining_ms(&request, now_ms);
+            drop(placements);
+            return Err(self.unavailable_problem(retry_state, backoff_ms));
         };
         placements.record_arrival(self.urgency, placement.uncached_tokens, now_ms);
         if retry_state.sent_attempts > 0 {
@@ -244,7 +246,7 @@
         if !attempt.is_open() {
             retry_state.failed_dials += 1;
             retry_state.excluded.push(upstream);
-            return Err("the upstream started to leave while the connection was opened".to_owned());
+            return Err("the upstream withdrew while the connection was opened".to_owned());
         }
         let request = self.make_request(&attempt.placement, last_event_id);
         let limit =
@@ -298,9 +300,7 @@
     ) -> Result<OpenedResponse, String> {
         let upstream = attempt.placement.upstream.clone();
         let status = response.status().as_u16();
-        if let Some(load) = metadata.load {
-            attempt.record_load_report(load.running, load.waiting);
-        }
+        attempt.record_metadata(&metadata);
         if metadata.is_not_run {
             let failure = format!("refused with {status}");
             self.log_failure(&upstream, &failure, retry_state);
@@ -397,6 +397,24 @@
         Problem::new(ErrorCode::UpstreamFailed)
     }
 
+    /// Returns the problem for the caller when no upstream accepts the request. `backoff_ms` is the
+    /// time until one that has requested a backoff may be used again.
+    fn unavailable_problem(&self, retry_state: &RetryState, backoff_ms: Option<u64>) -> Problem {
+        let problem = self.failure_problem(retry_state);
+        match backoff_ms {
+            Some(backoff_ms) if !retry_state.may_have_run => {
+                self.relay.log.write("refused", || {
+                    json!({
+                        "request": self.request_id, "service": self.service,
+                        "backoff_ms": backoff_ms,
+                    })
+                });
+                problem.with_retry_after_ms(backoff_ms.max(DEFAULT_RETRY_AFTER_MS))
+            }
+            _ => problem,
+        }
+    }
+
     fn deadline_problem(&self, retry_state: &RetryState) -> Problem {
         match retry_state.may_have_run {
             true => Problem::new(ErrorCode::UpstreamTimeout),
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -27,6 +27,8 @@
 /// Part of the stated idle timeout for which a connection is reused, in percent, so that the
 /// upstream does not close the connection while a request is in transit.
 const IDLE_TIMEOUT_PERCENT: u64 = 60;
+/// Largest head of a response; one that never ends must not fill the memory.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Idle connections in the pool for each upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 64;
 
@@ -81,7 +83,9 @@
             })?
             .map_err(|error| not_sent(error.to_string()))?;
         stream.set_nodelay(true).map_err(|error| not_sent(error.to_string()))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(error.to_string()))?;
         let task = spawn_local(async move {
--- a/crates/relay/src/duty_tasks.rs
+++ b/crates/relay/src/duty_tasks.rs
@@ -6,10 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hickorycourse_duties::{CapacityOrder, CapacityPlanner, LeaseAction, ZoneCapacity};
+use hickorycourse_duties::{
+    CapacityOrder, CapacityPlanner, LeaseAction, WindowCounts, ZoneCapacity,
+};
 use hickorycourse_routes::{Service, UpstreamPhase};
 use hickorycourse_store::{KeyValue, Lease, PlatformError, SwapOutcome};
 use ntex::time::sleep;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use crate::adapter::{DutyClient, DutyError, DutyHolder};
@@ -33,6 +36,16 @@
 /// Number of past windows that the holder checks, so that none is skipped when the holder changes.
 const LOOKBACK_WINDOWS: u64 = 4;
 
+/// Store key of the [`EraRecord`].
+const ERA_RECORD_KEY: &str = "hickorycourse/usage-era";
+
+/// First window whose report can be recorded in an era of the store.
+#[derive(Debug, Deserialize, Serialize)]
+struct EraRecord {
+    era: u64,
+    first_window: u64,
+}
+
 /// The duties, performed while this instance holds the lease.
 pub struct DutyTasks {
     relay: Arc<Relay>,
@@ -40,6 +53,9 @@
     client: Rc<dyn DutyClient>,
     lease: Option<Lease>,
     reported_windows: BTreeSet<u64>,
+    /// First window that was not yet due when the store's data in this era began. The records of
+    /// earlier reports may be gone; `None` until it has been read from the store.
+    first_recorded_window: Option<u64>,
     planners: BTreeMap<String, CapacityPlanner>,
     planned_at_ms: u64,
 }
@@ -57,6 +73,7 @@
             client,
             lease: None,
             reported_windows: BTreeSet::new(),
+            first_recorded_window: None,
             planners: BTreeMap::new(),
             planned_at_ms: 0,
         }
@@ -95,12 +112,14 @@
         let relay = Arc::clone(&self.relay);
         let started_at_ms = relay.now_ms();
         let outcome = self.try_acquire_lease().await;
+        relay.observe_store_era(self.key_value.era(), "store");
         let now_ms = relay.now_ms();
         let mut lease = relay.duty_lease.lock();
         match &outcome {
             Ok(SwapOutcome::Swapped { mod_revision }) => {
                 lease.record_acquired(*mod_revision, started_at_ms, now_ms);
                 self.planners.clear();
+                self.first_recorded_window = None;
             }
             Ok(SwapOutcome::Conflict { stored: Some(stored) }) => {
                 lease.observe_holder(stored.mod_revision)
@@ -131,7 +150,10 @@
     async fn renew_lease(&mut self) {
         let Some(lease) = self.lease else { return };
         let started_at_ms = self.relay.now_ms();
-        match self.key_value.renew_lease(lease).await {
+        let renewed = self.key_value.renew_lease(lease).await;
+        // Ends the own lease if the store was restored, even where it still knows the lease.
+        self.relay.observe_store_era(self.key_value.era(), "store");
+        match renewed {
             Ok(true) => self.relay.duty_lease.lock().record_renewed(started_at_ms),
             Ok(false) => {
                 self.lease = None;
@@ -176,13 +198,58 @@
         let first = ended.saturating_sub(LOOKBACK_WINDOWS);
         self.reported_windows.retain(|window| *window >= first);
         self.relay.fleet_usage.lock().evict_before(first);
+        let Some(first_recorded) = self.read_first_recorded_window(ended).await else { return };
         for window in first..ended {
-            if !self.reported_windows.contains(&window) && self.report_window(window).await {
+            // Without its record, it is unknown whether and with which counts a window was reported.
+            let is_known =
+                window >= first_recorded || self.relay.committed_usage.lock().contains_key(&window);
+            let is_due = is_known && !self.reported_windows.contains(&window);
+            if is_due && self.report_window(window).await {
                 self.reported_windows.insert(window);
             }
         }
     }
 
+    /// Returns the first window whose record can be in the store in its present era. The first holder
+    /// of an era writes it. `ended` is the first window that is not yet due.
+    async fn read_first_recorded_window(&mut self, ended: u64) -> Option<u64> {
+        if self.first_recorded_window.is_none() {
+            match self.read_or_write_era_record(ended).await {
+                Ok(first) => self.first_recorded_window = Some(first),
+                Err(error) => self
+                    .relay
+                    .log
+                    .write("usage_not_fixed", || json!({ "reason": error.to_string() })),
+            }
+        }
+        self.first_recorded_window
+    }
+
+    async fn read_or_write_era_record(&self, ended: u64) -> Result<u64, PlatformError> {
+        let stored = self.key_value.get(ERA_RECORD_KEY).await?;
+        let era = self.key_value.era();
+        if let Some(stored) = &stored
+            && let Ok(record) = serde_json::from_slice::<EraRecord>(&stored.value)
+            && record.era == era
+        {
+            return Ok(record.first_window);
+        }
+        let record = EraRecord { era, first_window: ended };
+        let value = serde_json::to_vec(&record)
+            .map_err(|error| PlatformError::InvalidResponse(error.to_string()))?;
+        let expected_revision = stored.map_or(0, |stored| stored.mod_revision);
+        let swap = self
+            .key_value
+            .compare_and_swap(ERA_RECORD_KEY, expected_revision, &value, None)
+            .await?;
+        match swap {
+            SwapOutcome::Swapped { .. } => Ok(ended),
+            SwapOutcome::Conflict { .. } => Err(PlatformError::Refused(
+                "the era record was written by another instance".to_owned(),
+            )),
+        }
+    }
+
     /// Reports one window; returns whether the platform accepted the report.
     async fn report_window(&self, window: u64) -> bool {
         let relay = &self.relay;
@@ -212,19 +279,32 @@
     /// Commits the counts of a window to the store once and returns the committed counts, so that
     /// each later holder reports the same ones.
     async fn commit_report(&self, window: u64) -> Result<BTreeMap<String, u64>, PlatformError> {
-        let counts = self.relay.fleet_usage.lock().total(window);
+        let relay = &self.relay;
+        let remembered = relay.committed_usage.lock().get(&window).cloned();
+        let counts = remembered.clone().unwrap_or_else(|| relay.fleet_usage.lock().total(window));
         let key = format!("{USAGE_REPORT_PREFIX}{window}");
         let value = serde_json::to_vec(&counts)
             .map_err(|error| PlatformError::InvalidResponse(error.to_string()))?;
         let lease = self.key_value.grant_lease(USAGE_REPORT_TTL_MS).await?;
-        match self.key_value.compare_and_swap(&key, 0, &value, Some(lease)).await? {
-            SwapOutcome::Swapped { .. } => Ok(counts),
-            SwapOutcome::Conflict { stored: None } => Err(PlatformError::InvalidResponse(
-                "usage report: write conflict without a stored value".to_owned(),
-            )),
-            SwapOutcome::Conflict { stored: Some(stored) } => serde_json::from_slice(&stored.value)
-                .map_err(|error| PlatformError::InvalidResponse(error.to_string())),
-        }
+        let swap = self.key_value.compare_and_swap(&key, 0, &value, Some(lease)).await?;
+        relay.observe_store_era(self.key_value.era(), "store");
+        let counts = match (swap, remembered) {
+            (SwapOutcome::Swapped { .. }, _) => counts,
+            // The remembered counts may have been sent in an earlier era of the store.
+            (SwapOutcome::Conflict { .. }, Some(remembered)) => remembered,
+            (SwapOutcome::Conflict { stored: None }, None) => {
+                return Err(PlatformError::InvalidResponse(
+                    "usage report: write conflict without a stored value".to_owned(),
+                ));
+            }
+            (SwapOutcome::Conflict { stored: Some(stored) }, None) => {
+                serde_json::from_slice(&stored.value)
+                    .map_err(|error| PlatformError::InvalidResponse(error.to_string()))?
+            }
+        };
+        relay.remember_committed_usage(&[WindowCounts { window, counts: counts.clone() }]);
+        relay.digest_requested.notify_one();
+        Ok(counts)
     }
 
     async fn order_capacity(&mut self) {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -33,6 +33,8 @@
 
 /// Usage windows in each digest. Counts are cumulative, so the next digest makes up for a lost one.
 const WINDOWS_PER_DIGEST: usize = 3;
+/// Committed usage reports that are kept; older windows are no longer reported.
+const MAX_COMMITTED_WINDOWS: usize = 6;
 /// Longest use of an upstream whose entry was deleted during the grace period after an outage of the
 /// store, in percent of `leaving_ms`. The upstream may be leaving, so its last requests must reach it
 /// within `leaving_ms`.
@@ -47,6 +49,8 @@
     /// Time of the first response after the latest outage; absent before the first outage.
     recovered_at_ms: Option<u64>,
     is_unavailable: bool,
+    /// Highest era that the store or another instance has shown; `None` before the first response.
+    era: Option<u64>,
 }
 
 /// State that all parts of the process share. Each mutable part has its own lock.
@@ -80,6 +84,11 @@
     pub wall_clock: Mutex<WallClockEstimator>,
     /// Triggers a digest before its period has elapsed.
     pub digest_requested: Notify,
+    /// Triggers a new registration of this instance in the store.
+    pub registration_requested: Notify,
+    /// Usage reports that were committed in the store before they were sent, by window. A store that
+    /// is restored from a backup may lack them.
+    pub committed_usage: Mutex<BTreeMap<u64, BTreeMap<String, u64>>>,
     /// Usage counts of all instances.
     pub fleet_usage: Mutex<FleetUsage>,
     placement_tables: RwLock<BTreeMap<String, SharedPlacementTable>>,
@@ -113,6 +122,8 @@
             duty_lease: Mutex::new(DutyLease::new(LeaseOptions::from_ttl(bounds.lease_ms))),
             wall_clock: Mutex::new(WallClockEstimator::new(clock.wall_ms(), now_ms)),
             digest_requested: Notify::new(),
+            registration_requested: Notify::new(),
+            committed_usage: Mutex::default(),
             fleet_usage: Mutex::default(),
             placement_tables: RwLock::default(),
             caps: Mutex::default(),
@@ -182,6 +193,22 @@
         self.apply_changes(&[(id, change)]);
     }
 
+    /// Records that an upstream has announced its departure: in a response to this instance, or to
+    /// another one that has told so. `started_at_ms` limits the announcement to that start of the
+    /// upstream. The other instances are told at once.
+    pub fn announce_departure(&self, id: &str, started_at_ms: Option<u64>, source: &str) {
+        let change = self.directory.lock().announce_departure(id, started_at_ms);
+        if change == DirectoryChange::None {
+            return;
+        }
+        self.log.write(
+            "departure_announced",
+            || json!({ "upstream": id, "started_at_ms": started_at_ms, "source": source }),
+        );
+        self.apply_changes(&[(id.to_owned(), change)]);
+        self.digest_requested.notify_one();
+    }
+
     /// Applies the deletion of an upstream's entry, after the grace period if the store has just
     /// recovered.
     pub fn remove_upstream(&self, id: &str) {
@@ -235,6 +262,45 @@
         (grace_end_ms > now_ms).then_some(grace_end_ms.min(now_ms + leaving_ms))
     }
 
+    /// Returns the highest era of the store that is known; 0 before the first response.
+    pub fn store_era(&self) -> u64 {
+        self.store.lock().era.unwrap_or(0)
+    }
+
+    /// Records an era of the store, shown by the store itself or by another instance. If it has risen,
+    /// the store was restored from a backup: its state is listed anew, this instance registers
+    /// again, and nothing that depends on a lease of an earlier era goes on.
+    pub fn observe_store_era(&self, era: u64, source: &str) {
+        let now_ms = self.now_ms();
+        {
+            let mut store = self.store.lock();
+            let previous = store.era;
+            store.era = Some(era.max(previous.unwrap_or(0)));
+            if previous.is_none_or(|previous| era <= previous) {
+                return;
+            }
+            store.recovered_at_ms = Some(now_ms);
+        }
+        self.log.write("store_restored", || json!({ "era": era, "source": source }));
+        self.duty_lease.lock().record_restore(now_ms);
+        let doubtful_until_ms = now_ms + self.settings.bounds.doubt_ms;
+        self.active_document.write().record_restore(doubtful_until_ms);
+        self.registration_requested.notify_one();
+        self.digest_requested.notify_one();
+    }
+
+    /// Keeps usage reports that were committed, so that a later holder of the duties sends the same
+    /// counts even if the store has lost them.
+    pub fn remember_committed_usage(&self, reports: &[WindowCounts]) {
+        let mut committed = self.committed_usage.lock();
+        for report in reports {
+            committed.entry(report.window).or_insert_with(|| report.counts.clone());
+        }
+        while committed.len() > MAX_COMMITTED_WINDOWS {
+            committed.pop_first();
+        }
+    }
+
     /// Records a failed call to the store; logs only the start of an outage.
     pub fn record_store_failure(&self, reason: &str) {
         let mut store = self.store.lock();
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -5,11 +5,13 @@
 //! upstreams arrive in one response; the pause is a part of the shortest bound within which changes
 //! must be applied.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hickorycourse_routes::UpstreamEntry;
+use futures_util::future::select;
+use hickorycourse_routes::{RouteDocument, UpstreamEntry};
 use hickorycourse_store::{
     KeyValue, KeyValueRecord, Lease, PlatformError, SwapOutcome, WatchEvent,
 };
@@ -33,6 +35,8 @@
 /// Range of the backoff after a failure; randomized so that instances don't reconnect at the same
 /// time.
 const BACKOFF_MS: std::ops::Range<u64> = 100..400;
+/// Range of the delay before a listing after the history was lost; all instances notice it at once.
+const RESTART_JITTER_MS: std::ops::Range<u64> = 0..150;
 /// TTL of the lease on this instance's member record; covers a short outage of the store.
 const MEMBER_TTL_MS: u64 = 9_000;
 /// Interval between two renewals of the lease on the member record.
@@ -55,8 +59,11 @@
             Ok(()) => relay.record_store_failure("the store closed the watch"),
             // The store is reachable, but the history for the watch is gone; the next listing
             // covers the gap.
-            Err(PlatformError::InvalidResponse(reason)) => {
+            Err(PlatformError::HistoryLost(reason)) => {
+                relay.observe_store_era(key_value.era(), "store");
                 relay.log.write("watch_restarted", || json!({ "reason": reason }));
+                let delay_ms = rand::rng().random_range(RESTART_JITTER_MS);
+                sleep(Duration::from_millis(delay_ms)).await;
                 continue;
             }
             Err(error) => relay.record_store_failure(&error.to_string()),
@@ -71,14 +78,19 @@
     key_value: &dyn KeyValue,
 ) -> Result<(), PlatformError> {
     let propagation_ms = relay.settings.bounds.change_propagation_ms();
+    // Another instance may have told of a later era than the one that this one still reaches.
+    key_value.raise_era(relay.store_era());
     // Opened before the listing, so that no change between the two is missed.
     let mut watch = key_value.watch("").await?;
+    relay.observe_store_era(key_value.era(), "store");
     let started_at_ms = relay.now_ms();
     let items = key_value.list("", 0).await?;
+    relay.observe_store_era(key_value.era(), "store");
     apply_listing(relay, &items);
     record_freshness(relay, started_at_ms);
     loop {
         let started_at_ms = relay.now_ms();
+        key_value.raise_era(relay.store_era());
         let Some(events) = watch.next().await else { return Ok(()) };
         let events = events?;
         for event in &events {
@@ -99,10 +111,14 @@
 /// current then.
 fn record_freshness(relay: &Relay, started_at_ms: u64) {
     relay.record_store_success();
-    let mut active_document = relay.active_document.write();
-    if let Some(version) = active_document.version() {
-        active_document.attest_freshness(version, started_at_ms);
-    }
+    relay.active_document.write().attest_by_store(started_at_ms);
+}
+
+/// Applies the operators' document as the store lists it.
+fn apply_stored_document(relay: &Relay, document: RouteDocument) {
+    let version = document.version;
+    relay.apply_document(document, "store");
+    relay.active_document.write().record_stored_version(Some(version));
 }
 
 fn apply_listing(relay: &Relay, items: &[KeyValueRecord]) {
@@ -116,7 +132,7 @@
         }
         match decode(relay, item) {
             Some(PlatformItem::Upstream(entry)) => upstreams.push(entry),
-            Some(PlatformItem::Document(document)) => relay.apply_document(*document, "store"),
+            Some(PlatformItem::Document(document)) => apply_stored_document(relay, *document),
             Some(PlatformItem::Other) => apply_relay_item(relay, item),
             None => {}
         }
@@ -139,7 +155,7 @@
     match event {
         WatchEvent::Put(item) => match decode(relay, item) {
             Some(PlatformItem::Upstream(entry)) => relay.put_upstream(entry),
-            Some(PlatformItem::Document(document)) => relay.apply_document(*document, "store"),
+            Some(PlatformItem::Document(document)) => apply_stored_document(relay, *document),
             Some(PlatformItem::Other) => apply_relay_item(relay, item),
             None => {
                 // An upstream with an invalid entry is not used.
@@ -224,7 +240,8 @@
                 MEMBER_RETRY_DELAY
             }
         };
-        sleep(pause).await;
+        relay.observe_store_era(key_value.era(), "store");
+        select(pin!(sleep(pause)), pin!(relay.registration_requested.notified())).await;
     }
     if let Some(held) = lease
         && let Err(error) = key_value.revoke_lease(held).await
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -203,7 +203,8 @@
     }
 }
 
-/// Waits for complete events.
+/// Waits for complete events. The idle timeout counts from the last complete event: bytes alone are no
+/// progress, as a stalled upstream may send one now and then.
 async fn next_events(
     call: &Call,
     retry_state: &RetryState,
@@ -211,18 +212,23 @@
     events: &mut EventTracker,
     is_first: bool,
 ) -> StreamStep {
+    let started_at_ms = call.relay.now_ms();
     loop {
-        let remaining_ms = call.remaining_ms();
-        let limit_ms = idle_timeout_ms(call, retry_state, is_first).min(remaining_ms);
-        if limit_ms == 0 {
+        if call.remaining_ms() == 0 {
             return StreamStep::Interrupted(
                 "the deadline passed before the stream ended".to_owned(),
             );
         }
+        let idle_timeout_ms = idle_timeout_ms(call, retry_state, is_first);
+        let idle_ms = call.relay.now_ms().saturating_sub(started_at_ms);
+        let limit_ms = idle_timeout_ms.saturating_sub(idle_ms).min(call.remaining_ms());
         let limit = Duration::from_millis(limit_ms);
         let frame = match timeout(limit, source.body.frame()).await {
             Err(()) => {
-                return StreamStep::Interrupted(format!("no bytes received for {limit_ms} ms"));
+                return StreamStep::Interrupted(format!(
+                    "no complete event received for {} ms",
+                    idle_ms + limit_ms
+                ));
             }
             Ok(None) if events.has_partial() => {
                 return StreamStep::Interrupted(
@@ -234,9 +240,10 @@
             Ok(Some(Ok(frame))) => frame,
         };
         if let Ok(data) = frame.into_data() {
-            let complete_events = events.push(&data);
-            if !complete_events.is_empty() {
-                return StreamStep::Events(complete_events);
+            match events.push(&data) {
+                Ok(complete_events) if complete_events.is_empty() => {}
+                Ok(complete_events) => return StreamStep::Events(complete_events),
+                Err(error) => return StreamStep::Interrupted(error.to_string()),
             }
         }
     }
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -10,28 +10,28 @@
 #[test]
 fn push_partial_event_buffered() {
     let mut tracker = EventTracker::default();
-    assert_eq!(tracker.push(b"id: 1\nda"), b"");
+    assert_eq!(tracker.push(b"id: 1\nda").unwrap(), b"");
     assert!(tracker.has_partial());
-    assert_eq!(tracker.push(b"ta: piece 1\n\nid: 2"), event(1).as_bytes());
+    assert_eq!(tracker.push(b"ta: piece 1\n\nid: 2").unwrap(), event(1).as_bytes());
     assert_eq!(tracker.last_id(), Some(1));
 }
 
 #[test]
 fn push_repeated_event_after_resumption_dropped() {
     let mut tracker = EventTracker::default();
-    tracker.push(event(1).as_bytes());
-    tracker.push(b"id: 2\ndata: pie");
+    tracker.push(event(1).as_bytes()).unwrap();
+    tracker.push(b"id: 2\ndata: pie").unwrap();
     // The first upstream fails within event 2; the second one repeats event 1.
     tracker.drop_partial();
-    assert_eq!(tracker.push(event(1).as_bytes()), b"");
-    assert_eq!(tracker.push(event(2).as_bytes()), event(2).as_bytes());
+    assert_eq!(tracker.push(event(1).as_bytes()).unwrap(), b"");
+    assert_eq!(tracker.push(event(2).as_bytes()).unwrap(), event(2).as_bytes());
 }
 
 #[test]
 fn push_crlf_lines_returned_unchanged() {
     let mut tracker = EventTracker::default();
     let bytes = b"id:4\r\ndata:x\r\n\r\n";
-    assert_eq!(tracker.push(bytes), bytes);
+    assert_eq!(tracker.push(bytes).unwrap(), bytes);
     assert_eq!(tracker.last_id(), Some(4));
 }
 
@@ -46,7 +46,7 @@
         let mut passed = Vec::new();
         for cut in cuts.iter().cycle() {
             let (part, left) = rest.split_at((*cut).min(rest.len()));
-            passed.extend(tracker.push(part));
+            passed.extend(tracker.push(part).unwrap());
             rest = left;
             if rest.is_empty() {
                 break;
@@ -57,3 +57,22 @@
         prop_assert!(!tracker.has_partial());
     }
 }
+
+// Guards against bytes without the end of an event, which would fill the memory.
+#[test]
+fn push_without_event_end_is_limited() {
+    let mut tracker = EventTracker::default();
+    let block = [b'x'; 4_096];
+    let accepted = (0..1_000).take_while(|_| tracker.push(&block).is_ok()).count();
+    assert!(accepted < 100, "{} bytes accepted", accepted * block.len());
+}
+
+#[test]
+fn push_line_by_line_returns_event_at_blank_line() {
+    let mut tracker = EventTracker::default();
+    for part in [&b"id: 1\r\n"[..], b"data: a", b"\r\n", b"\r"] {
+        assert_eq!(tracker.push(part).unwrap(), b"");
+    }
+    assert_eq!(tracker.push(b"\n").unwrap(), b"id: 1\r\ndata: a\r\n\r\n");
+    assert_eq!(tracker.push(b"\n").unwrap(), b"\n");
+}
--- a/crates/routes/src/active_document.rs
+++ b/crates/routes/src/active_document.rs
@@ -21,6 +21,19 @@
     /// Latest time at which the active document was attested to be the newest one; `None` if there
     /// has been no attestation.
     attested_at_ms: Option<u64>,
+    /// Version that the store lists; `None` if it lists none or has not been read.
+    stored_version: Option<u64>,
+    restore: Option<StoreRestore>,
+}
+
+/// A restore of the store from a backup, after which versions that it had acknowledged may be missing
+/// until the operators have written them again.
+#[derive(Clone, Copy, Debug)]
+struct StoreRestore {
+    /// The active version at the restore.
+    version: Option<u64>,
+    /// Time until which the operators may still have to write a version again that is not known here.
+    doubtful_until_ms: u64,
 }
 
 impl ActiveDocument {
@@ -41,6 +54,35 @@
         }
     }
 
+    /// Records the version that the store lists; `None` if it lists none.
+    pub fn record_stored_version(&mut self, version: Option<u64>) {
+        self.stored_version = version;
+    }
+
+    /// Records a response of the store to a call that began at `at_ms`. It attests the active version
+    /// if the store lists that version. After a restore, an unchanged version is attested only once
+    /// the operators have had time to write a newer one again.
+    pub fn attest_by_store(&mut self, at_ms: u64) {
+        let Some(version) = self.version().filter(|version| self.stored_version == Some(*version))
+        else {
+            return;
+        };
+        if let Some(restore) = self.restore {
+            let is_written_again = restore.version.is_some_and(|known| known < version);
+            if !is_written_again && at_ms < restore.doubtful_until_ms {
+                return;
+            }
+            self.restore = None;
+        }
+        self.attest_freshness(version, at_ms);
+    }
+
+    /// Records that the store was restored from a backup. The active version stays in force.
+    pub fn record_restore(&mut self, doubtful_until_ms: u64) {
+        self.stored_version = None;
+        self.restore = Some(StoreRestore { version: self.version(), doubtful_until_ms });
+    }
+
     /// Returns the route table of the active document; `None` before the first one.
     pub fn table(&self) -> Option<Arc<RouteTable>> {
         self.table.clone()
--- a/crates/routes/src/directory.rs
+++ b/crates/routes/src/directory.rs
@@ -1,6 +1,6 @@
 //! Directory of the upstreams that the platform lists.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -81,6 +81,13 @@
         }
     }
 
+    /// Returns whether both entries were written by the same start of the upstream.
+    fn is_same_start(&self, other: &Self) -> bool {
+        self.started_at_ms == other.started_at_ms
+            && self.address == other.address
+            && self.service == other.service
+    }
+
     /// Returns whether this entry was written before `known`, by the same start of the upstream or
     /// by an earlier one.
     fn is_older_than(&self, known: &Self) -> bool {
@@ -98,6 +105,42 @@
     /// End of the grace period; set while the entry is missing although its upstream may be
     /// running.
     grace_until_ms: Option<u64>,
+    /// Whether the upstream has announced in a response that it is leaving.
+    is_departure_announced: bool,
+}
+
+/// Number of former upstreams whose last entries are kept.
+const MAX_FORMER_UPSTREAMS: usize = 4_096;
+
+/// The last entries of upstreams that are no longer listed. A store that is restored from a backup
+/// lists some of them again.
+#[derive(Clone, Debug, Default)]
+struct FormerUpstreams {
+    entries: BTreeMap<String, UpstreamEntry>,
+    /// Identifiers in the order of their removal, for eviction.
+    order: VecDeque<String>,
+}
+
+impl FormerUpstreams {
+    fn add(&mut self, entry: UpstreamEntry) {
+        let id = entry.id.clone();
+        if self.entries.insert(id.clone(), entry).is_none() {
+            self.order.push_back(id);
+        }
+        if self.order.len() > MAX_FORMER_UPSTREAMS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.entries.remove(&oldest);
+        }
+    }
+
+    /// Returns whether `entry` was written before its upstream was removed.
+    fn is_outdated(&self, entry: &UpstreamEntry) -> bool {
+        self.entries.get(&entry.id).is_some_and(|last| {
+            entry.is_older_than(last)
+                || (entry.is_same_start(last) && entry.sequence == last.sequence)
+        })
+    }
 }
 
 /// The upstreams that the platform lists, and those in their grace period, whose entries are missing
@@ -105,11 +148,25 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamDirectory {
     upstreams: BTreeMap<String, ListedUpstream>,
+    former: FormerUpstreams,
 }
 
 impl UpstreamDirectory {
-    /// Adds or updates an entry. An entry older than the known one is ignored.
-    pub fn put(&mut self, entry: UpstreamEntry) -> DirectoryChange {
+    /// Adds or updates an entry. An entry older than the known one is ignored, also if its upstream
+    /// was removed since. An upstream that has announced its departure by another way than its entry
+    /// stays marked as leaving until its next start.
+    pub fn put(&mut self, mut entry: UpstreamEntry) -> DirectoryChange {
+        if self.former.is_outdated(&entry) {
+            return DirectoryChange::None;
+        }
+        let announced = self
+            .upstreams
+            .get(&entry.id)
+            .filter(|listed| listed.is_departure_announced && listed.entry.is_same_start(&entry));
+        let is_departure_announced = announced.is_some();
+        if is_departure_announced {
+            entry.phase = UpstreamPhase::Leaving;
+        }
         let change = match self.upstreams.get(&entry.id).map(|listed| &listed.entry) {
             None => DirectoryChange::Added,
             Some(known) if entry.is_older_than(known) => return DirectoryChange::None,
@@ -127,10 +184,34 @@
             }
             Some(_) => DirectoryChange::None,
         };
-        self.upstreams.insert(entry.id.clone(), ListedUpstream { entry, grace_until_ms: None });
+        let listed = ListedUpstream { grace_until_ms: None, is_departure_announced, entry };
+        self.upstreams.insert(listed.entry.id.clone(), listed);
         change
     }
 
+    /// Marks an upstream as leaving because it has announced its departure in a response. With
+    /// `started_at_ms` the announcement applies only to that start of the upstream.
+    pub fn announce_departure(&mut self, id: &str, started_at_ms: Option<u64>) -> DirectoryChange {
+        let Some(listed) = self.upstreams.get_mut(id) else { return DirectoryChange::None };
+        if started_at_ms.is_some() && listed.entry.started_at_ms != started_at_ms {
+            return DirectoryChange::None;
+        }
+        let was_ready = listed.entry.phase == UpstreamPhase::Ready;
+        listed.is_departure_announced = true;
+        listed.entry.phase = UpstreamPhase::Leaving;
+        match was_ready {
+            true => DirectoryChange::Leaving,
+            false => DirectoryChange::None,
+        }
+    }
+
+    /// Returns the upstreams that have announced their departure in a response, with the times of
+    /// their starts.
+    pub fn announced_departures(&self) -> impl Iterator<Item = (&str, Option<u64>)> {
+        let announced = self.upstreams.values().filter(|listed| listed.is_departure_announced);
+        announced.map(|listed| (listed.entry.id.as_str(), listed.entry.started_at_ms))
+    }
+
     /// Removes an entry. With `grace_until_ms` a ready upstream stays in use until then, because
     /// its entry may have lapsed during an outage of the platform's store.
     pub fn remove(&mut self, id: &str, grace_until_ms: Option<u64>) -> DirectoryChange {
@@ -141,7 +222,9 @@
             listed.grace_until_ms.get_or_insert(until_ms);
             return DirectoryChange::Doubted;
         }
-        self.upstreams.remove(id);
+        if let Some(listed) = self.upstreams.remove(id) {
+            self.former.add(listed.entry);
+        }
         DirectoryChange::Gone
     }
 
@@ -179,8 +262,8 @@
             .filter(|(_, listed)| is_expired(listed))
             .map(|(id, _)| id.clone())
             .collect();
-        for id in &expired {
-            self.upstreams.remove(id);
+        for listed in expired.iter().filter_map(|id| self.upstreams.remove(id)) {
+            self.former.add(listed.entry);
         }
         expired
     }
--- a/crates/routes/tests/directory.rs
+++ b/crates/routes/tests/directory.rs
@@ -74,3 +74,40 @@
     assert_eq!(changes[0], ("a".to_owned(), DirectoryChange::Gone));
     assert_eq!(directory.entries().count(), 1);
 }
+
+// Guards against requests to an upstream that has announced its departure in a response, while its
+// entry still says that it is ready.
+#[test]
+fn announce_departure_survives_later_entries_of_same_start() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(entry("i-1", 100, 4));
+    assert_eq!(directory.announce_departure("i-1", None), DirectoryChange::Leaving);
+    assert_eq!(directory.announce_departure("i-1", None), DirectoryChange::None);
+    directory.put(entry("i-1", 100, 5));
+    assert!(directory.entries().all(|entry| entry.phase == UpstreamPhase::Leaving));
+    assert_eq!(directory.announced_departures().next(), Some(("i-1", Some(100))));
+    assert_eq!(directory.put(entry("i-1", 200, 1)), DirectoryChange::Restarted);
+    assert!(directory.entries().all(|entry| entry.phase == UpstreamPhase::Ready));
+    assert_eq!(directory.announced_departures().next(), None);
+}
+
+#[test]
+fn announce_departure_of_other_start_is_ignored() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(entry("i-1", 200, 4));
+    assert_eq!(directory.announce_departure("i-1", Some(100)), DirectoryChange::None);
+    assert_eq!(directory.announce_departure("i-2", None), DirectoryChange::None);
+    assert!(directory.entries().all(|entry| entry.phase == UpstreamPhase::Ready));
+}
+
+// Guards against an upstream that has left and is listed again by a store restored from a backup.
+#[test]
+fn put_entry_from_before_removal_is_ignored() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(leaving(entry("i-1", 100, 5)));
+    directory.remove("i-1", None);
+    assert_eq!(directory.put(entry("i-1", 100, 4)), DirectoryChange::None);
+    assert_eq!(directory.put(entry("i-1", 100, 5)), DirectoryChange::None);
+    assert_eq!(directory.entries().count(), 0);
+    assert_eq!(directory.put(entry("i-1", 100, 6)), DirectoryChange::Added);
+}
--- a/crates/routes/tests/routes.rs
+++ b/crates/routes/tests/routes.rs
@@ -124,3 +124,35 @@
     let new = ids.filter(|id| RouteTable::choose_service(&route, id) == Some("new")).count();
     assert!((900..1_100).contains(&new), "{new} of 10000");
 }
+
+#[test]
+fn attest_by_store_of_older_version_is_ignored() {
+    let mut active = ActiveDocument::default();
+    active.apply(document(7));
+    active.record_stored_version(Some(5));
+    active.attest_by_store(900);
+    assert_eq!(active.staleness_bound_ms(1_000), None);
+    active.record_stored_version(Some(7));
+    active.attest_by_store(900);
+    assert_eq!(active.staleness_bound_ms(1_000), Some(100));
+}
+
+// A version that was acknowledged and lost before this instance read it may still be missing.
+#[test]
+fn attest_by_store_after_restore_waits_for_rewritten_versions() {
+    let mut active = ActiveDocument::default();
+    active.apply(document(7));
+    active.record_stored_version(Some(7));
+    active.attest_by_store(900);
+    active.record_restore(3_000);
+    active.record_stored_version(Some(7));
+    active.attest_by_store(2_000);
+    assert_eq!(active.staleness_bound_ms(2_000), Some(1_100));
+    active.attest_by_store(3_000);
+    assert_eq!(active.staleness_bound_ms(3_000), Some(0));
+    active.record_restore(6_000);
+    active.apply(document(8));
+    active.record_stored_version(Some(8));
+    active.attest_by_store(4_000);
+    assert_eq!(active.staleness_bound_ms(4_000), Some(0));
+}
--- a/crates/store/src/gateway.rs
+++ b/crates/store/src/gateway.rs
@@ -162,7 +162,7 @@
             let id = response.id.parse().map_err(|_| {
                 PlatformError::InvalidResponse("the lease id is not a number".to_owned())
             })?;
-            Ok(Lease { id, ttl_ms })
+            Ok(Lease { id, ttl_ms, era: 0 })
         })
     }
 
--- a/crates/store/src/key_value.rs
+++ b/crates/store/src/key_value.rs
@@ -19,6 +19,10 @@
     /// The response could not be decoded.
     #[error("the platform's response was invalid: {0}")]
     InvalidResponse(String),
+    /// The service no longer has the changes that a watch continues from; a new listing covers the
+    /// gap.
+    #[error("the history of the watch is gone: {0}")]
+    HistoryLost(String),
 }
 
 /// A key and its value in the key-value service.
@@ -28,7 +32,7 @@
     pub key: String,
     /// The value.
     pub value: Vec<u8>,
-    /// The store revision of the last write to this key.
+    /// The store revision of the last write to this key; rises from era to era.
     pub mod_revision: u64,
 }
 
@@ -54,6 +58,9 @@
     pub id: i64,
     /// Time to live from the grant or the last renewal.
     pub ttl_ms: u64,
+    /// Era in which it was granted; a service that is restored from a backup may give out its id
+    /// again.
+    pub era: u64,
 }
 
 /// A change observed by a watch.
@@ -75,10 +82,26 @@
     /// Waits for the next batch of changes. After an error or `None` the watch has ended, and changes
     /// may have been missed.
     fn next(&mut self) -> LocalFuture<'_, Option<Result<Vec<WatchEvent>, PlatformError>>>;
+
+    /// Returns the revision up to which changes have been returned; 0 if the service does not tell.
+    fn revision(&self) -> u64 {
+        0
+    }
 }
 
 /// The platform's key-value service.
 pub trait KeyValue {
+    /// Returns the highest era that the service has shown or [`Self::raise_era`] has set; 0 for a
+    /// service without eras. The era rises when the service is restored from a backup: acknowledged
+    /// writes and leases may then be gone.
+    fn era(&self) -> u64 {
+        0
+    }
+
+    /// Sets the era to one that another client has observed. Responses of lower eras are stale and
+    /// are treated as failures from then on.
+    fn raise_era(&self, _era: u64) {}
+
     /// Reads one key; `None` if it is absent.
     fn get<'a>(
         &'a self,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,6 +5,7 @@
 //! list and the reclaim notices and starts instances through the cloud API. The traits [`KeyValue`]
 //! and [`Fleet`] are used as trait objects, so that other implementations can replace the clients.
 
+mod era;
 mod fleet;
 mod gateway;
 mod http_client;
@@ -19,6 +20,7 @@
     };
 }
 
+pub use era::{EraTracker, combine_revision, split_revision};
 pub use fleet::{Fleet, FleetClient, FleetInstance, InstanceState, StartRequest};
 pub use gateway::GatewayClient;
 pub use http_client::build_client;
