Few instances read the store; the others follow them

Cause: each relay watched the store and renewed its own lease every 3 s, 1.2 to 1.3 calls a second and instance, at any size.

Change: in each availability zone one or two readers, selected by rendezvous hashing over the instances that are heard, watch the store. The others ask a reader every tenth of the shortest bound for the changes that they don't know, in one datagram, with the age of the reader's state; the nonce proves that the reply was made after the query. Heartbeats of upstreams are not told. A follower whose state is older than half of the bound, or whose changes are not kept any more, reads the store itself. Followers compete for the duties later than readers. Member records live 20 s instead of 9 s, renewed every 6.5 s. A watch of a quiet store waits 18% of the bound, at most 700 ms.

--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -17,13 +17,15 @@
 use hickorycourse_placement::{RankedRates, TokenDemand, UpstreamLoad, WaitingRequests};
 use hickorycourse_routes::{RouteDocument, UpstreamEntry};
 use hickorycourse_telemetry::EventLog;
-use ntex::time::sleep;
+use ntex::time::{sleep, timeout};
 use parking_lot::Mutex;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
 
+use crate::follow::{ViewQuery, ViewReply, make_reply};
 use crate::state::Relay;
 
 /// Shortest period between two digests.
@@ -135,6 +137,8 @@
     Digest(Box<Digest>),
     Ask { nonce: u64, version: Option<u64> },
     Proof(Box<FreshnessAttestation>),
+    Follow { nonce: u64, query: ViewQuery },
+    View { nonce: u64, reply: Box<ViewReply> },
 }
 
 /// The socket for datagrams, with the freshness queries that await a response.
@@ -143,6 +147,8 @@
     socket: UdpSocket,
     /// Time at which each query was sent, by nonce.
     pending_queries: Mutex<HashMap<u64, u64>>,
+    /// Receivers of readers' replies, by nonce.
+    pending_views: Mutex<HashMap<u64, oneshot::Sender<ViewReply>>>,
 }
 
 impl PeerBroadcast {
@@ -152,7 +158,12 @@
     /// The peer address can't be bound.
     pub async fn open(relay: &Arc<Relay>) -> std::io::Result<Arc<Self>> {
         let socket = UdpSocket::bind(relay.settings.peer_address).await?;
-        Ok(Arc::new(Self { relay: Arc::clone(relay), socket, pending_queries: Mutex::default() }))
+        Ok(Arc::new(Self {
+            relay: Arc::clone(relay),
+            socket,
+            pending_queries: Mutex::default(),
+            pending_views: Mutex::default(),
+        }))
     }
 
     /// Sends digests, and freshness queries when needed, until the process ends.
@@ -200,6 +211,22 @@
         }
     }
 
+    /// Asks a reader for the changes in the store; `None` if it doesn't reply in time.
+    pub async fn query_view(
+        &self,
+        reader: SocketAddr,
+        query: ViewQuery,
+        reply_timeout: Duration,
+    ) -> Option<ViewReply> {
+        let nonce = rand::random();
+        let (sender, receiver) = oneshot::channel();
+        self.pending_views.lock().insert(nonce, sender);
+        self.send_all(&Message::Follow { nonce, query }, &[reader]).await;
+        let reply = timeout(reply_timeout, receiver).await;
+        self.pending_views.lock().remove(&nonce);
+        reply.ok()?.ok()
+    }
+
     fn make_digest(&self, now_ms: u64) -> Digest {
         let relay = &self.relay;
         let mut services = BTreeMap::new();
@@ -321,6 +348,18 @@
                 }
             }
             Message::Proof(attestation) => self.apply_attestation(*attestation, source),
+            Message::Follow { nonce, query } => {
+                if let Some(reply) = make_reply(&self.relay, query) {
+                    let reply = Message::View { nonce, reply: Box::new(reply) };
+                    self.send_all(&reply, &[source]).await;
+                }
+            }
+            Message::View { nonce, reply } => {
+                // A reply that nobody waits for any more is late or a duplicate.
+                if let Some(receiver) = self.pending_views.lock().remove(&nonce) {
+                    let _ = receiver.send(*reply);
+                }
+            }
         }
     }
 
--- a/crates/relay/src/duty_tasks.rs
+++ b/crates/relay/src/duty_tasks.rs
@@ -24,7 +24,7 @@
 /// Store key that holds the name of the duty lease's holder.
 pub const DUTY_LEASE_KEY: &str = "hickorycourse/duties";
 /// Prefix of the store keys under which usage reports are committed before they are sent.
-const USAGE_REPORT_PREFIX: &str = "hickorycourse/usage/";
+pub const USAGE_REPORT_PREFIX: &str = "hickorycourse/usage/";
 /// TTL of a committed report; far beyond the time for which its window can still be reported.
 const USAGE_REPORT_TTL_MS: u64 = 60_000;
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
@@ -37,7 +37,7 @@
 const LOOKBACK_WINDOWS: u64 = 4;
 
 /// Store key of the [`EraRecord`].
-const ERA_RECORD_KEY: &str = "hickorycourse/usage-era";
+pub const ERA_RECORD_KEY: &str = "hickorycourse/usage-era";
 
 /// First window whose report can be recorded in an era of the store.
 #[derive(Debug, Deserialize, Serialize)]
@@ -125,7 +125,8 @@
                 lease.observe_holder(stored.mod_revision)
             }
             Ok(SwapOutcome::Conflict { stored: None }) | Err(_) => {
-                lease.record_acquire_failed(random_acquire_delay_ms(now_ms), now_ms);
+                let delay_ms = random_acquire_delay_ms(&relay, now_ms);
+                lease.record_acquire_failed(delay_ms, now_ms);
             }
         }
         drop(lease);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,7 +6,8 @@
 //! the traits in [`adapter`] translates the platform's messages.
 //!
 //! Instances discover each other through the store, and broadcast state that changes too often for
-//! the store in UDP datagrams. One instance, the holder of a lease in the store, performs the duties
+//! the store in UDP datagrams. In each availability zone a few readers watch the store, and the other
+//! instances follow them. One instance, the holder of a lease in the store, performs the duties
 //! of the fleet: it reports usage and orders capacity.
 
 pub mod adapter;
@@ -19,14 +20,17 @@
 mod drain;
 mod duty_tasks;
 mod events;
+mod follow;
 mod members;
 mod messages;
 mod planning;
+mod readers;
 mod server;
 mod settings;
 mod state;
 mod store_watch;
 mod stream;
+mod view_log;
 
 /// Commonly used types.
 pub mod prelude {
@@ -37,7 +41,9 @@
 pub use broadcast::digest_period_ms;
 pub use events::EventTracker;
 pub use members::{MemberRecord, MemberTable};
+pub use readers::{FollowTimings, MAX_READERS_PER_ZONE, select_readers};
 pub use server::{PlatformAdapter, run};
 pub use settings::{
     AdmissionPolicy, Bounds, Duty, EventLogSettings, PlacementPolicy, PolicySettings, RelaySettings,
 };
+pub use view_log::{StoreChange, ViewChanges, ViewLog};
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -100,6 +100,26 @@
         addresses
     }
 
+    /// Returns the names of the instances in an availability zone that have sent a digest, or have been
+    /// listed for the first time, within `silence_ms`.
+    pub fn heard_names<'a>(
+        &'a self,
+        availability_zone: &'a str,
+        silence_ms: u64,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a str> {
+        let heard = self.others.iter().filter(move |(_, member)| {
+            member.availability_zone == availability_zone
+                && now_ms.saturating_sub(member.last_digest_at_ms) < silence_ms
+        });
+        heard.map(|(name, _)| name.as_str())
+    }
+
+    /// Returns the peer address of an instance.
+    pub fn address(&self, instance: &str) -> Option<SocketAddr> {
+        self.others.get(instance).map(|member| member.peer_address)
+    }
+
     /// Returns the number of active instances, including this one.
     pub fn count(&self, now_ms: u64) -> usize {
         1 + self.active_members(now_ms).count()
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -66,8 +66,12 @@
         .await
         .wrap_err_with(|| format!("cannot bind the peer address {}", settings.peer_address))?;
     rt::spawn(Arc::clone(&broadcast).listen());
-    rt::spawn(broadcast.broadcast_digests());
-    rt::spawn(store_watch::watch_store(Arc::clone(&relay), Rc::clone(&adapter.key_value)));
+    rt::spawn(Arc::clone(&broadcast).broadcast_digests());
+    rt::spawn(store_watch::watch_store(
+        Arc::clone(&relay),
+        Rc::clone(&adapter.key_value),
+        broadcast,
+    ));
     rt::spawn(store_watch::maintain_membership(Arc::clone(&relay), Rc::clone(&adapter.key_value)));
     let duties = adapter
         .duty_client
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -103,8 +103,12 @@
 /// Largest accepted staleness of keys, in percent of `revocation_ms`; the rest covers a store that
 /// reports changes late.
 const MAX_STALENESS_PERCENT: u64 = 65;
-/// Longest timeout of a watch request: each response shows that the store is reachable.
-const MAX_WATCH_TIMEOUT_MS: u64 = 1_000;
+/// Longest timeout of a watch request: each response shows that the store is reachable, to this
+/// instance and to those that follow it.
+const MAX_WATCH_TIMEOUT_MS: u64 = 700;
+/// Timeout of a watch request, in percent of the shortest bound within which changes must be applied.
+/// What is known of a quiet store is up to two such durations old.
+const WATCH_TIMEOUT_PERCENT: u64 = 18;
 /// Shortest timeout of a watch request; calls to the store are billed.
 const MIN_WATCH_TIMEOUT_MS: u64 = 100;
 /// Number of watch requests, each with the pause after it, that fit into the largest accepted
@@ -131,13 +135,14 @@
     }
 
     /// Timeout of a watch request, in milliseconds; short enough that the document does not become
-    /// stale while nothing changes in the store.
+    /// stale, and followers of this instance need not read the store, while nothing changes in it.
     pub fn watch_timeout_ms(&self) -> u64 {
+        let by_propagation_ms = self.change_propagation_ms() * WATCH_TIMEOUT_PERCENT / 100;
+        let timeout_ms = by_propagation_ms.clamp(MIN_WATCH_TIMEOUT_MS, MAX_WATCH_TIMEOUT_MS);
         if !self.is_revocation_strict {
-            return MAX_WATCH_TIMEOUT_MS;
+            return timeout_ms;
         }
-        (self.max_staleness_ms() / WATCHES_PER_STALENESS_LIMIT)
-            .clamp(MIN_WATCH_TIMEOUT_MS, MAX_WATCH_TIMEOUT_MS)
+        timeout_ms.min(self.max_staleness_ms() / WATCHES_PER_STALENESS_LIMIT)
     }
 }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -1,6 +1,7 @@
 //! State that all parts of the process share.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -26,13 +27,19 @@
 use crate::broadcast::digest_period_ms;
 use crate::drain::DrainState;
 use crate::members::MemberTable;
+use crate::readers::select_readers;
 use crate::settings::{AdmissionPolicy, PlacementPolicy, RelaySettings};
+use crate::view_log::ViewLog;
 
 /// The upstreams of one service with their load, behind one lock.
 pub type SharedPlacementTable = Arc<Mutex<PlacementTable>>;
 
 /// Usage windows in each digest. Counts are cumulative, so the next digest makes up for a lost one.
 const WINDOWS_PER_DIGEST: usize = 3;
+/// Time without a digest after which an instance is not expected to read the store for others.
+const MIN_READER_SILENCE_MS: u64 = 3_000;
+/// The same in digest periods, for fleets with a long one.
+const READER_MISSED_DIGESTS: u64 = 2;
 /// Committed usage reports that are kept; older windows are no longer reported.
 const MAX_COMMITTED_WINDOWS: usize = 6;
 /// Longest use of an upstream whose entry was deleted during the grace period after an outage of the
@@ -51,6 +58,9 @@
     is_unavailable: bool,
     /// Highest era that the store or another instance has shown; `None` before the first response.
     era: Option<u64>,
+    /// Time at which what this instance has read from the store was last known to be current; `None`
+    /// while it doesn't read the store.
+    read_at_ms: Option<u64>,
 }
 
 /// State that all parts of the process share. Each mutable part has its own lock.
@@ -84,6 +94,8 @@
     pub wall_clock: Mutex<WallClockEstimator>,
     /// Triggers a digest before its period has elapsed.
     pub digest_requested: Notify,
+    /// Changes in the store that this instance has read, for those that follow it.
+    pub view_log: Mutex<ViewLog>,
     /// Triggers a new registration of this instance in the store.
     pub registration_requested: Notify,
     /// Usage reports that were committed in the store before they were sent, by window. A store that
@@ -122,6 +134,7 @@
             duty_lease: Mutex::new(DutyLease::new(LeaseOptions::from_ttl(bounds.lease_ms))),
             wall_clock: Mutex::new(WallClockEstimator::new(clock.wall_ms(), now_ms)),
             digest_requested: Notify::new(),
+            view_log: Mutex::default(),
             registration_requested: Notify::new(),
             committed_usage: Mutex::default(),
             fleet_usage: Mutex::default(),
@@ -262,6 +275,52 @@
         (grace_end_ms > now_ms).then_some(grace_end_ms.min(now_ms + leaving_ms))
     }
 
+    /// Returns whether this instance is one of those that read the store for its availability zone.
+    pub fn is_reader(&self, now_ms: u64) -> bool {
+        let members = self.members.lock();
+        let own = self.settings.instance.as_str();
+        self.select_readers(&members, now_ms).contains(&own)
+    }
+
+    /// Returns the peer addresses of the other instances that read the store for this availability
+    /// zone.
+    pub fn reader_addresses(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let members = self.members.lock();
+        let readers = self.select_readers(&members, now_ms);
+        readers.into_iter().filter_map(|name| members.address(name)).collect()
+    }
+
+    fn select_readers<'a>(&'a self, members: &'a MemberTable, now_ms: u64) -> Vec<&'a str> {
+        let silence_ms = MIN_READER_SILENCE_MS
+            .max(READER_MISSED_DIGESTS * digest_period_ms(members.count(now_ms)));
+        let zone = &self.settings.availability_zone;
+        let own = std::iter::once(self.settings.instance.as_str());
+        select_readers(own.chain(members.heard_names(zone, silence_ms, now_ms)))
+    }
+
+    /// Returns the time at which what this instance has read from the store was last known to be
+    /// current; `None` while it doesn't read the store.
+    pub fn view_current_at_ms(&self) -> Option<u64> {
+        self.store.lock().read_at_ms
+    }
+
+    /// Records that what this instance has read from the store was current at `at_ms`; `None` when it
+    /// stops reading.
+    pub fn set_view_current_at(&self, at_ms: Option<u64>) {
+        self.store.lock().read_at_ms = at_ms;
+    }
+
+    /// Returns the time since the end of the latest outage of the store; `None` without one.
+    pub fn store_recovered_ago_ms(&self, now_ms: u64) -> Option<u64> {
+        self.store.lock().recovered_at_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
+    }
+
+    /// Records the end of an outage of the store that another instance has observed.
+    pub fn record_store_recovery(&self, at_ms: u64) {
+        let mut store = self.store.lock();
+        store.recovered_at_ms = store.recovered_at_ms.max(Some(at_ms));
+    }
+
     /// Returns the highest era of the store that is known; 0 before the first response.
     pub fn store_era(&self) -> u64 {
         self.store.lock().era.unwrap_or(0)
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -1,6 +1,7 @@
 //! Watches the platform's store for the operators' document, the upstreams and the other instances,
 //! and keeps this instance's member record in it.
 //!
+//! A few instances of each availability zone read the store ([`crate::readers`]); the others follow them.
 //! One watch covers all keys. After each batch of changes it pauses, so that many heartbeats of
 //! upstreams arrive in one response; the pause is a part of the shortest bound within which changes
 //! must be applied.
@@ -20,9 +21,13 @@
 use serde_json::json;
 
 use crate::adapter::{PlatformItem, PlatformKey};
-use crate::duty_tasks::DUTY_LEASE_KEY;
+use crate::broadcast::PeerBroadcast;
+use crate::duty_tasks::{DUTY_LEASE_KEY, ERA_RECORD_KEY, USAGE_REPORT_PREFIX};
+use crate::follow::follow_until_stale;
 use crate::members::{MEMBER_PREFIX, MemberRecord};
+use crate::readers::FollowTimings;
 use crate::state::Relay;
+use crate::view_log::StoreChange;
 
 /// Pause after a batch of changes in a fleet of one, in percent of
 /// [`Bounds::change_propagation_ms`](crate::settings::Bounds::change_propagation_ms).
@@ -32,15 +37,20 @@
 /// Number of instances for which the percentage grows by one. Calls to the store are billed, so a
 /// large fleet makes fewer per instance.
 const INSTANCES_PER_DELAY_PERCENT: u64 = 4;
+/// That percentage for an instance that other instances follow.
+const READER_BATCH_DELAY_PERCENT: u64 = 22;
+/// Largest fleet in which each instance may be a reader.
+const ALL_READ_MAX_INSTANCES: u64 = 16;
 /// Range of the backoff after a failure; randomized so that instances don't reconnect at the same
 /// time.
 const BACKOFF_MS: std::ops::Range<u64> = 100..400;
 /// Range of the delay before a listing after the history was lost; all instances notice it at once.
 const RESTART_JITTER_MS: std::ops::Range<u64> = 0..150;
-/// TTL of the lease on this instance's member record; covers a short outage of the store.
-const MEMBER_TTL_MS: u64 = 9_000;
+/// TTL of the lease on this instance's member record; covers an outage of the store. A record that
+/// outlives its instance only keeps that instance's share of caps reserved.
+const MEMBER_TTL_MS: u64 = 20_000;
 /// Interval between two renewals of the lease on the member record.
-const MEMBER_RENEW_INTERVAL: Duration = Duration::from_millis(3_000);
+const MEMBER_RENEW_INTERVAL: Duration = Duration::from_millis(6_500);
 /// Delay between two attempts to write the member record.
 const MEMBER_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Maximum random delay before an attempt to acquire the duty lease, so that instances that observe
@@ -49,14 +59,28 @@
 /// Time after its start for which an instance lets others acquire the duty lease first: it has not
 /// yet received the usage counts of ended processes.
 const STARTUP_PERIOD_MS: u64 = 12_000;
+/// Additional delay of an acquisition by an instance that doesn't read the store for others.
+const FOLLOWER_ACQUIRE_DELAY_MS: u64 = 2_500;
 /// Additional delay of an acquisition within the startup period.
 const STARTUP_ACQUIRE_DELAY_MS: u64 = 1_500;
 
-/// Watches the store until the process ends, restarting the watch after failures.
-pub async fn watch_store(relay: Arc<Relay>, key_value: Rc<dyn KeyValue>) {
+/// Keeps the state of the store known until the process ends: reads the store while this instance is
+/// one of the readers or can't follow one, and follows a reader otherwise.
+pub async fn watch_store(
+    relay: Arc<Relay>,
+    key_value: Rc<dyn KeyValue>,
+    broadcast: Arc<PeerBroadcast>,
+) {
     loop {
-        match watch_until_failure(&relay, key_value.as_ref()).await {
-            Ok(()) => relay.record_store_failure("the store closed the watch"),
+        let ended = watch_until_failure(&relay, key_value.as_ref()).await;
+        relay.set_view_current_at(None);
+        match ended {
+            Ok(WatchEnd::Following { revision }) => {
+                relay.view_log.lock().clear();
+                follow_until_stale(&relay, &broadcast, key_value.as_ref(), revision).await;
+                continue;
+            }
+            Ok(WatchEnd::Closed) => relay.record_store_failure("the store closed the watch"),
             // The store is reachable, but the history for the watch is gone; the next listing
             // covers the gap.
             Err(PlatformError::HistoryLost(reason)) => {
@@ -73,11 +97,20 @@
     }
 }
 
+/// Why a watch has ended without a failure.
+enum WatchEnd {
+    /// The store closed it.
+    Closed,
+    /// Other instances read the store for this one, which knows all changes up to `revision`.
+    Following { revision: u64 },
+}
+
 async fn watch_until_failure(
     relay: &Arc<Relay>,
     key_value: &dyn KeyValue,
-) -> Result<(), PlatformError> {
+) -> Result<WatchEnd, PlatformError> {
     let propagation_ms = relay.settings.bounds.change_propagation_ms();
+    let timings = FollowTimings::from_bound(propagation_ms);
     // Another instance may have told of a later era than the one that this one still reaches.
     key_value.raise_era(relay.store_era());
     // Opened before the listing, so that no change between the two is missed.
@@ -86,24 +119,85 @@
     let started_at_ms = relay.now_ms();
     let items = key_value.list("", 0).await?;
     relay.observe_store_era(key_value.era(), "store");
+    log_listing(relay, &items, watch.revision());
     apply_listing(relay, &items);
     record_freshness(relay, started_at_ms);
     loop {
-        let started_at_ms = relay.now_ms();
+        let now_ms = relay.now_ms();
+        if watch.revision() > 0
+            && timings.may_follow(relay.is_reader(now_ms), started_at_ms, now_ms)
+        {
+            return Ok(WatchEnd::Following { revision: watch.revision() });
+        }
+        let started_at_ms = now_ms;
         key_value.raise_era(relay.store_era());
-        let Some(events) = watch.next().await else { return Ok(()) };
+        let Some(events) = watch.next().await else { return Ok(WatchEnd::Closed) };
         let events = events?;
         for event in &events {
+            log_event(relay, event);
             apply_event(relay, event);
         }
+        relay.view_log.lock().advance(watch.revision());
         record_freshness(relay, started_at_ms);
         relay.expire_upstreams();
         if !events.is_empty() {
-            let instances = relay.members.lock().count(relay.now_ms()) as u64;
-            let percent = (BATCH_DELAY_PERCENT + instances / INSTANCES_PER_DELAY_PERCENT)
-                .min(MAX_BATCH_DELAY_PERCENT);
-            sleep(Duration::from_millis(propagation_ms * percent / 100)).await;
+            sleep(Duration::from_millis(batch_delay_ms(relay, propagation_ms))).await;
+        }
+    }
+}
+
+/// Returns the pause after a batch of changes. In a large fleet the instances that read the store have
+/// followers, which learn of a change later.
+fn batch_delay_ms(relay: &Relay, propagation_ms: u64) -> u64 {
+    let instances = relay.members.lock().count(relay.now_ms()) as u64;
+    let percent = match instances > ALL_READ_MAX_INSTANCES {
+        true => READER_BATCH_DELAY_PERCENT,
+        false => (BATCH_DELAY_PERCENT + instances / INSTANCES_PER_DELAY_PERCENT)
+            .min(MAX_BATCH_DELAY_PERCENT),
+    };
+    propagation_ms * percent / 100
+}
+
+/// Adds a listing to the changes that followers are told of.
+fn log_listing(relay: &Relay, items: &[KeyValueRecord], revision: u64) {
+    let followed = items.iter().filter(|item| is_followed(&item.key));
+    let changes = followed.map(|item| into_change(item)).collect();
+    relay.view_log.lock().apply_listing(changes, revision);
+}
+
+/// Adds a change to those that followers are told of.
+fn log_event(relay: &Relay, event: &WatchEvent) {
+    match event {
+        WatchEvent::Put(item) if is_followed(&item.key) => {
+            let is_heartbeat = matches!(
+                relay.protocol.decode_item(&item.key, &item.value),
+                Ok(PlatformItem::Upstream(entry)) if relay.directory.lock().is_heartbeat(&entry)
+            );
+            let mut view_log = relay.view_log.lock();
+            match is_heartbeat {
+                true => view_log.record_heartbeat(into_change(item)),
+                false => view_log.append(into_change(item)),
+            }
         }
+        WatchEvent::Deleted { key, mod_revision } if is_followed(key) => {
+            let change = StoreChange { key: key.clone(), value: None, revision: *mod_revision };
+            relay.view_log.lock().append(change);
+        }
+        WatchEvent::Put(_) | WatchEvent::Deleted { .. } => {}
+    }
+}
+
+/// Returns whether followers need the changes of a key. Records of usage are read from the store by
+/// the holder of the duties.
+fn is_followed(key: &str) -> bool {
+    !key.starts_with(USAGE_REPORT_PREFIX) && key != ERA_RECORD_KEY
+}
+
+fn into_change(item: &KeyValueRecord) -> StoreChange {
+    StoreChange {
+        key: item.key.clone(),
+        value: Some(item.value.clone()),
+        revision: item.mod_revision,
     }
 }
 
@@ -111,6 +205,7 @@
 /// current then.
 fn record_freshness(relay: &Relay, started_at_ms: u64) {
     relay.record_store_success();
+    relay.set_view_current_at(Some(started_at_ms));
     relay.active_document.write().attest_by_store(started_at_ms);
 }
 
@@ -147,11 +242,13 @@
     }
     drop(member_table);
     if !has_holder {
-        relay.duty_lease.lock().observe_vacant(None, random_acquire_delay_ms(now_ms), now_ms);
+        let delay_ms = random_acquire_delay_ms(relay, now_ms);
+        relay.duty_lease.lock().observe_vacant(None, delay_ms, now_ms);
     }
 }
 
-fn apply_event(relay: &Relay, event: &WatchEvent) {
+/// Applies a change in the store.
+pub fn apply_event(relay: &Relay, event: &WatchEvent) {
     match event {
         WatchEvent::Put(item) => match decode(relay, item) {
             Some(PlatformItem::Upstream(entry)) => relay.put_upstream(entry),
@@ -201,11 +298,8 @@
 fn apply_deletion(relay: &Relay, key: &str, revision: u64) {
     if key == DUTY_LEASE_KEY {
         let now_ms = relay.now_ms();
-        relay.duty_lease.lock().observe_vacant(
-            Some(revision),
-            random_acquire_delay_ms(now_ms),
-            now_ms,
-        );
+        let delay_ms = random_acquire_delay_ms(relay, now_ms);
+        relay.duty_lease.lock().observe_vacant(Some(revision), delay_ms, now_ms);
     }
     if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
         relay.members.lock().mark_unlisted(name);
@@ -216,10 +310,12 @@
 }
 
 /// Returns the randomized delay before this instance tries to acquire a vacant duty lease. `now_ms`
-/// is the time since the start of the process.
-pub fn random_acquire_delay_ms(now_ms: u64) -> u64 {
+/// is the time since the start of the process. Readers go first, as they observe the vacancy first
+/// and are few.
+pub fn random_acquire_delay_ms(relay: &Relay, now_ms: u64) -> u64 {
     let startup_delay_ms = if now_ms < STARTUP_PERIOD_MS { STARTUP_ACQUIRE_DELAY_MS } else { 0 };
-    startup_delay_ms + rand::rng().random_range(0..ACQUIRE_JITTER_MS)
+    let follower_delay_ms = if relay.is_reader(now_ms) { 0 } else { FOLLOWER_ACQUIRE_DELAY_MS };
+    startup_delay_ms + follower_delay_ms + rand::rng().random_range(0..ACQUIRE_JITTER_MS)
 }
 
 /// Keeps this instance's member record in the store, under a lease, so that others discover it.
--- /dev/null
+++ b/crates/relay/tests/readers.rs
@@ -0,0 +1,201 @@
+//! Selection of the instances that read the store, and what their followers are told.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hickorycourse_relay::{
+    FollowTimings, MAX_READERS_PER_ZONE, StoreChange, ViewChanges, ViewLog, select_readers,
+};
+use proptest::prelude::*;
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("relay-{number}")).collect()
+}
+
+fn put(key: &str, value: &str, revision: u64) -> StoreChange {
+    StoreChange { key: key.to_owned(), value: Some(value.as_bytes().to_vec()), revision }
+}
+
+fn deleted(key: &str, revision: u64) -> StoreChange {
+    StoreChange { key: key.to_owned(), value: None, revision }
+}
+
+// Load pattern: a fleet of any size; the number of instances that call the store must not grow with it.
+#[test]
+fn select_readers_number_is_constant() {
+    for count in [1, 2, 3, 76, 295, 1_100] {
+        let names = names(count);
+        let readers = select_readers(names.iter().map(String::as_str));
+        assert_eq!(readers.len(), if count < 6 { 1 } else { MAX_READERS_PER_ZONE });
+        let reversed = select_readers(names.iter().rev().map(String::as_str));
+        assert_eq!(readers, reversed);
+    }
+}
+
+#[test]
+fn select_readers_loss_of_other_instance_changes_nothing() {
+    let names = names(50);
+    let readers = select_readers(names.iter().map(String::as_str));
+    for lost in &names {
+        let left = names.iter().filter(|name| *name != lost).map(String::as_str);
+        let after = select_readers(left);
+        match readers.contains(&lost.as_str()) {
+            true => assert_eq!(after.iter().filter(|name| readers.contains(name)).count(), 1),
+            false => assert_eq!(after, readers),
+        }
+    }
+}
+
+// A follower that hears nothing reads the store itself well before changes must have been applied.
+#[test]
+fn must_read_without_word_of_reader_stays_within_bound() {
+    for bound_ms in [2_000, 3_000, 4_000] {
+        let timings = FollowTimings::from_bound(bound_ms);
+        assert!(!timings.must_read(false, 1_000, 1_000 + timings.query_interval_ms * 3));
+        assert!(timings.must_read(false, 1_000, 1_000 + bound_ms * 6 / 10));
+        assert!(timings.must_read(true, 1_000, 1_000));
+        assert!(!timings.may_follow(true, 0, 60_000));
+        assert!(!timings.may_follow(false, 0, 100));
+        assert!(timings.may_follow(false, 0, 60_000));
+    }
+}
+
+#[test]
+fn changes_after_unknown_revision_are_unavailable() {
+    let mut log = ViewLog::default();
+    assert_eq!(log.changes_after(0, 1_000), ViewChanges::Unavailable);
+    log.apply_listing(vec![put("a", "1", 5)], 10);
+    assert_eq!(log.changes_after(9, 1_000), ViewChanges::Unavailable);
+    assert_eq!(log.changes_after(10, 1_000), ViewChanges::Complete(Vec::new()));
+    // The follower has read the store later than the reader.
+    assert_eq!(log.changes_after(12, 1_000), ViewChanges::Complete(Vec::new()));
+}
+
+#[test]
+fn changes_after_large_batch_are_told_in_parts() {
+    let mut log = ViewLog::default();
+    log.apply_listing(Vec::new(), 10);
+    for revision in 11..31 {
+        log.append(put(&format!("key-{revision}"), &"x".repeat(100), revision));
+    }
+    let mut known = 10;
+    let mut seen = Vec::new();
+    loop {
+        let (changes, is_complete) = match log.changes_after(known, 500) {
+            ViewChanges::Complete(changes) => (changes, true),
+            ViewChanges::Partial(changes) => (changes, false),
+            ViewChanges::Unavailable => panic!("no changes after {known}"),
+        };
+        known = changes.last().expect("a change").revision;
+        seen.extend(changes.into_iter().map(|change| change.revision));
+        if is_complete {
+            break;
+        }
+    }
+    assert_eq!(seen, (11..31).collect::<Vec<u64>>());
+    log.append(put("document", &"x".repeat(5_000), 31));
+    assert_eq!(log.changes_after(30, 500), ViewChanges::Unavailable);
+}
+
+// Guards against a follower that misses what changed while its reader had lost the store.
+#[test]
+fn apply_listing_after_gap_tells_differences() {
+    let mut log = ViewLog::default();
+    log.apply_listing(vec![put("a", "1", 5), put("b", "1", 6)], 10);
+    log.append(put("c", "1", 11));
+    log.apply_listing(vec![put("a", "1", 5), put("b", "2", 15), put("d", "1", 25)], 20);
+    let told = log.changes_after(11, 1_000);
+    assert_eq!(told, ViewChanges::Complete(vec![deleted("c", 20), put("b", "2", 20)]));
+    assert_eq!(log.revision(), 20);
+}
+
+// Heartbeats are most of the store's changes, and followers need none of them.
+#[test]
+fn record_heartbeat_is_told_before_deletion_only() {
+    let mut log = ViewLog::default();
+    log.apply_listing(vec![put("a", "1", 5)], 10);
+    log.record_heartbeat(put("a", "2", 11));
+    log.record_heartbeat(put("a", "3", 12));
+    log.advance(12);
+    assert_eq!(log.changes_after(10, 1_000), ViewChanges::Complete(Vec::new()));
+    log.append(deleted("a", 13));
+    let told = log.changes_after(10, 1_000);
+    assert_eq!(told, ViewChanges::Complete(vec![put("a", "3", 13), deleted("a", 13)]));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(300) })]
+
+    // A follower that asks at random times has the state of the store, as the reader knows it.
+    #[test]
+    fn changes_after_any_pattern_rebuild_the_state(
+        steps in proptest::collection::vec((0_u8..8, 0_u8..6, any::<u8>()), 1..200),
+    ) {
+        let mut store: BTreeMap<String, (String, u64)> = BTreeMap::new();
+        let mut log = ViewLog::default();
+        log.apply_listing(Vec::new(), 1);
+        let mut revision = 1;
+        let mut follower: BTreeMap<String, String> = BTreeMap::new();
+        let mut known = 1;
+        let mut missed = false;
+        for (action, key, value) in steps {
+            let key = format!("key-{key}");
+            match action {
+                0..=2 => {
+                    revision += 1;
+                    store.insert(key.clone(), (value.to_string(), revision));
+                    if !missed {
+                        log.append(put(&key, &value.to_string(), revision));
+                    }
+                }
+                3 if store.remove(&key).is_some() => {
+                    revision += 1;
+                    if !missed {
+                        log.append(deleted(&key, revision));
+                    }
+                }
+                4 => missed = true,
+                5 => {
+                    let items = store.iter().map(|(key, (value, revision))| put(key, value, *revision));
+                    log.apply_listing(items.collect(), revision);
+                    missed = false;
+                }
+                _ => match log.changes_after(known, 40) {
+                    ViewChanges::Unavailable => {
+                        follower = store.iter().map(|(key, (value, _))| (key.clone(), value.clone())).collect();
+                        known = revision;
+                    }
+                    ViewChanges::Complete(changes) | ViewChanges::Partial(changes) => {
+                        for change in changes {
+                            known = known.max(change.revision);
+                            match change.value {
+                                Some(value) => {
+                                    let value = String::from_utf8(value).expect("text");
+                                    follower.insert(change.key, value);
+                                }
+                                None => { follower.remove(&change.key); }
+                            }
+                        }
+                    }
+                },
+            }
+        }
+        let items = store.iter().map(|(key, (value, revision))| put(key, value, *revision));
+        log.apply_listing(items.collect(), revision);
+        match log.changes_after(known, usize::MAX) {
+            ViewChanges::Complete(changes) => for change in changes {
+                match change.value {
+                    Some(value) => {
+                        follower.insert(change.key, String::from_utf8(value).expect("text"));
+                    }
+                    None => { follower.remove(&change.key); }
+                }
+            },
+            other => prop_assert!(false, "{other:?}"),
+        }
+        let expected: BTreeMap<String, String> =
+            store.into_iter().map(|(key, (value, _))| (key, value)).collect();
+        prop_assert_eq!(follower, expected);
+        let keys: BTreeSet<u64> = BTreeSet::from([log.revision()]);
+        prop_assert!(keys.contains(&revision));
+    }
+}
--- a/crates/routes/src/directory.rs
+++ b/crates/routes/src/directory.rs
@@ -189,6 +189,16 @@
         change
     }
 
+    /// Returns whether an entry is only a heartbeat: it differs from the known one in nothing but its
+    /// sequence number and the remaining warm-up time.
+    pub fn is_heartbeat(&self, entry: &UpstreamEntry) -> bool {
+        self.upstreams.get(&entry.id).is_some_and(|listed| {
+            let UpstreamEntry { sequence, warm_up_left_ms, .. } = listed.entry;
+            let same = UpstreamEntry { sequence, warm_up_left_ms, ..entry.clone() };
+            listed.grace_until_ms.is_none() && same == listed.entry
+        })
+    }
+
     /// Marks an upstream as leaving because it has announced its departure in a response. With
     /// `started_at_ms` the announcement applies only to that start of the upstream.
     pub fn announce_departure(&mut self, id: &str, started_at_ms: Option<u64>) -> DirectoryChange {
