--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -161,7 +161,7 @@
 /// Adds a listing to the changes that followers are told of.
 fn log_listing(relay: &Relay, items: &[KeyValueRecord], revision: u64) {
     let followed = items.iter().filter(|item| is_followed(&item.key));
-    let changes = followed.map(|item| into_change(item)).collect();
+    let changes = followed.map(into_change).collect();
     relay.view_log.lock().apply_listing(changes, revision);
 }
 
