--- a/crates/caps/src/shared_cap.rs
+++ b/crates/caps/src/shared_cap.rs
@@ -112,6 +112,8 @@
 struct PeerUsage {
     /// Identifier of the peer's process start.
     boot: u64,
+    /// Instances whose usage the reports contain.
+    instances: usize,
     /// Last reported counters since the peer's start.
     totals: CapTotals,
     /// Used units per second, averaged over the last reports.
@@ -257,7 +259,7 @@
     fn estimate_demand(&self, instances: usize, now_ms: u64) -> f64 {
         let share = self.limits.per_second / instances.max(1) as f64;
         let peers = self.peers.values().map(|peer| match self.is_stale(peer, now_ms) {
-            true => share,
+            true => share * peer.instances as f64,
             false => peer.requested_rate,
         });
         self.requested.per_second(now_ms) + peers.sum::<f64>() * self.estimate_demand_growth(now_ms)
@@ -314,10 +316,30 @@
     /// Applies a report of a peer. `boot` identifies the start of the peer's process, at which its
     /// counters start from zero.
     pub fn apply_report(&mut self, peer: &str, boot: u64, totals: CapTotals, now_ms: u64) {
+        self.apply_group_report(peer, boot, totals, 1, now_ms);
+    }
+
+    /// Forgets what peers have reported, when they report in other groups from now on. Their share of
+    /// the rate is reserved until they do.
+    pub fn clear_peers(&mut self) {
+        self.peers.clear();
+    }
+
+    /// Applies a report with the sums of `instances` peers. `boot` identifies the start of the process
+    /// that sums them.
+    pub fn apply_group_report(
+        &mut self,
+        peer: &str,
+        boot: u64,
+        totals: CapTotals,
+        instances: usize,
+        now_ms: u64,
+    ) {
         let known = self.peers.get(peer).copied().filter(|known| known.boot == boot);
         let Some(known) = known else {
             let new_peer = PeerUsage {
                 boot,
+                instances,
                 totals,
                 used_rate: 0.0,
                 requested_rate: 0.0,
@@ -335,6 +357,7 @@
         self.level = (self.level + known.extrapolated - used).min(self.limits.capacity());
         let updated = PeerUsage {
             boot,
+            instances,
             totals: CapTotals {
                 used: totals.used.max(known.totals.used),
                 requested: totals.requested.max(known.totals.requested),
@@ -354,19 +377,23 @@
         let share = self.limits.per_second / instances.max(1) as f64;
         self.level += self.limits.per_second * elapsed_s;
         self.peers.retain(|_, peer| now_ms.saturating_sub(peer.reported_at_ms) < PEER_EXPIRY_MS);
-        let mut fresh_peers = 0;
+        let (mut fresh_instances, mut known_instances) = (0, 0);
         let growth = self.estimate_demand_growth(now_ms);
         for peer in self.peers.values_mut() {
             let is_stale =
                 now_ms.saturating_sub(peer.reported_at_ms) > self.limits.stale_after_ms();
-            let rate = if is_stale { share } else { peer.used_rate * growth };
-            fresh_peers += usize::from(!is_stale);
+            let rate = match is_stale {
+                true => share * peer.instances as f64,
+                false => peer.used_rate * growth,
+            };
+            known_instances += peer.instances;
+            fresh_instances += if is_stale { 0 } else { peer.instances };
             let extrapolated = rate * elapsed_s;
             peer.extrapolated += extrapolated;
             self.level -= extrapolated;
         }
         // Instances that have never reported are counted with their share of the rate.
-        let unreported = instances.saturating_sub(1 + fresh_peers.max(self.peers.len()));
+        let unreported = instances.saturating_sub(1 + fresh_instances.max(known_instances));
         self.level -= share * unreported as f64 * elapsed_s;
         self.level = self.level.min(self.limits.capacity());
     }
--- /dev/null
+++ b/crates/digest/src/aggregator.rs
@@ -0,0 +1,207 @@
+//! Sums of the digests of one availability zone.
+//!
+//! Load pattern: a fleet of hundreds of instances, each of which sees a few requests a second. What one
+//! instance observes itself says next to nothing, and digests from each to each other arrive too rarely
+//! and cost more with each instance.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use hickorycourse_duties::{FleetUsage, WindowCounts};
+
+use crate::message::{LoadCounts, MemberDigest, MemberMark, ServiceDigest, ZoneDigest};
+
+/// Time without a digest after which a member's load no longer counts.
+const MEMBER_SILENCE_MS: u64 = 2_500;
+/// Time without a digest after which a member is forgotten; its use of caps stays in the sums.
+const MEMBER_EXPIRY_MS: u64 = 30_000;
+/// Starts of a member whose late digests are recognised.
+const MAX_STARTS: usize = 5;
+/// Members that are kept; more than a zone has.
+const MAX_MEMBERS: usize = 4_096;
+/// Usage windows in a digest.
+const WINDOWS_PER_DIGEST: usize = 3;
+/// Windows after which the usage of a member's earlier start is forgotten.
+const USAGE_WINDOWS: u64 = 10;
+/// Departures and committed reports in a digest.
+const MAX_NOTICES: usize = 32;
+
+/// Units used and requested by organisation.
+type CapSums = BTreeMap<String, (u64, u64)>;
+
+/// The latest digest of one start of a member.
+#[derive(Clone, Debug)]
+struct Start {
+    boot: u64,
+    sequence: u64,
+    cap_totals: CapSums,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    /// The digest that was received last.
+    digest: MemberDigest,
+    received_at_ms: u64,
+    /// The latest starts. The use of caps is kept for each, as a late digest of an earlier start may
+    /// arrive after one of the present start.
+    starts: VecDeque<Start>,
+}
+
+/// Sums of the digests that an aggregator has received from the members of its zone.
+#[derive(Clone, Debug, Default)]
+pub struct ZoneAggregator {
+    members: BTreeMap<String, Member>,
+    /// Use of caps by starts and members that have been forgotten.
+    former_cap_totals: CapSums,
+    usage: FleetUsage,
+}
+
+impl ZoneAggregator {
+    /// Records a digest. Returns false if it is not newer than one of the same start that has been
+    /// recorded, or there are too many members.
+    pub fn record(&mut self, digest: MemberDigest, now_ms: u64) -> bool {
+        let is_full = self.members.len() >= MAX_MEMBERS;
+        let mut starts = match self.members.get_mut(&digest.instance) {
+            None if is_full => return false,
+            None => VecDeque::new(),
+            Some(known) => {
+                let is_old =
+                    |start: &Start| start.boot == digest.boot && digest.sequence <= start.sequence;
+                if known.starts.iter().any(is_old) {
+                    return false;
+                }
+                std::mem::take(&mut known.starts)
+            }
+        };
+        starts.retain(|start| start.boot != digest.boot);
+        starts.push_back(Start {
+            boot: digest.boot,
+            sequence: digest.sequence,
+            cap_totals: digest.cap_totals.clone(),
+        });
+        if starts.len() > MAX_STARTS
+            && let Some(former) = starts.pop_front()
+        {
+            add_cap_totals(&mut self.former_cap_totals, &former.cap_totals);
+        }
+        self.usage.merge(&digest.instance, digest.boot, &digest.windows);
+        let name = digest.instance.clone();
+        self.members.insert(name, Member { digest, received_at_ms: now_ms, starts });
+        true
+    }
+
+    /// Discards members that have been silent for long.
+    pub fn expire(&mut self, now_ms: u64) {
+        let former_cap_totals = &mut self.former_cap_totals;
+        self.members.retain(|_, member| {
+            let is_kept = now_ms.saturating_sub(member.received_at_ms) < MEMBER_EXPIRY_MS;
+            if !is_kept {
+                for start in &member.starts {
+                    add_cap_totals(former_cap_totals, &start.cap_totals);
+                }
+            }
+            is_kept
+        });
+        if let Some(newest) = self.usage.newest_window() {
+            self.usage.evict_before(newest.saturating_sub(USAGE_WINDOWS));
+        }
+    }
+
+    /// Adds the sums to `digest`, which names the aggregator.
+    pub fn sum_into(&self, digest: &mut ZoneDigest, now_ms: u64) {
+        let silence_ms = |member: &Member| now_ms.saturating_sub(member.received_at_ms);
+        let mut cap_totals = self.former_cap_totals.clone();
+        let mut services: BTreeMap<String, ServiceSums> = BTreeMap::new();
+        for member in self.members.values() {
+            for start in &member.starts {
+                add_cap_totals(&mut cap_totals, &start.cap_totals);
+            }
+            if silence_ms(member) >= MEMBER_SILENCE_MS {
+                continue;
+            }
+            digest.instances += 1;
+            digest.members.push(mark(member, silence_ms(member)));
+            digest.store_era = digest.store_era.max(member.digest.store_era);
+            add_notices(digest, &member.digest);
+            for (service, sums) in &member.digest.services {
+                services.entry(service.clone()).or_default().add(sums);
+            }
+        }
+        digest.cap_totals = cap_totals;
+        digest.windows = self.usage.newest_totals(WINDOWS_PER_DIGEST);
+        digest.services =
+            services.into_iter().map(|(service, sums)| (service, sums.into_digest())).collect();
+    }
+}
+
+fn mark(member: &Member, age_ms: u64) -> MemberMark {
+    (member.digest.instance.clone(), member.digest.sequence, age_ms)
+}
+
+fn add_notices(digest: &mut ZoneDigest, member: &MemberDigest) {
+    for departure in &member.departures {
+        if digest.departures.len() < MAX_NOTICES && !digest.departures.contains(departure) {
+            digest.departures.push(departure.clone());
+        }
+    }
+    for report in &member.committed_usage {
+        let is_known = |known: &WindowCounts| known.window == report.window;
+        if digest.committed_usage.len() < MAX_NOTICES
+            && !digest.committed_usage.iter().any(is_known)
+        {
+            digest.committed_usage.push(report.clone());
+        }
+    }
+}
+
+fn add_cap_totals(sums: &mut CapSums, totals: &CapSums) {
+    for (organisation, (used, requested)) in totals {
+        let sum = sums.entry(organisation.clone()).or_default();
+        *sum = (sum.0.saturating_add(*used), sum.1.saturating_add(*requested));
+    }
+}
+
+/// Sums of the load on the upstreams of a service.
+#[derive(Default)]
+struct ServiceSums {
+    arrived_tokens_per_ms: f64,
+    sent_tokens_per_ms: BTreeMap<u8, f64>,
+    loads: BTreeMap<String, UpstreamSums>,
+}
+
+#[derive(Default)]
+struct UpstreamSums {
+    running: u64,
+    answering: u64,
+    waiting: BTreeMap<u8, (u64, u64)>,
+}
+
+impl ServiceSums {
+    fn add(&mut self, digest: &ServiceDigest) {
+        self.arrived_tokens_per_ms += digest.arrived_tokens_per_ms;
+        for (rank, rate) in &digest.sent_tokens_per_ms {
+            *self.sent_tokens_per_ms.entry(*rank).or_default() += rate;
+        }
+        for (upstream, running, answering, waiting) in &digest.loads {
+            let sums = self.loads.entry(upstream.clone()).or_default();
+            sums.running = sums.running.saturating_add(*running);
+            sums.answering = sums.answering.saturating_add(*answering);
+            for (rank, requests, tokens) in waiting {
+                let sum = sums.waiting.entry(*rank).or_default();
+                *sum = (sum.0.saturating_add(*requests), sum.1.saturating_add(*tokens));
+            }
+        }
+    }
+
+    fn into_digest(self) -> ServiceDigest {
+        let into_counts = |(upstream, sums): (String, UpstreamSums)| -> LoadCounts {
+            let waiting = sums.waiting.into_iter();
+            let waiting = waiting.map(|(rank, (requests, tokens))| (rank, requests, tokens));
+            (upstream, sums.running, sums.answering, waiting.collect())
+        };
+        ServiceDigest {
+            arrived_tokens_per_ms: self.arrived_tokens_per_ms,
+            sent_tokens_per_ms: self.sent_tokens_per_ms,
+            loads: self.loads.into_iter().map(into_counts).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/digest/src/message.rs
@@ -0,0 +1,152 @@
+//! Contents of the messages. Serialized field names are short, as every instance receives them several
+//! times a second.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use hickorycourse_duties::WindowCounts;
+use serde::{Deserialize, Serialize};
+
+/// State of one instance.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct MemberDigest {
+    /// Name of the instance.
+    #[serde(rename = "n")]
+    pub instance: String,
+    /// Random identifier of its start.
+    #[serde(rename = "b")]
+    pub boot: u64,
+    /// Its availability zone.
+    #[serde(rename = "z")]
+    pub availability_zone: String,
+    /// Address that receives its datagrams.
+    #[serde(rename = "a")]
+    pub peer_address: SocketAddr,
+    /// Its wall-clock time.
+    #[serde(rename = "t")]
+    pub sender_wall_ms: u64,
+    /// Units used and requested by organisation since its start.
+    #[serde(rename = "c")]
+    pub cap_totals: BTreeMap<String, (u64, u64)>,
+    /// Its newest usage windows.
+    #[serde(rename = "u")]
+    pub windows: Vec<WindowCounts>,
+    /// Load that it has placed, by service.
+    #[serde(rename = "s")]
+    pub services: BTreeMap<String, ServiceDigest>,
+    /// Highest era of the store that it knows; 0 from a build that knows none.
+    #[serde(rename = "e", default)]
+    pub store_era: u64,
+    /// Version of its active document.
+    #[serde(rename = "v", default)]
+    pub version: Option<u64>,
+    /// Upstreams that have announced their departure in responses, with the times of their starts.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub departures: Vec<(String, Option<u64>)>,
+    /// Usage reports that were committed in the store, from the holder of the duties.
+    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+    pub committed_usage: Vec<WindowCounts>,
+    /// Increases with each digest of a start; 0 from a build that does not number them.
+    #[serde(rename = "q", default)]
+    pub sequence: u64,
+}
+
+/// Load that one instance or zone has placed on the upstreams of a service.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ServiceDigest {
+    /// Prompt tokens per millisecond of arriving requests.
+    #[serde(rename = "w")]
+    pub arrived_tokens_per_ms: f64,
+    /// Prompt tokens per millisecond of requests sent to upstreams, by rank.
+    #[serde(rename = "r")]
+    pub sent_tokens_per_ms: BTreeMap<u8, f64>,
+    /// Load by upstream.
+    #[serde(rename = "l")]
+    pub loads: Vec<LoadCounts>,
+}
+
+/// Requests at one upstream: its id, requests in flight, those with a started response, and the queued
+/// ones by rank. An array rather than a map to keep the message small, as there is one for each
+/// upstream.
+pub type LoadCounts = (String, u64, u64, Vec<WaitingCounts>);
+
+/// Rank, queued requests and their prompt tokens.
+pub type WaitingCounts = (u8, u64, u64);
+
+/// State of the instances of one availability zone, from one aggregator.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ZoneDigest {
+    /// The availability zone.
+    #[serde(rename = "z")]
+    pub availability_zone: String,
+    /// Name of the aggregator.
+    #[serde(rename = "n")]
+    pub aggregator: String,
+    /// Random identifier of the aggregator's start. Sums of two aggregators, or of two starts, may
+    /// differ by digests that only one of them has received.
+    #[serde(rename = "b")]
+    pub boot: u64,
+    /// Increases with each digest of a start.
+    #[serde(rename = "q")]
+    pub sequence: u64,
+    /// The aggregator's wall-clock time.
+    #[serde(rename = "t")]
+    pub sender_wall_ms: u64,
+    /// Time since the sums were made.
+    #[serde(rename = "g")]
+    pub age_ms: u64,
+    /// Instances that have reported recently.
+    #[serde(rename = "i")]
+    pub instances: u64,
+    /// Those instances, for the members of the zone.
+    #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
+    pub members: Vec<MemberMark>,
+    /// Units used and requested by organisation since the start of the aggregator.
+    #[serde(rename = "c")]
+    pub cap_totals: BTreeMap<String, (u64, u64)>,
+    /// The newest usage windows, for other aggregators and the holder of the duties.
+    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+    pub windows: Vec<WindowCounts>,
+    /// Load by service.
+    #[serde(rename = "s")]
+    pub services: BTreeMap<String, ServiceDigest>,
+    /// Highest era of the store that is known.
+    #[serde(rename = "e")]
+    pub store_era: u64,
+    /// Version of the aggregator's active document.
+    #[serde(rename = "v")]
+    pub version: Option<u64>,
+    /// Upstreams that have announced their departure in responses.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub departures: Vec<(String, Option<u64>)>,
+    /// Usage reports that were committed in the store.
+    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+    pub committed_usage: Vec<WindowCounts>,
+}
+
+impl ZoneDigest {
+    /// Creates a digest without sums.
+    pub fn new(availability_zone: &str, aggregator: &str, boot: u64) -> Self {
+        Self {
+            availability_zone: availability_zone.to_owned(),
+            aggregator: aggregator.to_owned(),
+            boot,
+            sequence: 0,
+            sender_wall_ms: 0,
+            age_ms: 0,
+            instances: 0,
+            members: Vec::new(),
+            cap_totals: BTreeMap::new(),
+            windows: Vec::new(),
+            services: BTreeMap::new(),
+            store_era: 0,
+            version: None,
+            departures: Vec::new(),
+            committed_usage: Vec::new(),
+        }
+    }
+}
+
+/// A member whose digest is part of a [`ZoneDigest`]: its name, the sequence number of that digest, and
+/// the digest's age in milliseconds.
+pub type MemberMark = (String, u64, u64);
--- /dev/null
+++ b/crates/digest/src/own.rs
@@ -0,0 +1,74 @@
+//! An instance's own part of the sums of its availability zone.
+
+use std::collections::VecDeque;
+
+use crate::message::{LoadCounts, MemberDigest, ServiceDigest, ZoneDigest};
+
+/// Digests that are kept; an aggregator that lags further behind is not believed.
+const MAX_DIGESTS: usize = 16;
+
+/// The digests that an instance has sent most recently.
+#[derive(Clone, Debug, Default)]
+pub struct OwnDigests {
+    sent: VecDeque<MemberDigest>,
+}
+
+impl OwnDigests {
+    /// Records a digest that is sent.
+    pub fn record(&mut self, digest: MemberDigest) {
+        self.sent.push_back(digest);
+        if self.sent.len() > MAX_DIGESTS {
+            self.sent.pop_front();
+        }
+    }
+
+    /// Takes the part of this instance out of the sums of its own zone, so that what remains is that of
+    /// the other instances. Returns false if the sums contain an unknown digest of this instance.
+    pub fn subtract_from(&self, zone: &mut ZoneDigest, instance: &str) -> bool {
+        let Some((_, sequence, _)) = zone.members.iter().find(|(name, _, _)| name == instance)
+        else {
+            return true;
+        };
+        let Some(own) = self.sent.iter().find(|digest| digest.sequence == *sequence) else {
+            return false;
+        };
+        zone.instances = zone.instances.saturating_sub(1);
+        for (organisation, (used, requested)) in &own.cap_totals {
+            if let Some(sum) = zone.cap_totals.get_mut(organisation) {
+                *sum = (sum.0.saturating_sub(*used), sum.1.saturating_sub(*requested));
+            }
+        }
+        for (service, own) in &own.services {
+            if let Some(sums) = zone.services.get_mut(service) {
+                subtract_service(sums, own);
+            }
+        }
+        true
+    }
+}
+
+fn subtract_service(sums: &mut ServiceDigest, own: &ServiceDigest) {
+    sums.arrived_tokens_per_ms = (sums.arrived_tokens_per_ms - own.arrived_tokens_per_ms).max(0.0);
+    for (rank, rate) in &own.sent_tokens_per_ms {
+        if let Some(sum) = sums.sent_tokens_per_ms.get_mut(rank) {
+            *sum = (*sum - rate).max(0.0);
+        }
+    }
+    for load in &own.loads {
+        // The sums are in the order of the upstreams' ids.
+        if let Ok(index) = sums.loads.binary_search_by(|(upstream, ..)| upstream.cmp(&load.0)) {
+            subtract_load(&mut sums.loads[index], load);
+        }
+    }
+}
+
+fn subtract_load(sum: &mut LoadCounts, own: &LoadCounts) {
+    sum.1 = sum.1.saturating_sub(own.1);
+    sum.2 = sum.2.saturating_sub(own.2);
+    for (rank, requests, tokens) in &own.3 {
+        if let Some(waiting) = sum.3.iter_mut().find(|(known, ..)| known == rank) {
+            waiting.1 = waiting.1.saturating_sub(*requests);
+            waiting.2 = waiting.2.saturating_sub(*tokens);
+        }
+    }
+}
--- a/crates/duties/src/usage_windows.rs
+++ b/crates/duties/src/usage_windows.rs
@@ -1,6 +1,6 @@
 //! Executed requests, counted per organisation and time window.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -92,6 +92,20 @@
         total
     }
 
+    /// Returns the totals of up to `limit` windows, newest first.
+    pub fn newest_totals(&self, limit: usize) -> Vec<WindowCounts> {
+        let windows: BTreeSet<u64> =
+            self.processes.values().flat_map(|windows| windows.keys().copied()).collect();
+        let newest = windows.into_iter().rev().take(limit);
+        newest.map(|window| WindowCounts { window, counts: self.total(window) }).collect()
+    }
+
+    /// Returns the newest window with a count; `None` without one.
+    pub fn newest_window(&self) -> Option<u64> {
+        let newest = self.processes.values().filter_map(|windows| windows.last_key_value());
+        newest.map(|(window, _)| *window).max()
+    }
+
     /// Evicts processes whose newest window precedes `window`.
     pub fn evict_before(&mut self, window: u64) {
         self.processes.retain(|_, windows| {
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -418,7 +418,7 @@
                 continue;
             }
             to.placement_table.clear_peer(&name);
-            to.placement_table.set_peer_demand(&name, demand.clone());
+            to.placement_table.set_peer_demand(&name, demand.clone(), 1);
             for (id, load) in &loads {
                 to.placement_table.set_peer_load(&name, id, load.clone(), self.now_ms);
             }
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -110,7 +110,8 @@
     arrival_meter: TokenRateMeter,
     /// Uncached prompt tokens of requests that were sent.
     sent_meter: TokenRateMeter,
-    peer_demand: HashMap<String, TokenDemand>,
+    /// Demand reported by each peer, with the number of instances that it reports for.
+    peer_demand: HashMap<String, (TokenDemand, usize)>,
 }
 
 /// Rate of uncached prompt tokens of an instance's requests.
@@ -204,7 +205,8 @@
             upstream.accepts_requests(now_ms) && !request.excluded.contains(id)
         };
         let usable = self.count_usable(now_ms) as f64;
-        let instances = (self.peer_demand.len() + 1) as f64;
+        let peers = self.peer_demand.values().map(|(_, instances)| instances).sum::<usize>();
+        let instances = (peers + 1) as f64;
         let prefill_rate = self.available_prefill_rate(request.urgency, usable, now_ms);
         let context = RequestContext {
             request,
@@ -247,7 +249,7 @@
         let peers = self
             .peer_demand
             .values()
-            .map(|demand| sum_more_urgent(&demand.sent_tokens_per_ms, urgency));
+            .map(|(demand, _)| sum_more_urgent(&demand.sent_tokens_per_ms, urgency));
         let urgent = sum_more_urgent(&own, urgency) + peers.sum::<f64>();
         self.latency.tokens_per_ms * (1.0 - (urgent / capacity).min(MAX_URGENT_SHARE))
     }
@@ -438,13 +440,22 @@
     /// Uncached prompt tokens per millisecond of the requests that arrive at all instances.
     pub fn demand_tokens_per_ms(&self, now_ms: u64) -> f64 {
         let peers =
-            self.peer_demand.values().map(|demand| demand.arrived_tokens_per_ms).sum::<f64>();
+            self.peer_demand.values().map(|(demand, _)| demand.arrived_tokens_per_ms).sum::<f64>();
         self.arrival_meter.rate(now_ms) + peers
     }
 
-    /// Records the token demand that a peer instance reported.
-    pub fn set_peer_demand(&mut self, peer: &str, demand: TokenDemand) {
-        self.peer_demand.insert(peer.to_owned(), demand);
+    /// Records the token demand that a peer reported for itself, or as the sum of `instances`
+    /// instances.
+    pub fn set_peer_demand(&mut self, peer: &str, demand: TokenDemand, instances: usize) {
+        self.peer_demand.insert(peer.to_owned(), (demand, instances));
+    }
+
+    /// Discards the load and demand reported by all peers.
+    pub fn clear_peers(&mut self) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.clear_peers();
+        }
+        self.peer_demand.clear();
     }
 
     /// Applies the admission rule of the service.
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -223,6 +223,11 @@
         self.peers.remove(peer);
     }
 
+    /// Discards the load that all peers reported.
+    pub(crate) fn clear_peers(&mut self) {
+        self.peers.clear();
+    }
+
     /// Discards health, cache contents and load report after the upstream has restarted.
     pub(crate) fn reset(&mut self) {
         self.health = Health::default();
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -283,6 +283,7 @@
     table.set_peer_demand(
         "peer",
         TokenDemand { arrived_tokens_per_ms: 150.0, sent_tokens_per_ms: sent },
+        1,
     );
     // Three quarters of the prefill throughput of both engines goes to more urgent requests.
     let busy = table.choose(&deferrable, 0).expect("an upstream").first_byte_ms;
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -13,8 +13,9 @@
 
 use futures_util::future::select;
 use hickorycourse_caps::CapTotals;
+use hickorycourse_digest::{MemberDigest, ServiceDigest, ZoneDigest};
 use hickorycourse_duties::WindowCounts;
-use hickorycourse_placement::{RankedRates, TokenDemand, UpstreamLoad, WaitingRequests};
+use hickorycourse_placement::{TokenDemand, UpstreamLoad, WaitingRequests};
 use hickorycourse_routes::{RouteDocument, UpstreamEntry};
 use hickorycourse_telemetry::EventLog;
 use ntex::time::{sleep, timeout};
@@ -25,6 +26,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
+use crate::exchange::{EXCHANGE_INTERVAL_MS, WantedReply};
 use crate::follow::{ViewQuery, ViewReply, make_reply};
 use crate::state::Relay;
 
@@ -61,64 +63,9 @@
     MIN_DIGEST_PERIOD_MS + DIGEST_PERIOD_PER_INSTANCE_MS * instances as u64
 }
 
-/// State that an instance broadcasts. Serialized field names are short, as every instance receives
-/// every digest.
-#[derive(Debug, Deserialize, Serialize)]
-struct Digest {
-    #[serde(rename = "n")]
-    instance: String,
-    #[serde(rename = "b")]
-    boot: u64,
-    #[serde(rename = "z")]
-    availability_zone: String,
-    #[serde(rename = "a")]
-    peer_address: SocketAddr,
-    /// The sender's wall-clock time.
-    #[serde(rename = "t")]
-    sender_wall_ms: u64,
-    /// Units used and requested by organisation since the sender's start.
-    #[serde(rename = "c")]
-    cap_totals: BTreeMap<String, (u64, u64)>,
-    /// The sender's newest usage windows.
-    #[serde(rename = "u")]
-    windows: Vec<WindowCounts>,
-    /// Load that the sender has placed, by service.
-    #[serde(rename = "s")]
-    services: BTreeMap<String, ServiceDigest>,
-    /// Highest era of the store that the sender knows; 0 from a build that knows none.
-    #[serde(rename = "e", default)]
-    store_era: u64,
-    /// Version of the sender's active document.
-    #[serde(rename = "v", default)]
-    version: Option<u64>,
-    /// Upstreams that have announced their departure in responses, with the times of their starts.
-    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
-    departures: Vec<(String, Option<u64>)>,
-    /// Usage reports that were committed in the store, from the holder of the duties.
-    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
-    committed_usage: Vec<WindowCounts>,
-}
-
-/// Upstream, requests in flight, requests with a started response, and queued requests by rank:
-/// rank, requests, prompt tokens. An array rather than a map to keep the datagram small, as there
-/// is one for each upstream.
-type UpstreamLoadRow = (String, u64, u64, Vec<(u8, u64, u64)>);
-
-#[derive(Debug, Default, Deserialize, Serialize)]
-struct ServiceDigest {
-    /// Prompt tokens per millisecond of arriving requests.
-    #[serde(rename = "w")]
-    arrived_tokens_per_ms: f64,
-    /// Prompt tokens per millisecond of requests sent to upstreams, by rank.
-    #[serde(rename = "r")]
-    sent_tokens_per_ms: RankedRates,
-    #[serde(rename = "l")]
-    loads: Vec<UpstreamLoadRow>,
-}
-
 /// Response of an instance that reaches the store to one that does not.
 #[derive(Debug, Deserialize, Serialize)]
-struct FreshnessAttestation {
+pub struct FreshnessAttestation {
     nonce: u64,
     version: u64,
     /// Staleness bound: the version was the newest this many milliseconds before the response was
@@ -132,23 +79,66 @@
     store_era: u64,
 }
 
+/// A datagram.
 #[derive(Debug, Deserialize, Serialize)]
-enum Message {
-    Digest(Box<Digest>),
-    Ask { nonce: u64, version: Option<u64> },
+pub enum Message {
+    /// Digest of an instance in a small fleet.
+    Digest(Box<MemberDigest>),
+    /// Freshness query.
+    Ask {
+        /// Identifies the query.
+        nonce: u64,
+        /// The version that is known.
+        version: Option<u64>,
+    },
+    /// Reply to a freshness query.
     Proof(Box<FreshnessAttestation>),
-    Follow { nonce: u64, query: ViewQuery },
-    View { nonce: u64, reply: Box<ViewReply> },
+    /// Query of a follower.
+    Follow {
+        /// Identifies the query.
+        nonce: u64,
+        /// The query.
+        query: ViewQuery,
+    },
+    /// Reply to a follower.
+    View {
+        /// Identifies the query.
+        nonce: u64,
+        /// The reply.
+        reply: Box<ViewReply>,
+    },
+    /// Digest of a member to an aggregator of its availability zone.
+    Report {
+        /// Identifies the report if a reply is expected.
+        nonce: Option<u64>,
+        /// What the member expects as a reply.
+        wanted: WantedReply,
+        /// The digest.
+        digest: Box<MemberDigest>,
+    },
+    /// Reply of an aggregator, with the encoded digests of all availability zones.
+    Fleet {
+        /// Identifies the report.
+        nonce: u64,
+        /// Time since the digests were encoded.
+        age_ms: u64,
+        /// Encoded [`ZoneDigest`]s; empty if none were wanted.
+        #[serde(with = "serde_bytes")]
+        zones: Vec<u8>,
+    },
+    /// Digest of an availability zone to the aggregators of the others.
+    Zone(Box<ZoneDigest>),
 }
 
 /// The socket for datagrams, with the freshness queries that await a response.
 pub struct PeerBroadcast {
-    relay: Arc<Relay>,
+    /// State that all parts of the process share.
+    pub relay: Arc<Relay>,
     socket: UdpSocket,
     /// Time at which each query was sent, by nonce.
     pending_queries: Mutex<HashMap<u64, u64>>,
-    /// Receivers of readers' replies, by nonce.
-    pending_views: Mutex<HashMap<u64, oneshot::Sender<ViewReply>>>,
+    /// Receivers of replies, by nonce.
+    pending_replies: Mutex<HashMap<u64, oneshot::Sender<Message>>>,
 }
 
 impl PeerBroadcast {
@@ -162,7 +152,7 @@
             relay: Arc::clone(relay),
             socket,
             pending_queries: Mutex::default(),
-            pending_views: Mutex::default(),
+            pending_replies: Mutex::default(),
         }))
     }
 
@@ -171,21 +161,17 @@
         for round in 0_u64.. {
             let relay = &self.relay;
             let now_ms = relay.now_ms();
-            let (all, zone) = {
-                let members = relay.members.lock();
-                let own_zone = &relay.settings.availability_zone;
-                let zone = members.shuffled_addresses(Some(own_zone), &mut rand::rng(), now_ms);
-                (members.shuffled_addresses(None, &mut rand::rng(), now_ms), zone)
+            let all = relay.members.lock().shuffled_addresses(None, &mut rand::rng(), now_ms);
+            let pause_ms = match self.update_exchange(all.len() + 1) {
+                true => {
+                    self.exchange_through_aggregators(now_ms).await;
+                    EXCHANGE_INTERVAL_MS
+                }
+                false => self.broadcast_to_all(&all, round, now_ms).await,
             };
-            let is_large = all.len() >= UNIFORM_BROADCAST_MAX_INSTANCES;
-            let is_fleet_wide = !is_large || round.is_multiple_of(ZONE_DIGESTS_PER_FLEET_DIGEST);
-            let digest = Message::Digest(Box::new(self.make_digest(now_ms)));
-            self.send_all(&digest, if is_fleet_wide { &all } else { &zone }).await;
             self.query_freshness_if_stale(&all, now_ms).await;
             relay.expire_upstreams();
-            let period_ms = digest_period_ms(all.len() + 1);
-            let pause_ms =
-                if is_large { period_ms / ZONE_DIGESTS_PER_FLEET_DIGEST } else { period_ms };
+            let pause_ms = pause_ms.saturating_sub(relay.now_ms().saturating_sub(now_ms));
             let min_pause_ms = pause_ms / MAX_URGENT_DIGESTS_PER_PERIOD;
             sleep(Duration::from_millis(min_pause_ms)).await;
             let remaining_pause = Duration::from_millis(pause_ms - min_pause_ms);
@@ -193,6 +179,23 @@
         }
     }
 
+    /// Sends the digest to all other instances, or to those of the own availability zone; returns the
+    /// time until the next one.
+    async fn broadcast_to_all(&self, all: &[SocketAddr], round: u64, now_ms: u64) -> u64 {
+        let relay = &self.relay;
+        let is_large = all.len() >= UNIFORM_BROADCAST_MAX_INSTANCES;
+        let digest = Message::Digest(Box::new(self.make_digest(now_ms, round + 1)));
+        if !is_large || round.is_multiple_of(ZONE_DIGESTS_PER_FLEET_DIGEST) {
+            self.send_all(&digest, all).await;
+        } else {
+            let own_zone = Some(relay.settings.availability_zone.as_str());
+            let zone = relay.members.lock().shuffled_addresses(own_zone, &mut rand::rng(), now_ms);
+            self.send_all(&digest, &zone).await;
+        }
+        let period_ms = digest_period_ms(all.len() + 1);
+        if is_large { period_ms / ZONE_DIGESTS_PER_FLEET_DIGEST } else { period_ms }
+    }
+
     /// Receives and handles datagrams until the process ends.
     pub async fn listen(self: Arc<Self>) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -206,7 +209,10 @@
             };
             match ciborium::from_reader::<Message, _>(&buffer[..length]) {
                 Ok(message) => self.handle_message(message, source).await,
-                Err(error) => log_datagram_failure(&self.relay.log, &error.to_string()),
+                Err(error) => {
+                    count_dropped("malformed");
+                    log_datagram_failure(&self.relay.log, &error.to_string());
+                }
             }
         }
     }
@@ -219,15 +225,40 @@
         reply_timeout: Duration,
     ) -> Option<ViewReply> {
         let nonce = rand::random();
+        let message = Message::Follow { nonce, query };
+        match self.request(reader, &message, nonce, reply_timeout).await? {
+            Message::View { reply, .. } => Some(*reply),
+            _ => None,
+        }
+    }
+
+    /// Sends a message with a nonce and waits for the reply that carries it.
+    pub async fn request(
+        &self,
+        address: SocketAddr,
+        message: &Message,
+        nonce: u64,
+        reply_timeout: Duration,
+    ) -> Option<Message> {
         let (sender, receiver) = oneshot::channel();
-        self.pending_views.lock().insert(nonce, sender);
-        self.send_all(&Message::Follow { nonce, query }, &[reader]).await;
+        self.pending_replies.lock().insert(nonce, sender);
+        self.send_all(message, &[address]).await;
         let reply = timeout(reply_timeout, receiver).await;
-        self.pending_views.lock().remove(&nonce);
+        self.pending_replies.lock().remove(&nonce);
         reply.ok()?.ok()
     }
 
-    fn make_digest(&self, now_ms: u64) -> Digest {
+    /// Hands a reply over to the task that waits for it. One that nobody waits for any more is late or a
+    /// duplicate.
+    fn deliver_reply(&self, nonce: u64, reply: Message) {
+        let receiver = self.pending_replies.lock().remove(&nonce);
+        if receiver.is_none_or(|receiver| receiver.send(reply).is_err()) {
+            count_dropped("late_reply");
+        }
+    }
+
+    /// Returns the digest of this instance.
+    pub fn make_digest(&self, now_ms: u64, sequence: u64) -> MemberDigest {
         let relay = &self.relay;
         let mut services = BTreeMap::new();
         for (service, placement_table) in relay.placement_tables() {
@@ -244,7 +275,7 @@
                 ServiceDigest { arrived_tokens_per_ms, sent_tokens_per_ms, loads: loads.collect() };
             services.insert(service, service_digest);
         }
-        Digest {
+        MemberDigest {
             instance: relay.settings.instance.clone(),
             boot: relay.boot,
             availability_zone: relay.settings.availability_zone.clone(),
@@ -269,6 +300,7 @@
                 .map(|(id, started_at_ms)| (id.to_owned(), started_at_ms))
                 .collect(),
             committed_usage: self.committed_usage_for_digest(),
+            sequence,
         }
     }
 
@@ -315,15 +347,15 @@
 
     /// Asks another instance for its document if that is newer: a store that was restored from a
     /// backup may list an older one until the operators have written the newer one again.
-    async fn query_newer_document(&self, digest: &Digest) {
-        let version = self.relay.active_document.read().version();
-        if digest.version > version {
-            let now_ms = self.relay.now_ms();
-            self.query_freshness(version, &[digest.peer_address], now_ms).await;
+    pub async fn query_newer_document(&self, version: Option<u64>, address: SocketAddr) {
+        let known = self.relay.active_document.read().version();
+        if version > known {
+            self.query_freshness(known, &[address], self.relay.now_ms()).await;
         }
     }
 
-    async fn send_all(&self, message: &Message, addresses: &[SocketAddr]) {
+    /// Sends a message to each address.
+    pub async fn send_all(&self, message: &Message, addresses: &[SocketAddr]) {
         let mut bytes = Vec::new();
         if let Err(error) = ciborium::into_writer(message, &mut bytes) {
             log_datagram_failure(&self.relay.log, &error.to_string());
@@ -340,7 +372,7 @@
         match message {
             Message::Digest(digest) => {
                 self.apply_digest(&digest);
-                self.query_newer_document(&digest).await;
+                self.query_newer_document(digest.version, digest.peer_address).await;
             }
             Message::Ask { nonce, version } => {
                 if let Some(attestation) = self.make_attestation(nonce, version) {
@@ -354,63 +386,64 @@
                     self.send_all(&reply, &[source]).await;
                 }
             }
-            Message::View { nonce, reply } => {
-                // A reply that nobody waits for any more is late or a duplicate.
-                if let Some(receiver) = self.pending_views.lock().remove(&nonce) {
-                    let _ = receiver.send(*reply);
-                }
+            Message::View { nonce, .. } | Message::Fleet { nonce, .. } => {
+                self.deliver_reply(nonce, message);
             }
+            Message::Report { nonce, wanted, digest } => {
+                self.handle_report(nonce, wanted, *digest, source).await;
+            }
+            Message::Zone(zone) => self.handle_zone(*zone, source).await,
         }
     }
 
-    fn apply_digest(&self, digest: &Digest) {
+    fn apply_digest(&self, digest: &MemberDigest) {
         let relay = &self.relay;
         if digest.instance == relay.settings.instance {
             return;
         }
         let now_ms = relay.now_ms();
         let name = &digest.instance;
+        self.apply_member_state(digest, now_ms);
+        // In a large fleet, the sums of the availability zones contain its load and use.
+        if relay.exchange.lock().is_aggregated() {
+            return;
+        }
+        let totals = digest
+            .cap_totals
+            .iter()
+            .map(|(organisation, totals)| (organisation.as_str(), into_cap_totals(*totals)));
+        relay.apply_cap_totals(name, digest.boot, totals, 1, now_ms);
+        relay.fleet_usage.lock().merge(name, digest.boot, &digest.windows);
+        apply_services(relay, name, &digest.services, 1, now_ms);
+    }
+
+    /// Applies what a digest says of its sender and of the store, but not its load and use.
+    pub fn apply_member_state(&self, digest: &MemberDigest, now_ms: u64) {
+        let relay = &self.relay;
+        let name = &digest.instance;
         let zone = &digest.availability_zone;
         relay.members.lock().record_digest(name, zone, digest.peer_address, now_ms);
         relay.wall_clock.lock().record_peer(name, digest.sender_wall_ms, now_ms);
-        let totals = digest.cap_totals.iter().map(|(organisation, (used, requested))| {
-            (organisation.as_str(), CapTotals { used: *used as f64, requested: *requested as f64 })
-        });
-        relay.apply_cap_totals(name, digest.boot, totals);
-        relay.fleet_usage.lock().merge(name, digest.boot, &digest.windows);
-        relay.remember_committed_usage(&digest.committed_usage);
-        for (upstream, started_at_ms) in &digest.departures {
-            relay.announce_departure(upstream, *started_at_ms, "peer");
-        }
-        self.observe_peer_era(digest.store_era);
-        for (service, placement_table) in relay.placement_tables() {
-            let mut placement_table = placement_table.lock();
-            placement_table.clear_peer(name);
-            let Some(service_digest) = digest.services.get(&service) else { continue };
-            let demand = TokenDemand {
-                arrived_tokens_per_ms: service_digest.arrived_tokens_per_ms,
-                sent_tokens_per_ms: service_digest.sent_tokens_per_ms.clone(),
-            };
-            placement_table.set_peer_demand(name, demand);
-            for (upstream, running, answering, waiting) in &service_digest.loads {
-                let load = UpstreamLoad {
-                    running: *running,
-                    answering: *answering,
-                    waiting: waiting
-                        .iter()
-                        .map(|(rank, requests, tokens)| {
-                            (*rank, WaitingRequests { requests: *requests, tokens: *tokens })
-                        })
-                        .collect(),
-                };
-                placement_table.set_peer_load(name, upstream, load, now_ms);
-            }
+        self.apply_notices(&digest.departures, &digest.committed_usage, digest.store_era);
+    }
+
+    /// Applies what others have learned of upstreams and of the store.
+    pub fn apply_notices(
+        &self,
+        departures: &[(String, Option<u64>)],
+        committed_usage: &[WindowCounts],
+        store_era: u64,
+    ) {
+        self.relay.remember_committed_usage(committed_usage);
+        for (upstream, started_at_ms) in departures {
+            self.relay.announce_departure(upstream, *started_at_ms, "peer");
         }
+        self.observe_peer_era(store_era);
     }
 
     /// Applies an era that another instance reports. One far above the known era is not plausible, as
     /// eras rise by one.
-    fn observe_peer_era(&self, era: u64) {
+    pub fn observe_peer_era(&self, era: u64) {
         let known = self.relay.store_era();
         if era > known && era - known <= MAX_ERA_STEP {
             self.relay.observe_store_era(era, "peer");
@@ -473,6 +506,47 @@
     }
 }
 
+/// Converts the counters of a digest.
+pub fn into_cap_totals((used, requested): (u64, u64)) -> CapTotals {
+    CapTotals { used: used as f64, requested: requested as f64 }
+}
+
+/// Applies the load that a peer has reported for itself, or as the sum of `instances` instances.
+pub fn apply_services(
+    relay: &Relay,
+    peer: &str,
+    services: &BTreeMap<String, ServiceDigest>,
+    instances: usize,
+    reported_at_ms: u64,
+) {
+    for (service, placement_table) in relay.placement_tables() {
+        let mut placement_table = placement_table.lock();
+        placement_table.clear_peer(peer);
+        let Some(digest) = services.get(&service) else { continue };
+        let demand = TokenDemand {
+            arrived_tokens_per_ms: digest.arrived_tokens_per_ms,
+            sent_tokens_per_ms: digest.sent_tokens_per_ms.clone(),
+        };
+        placement_table.set_peer_demand(peer, demand, instances);
+        for (upstream, running, answering, waiting) in &digest.loads {
+            let waiting = waiting.iter().map(|(rank, requests, tokens)| {
+                (*rank, WaitingRequests { requests: *requests, tokens: *tokens })
+            });
+            let load = UpstreamLoad {
+                running: *running,
+                answering: *answering,
+                waiting: waiting.collect(),
+            };
+            placement_table.set_peer_load(peer, upstream, load, reported_at_ms);
+        }
+    }
+}
+
+/// Counts a datagram that was received and not used.
+pub fn count_dropped(reason: &'static str) {
+    metrics::counter!("hickorycourse_datagrams_dropped_total", "reason" => reason).increment(1);
+}
+
 fn log_datagram_failure(log: &EventLog, reason: &str) {
     metrics::counter!("hickorycourse_datagram_failures_total").increment(1);
     log.write("datagram_failed", || json!({ "reason": reason }));
--- /dev/null
+++ b/crates/relay/src/exchange.rs
@@ -0,0 +1,432 @@
+//! Exchange of digests in a large fleet: members report to the aggregators of their availability zone,
+//! which exchange the sums between zones and return them.
+//!
+//! Load pattern: hundreds of instances with small hosts. What a member sends and receives is the same at
+//! every size, and so is the age of what it knows. All of it is soft state, and no rule depends on who
+//! aggregates: two instances that both do so only cost traffic.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hickorycourse_digest::{
+    AGGREGATORS_PER_ZONE, MemberDigest, OwnDigests, ZoneAggregator, ZoneDigest, rank_aggregators,
+};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::broadcast::{
+    Message, PeerBroadcast, apply_services, count_dropped, digest_period_ms, into_cap_totals,
+};
+use crate::settings::ExchangePolicy;
+
+/// Interval between two reports of a member, and between two digests of a zone.
+pub const EXCHANGE_INTERVAL_MS: u64 = 400;
+/// Typical time until other instances know of a change: to the aggregator, to another zone's, and from
+/// there to its members.
+const AGGREGATED_REPORT_INTERVAL_MS: u64 = 3 * EXCHANGE_INTERVAL_MS;
+/// Size of the fleet from which digests are aggregated.
+const AGGREGATED_MIN_INSTANCES: usize = 17;
+/// Size of the fleet below which they are no longer aggregated.
+const MESH_BELOW_INSTANCES: usize = 12;
+/// Time for the reply of an aggregator.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which the sums that are returned to members are kept.
+const SUMS_TTL_MS: u64 = 120;
+/// Time without a digest after which another zone's aggregator is replaced by one that sends.
+const ZONE_SOURCE_SILENCE_MS: u64 = 1_200;
+/// Age above which the digest of another zone is not passed on.
+const MAX_ZONE_AGE_MS: u64 = 10_000;
+
+/// Returns the typical time in milliseconds between two reports of another instance, in a fleet of this
+/// size.
+pub fn report_interval_ms(policy: ExchangePolicy, instances: usize) -> u64 {
+    let is_aggregated = match policy {
+        ExchangePolicy::Mesh => false,
+        ExchangePolicy::Aggregated => true,
+        ExchangePolicy::Auto => instances >= AGGREGATED_MIN_INSTANCES,
+    };
+    if is_aggregated { AGGREGATED_REPORT_INTERVAL_MS } else { digest_period_ms(instances) }
+}
+
+/// What a member expects as a reply to its report.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum WantedReply {
+    /// Only the sign that the aggregator works.
+    Acknowledgement,
+    /// The sums of all availability zones.
+    Sums,
+    /// The sums with the usage windows, for the holder of the duties.
+    SumsWithUsage,
+}
+
+/// Sums that are returned to members, encoded.
+#[derive(Debug)]
+struct EncodedSums {
+    bytes: Vec<u8>,
+    made_at_ms: u64,
+}
+
+/// State of the exchange through aggregators.
+#[derive(Debug, Default)]
+pub struct ExchangeState {
+    is_aggregated: bool,
+    sequence: u64,
+    own: OwnDigests,
+    aggregator: ZoneAggregator,
+    /// The latest digest of each other zone, with its sender's address and the time of its arrival.
+    zones: BTreeMap<String, (ZoneDigest, Option<SocketAddr>, u64)>,
+    encoded: Option<EncodedSums>,
+}
+
+impl ExchangeState {
+    /// Returns whether digests are aggregated, rather than sent from each instance to all others.
+    pub fn is_aggregated(&self) -> bool {
+        self.is_aggregated
+    }
+
+    fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    /// Records the digest of another zone; returns false if it is old, or from another aggregator than
+    /// the one that sends for that zone.
+    fn record_zone(&mut self, zone: ZoneDigest, source: Option<SocketAddr>, now_ms: u64) -> bool {
+        if let Some((known, _, received_at_ms)) = self.zones.get(&zone.availability_zone) {
+            let is_same_source =
+                (known.aggregator.as_str(), known.boot) == (zone.aggregator.as_str(), zone.boot);
+            let is_accepted = match is_same_source {
+                true => zone.sequence > known.sequence,
+                false => now_ms.saturating_sub(*received_at_ms) > ZONE_SOURCE_SILENCE_MS,
+            };
+            if !is_accepted {
+                return false;
+            }
+        }
+        self.zones.insert(zone.availability_zone.clone(), (zone, source, now_ms));
+        true
+    }
+
+    /// Returns the digests of the other zones with their present age.
+    fn other_zones(&self, now_ms: u64) -> impl Iterator<Item = ZoneDigest> {
+        let known = self.zones.values().filter_map(move |(zone, _, received_at_ms)| {
+            let age_ms = zone.age_ms + now_ms.saturating_sub(*received_at_ms);
+            (age_ms < MAX_ZONE_AGE_MS).then(|| ZoneDigest { age_ms, ..zone.clone() })
+        });
+        known.collect::<Vec<_>>().into_iter()
+    }
+}
+
+/// The instances that act for an availability zone.
+struct Aggregators {
+    /// Whether this instance is the first of them, which sends the digests of the zone to the others.
+    is_first: bool,
+    /// Whether this instance is one of them.
+    is_aggregator: bool,
+    /// The others with their peer addresses.
+    others: Vec<(String, SocketAddr)>,
+}
+
+impl PeerBroadcast {
+    /// Chooses between the mesh and aggregators by the size of the fleet; returns whether aggregators
+    /// are used.
+    pub fn update_exchange(&self, instances: usize) -> bool {
+        let relay = &self.relay;
+        let mut exchange = relay.exchange.lock();
+        let is_aggregated = match relay.settings.policy.exchange {
+            ExchangePolicy::Mesh => false,
+            ExchangePolicy::Aggregated => true,
+            ExchangePolicy::Auto if exchange.is_aggregated => instances >= MESH_BELOW_INSTANCES,
+            ExchangePolicy::Auto => instances >= AGGREGATED_MIN_INSTANCES,
+        };
+        if std::mem::replace(&mut exchange.is_aggregated, is_aggregated) != is_aggregated {
+            drop(exchange);
+            relay.clear_reports();
+            relay.log.write(
+                "exchange_changed",
+                || json!({ "instances": instances, "is_aggregated": is_aggregated }),
+            );
+        }
+        is_aggregated
+    }
+
+    fn own_aggregators(&self, now_ms: u64) -> Aggregators {
+        let settings = &self.relay.settings;
+        let members = self.relay.members.lock();
+        let own = settings.instance.as_str();
+        let candidates = members.responsive_names(&settings.availability_zone, now_ms);
+        let mut ranked = rank_aggregators(std::iter::once(own).chain(candidates));
+        ranked.truncate(AGGREGATORS_PER_ZONE);
+        let others = ranked.iter().filter(|name| **name != own);
+        Aggregators {
+            is_first: ranked.first() == Some(&own),
+            is_aggregator: ranked.contains(&own),
+            others: others
+                .filter_map(|name| Some(((*name).to_owned(), members.address(name)?)))
+                .collect(),
+        }
+    }
+
+    /// Returns the addresses of the instances that aggregate for the other zones: those that are
+    /// expected to, and those that have sent the latest digests.
+    fn remote_aggregators(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let own_zone = &self.relay.settings.availability_zone;
+        let mut addresses = Vec::new();
+        {
+            let members = self.relay.members.lock();
+            for zone in members.availability_zones(now_ms).iter().filter(|zone| *zone != own_zone) {
+                let ranked = rank_aggregators(members.responsive_names(zone, now_ms));
+                let chosen = ranked.into_iter().take(AGGREGATORS_PER_ZONE);
+                addresses.extend(chosen.filter_map(|name| members.address(name)));
+            }
+        }
+        let exchange = self.relay.exchange.lock();
+        addresses.extend(exchange.zones.values().filter_map(|(_, source, _)| *source));
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
+    /// Reports to the aggregators of the own zone and applies what they return. An aggregator applies
+    /// its own sums.
+    pub async fn exchange_through_aggregators(&self, now_ms: u64) {
+        let sequence = self.relay.exchange.lock().next_sequence();
+        let digest = self.make_digest(now_ms, sequence);
+        {
+            let mut exchange = self.relay.exchange.lock();
+            exchange.own.record(digest.clone());
+            exchange.aggregator.record(digest.clone(), now_ms);
+            exchange.aggregator.expire(now_ms);
+        }
+        let aggregators = self.own_aggregators(now_ms);
+        if aggregators.is_aggregator {
+            self.act_as_aggregator(&aggregators, digest, now_ms).await;
+            return;
+        }
+        self.report_as_member(&aggregators, digest, sequence).await;
+    }
+
+    async fn act_as_aggregator(
+        &self,
+        aggregators: &Aggregators,
+        digest: MemberDigest,
+        now_ms: u64,
+    ) {
+        let zone = self.sum_own_zone(now_ms);
+        if aggregators.is_first {
+            let told = ZoneDigest { members: Vec::new(), ..zone.clone() };
+            let addresses = self.remote_aggregators(now_ms);
+            self.send_all(&Message::Zone(Box::new(told)), &addresses).await;
+        }
+        let mut zones = vec![zone];
+        zones.extend(self.relay.exchange.lock().other_zones(now_ms));
+        for zone in zones {
+            self.apply_zone(zone, None, now_ms).await;
+        }
+        for (name, address) in &aggregators.others {
+            self.report(name, *address, WantedReply::Acknowledgement, digest.clone()).await;
+        }
+    }
+
+    /// Reports to both aggregators, so that each can replace the other, and asks one for the sums.
+    async fn report_as_member(
+        &self,
+        aggregators: &Aggregators,
+        digest: MemberDigest,
+        sequence: u64,
+    ) {
+        let relay = &self.relay;
+        let count = aggregators.others.len() as u64;
+        if count == 0 {
+            return;
+        }
+        // Members are spread over the aggregators. Now and then the other one is asked, which shows
+        // whether it works.
+        let is_other_asked = sequence.is_multiple_of(OTHER_ASKED_INTERVAL);
+        let asked =
+            (xxh3_64(relay.settings.instance.as_bytes()) + u64::from(is_other_asked)) % count;
+        let wanted = match relay.duty_lease.lock().is_holder() {
+            true => WantedReply::SumsWithUsage,
+            false => WantedReply::Sums,
+        };
+        for (index, (_, address)) in aggregators.others.iter().enumerate() {
+            if index as u64 != asked {
+                let report = Message::Report {
+                    nonce: None,
+                    wanted: WantedReply::Acknowledgement,
+                    digest: Box::new(digest.clone()),
+                };
+                self.send_all(&report, &[*address]).await;
+            }
+        }
+        let (name, address) = &aggregators.others[asked as usize];
+        let Some((zones, age_ms)) = self.report(name, *address, wanted, digest).await else {
+            return;
+        };
+        let now_ms = relay.now_ms();
+        for mut zone in zones {
+            zone.age_ms += age_ms;
+            self.apply_zone(zone, Some(*address), now_ms).await;
+        }
+    }
+
+    /// Sends a report and waits for the reply: the digests of the zones, and the time since they were
+    /// encoded.
+    async fn report(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        wanted: WantedReply,
+        digest: MemberDigest,
+    ) -> Option<(Vec<ZoneDigest>, u64)> {
+        let nonce = rand::random();
+        let message = Message::Report { nonce: Some(nonce), wanted, digest: Box::new(digest) };
+        let reply = self.request(address, &message, nonce, REPLY_TIMEOUT).await;
+        let now_ms = self.relay.now_ms();
+        self.relay.members.lock().record_reply(name, reply.is_some(), now_ms);
+        let Message::Fleet { age_ms, zones, .. } = reply? else { return None };
+        if zones.is_empty() {
+            return Some((Vec::new(), age_ms));
+        }
+        match ciborium::from_reader::<Vec<ZoneDigest>, _>(zones.as_slice()) {
+            Ok(zones) => Some((zones, age_ms)),
+            Err(error) => {
+                count_dropped("malformed");
+                let reason = error.to_string();
+                self.relay.log.write("datagram_failed", || json!({ "reason": reason }));
+                None
+            }
+        }
+    }
+
+    /// Handles the report of a member.
+    pub async fn handle_report(
+        &self,
+        nonce: Option<u64>,
+        wanted: WantedReply,
+        digest: MemberDigest,
+        source: SocketAddr,
+    ) {
+        let relay = &self.relay;
+        let now_ms = relay.now_ms();
+        let settings = &relay.settings;
+        let is_own_zone = digest.availability_zone == settings.availability_zone;
+        if !is_own_zone || digest.instance == settings.instance {
+            count_dropped("misdirected");
+            return;
+        }
+        if !relay.exchange.lock().aggregator.record(digest.clone(), now_ms) {
+            count_dropped("old");
+            return;
+        }
+        self.apply_member_state(&digest, now_ms);
+        self.query_newer_document(digest.version, digest.peer_address).await;
+        let Some(nonce) = nonce else { return };
+        if let Some((zones, age_ms)) = self.encode_sums(wanted, now_ms) {
+            self.send_all(&Message::Fleet { nonce, age_ms, zones }, &[source]).await;
+        }
+    }
+
+    /// Handles the digest of another zone.
+    pub async fn handle_zone(&self, zone: ZoneDigest, source: SocketAddr) {
+        let relay = &self.relay;
+        if zone.availability_zone == relay.settings.availability_zone {
+            count_dropped("misdirected");
+            return;
+        }
+        let now_ms = relay.now_ms();
+        self.apply_notices(&zone.departures, &zone.committed_usage, zone.store_era);
+        if !relay.exchange.lock().record_zone(zone, Some(source), now_ms) {
+            count_dropped("old");
+        }
+    }
+
+    /// Returns the sums of the own zone.
+    fn sum_own_zone(&self, now_ms: u64) -> ZoneDigest {
+        let relay = &self.relay;
+        let settings = &relay.settings;
+        let mut zone = ZoneDigest::new(&settings.availability_zone, &settings.instance, relay.boot);
+        zone.sender_wall_ms = relay.wall_clock.lock().local_ms(now_ms);
+        zone.version = relay.active_document.read().version();
+        let mut exchange = relay.exchange.lock();
+        zone.sequence = exchange.next_sequence();
+        exchange.aggregator.sum_into(&mut zone, now_ms);
+        zone
+    }
+
+    /// Encodes the sums of all zones; returns them with the time since they were made.
+    fn encode_sums(&self, wanted: WantedReply, now_ms: u64) -> Option<(Vec<u8>, u64)> {
+        match wanted {
+            WantedReply::Acknowledgement => return Some((Vec::new(), 0)),
+            WantedReply::Sums => {
+                let exchange = self.relay.exchange.lock();
+                let fresh = exchange.encoded.as_ref().and_then(|encoded| {
+                    let age_ms = now_ms.saturating_sub(encoded.made_at_ms);
+                    (age_ms < SUMS_TTL_MS).then(|| (encoded.bytes.clone(), age_ms))
+                });
+                if fresh.is_some() {
+                    return fresh;
+                }
+            }
+            WantedReply::SumsWithUsage => {}
+        }
+        let mut zones = vec![self.sum_own_zone(now_ms)];
+        zones.extend(self.relay.exchange.lock().other_zones(now_ms));
+        if wanted == WantedReply::Sums {
+            zones.iter_mut().for_each(|zone| zone.windows.clear());
+        }
+        let mut bytes = Vec::new();
+        if let Err(error) = ciborium::into_writer(&zones, &mut bytes) {
+            let reason = error.to_string();
+            self.relay.log.write("datagram_failed", || json!({ "reason": reason }));
+            return None;
+        }
+        if wanted == WantedReply::Sums {
+            let encoded = EncodedSums { bytes: bytes.clone(), made_at_ms: now_ms };
+            self.relay.exchange.lock().encoded = Some(encoded);
+        }
+        Some((bytes, 0))
+    }
+
+    /// Applies the digest of a zone, without the own part of it. `source` is the aggregator that has
+    /// returned it.
+    async fn apply_zone(&self, mut zone: ZoneDigest, source: Option<SocketAddr>, now_ms: u64) {
+        let relay = &self.relay;
+        let settings = &relay.settings;
+        let reported_at_ms = now_ms.saturating_sub(zone.age_ms);
+        if zone.availability_zone == settings.availability_zone {
+            if !relay.exchange.lock().own.subtract_from(&mut zone, &settings.instance) {
+                count_dropped("old");
+                return;
+            }
+            let mut members = relay.members.lock();
+            for (name, _, age_ms) in &zone.members {
+                members.record_heard(name, reported_at_ms.saturating_sub(*age_ms));
+            }
+        }
+        relay.members.lock().record_heard(&zone.aggregator, reported_at_ms);
+        if zone.aggregator != settings.instance {
+            let wall_ms = zone.sender_wall_ms + zone.age_ms;
+            relay.wall_clock.lock().record_peer(&zone.aggregator, wall_ms, now_ms);
+        }
+        let instances = zone.instances as usize;
+        let peer = format!("zone/{}", zone.availability_zone);
+        let boot = zone.boot ^ xxh3_64(zone.aggregator.as_bytes());
+        let totals = zone
+            .cap_totals
+            .iter()
+            .map(|(organisation, totals)| (organisation.as_str(), into_cap_totals(*totals)));
+        relay.apply_cap_totals(&peer, boot, totals, instances, reported_at_ms);
+        relay.fleet_usage.lock().merge(&peer, 0, &zone.windows);
+        apply_services(relay, &peer, &zone.services, instances, reported_at_ms);
+        self.apply_notices(&zone.departures, &zone.committed_usage, zone.store_era);
+        if let Some(source) = source {
+            self.query_newer_document(zone.version, source).await;
+        }
+    }
+}
+
+/// Reports after which the aggregator that is not asked usually is asked once.
+const OTHER_ASKED_INTERVAL: u64 = 10;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 
 use crate::broadcast::PeerBroadcast;
-use crate::readers::FollowTimings;
+use crate::readers::LastHeard;
 use crate::state::Relay;
 use crate::store_watch::apply_event;
 use crate::view_log::{StoreChange, ViewChanges};
@@ -98,25 +98,28 @@
     key_value: &dyn KeyValue,
     mut known_revision: u64,
 ) {
-    let timings = FollowTimings::from_bound(relay.settings.bounds.change_propagation_ms());
-    let mut current_at_ms = relay.now_ms();
+    let timings = relay.follow_timings();
+    let now_ms = relay.now_ms();
+    let mut heard = LastHeard { replied_at_ms: now_ms, current_at_ms: now_ms };
     relay.log.write("store_followed", || json!({ "revision": known_revision }));
     metrics::gauge!("hickorycourse_store_following").set(1.0);
     loop {
         sleep(Duration::from_millis(timings.query_interval_ms)).await;
-        let step = query_readers(relay, broadcast, &mut known_revision, &mut current_at_ms).await;
+        let step = query_readers(relay, broadcast, &mut known_revision, &mut heard).await;
         key_value.raise_era(relay.store_era());
         relay.expire_upstreams();
         let now_ms = relay.now_ms();
         let is_selected = relay.is_reader(now_ms);
-        let must_read = timings.must_read(is_selected, current_at_ms, now_ms);
+        let must_read = timings.must_read(is_selected, heard, now_ms);
         let must_list = matches!(step, Some(FollowStep::Relist));
         if must_read || must_list || relay.drain.is_stopping() {
             metrics::gauge!("hickorycourse_store_following").set(0.0);
             relay.log.write("store_read", || {
                 json!({
                     "is_selected": is_selected, "must_list": must_list,
-                    "age_ms": now_ms.saturating_sub(current_at_ms), "revision": known_revision,
+                    "age_ms": now_ms.saturating_sub(heard.current_at_ms),
+                    "silence_ms": now_ms.saturating_sub(heard.replied_at_ms),
+                    "revision": known_revision,
                 })
             });
             return;
@@ -129,18 +132,18 @@
     relay: &Arc<Relay>,
     broadcast: &PeerBroadcast,
     known_revision: &mut u64,
-    current_at_ms: &mut u64,
+    heard: &mut LastHeard,
 ) -> Option<FollowStep> {
-    let mut readers = relay.reader_addresses(relay.now_ms());
+    let mut readers = relay.other_readers(relay.now_ms());
     readers.shuffle(&mut rand::rng());
-    for address in readers {
+    for (name, address) in readers {
         for _ in 0..MAX_PARTIAL_REPLIES {
             let queried_at_ms = relay.now_ms();
             let query = ViewQuery { known_revision: *known_revision };
-            let Some(reply) = broadcast.query_view(address, query, REPLY_TIMEOUT).await else {
-                break;
-            };
-            match apply_reply(relay, reply, queried_at_ms, known_revision, current_at_ms) {
+            let reply = broadcast.query_view(address, query, REPLY_TIMEOUT).await;
+            relay.members.lock().record_reply(&name, reply.is_some(), relay.now_ms());
+            let Some(reply) = reply else { break };
+            match apply_reply(relay, reply, queried_at_ms, known_revision, heard) {
                 Some(FollowStep::More) => {}
                 Some(step) => return Some(step),
                 None => break,
@@ -156,12 +159,13 @@
     reply: ViewReply,
     queried_at_ms: u64,
     known_revision: &mut u64,
-    current_at_ms: &mut u64,
+    heard: &mut LastHeard,
 ) -> Option<FollowStep> {
     if reply.store_era != relay.store_era() {
         // With a new era, revisions start anew; a listing brings the state and the era.
         return (reply.store_era > relay.store_era()).then_some(FollowStep::Relist);
     }
+    heard.replied_at_ms = relay.now_ms();
     let Some(changes) = reply.changes else { return Some(FollowStep::Relist) };
     if let Some(ago_ms) = reply.recovered_ago_ms {
         relay.record_store_recovery(relay.now_ms().saturating_sub(ago_ms));
@@ -175,7 +179,7 @@
     }
     // The reply was made after the query was sent, whatever the network delay was.
     let attested_at_ms = queried_at_ms.checked_sub(reply.age_ms)?;
-    *current_at_ms = (*current_at_ms).max(attested_at_ms);
+    heard.current_at_ms = heard.current_at_ms.max(attested_at_ms);
     relay.active_document.write().attest_by_store(attested_at_ms);
     Some(FollowStep::Current)
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod drain;
 mod duty_tasks;
 mod events;
+mod exchange;
 mod follow;
 mod members;
 mod messages;
@@ -40,10 +41,12 @@
 
 pub use broadcast::digest_period_ms;
 pub use events::EventTracker;
+pub use exchange::report_interval_ms;
 pub use members::{MemberRecord, MemberTable};
-pub use readers::{FollowTimings, MAX_READERS_PER_ZONE, select_readers};
+pub use readers::{FollowTimings, LastHeard, MAX_READERS_PER_ZONE, select_readers};
 pub use server::{PlatformAdapter, run};
 pub use settings::{
-    AdmissionPolicy, Bounds, Duty, EventLogSettings, PlacementPolicy, PolicySettings, RelaySettings,
+    AdmissionPolicy, Bounds, Duty, EventLogSettings, ExchangePolicy, PlacementPolicy,
+    PolicySettings, RelaySettings,
 };
 pub use view_log::{StoreChange, ViewChanges, ViewLog};
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -1,7 +1,7 @@
 //! The other instances, as listed in the store and as observed through the digests that they
 //! broadcast.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use rand::Rng;
@@ -13,6 +13,12 @@
 /// Time without a digest after which an instance that the store does not list is not active.
 const MEMBER_TIMEOUT_MS: u64 = 8_000;
 
+/// Requests in a row without a reply after which an instance is suspected of having failed; a single
+/// datagram may be lost.
+const SUSPICION_MISSED_REPLIES: u32 = 2;
+/// Time for which an instance is suspected before it is asked again.
+const SUSPICION_MS: u64 = 3_000;
+
 /// Record of an instance in the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct MemberRecord {
@@ -30,6 +36,27 @@
     availability_zone: String,
     is_listed: bool,
     last_digest_at_ms: u64,
+    /// Requests in a row that it has not answered.
+    missed_replies: u32,
+    /// Time until which it is not expected to act for its availability zone.
+    suspected_until_ms: u64,
+}
+
+impl Member {
+    fn new(peer_address: SocketAddr, availability_zone: &str, now_ms: u64) -> Self {
+        Self {
+            peer_address,
+            availability_zone: availability_zone.to_owned(),
+            is_listed: false,
+            last_digest_at_ms: now_ms,
+            missed_replies: 0,
+            suspected_until_ms: 0,
+        }
+    }
+
+    fn is_active(&self, now_ms: u64) -> bool {
+        self.is_listed || now_ms.saturating_sub(self.last_digest_at_ms) < MEMBER_TIMEOUT_MS
+    }
 }
 
 /// The other instances, as listed in the store and as observed through digests.
@@ -41,12 +68,10 @@
 impl MemberTable {
     /// Applies a member record from the store.
     pub fn apply_record(&mut self, instance: &str, record: &MemberRecord, now_ms: u64) {
-        let member = self.others.entry(instance.to_owned()).or_insert_with(|| Member {
-            peer_address: record.peer_address,
-            availability_zone: record.availability_zone.clone(),
-            is_listed: true,
-            last_digest_at_ms: now_ms,
-        });
+        let member = self
+            .others
+            .entry(instance.to_owned())
+            .or_insert_with(|| Member::new(record.peer_address, &record.availability_zone, now_ms));
         member.peer_address = record.peer_address;
         member.is_listed = true;
     }
@@ -72,12 +97,10 @@
         peer_address: SocketAddr,
         now_ms: u64,
     ) {
-        let member = self.others.entry(instance.to_owned()).or_insert_with(|| Member {
-            peer_address,
-            availability_zone: availability_zone.to_owned(),
-            is_listed: false,
-            last_digest_at_ms: now_ms,
-        });
+        let member = self
+            .others
+            .entry(instance.to_owned())
+            .or_insert_with(|| Member::new(peer_address, availability_zone, now_ms));
         member.peer_address = peer_address;
         member.last_digest_at_ms = now_ms;
     }
@@ -100,19 +123,48 @@
         addresses
     }
 
-    /// Returns the names of the instances in an availability zone that have sent a digest, or have been
-    /// listed for the first time, within `silence_ms`.
-    pub fn heard_names<'a>(
+    /// Records that another instance has heard of an instance at `at_ms`; has no effect on an unknown
+    /// one.
+    pub fn record_heard(&mut self, instance: &str, at_ms: u64) {
+        if let Some(member) = self.others.get_mut(instance) {
+            member.last_digest_at_ms = member.last_digest_at_ms.max(at_ms);
+        }
+    }
+
+    /// Records whether an instance has replied to a request. One that misses several in a row is not
+    /// expected to act for its availability zone for a while.
+    pub fn record_reply(&mut self, instance: &str, has_replied: bool, now_ms: u64) {
+        let Some(member) = self.others.get_mut(instance) else { return };
+        match has_replied {
+            true => {
+                member.missed_replies = 0;
+                member.last_digest_at_ms = member.last_digest_at_ms.max(now_ms);
+            }
+            false => member.missed_replies += 1,
+        }
+        if member.missed_replies >= SUSPICION_MISSED_REPLIES {
+            member.missed_replies = 0;
+            member.suspected_until_ms = now_ms + SUSPICION_MS;
+        }
+    }
+
+    /// Returns the names of the active instances in an availability zone that are expected to reply.
+    pub fn responsive_names<'a>(
         &'a self,
         availability_zone: &'a str,
-        silence_ms: u64,
         now_ms: u64,
     ) -> impl Iterator<Item = &'a str> {
-        let heard = self.others.iter().filter(move |(_, member)| {
+        let responsive = self.others.iter().filter(move |(_, member)| {
             member.availability_zone == availability_zone
-                && now_ms.saturating_sub(member.last_digest_at_ms) < silence_ms
+                && member.is_active(now_ms)
+                && member.suspected_until_ms <= now_ms
         });
-        heard.map(|(name, _)| name.as_str())
+        responsive.map(|(name, _)| name.as_str())
+    }
+
+    /// Returns the availability zones of the active instances.
+    pub fn availability_zones(&self, now_ms: u64) -> BTreeSet<String> {
+        self.active_members(now_ms).map(|member| member.availability_zone.clone()).collect()
     }
 
     /// Returns the peer address of an instance.
@@ -135,9 +187,6 @@
     }
 
     fn active_members(&self, now_ms: u64) -> impl Iterator<Item = &Member> {
-        let is_active = move |member: &&Member| {
-            member.is_listed || now_ms.saturating_sub(member.last_digest_at_ms) < MEMBER_TIMEOUT_MS
-        };
-        self.others.values().filter(is_active)
+        self.others.values().filter(move |member| member.is_active(now_ms))
     }
 }
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -5,7 +5,7 @@
 //! readers in each availability zone watch the store; the others follow a reader, and read the store
 //! themselves only while no reader's word is fresh enough.
 
-use xxhash_rust::xxh3::xxh3_64;
+use hickorycourse_digest::rank_aggregators;
 
 /// Largest number of instances of an availability zone that read the store; the second one covers the
 /// loss of the first.
@@ -17,16 +17,18 @@
 /// must be applied.
 const QUERY_INTERVAL_PERCENT: u64 = 10;
 /// Age of the state, in percent of that bound, above which a follower reads the store itself.
-const MAX_FOLLOWED_AGE_PERCENT: u64 = 50;
+const MAX_FOLLOWED_AGE_PERCENT: u64 = 70;
+/// Time without a reply of any reader, in percent of that bound, after which it does.
+const MAX_SILENCE_PERCENT: u64 = 35;
+/// Part of the largest staleness with which keys are accepted, in percent, that the age may reach.
+const MAX_STALENESS_PERCENT: u64 = 80;
 /// Time for which an instance that is not selected reads the store before it follows again.
-const MIN_READING_MS: u64 = 4_000;
+const MIN_READING_MS: u64 = 1_500;
 
-/// Selects the readers among the instances of one availability zone, by rendezvous hashing (Thaler and
-/// Ravishankar, 1998): the loss of an instance changes the selection only if it was selected.
+/// Selects the readers among the instances of one availability zone. The loss of an instance changes the
+/// selection only if it was selected.
 pub fn select_readers<'a>(instances: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
-    let mut ranked: Vec<&str> = instances.collect();
-    ranked.sort_unstable_by_key(|name| (std::cmp::Reverse(xxh3_64(name.as_bytes())), *name));
-    ranked.dedup();
+    let mut ranked = rank_aggregators(instances);
     ranked.truncate(match ranked.len() <= ONE_READER_MAX_INSTANCES {
         true => 1,
         false => MAX_READERS_PER_ZONE,
@@ -41,16 +43,21 @@
     pub query_interval_ms: u64,
     /// Age of the state above which the store is read.
     pub max_age_ms: u64,
+    /// Time without a reply of any reader after which the store is read.
+    pub max_silence_ms: u64,
     /// Shortest time for which the store is then read.
     pub min_reading_ms: u64,
 }
 
 impl FollowTimings {
-    /// Derives the timings from the shortest bound within which changes must be applied.
-    pub fn from_bound(change_propagation_ms: u64) -> Self {
+    /// Derives the timings from the shortest bound within which changes must be applied, and the largest
+    /// staleness with which keys are accepted.
+    pub fn from_bounds(change_propagation_ms: u64, max_staleness_ms: u64) -> Self {
         Self {
             query_interval_ms: change_propagation_ms * QUERY_INTERVAL_PERCENT / 100,
-            max_age_ms: change_propagation_ms * MAX_FOLLOWED_AGE_PERCENT / 100,
+            max_age_ms: (change_propagation_ms * MAX_FOLLOWED_AGE_PERCENT / 100)
+                .min(max_staleness_ms * MAX_STALENESS_PERCENT / 100),
+            max_silence_ms: change_propagation_ms * MAX_SILENCE_PERCENT / 100,
             min_reading_ms: MIN_READING_MS,
         }
     }
@@ -61,10 +68,20 @@
         !is_selected && now_ms.saturating_sub(reading_since_ms) >= self.min_reading_ms
     }
 
-    /// Returns whether a follower reads the store itself: it has been selected, or what it last heard
-    /// of the store's state is too old. `current_at_ms` is the time at which its state was last proven
-    /// to be current.
-    pub fn must_read(&self, is_selected: bool, current_at_ms: u64, now_ms: u64) -> bool {
-        is_selected || now_ms.saturating_sub(current_at_ms) > self.max_age_ms
+    /// Returns whether a follower reads the store itself: it has been selected, no reader replies, or
+    /// what it last heard of the store's state is too old, as its reader has lost the store.
+    pub fn must_read(&self, is_selected: bool, heard: LastHeard, now_ms: u64) -> bool {
+        is_selected
+            || now_ms.saturating_sub(heard.replied_at_ms) > self.max_silence_ms
+            || now_ms.saturating_sub(heard.current_at_ms) > self.max_age_ms
     }
 }
+
+/// What a follower has heard last.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LastHeard {
+    /// Time of the last reply of a reader.
+    pub replied_at_ms: u64,
+    /// Time at which the state was last proven to be that of the store.
+    pub current_at_ms: u64,
+}
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -103,12 +103,11 @@
 /// Largest accepted staleness of keys, in percent of `revocation_ms`; the rest covers a store that
 /// reports changes late.
 const MAX_STALENESS_PERCENT: u64 = 65;
-/// Longest timeout of a watch request: each response shows that the store is reachable, to this
-/// instance and to those that follow it.
-const MAX_WATCH_TIMEOUT_MS: u64 = 700;
-/// Timeout of a watch request, in percent of the shortest bound within which changes must be applied.
-/// What is known of a quiet store is up to two such durations old.
-const WATCH_TIMEOUT_PERCENT: u64 = 18;
+/// Longest timeout of a watch request: each response shows that the store is reachable.
+const MAX_WATCH_TIMEOUT_MS: u64 = 1_000;
+/// Timeout of a watch request of an instance that others follow, in percent of the shortest bound within
+/// which changes must be applied. What is known of a quiet store is up to two timeouts old.
+const FOLLOWED_WATCH_TIMEOUT_PERCENT: u64 = 18;
 /// Shortest timeout of a watch request; calls to the store are billed.
 const MIN_WATCH_TIMEOUT_MS: u64 = 100;
 /// Number of watch requests, each with the pause after it, that fit into the largest accepted
@@ -135,14 +134,20 @@
     }
 
     /// Timeout of a watch request, in milliseconds; short enough that the document does not become
-    /// stale, and followers of this instance need not read the store, while nothing changes in it.
+    /// stale while nothing changes in the store.
     pub fn watch_timeout_ms(&self) -> u64 {
-        let by_propagation_ms = self.change_propagation_ms() * WATCH_TIMEOUT_PERCENT / 100;
-        let timeout_ms = by_propagation_ms.clamp(MIN_WATCH_TIMEOUT_MS, MAX_WATCH_TIMEOUT_MS);
         if !self.is_revocation_strict {
-            return timeout_ms;
+            return MAX_WATCH_TIMEOUT_MS;
         }
-        timeout_ms.min(self.max_staleness_ms() / WATCHES_PER_STALENESS_LIMIT)
+        (self.max_staleness_ms() / WATCHES_PER_STALENESS_LIMIT)
+            .clamp(MIN_WATCH_TIMEOUT_MS, MAX_WATCH_TIMEOUT_MS)
+    }
+
+    /// Timeout of a watch request, in milliseconds, of an instance that others follow: they learn of its
+    /// responses later.
+    pub fn followed_watch_timeout_ms(&self) -> u64 {
+        let timeout_ms = self.change_propagation_ms() * FOLLOWED_WATCH_TIMEOUT_PERCENT / 100;
+        timeout_ms.max(MIN_WATCH_TIMEOUT_MS).min(self.watch_timeout_ms())
     }
 }
 
@@ -191,10 +196,25 @@
     LeastRequests,
 }
 
+/// How instances tell each other of their load and use.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ExchangePolicy {
+    /// `Mesh` in a small fleet, `Aggregated` in a large one.
+    #[default]
+    Auto,
+    /// Each instance sends its digest to all others; the baseline.
+    Mesh,
+    /// Aggregators sum the digests of their availability zone.
+    Aggregated,
+}
+
 /// Admission, placement and capacity planning.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PolicySettings {
+    /// How instances tell each other of their load and use.
+    pub exchange: ExchangePolicy,
     /// Admission policy.
     pub admission: AdmissionPolicy,
     /// Placement policy.
@@ -223,6 +243,7 @@
     fn default() -> Self {
         let placement = PlacementOptions::default();
         Self {
+            exchange: ExchangePolicy::default(),
             admission: AdmissionPolicy::default(),
             placement: PlacementPolicy::default(),
             reading_tokens_per_ms: placement.prefill_tokens_per_ms,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -24,10 +24,10 @@
 use tokio::sync::Notify;
 
 use crate::adapter::Protocol;
-use crate::broadcast::digest_period_ms;
 use crate::drain::DrainState;
+use crate::exchange::{ExchangeState, report_interval_ms};
 use crate::members::MemberTable;
-use crate::readers::select_readers;
+use crate::readers::{FollowTimings, select_readers};
 use crate::settings::{AdmissionPolicy, PlacementPolicy, RelaySettings};
 use crate::view_log::ViewLog;
 
@@ -36,10 +36,6 @@
 
 /// Usage windows in each digest. Counts are cumulative, so the next digest makes up for a lost one.
 const WINDOWS_PER_DIGEST: usize = 3;
-/// Time without a digest after which an instance is not expected to read the store for others.
-const MIN_READER_SILENCE_MS: u64 = 3_000;
-/// The same in digest periods, for fleets with a long one.
-const READER_MISSED_DIGESTS: u64 = 2;
 /// Committed usage reports that are kept; older windows are no longer reported.
 const MAX_COMMITTED_WINDOWS: usize = 6;
 /// Longest use of an upstream whose entry was deleted during the grace period after an outage of the
@@ -94,6 +90,8 @@
     pub wall_clock: Mutex<WallClockEstimator>,
     /// Triggers a digest before its period has elapsed.
     pub digest_requested: Notify,
+    /// Exchange of digests in a large fleet.
+    pub exchange: Mutex<ExchangeState>,
     /// Changes in the store that this instance has read, for those that follow it.
     pub view_log: Mutex<ViewLog>,
     /// Triggers a new registration of this instance in the store.
@@ -134,6 +132,7 @@
             duty_lease: Mutex::new(DutyLease::new(LeaseOptions::from_ttl(bounds.lease_ms))),
             wall_clock: Mutex::new(WallClockEstimator::new(clock.wall_ms(), now_ms)),
             digest_requested: Notify::new(),
+            exchange: Mutex::default(),
             view_log: Mutex::default(),
             registration_requested: Notify::new(),
             committed_usage: Mutex::default(),
@@ -177,7 +176,7 @@
     pub fn is_isolated(&self, now_ms: u64) -> bool {
         let staleness_ms = self.active_document.read().staleness_bound_ms(now_ms);
         let members = self.members.lock();
-        let silence_ms = ISOLATION_MISSED_DIGESTS * digest_period_ms(members.count(now_ms));
+        let silence_ms = ISOLATION_MISSED_DIGESTS * self.report_interval_ms(members.count(now_ms));
         staleness_ms.is_none_or(|staleness_ms| staleness_ms > silence_ms)
             && members.are_other_zones_silent(&self.settings.availability_zone, silence_ms, now_ms)
     }
@@ -282,20 +281,38 @@
         self.select_readers(&members, now_ms).contains(&own)
     }
 
-    /// Returns the peer addresses of the other instances that read the store for this availability
-    /// zone.
-    pub fn reader_addresses(&self, now_ms: u64) -> Vec<SocketAddr> {
+    /// Timing with which this instance follows a reader.
+    pub fn follow_timings(&self) -> FollowTimings {
+        let bounds = &self.settings.bounds;
+        let max_staleness_ms = match bounds.is_revocation_strict {
+            true => bounds.max_staleness_ms(),
+            false => u64::MAX,
+        };
+        FollowTimings::from_bounds(bounds.change_propagation_ms(), max_staleness_ms)
+    }
+
+    /// Returns whether other instances of this availability zone follow this one.
+    pub fn has_followers(&self, now_ms: u64) -> bool {
         let members = self.members.lock();
+        let others = members.responsive_names(&self.settings.availability_zone, now_ms).count();
         let readers = self.select_readers(&members, now_ms);
-        readers.into_iter().filter_map(|name| members.address(name)).collect()
+        others + 1 > readers.len() && readers.contains(&self.settings.instance.as_str())
+    }
+
+    /// Returns the other instances that read the store for this availability zone, with their peer
+    /// addresses.
+    pub fn other_readers(&self, now_ms: u64) -> Vec<(String, SocketAddr)> {
+        let members = self.members.lock();
+        let readers = self.select_readers(&members, now_ms);
+        let address = |name: &str| Some((name.to_owned(), members.address(name)?));
+        readers.into_iter().filter_map(address).collect()
     }
 
     fn select_readers<'a>(&'a self, members: &'a MemberTable, now_ms: u64) -> Vec<&'a str> {
-        let silence_ms = MIN_READER_SILENCE_MS
-            .max(READER_MISSED_DIGESTS * digest_period_ms(members.count(now_ms)));
-        let zone = &self.settings.availability_zone;
         let own = std::iter::once(self.settings.instance.as_str());
-        select_readers(own.chain(members.heard_names(zone, silence_ms, now_ms)))
+        select_readers(
+            own.chain(members.responsive_names(&self.settings.availability_zone, now_ms)),
+        )
     }
 
     /// Returns the time at which what this instance has read from the store was last known to be
@@ -449,10 +466,15 @@
         *caps = retained;
     }
 
+    /// Typical time in milliseconds between two reports of another instance, in a fleet of this size.
+    pub fn report_interval_ms(&self, instances: usize) -> u64 {
+        report_interval_ms(self.settings.policy.exchange, instances)
+    }
+
     fn cap_limits(&self, cap: &UsageCap, instances: usize) -> CapLimits {
         let bounds = &self.settings.bounds;
         let excess = (bounds.cap_window_ms, bounds.cap_overshoot, bounds.cap_slack);
-        CapLimits::new(cap.per_second, cap.burst, excess, digest_period_ms(instances))
+        CapLimits::new(cap.per_second, cap.burst, excess, self.report_interval_ms(instances))
     }
 
     /// Acquires units from an organisation's usage cap.
@@ -505,23 +527,36 @@
         caps.iter_mut().map(|(name, shared)| (name.clone(), shared.broadcast_totals())).collect()
     }
 
-    /// Applies the cap usage that another instance has reported since its start, identified by
-    /// `boot`.
+    /// Applies the cap usage that `instances` other instances have reported as `peer`. `boot` identifies
+    /// the start of the process that reports it.
     pub fn apply_cap_totals<'a>(
         &self,
         peer: &str,
         boot: u64,
         totals: impl Iterator<Item = (&'a str, CapTotals)>,
+        instances: usize,
+        reported_at_ms: u64,
     ) {
-        let now_ms = self.now_ms();
         let mut caps = self.caps.lock();
         for (organisation, totals) in totals {
             if let Some(shared) = caps.get_mut(organisation) {
-                shared.apply_report(peer, boot, totals, now_ms);
+                shared.apply_group_report(peer, boot, totals, instances, reported_at_ms);
             }
         }
     }
 
+    /// Forgets what other instances have reported of their load and use, when they report in other
+    /// groups from now on.
+    pub fn clear_reports(&self) {
+        for shared in self.caps.lock().values_mut() {
+            shared.clear_peers();
+        }
+        for (_, placement_table) in self.placement_tables() {
+            placement_table.lock().clear_peers();
+        }
+        *self.fleet_usage.lock() = FleetUsage::default();
+    }
+
     /// Records a request to a service; the retry budget grows with the number of requests.
     pub fn record_request(&self, service: &str) {
         let now_ms = self.now_ms();
@@ -566,6 +601,10 @@
         usage.add(organisation, wall_ms);
         let windows = usage.newest(1);
         drop(usage);
+        // In a large fleet, the sums of the availability zones contain the own usage.
+        if self.exchange.lock().is_aggregated() {
+            return;
+        }
         self.fleet_usage.lock().merge(&self.settings.instance, self.boot, &windows);
     }
 
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -25,7 +25,6 @@
 use crate::duty_tasks::{DUTY_LEASE_KEY, ERA_RECORD_KEY, USAGE_REPORT_PREFIX};
 use crate::follow::follow_until_stale;
 use crate::members::{MEMBER_PREFIX, MemberRecord};
-use crate::readers::FollowTimings;
 use crate::state::Relay;
 use crate::view_log::StoreChange;
 
@@ -38,9 +37,7 @@
 /// large fleet makes fewer per instance.
 const INSTANCES_PER_DELAY_PERCENT: u64 = 4;
 /// That percentage for an instance that other instances follow.
-const READER_BATCH_DELAY_PERCENT: u64 = 22;
-/// Largest fleet in which each instance may be a reader.
-const ALL_READ_MAX_INSTANCES: u64 = 16;
+const READER_BATCH_DELAY_PERCENT: u64 = 18;
 /// Range of the backoff after a failure; randomized so that instances don't reconnect at the same
 /// time.
 const BACKOFF_MS: std::ops::Range<u64> = 100..400;
@@ -110,7 +107,7 @@
     key_value: &dyn KeyValue,
 ) -> Result<WatchEnd, PlatformError> {
     let propagation_ms = relay.settings.bounds.change_propagation_ms();
-    let timings = FollowTimings::from_bound(propagation_ms);
+    let timings = relay.follow_timings();
     // Another instance may have told of a later era than the one that this one still reaches.
     key_value.raise_era(relay.store_era());
     // Opened before the listing, so that no change between the two is missed.
@@ -131,6 +128,11 @@
         }
         let started_at_ms = now_ms;
         key_value.raise_era(relay.store_era());
+        let bounds = &relay.settings.bounds;
+        watch.set_poll_timeout_ms(match relay.has_followers(now_ms) {
+            true => bounds.followed_watch_timeout_ms(),
+            false => bounds.watch_timeout_ms(),
+        });
         let Some(events) = watch.next().await else { return Ok(WatchEnd::Closed) };
         let events = events?;
         for event in &events {
@@ -146,11 +148,11 @@
     }
 }
 
-/// Returns the pause after a batch of changes. In a large fleet the instances that read the store have
-/// followers, which learn of a change later.
+/// Returns the pause after a batch of changes. Followers of this instance learn of a change later.
 fn batch_delay_ms(relay: &Relay, propagation_ms: u64) -> u64 {
-    let instances = relay.members.lock().count(relay.now_ms()) as u64;
-    let percent = match instances > ALL_READ_MAX_INSTANCES {
+    let now_ms = relay.now_ms();
+    let instances = relay.members.lock().count(now_ms) as u64;
+    let percent = match relay.has_followers(now_ms) {
         true => READER_BATCH_DELAY_PERCENT,
         false => (BATCH_DELAY_PERCENT + instances / INSTANCES_PER_DELAY_PERCENT)
             .min(MAX_BATCH_DELAY_PERCENT),
--- a/crates/relay/tests/readers.rs
+++ b/crates/relay/tests/readers.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hickorycourse_relay::{
-    FollowTimings, MAX_READERS_PER_ZONE, StoreChange, ViewChanges, ViewLog, select_readers,
+    Bounds, FollowTimings, LastHeard, MAX_READERS_PER_ZONE, StoreChange, ViewChanges, ViewLog,
+    select_readers,
 };
 use proptest::prelude::*;
 
@@ -45,20 +46,37 @@
     }
 }
 
-// A follower that hears nothing reads the store itself well before changes must have been applied.
+// A follower reads the store itself well before changes must have been applied: without a reply of any
+// reader, and with replies of readers that have lost the store.
 #[test]
-fn must_read_without_word_of_reader_stays_within_bound() {
+fn must_read_without_word_of_store_stays_within_bound() {
     for bound_ms in [2_000, 3_000, 4_000] {
-        let timings = FollowTimings::from_bound(bound_ms);
-        assert!(!timings.must_read(false, 1_000, 1_000 + timings.query_interval_ms * 3));
-        assert!(timings.must_read(false, 1_000, 1_000 + bound_ms * 6 / 10));
-        assert!(timings.must_read(true, 1_000, 1_000));
+        let timings = FollowTimings::from_bounds(bound_ms, 3_250);
+        let start = LastHeard { replied_at_ms: 1_000, current_at_ms: 1_000 };
+        assert!(!timings.must_read(false, start, 1_000 + timings.query_interval_ms * 3));
+        assert!(timings.must_read(false, start, 1_000 + bound_ms / 2));
+        let answered = LastHeard { replied_at_ms: 1_000 + bound_ms, ..start };
+        assert!(timings.must_read(false, answered, 1_000 + bound_ms * 3 / 4));
+        assert!(timings.must_read(true, start, 1_000));
         assert!(!timings.may_follow(true, 0, 60_000));
         assert!(!timings.may_follow(false, 0, 100));
         assert!(timings.may_follow(false, 0, 60_000));
     }
 }
 
+// Readers of a quiet store are up to two timeouts and a pause behind, which must not make their
+// followers read the store.
+#[test]
+fn must_read_with_quiet_store_is_false() {
+    for bound_ms in [2_000, 3_000, 4_000] {
+        let bounds = Bounds { apply_ms: bound_ms, leaving_ms: bound_ms, ..Bounds::default() };
+        let timings = FollowTimings::from_bounds(bound_ms, bounds.max_staleness_ms());
+        let oldest_ms = 2 * bounds.followed_watch_timeout_ms() + bound_ms * 18 / 100;
+        let heard = LastHeard { replied_at_ms: 10_000, current_at_ms: 10_000 - oldest_ms };
+        assert!(!timings.must_read(false, heard, 10_000 + timings.query_interval_ms));
+    }
+}
+
 #[test]
 fn changes_after_unknown_revision_are_unavailable() {
     let mut log = ViewLog::default();
--- a/crates/store/src/key_value.rs
+++ b/crates/store/src/key_value.rs
@@ -83,6 +83,10 @@
     /// may have been missed.
     fn next(&mut self) -> LocalFuture<'_, Option<Result<Vec<WatchEvent>, PlatformError>>>;
 
+    /// Sets the time for which a polling watch lets the service wait for changes; has no effect on a watch
+    /// over a stream.
+    fn set_poll_timeout_ms(&mut self, _timeout_ms: u64) {}
+
     /// Returns the revision up to which changes have been returned; 0 if the service does not tell.
     fn revision(&self) -> u64 {
         0
