Place among a sample of the upstreams in large fleets

Cause: with aggregated digests all instances of a zone know the same loads at the same time.

Change: an instance with a small part of the traffic compares a few upstreams, drawn by a hash of the request, of its own zone and of the others, and the affinity upstream. A reader that is selected by instances which know fewer others reads the store while it is queried.

Result: test that replays it, 300 instances with equal reports: at most 60 requests at one of 20 upstreams; with few instances the least loaded one is still found.

--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -20,6 +20,8 @@
 const MAX_DIALS: usize = 3;
 /// Time-out for connecting to an engine in an unreachable zone.
 const DIAL_TIMEOUT_MS: u64 = 250;
+/// Spreads the numbers of requests over the seeds by which upstreams are sampled.
+const SEED_FACTOR: u64 = 0x9e37_79b9;
 /// Delay of an immediate retry.
 const IMMEDIATE_RETRY_DELAY_MS: u64 = 20;
 /// A caller waits at most this fraction (1/n) of its remaining patience before a retry.
@@ -230,6 +232,7 @@
             parts: &request_state.parts,
             prompt_tokens: group.shared_tokens + group.own_tokens,
             urgency: group.urgency,
+            seed: request as u64 * SEED_FACTOR + u64::from(request_state.attempt),
             excluded: &request_state.excluded,
         };
         let table = &mut self.relays[relay].placement_table;
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -18,6 +18,8 @@
     pub prompt_tokens: u64,
     /// Rank; 0 is the most urgent.
     pub urgency: u8,
+    /// Hash of the request, by which upstreams are sampled in a large fleet.
+    pub seed: u64,
     /// Ids of upstreams that must not be chosen because an earlier attempt was sent to them.
     pub excluded: &'a [String],
 }
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -17,6 +17,11 @@
 /// Upper bound of the share of prefill throughput attributed to more urgent ranks; keeps forecasts
 /// finite.
 const MAX_URGENT_SHARE: f64 = 0.9;
+/// Upstreams among which a request is placed, in the own availability zone and in the others: this factor
+/// times their number, divided by the number of instances.
+const SAMPLE_FACTOR: f64 = 8.0;
+/// Smallest sample of the upstreams of the own zone and of the others.
+const MIN_SAMPLE_SIZE: usize = 2;
 /// Time lost to a failed attempt; weighted with the failure rate of the upstream.
 const FAILURE_COST_MS: f64 = 500.0;
 
@@ -216,19 +221,67 @@
             now_ms,
         };
         let choose = |is_candidate: &dyn Fn(&Upstream) -> bool| {
-            self.upstreams
-                .iter()
-                .filter(open)
-                .filter(|(_, upstream)| is_candidate(upstream))
-                .map(|(id, upstream)| self.evaluate(id, upstream, &context))
-                .min_by(|one, other| one.cost.total_cmp(&other.cost))
+            let candidates = self.upstreams.iter().filter(open);
+            let candidates = candidates.filter(|(_, upstream)| is_candidate(upstream));
+            self.find_cheapest(candidates, &context)
         };
-        let chosen = choose(&|upstream| upstream.is_usable(now_ms))
+        let sample = self.sample_usable(&context, instances, open);
+        let chosen = self
+            .find_cheapest(sample.into_iter(), &context)
             .or_else(|| choose(&|upstream| !upstream.health.is_ejected(now_ms)))
             .or_else(|| choose(&|_| true))?;
         Some(self.build_placement(&chosen, &context))
     }
 
+    fn find_cheapest<'a>(
+        &'a self,
+        candidates: impl Iterator<Item = (&'a String, &'a Upstream)>,
+        context: &RequestContext<'_>,
+    ) -> Option<Candidate<'a>> {
+        candidates
+            .map(|(id, upstream)| self.evaluate(id, upstream, context))
+            .min_by(|one, other| one.cost.total_cmp(&other.cost))
+    }
+
+    /// Returns the upstreams among which a request is placed: a sample of the usable ones, and the
+    /// affinity upstream of its shared part.
+    ///
+    /// Load pattern: hundreds of instances that know the same loads, all a fraction of a second old. If
+    /// each chose the best of all upstreams, all would send to the same one until the next reports
+    /// arrive. A few random choices avoid that (Mitzenmacher, How Useful Is Old Information?, 2000). An
+    /// instance that has a large part of the traffic knows most of the recent loads itself and compares
+    /// all upstreams.
+    fn sample_usable<'a>(
+        &'a self,
+        context: &RequestContext<'_>,
+        instances: f64,
+        open: impl Fn(&(&'a String, &'a Upstream)) -> bool,
+    ) -> Vec<(&'a String, &'a Upstream)> {
+        let usable = self.upstreams.iter().filter(open);
+        let usable = usable.filter(|(_, upstream)| upstream.is_usable(context.now_ms));
+        let (mut near, mut far): (Vec<_>, Vec<_>) = usable
+            .map(|(id, upstream)| {
+                (xxh3_64_with_seed(id.as_bytes(), context.request.seed), id, upstream)
+            })
+            .partition(|(_, _, upstream)| upstream.availability_zone == self.availability_zone);
+        let size = |count: usize| (count as f64 * SAMPLE_FACTOR / instances).ceil() as usize;
+        let (near_size, far_size) = (size(near.len()), size(far.len()));
+        let affinity = context.affinity_upstream;
+        let mut sample = Vec::new();
+        for (upstreams, size) in [(&mut near, near_size), (&mut far, far_size)] {
+            let size = size.max(MIN_SAMPLE_SIZE);
+            if upstreams.len() > size {
+                upstreams.select_nth_unstable_by_key(size, |(hash, ..)| *hash);
+            }
+            let chosen = upstreams
+                .iter()
+                .enumerate()
+                .filter(|(index, (_, id, _))| *index < size || affinity == Some(id.as_str()));
+            sample.extend(chosen.map(|(_, (_, id, upstream))| (*id, *upstream)));
+        }
+        sample
+    }
+
     /// The upstream that all instances prefer for requests with the same shared part, by rendezvous
     /// hashing (Thaler and Ravishankar, 1998).
     fn find_affinity_upstream(&self, request: &PlacementRequest<'_>, now_ms: u64) -> Option<&str> {
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -1,5 +1,7 @@
 //! Choice of upstreams and admission decisions.
 
+use std::collections::BTreeMap;
+
 use hickorycourse_placement::{
     Admission, AdmissionRule, AdmitAll, AttemptOutcome, CostRule, ExpectedWait, Forecast,
     LeastRequests, PlacementOptions, PlacementRequest, PlacementTable, PromptPart, TargetAdmission,
@@ -37,7 +39,7 @@
 }
 
 fn request<'a>(parts: &'a [PromptPart], excluded: &'a [String]) -> PlacementRequest<'a> {
-    PlacementRequest { parts, prompt_tokens: 6_000, urgency: 1, excluded }
+    PlacementRequest { parts, prompt_tokens: 6_000, urgency: 1, seed: 0, excluded }
 }
 
 #[test]
@@ -289,3 +291,41 @@
     let busy = table.choose(&deferrable, 0).expect("an upstream").first_byte_ms;
     assert!(busy > 2 * idle, "{idle} and {busy}");
 }
+
+/// Places one request of each of `instances` instances that have the same reports: 20 upstreams with
+/// equal loads but for the first one, which has a request less. Returns the requests by upstream.
+fn place_with_same_reports(instances: usize) -> BTreeMap<String, usize> {
+    let entries: Vec<UpstreamEntry> = (0..20).map(|id| entry(id, "east")).collect();
+    let mut placed: BTreeMap<String, usize> = BTreeMap::new();
+    for instance in 0..instances {
+        let mut table =
+            PlacementTable::new("east", OPTIONS, Box::new(ExpectedWait), Box::new(AdmitAll));
+        table.set_upstreams(entries.iter());
+        table.set_peer_demand("zone/east", TokenDemand::default(), instances - 1);
+        for (number, entry) in entries.iter().enumerate() {
+            let running = if number == 0 { 5 } else { 6 };
+            let load = UpstreamLoad { running, ..UpstreamLoad::default() };
+            table.set_peer_load("zone/east", &entry.id, load, 0);
+        }
+        let request = PlacementRequest { seed: instance as u64 * 7_919, ..Default::default() };
+        let placement = table.choose(&request, 100).expect("an upstream");
+        *placed.entry(placement.upstream).or_default() += 1;
+    }
+    placed
+}
+
+// Load pattern: hundreds of instances with the same reports, each placing a request before the next ones
+// arrive.
+#[test]
+fn choose_at_many_instances_with_same_reports_spreads() {
+    let placed = place_with_same_reports(300);
+    let most = placed.values().max().copied().unwrap_or_default();
+    assert!(most <= 60, "{placed:?}");
+    assert!(placed.len() >= 15, "{placed:?}");
+}
+
+// An instance with a large part of the traffic compares all upstreams.
+#[test]
+fn choose_at_few_instances_finds_least_loaded() {
+    assert_eq!(place_with_same_reports(4), BTreeMap::from([("i-0".to_owned(), 4)]));
+}
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use serde_json::{Value, json};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::adapter::{ResponseMetadata, TokenCounts, UpstreamRequestMetadata};
 use crate::attempt::{Attempt, OpenedResponse};
@@ -104,6 +105,7 @@
             parts: &self.parts,
             prompt_tokens: self.tokens.prompt,
             urgency: self.urgency,
+            seed: xxh3_64(self.request_id.as_bytes()),
             excluded,
         }
     }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -57,7 +57,10 @@
 /// Answers a follower from the state that this instance has read; `None` if it has read none.
 pub fn make_reply(relay: &Relay, query: ViewQuery) -> Option<ViewReply> {
     let now_ms = relay.now_ms();
-    let current_at_ms = relay.view_current_at_ms()?;
+    let Some(current_at_ms) = relay.view_current_at_ms() else {
+        relay.record_unanswered_query(now_ms);
+        return None;
+    };
     let view_log = relay.view_log.lock();
     let (changes, is_complete) = match view_log.changes_after(query.known_revision, MAX_REPLY_BYTES)
     {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -36,6 +36,8 @@
 
 /// Usage windows in each digest. Counts are cumulative, so the next digest makes up for a lost one.
 const WINDOWS_PER_DIGEST: usize = 3;
+/// Time for which an instance reads the store after the query of a follower that it could not answer.
+const QUERIED_READER_MS: u64 = 2_000;
 /// Committed usage reports that are kept; older windows are no longer reported.
 const MAX_COMMITTED_WINDOWS: usize = 6;
 /// Longest use of an upstream whose entry was deleted during the grace period after an outage of the
@@ -83,6 +85,8 @@
     pub drain: DrainState,
     /// Number of requests in flight.
     pub in_flight: AtomicU64,
+    /// Time of the latest query of a follower that this instance could not answer; 0 without one.
+    unanswered_query_at_ms: AtomicU64,
     /// This instance's view of the lease on the duties: usage reports and capacity orders, which
     /// one instance performs for the fleet.
     pub duty_lease: Mutex<DutyLease>,
@@ -129,6 +133,7 @@
             members: Mutex::default(),
             drain: DrainState::default(),
             in_flight: AtomicU64::new(0),
+            unanswered_query_at_ms: AtomicU64::new(0),
             duty_lease: Mutex::new(DutyLease::new(LeaseOptions::from_ttl(bounds.lease_ms))),
             wall_clock: Mutex::new(WallClockEstimator::new(clock.wall_ms(), now_ms)),
             digest_requested: Notify::new(),
@@ -274,8 +279,18 @@
         (grace_end_ms > now_ms).then_some(grace_end_ms.min(now_ms + leaving_ms))
     }
 
+    /// Records a query of a follower that this instance could not answer.
+    pub fn record_unanswered_query(&self, now_ms: u64) {
+        self.unanswered_query_at_ms.store(now_ms.max(1), Ordering::Relaxed);
+    }
+
     /// Returns whether this instance is one of those that read the store for its availability zone.
+    /// Others may select it while they know fewer instances.
     pub fn is_reader(&self, now_ms: u64) -> bool {
+        let queried_at_ms = self.unanswered_query_at_ms.load(Ordering::Relaxed);
+        if queried_at_ms > 0 && now_ms.saturating_sub(queried_at_ms) < QUERIED_READER_MS {
+            return true;
+        }
         let members = self.members.lock();
         let own = self.settings.instance.as_str();
         self.select_readers(&members, now_ms).contains(&own)
