Caps hold in fleets whose instances see few requests

Change: a report that is not newer is ignored, the level is refilled at reports too, each instance begins the cycle of shedding at another phase, and shedding admits from the rate that is left for the instances that report.

--- a/crates/caps/src/shared_cap.rs
+++ b/crates/caps/src/shared_cap.rs
@@ -133,6 +133,8 @@
     limits: CapLimits,
     level: f64,
     updated_at_ms: u64,
+    /// Number of instances at the last request.
+    instances: usize,
     own: CapTotals,
     /// Units requested from this instance.
     requested: DecayingSum,
@@ -144,6 +146,9 @@
     /// Difference between the units that shedding should have admitted and those it has admitted; carries
     /// the rounding error from request to request.
     admission_credit: f64,
+    /// Initial value of the credit, as a fraction of the first request; differs between instances, so that
+    /// not all admit and refuse at the same time.
+    credit_phase: Option<f64>,
     /// Units that this instance had used at its last broadcast.
     broadcast_used: f64,
     peers: HashMap<String, PeerUsage>,
@@ -157,17 +162,26 @@
             limits,
             level,
             updated_at_ms: now_ms,
+            instances,
             own: CapTotals::default(),
             requested: DecayingSum::new(RATE_TIME_CONSTANT_MS),
             short_term_requests: DecayingSum::new(SHORT_TERM_TIME_CONSTANT_MS),
             long_term_requests: DecayingSum::new(LONG_TERM_TIME_CONSTANT_MS),
             is_shedding: false,
             admission_credit: 0.0,
+            credit_phase: None,
             broadcast_used: 0.0,
             peers: HashMap::new(),
         }
     }
 
+    /// Sets the point in the cycle of shedding at which this instance begins, from 0 to 1. Instances with
+    /// few requests admit the same fraction of them; with the same phase they would do so together.
+    pub fn with_shedding_phase(mut self, phase: f64) -> Self {
+        self.credit_phase = Some(phase.clamp(0.0, 1.0));
+        self
+    }
+
     /// Changes the limits; the level is reduced to the new capacity if it exceeds it.
     pub fn set_limits(&mut self, limits: CapLimits) {
         self.limits = limits;
@@ -191,16 +205,18 @@
         instances: usize,
         now_ms: u64,
     ) -> Result<(), u64> {
-        self.refill(instances, now_ms);
+        self.instances = instances;
+        self.refill(now_ms);
         self.record_demand(units, now_ms);
         let capacity = self.limits.capacity().max(1.0);
         let is_large = units > capacity * LARGE_REQUEST_FRACTION;
         let reserved_ranks = if is_large { urgency.min(RESERVE_RANKS) } else { 0 };
         let reserve = capacity * RESERVE_FRACTION * f64::from(reserved_ranks);
-        let demand = self.estimate_demand(instances, now_ms);
-        self.is_shedding = self.limits.has_slow_reports() && self.must_shed(demand);
+        let demand = self.estimate_demand(now_ms);
+        let rate = self.available_rate(instances, now_ms);
+        self.is_shedding = self.limits.has_slow_reports() && self.must_shed(demand, rate);
         let is_granted = match self.is_shedding {
-            true => self.admit_fraction(units, reserve, demand),
+            true => self.admit_fraction(units, reserve, demand, rate),
             // A request larger than the capacity is granted when the bucket is full.
             false => self.level >= (units + reserve).min(capacity),
         };
@@ -218,12 +234,12 @@
         Ok(())
     }
 
-    fn must_shed(&self, demand: f64) -> bool {
+    fn must_shed(&self, demand: f64, rate: f64) -> bool {
         let (begin, end) = SHEDDING_DEMAND_THRESHOLDS;
         match self.is_shedding {
-            true => demand > self.limits.per_second * end,
+            true => demand > rate * end,
             false => {
-                demand > self.limits.per_second * begin
+                demand > rate * begin
                     && self.level < self.limits.capacity() * SHEDDING_LEVEL_FRACTION
             }
         }
@@ -232,14 +248,17 @@
     /// Decides whether to admit this request so that, over all requests, the admitted fraction of the
     /// demand is the one that the rate covers: more while the bucket has units, less while it is
     /// overdrawn.
-    fn admit_fraction(&mut self, units: f64, reserve: f64, demand: f64) -> bool {
+    fn admit_fraction(&mut self, units: f64, reserve: f64, demand: f64, rate: f64) -> bool {
         if self.level < -self.limits.allowance * OVERDRAFT_FRACTION {
             return false;
         }
         // The control loop can't correct the level faster than reports of the peers arrive.
         let control_delay_s = self.limits.stale_after_ms() as f64 / 1_000.0;
-        let rate = self.limits.per_second + (self.level - reserve) / control_delay_s;
-        let admitted_fraction = (rate / demand).clamp(0.0, 1.0);
+        let rate = rate + (self.level - reserve) / control_delay_s;
+        let admitted_fraction = (rate / demand.max(1e-9)).clamp(0.0, 1.0);
+        if let Some(phase) = self.credit_phase.take() {
+            self.admission_credit = units * (phase - 0.5);
+        }
         self.admission_credit += units * admitted_fraction;
         if self.admission_credit < units / 2.0 {
             return false;
@@ -255,14 +274,20 @@
         self.long_term_requests.add(1.0, now_ms);
     }
 
-    /// Estimated units per second requested from all instances.
-    fn estimate_demand(&self, instances: usize, now_ms: u64) -> f64 {
-        let share = self.limits.per_second / instances.max(1) as f64;
-        let peers = self.peers.values().map(|peer| match self.is_stale(peer, now_ms) {
-            true => share * peer.instances as f64,
-            false => peer.requested_rate,
-        });
-        self.requested.per_second(now_ms) + peers.sum::<f64>() * self.estimate_demand_growth(now_ms)
+    /// Estimated units per second requested from this instance and the peers that report.
+    fn estimate_demand(&self, now_ms: u64) -> f64 {
+        let fresh = self.peers.values().filter(|peer| !self.is_stale(peer, now_ms));
+        let peers = fresh.map(|peer| peer.requested_rate).sum::<f64>();
+        self.requested.per_second(now_ms) + peers * self.estimate_demand_growth(now_ms)
+    }
+
+    /// Units per second that are left for this instance and the peers that report; the others keep their
+    /// share.
+    fn available_rate(&self, instances: usize, now_ms: u64) -> f64 {
+        let fresh = self.peers.values().filter(|peer| !self.is_stale(peer, now_ms));
+        let reporting = 1 + fresh.map(|peer| peer.instances).sum::<usize>();
+        let all = instances.max(reporting).max(1);
+        self.limits.per_second * reporting as f64 / all as f64
     }
 
     /// Recent growth factor of this instance's demand, at least 1. Reports of peers lag behind, so their
@@ -325,8 +350,8 @@
         self.peers.clear();
     }
 
-    /// Applies a report with the sums of `instances` peers. `boot` identifies the start of the process
-    /// that sums them.
+    /// Applies a report with the sums of `instances` peers, made at `now_ms`. `boot` identifies the start
+    /// of the process that sums them. A report that is not newer than the last one is ignored.
     pub fn apply_group_report(
         &mut self,
         peer: &str,
@@ -349,6 +374,14 @@
             self.peers.insert(peer.to_owned(), new_peer);
             return;
         };
+        // A report that is repeated must not replace the usage that was extrapolated since.
+        if now_ms <= known.reported_at_ms {
+            return;
+        }
+        // What was extrapolated up to this report is replaced by it. Requests may be rarer than reports,
+        // so the level is not up to date.
+        self.refill(now_ms);
+        let known = self.peers.get(peer).copied().unwrap_or(known);
         let used = (totals.used - known.totals.used).max(0.0);
         let requested = (totals.requested - known.totals.requested).max(0.0);
         let elapsed_ms = now_ms.saturating_sub(known.reported_at_ms).max(1) as f64;
@@ -371,9 +404,10 @@
     }
 
     /// Refills the bucket for the time since the last call and deducts the extrapolated usage of peers.
-    fn refill(&mut self, instances: usize, now_ms: u64) {
+    fn refill(&mut self, now_ms: u64) {
+        let instances = self.instances;
         let elapsed_s = now_ms.saturating_sub(self.updated_at_ms) as f64 / 1_000.0;
-        self.updated_at_ms = now_ms;
+        self.updated_at_ms = self.updated_at_ms.max(now_ms);
         let share = self.limits.per_second / instances.max(1) as f64;
         self.level += self.limits.per_second * elapsed_s;
         self.peers.retain(|_, peer| now_ms.saturating_sub(peer.reported_at_ms) < PEER_EXPIRY_MS);
--- /dev/null
+++ b/crates/caps/tests/fleet.rs
@@ -0,0 +1,292 @@
+//! Caps in fleets of any size, whose instances learn of each other's use through aggregators.
+
+use std::collections::BTreeMap;
+
+use hickorycourse_caps::{CapLimits, CapTotals, SharedCap};
+use hickorycourse_digest::{MemberDigest, OwnDigests, ZoneAggregator, ZoneDigest};
+
+const ORGANISATION: &str = "dealer";
+const STEP_MS: u64 = 20;
+/// Interval between two reports of a member, and between two digests of a zone.
+const EXCHANGE_MS: u64 = 400;
+/// Time for which an aggregator keeps the sums that it returns.
+const SUMS_TTL_MS: u64 = 120;
+const REPORT_INTERVAL_MS: u64 = 3 * EXCHANGE_MS;
+const WINDOW_MS: u64 = 8_000;
+const UNITS_PER_REQUEST: f64 = 3_000.0;
+const RATE: f64 = 100_000.0;
+const BURST: f64 = 100_000.0;
+const OVERSHOOT: f64 = 0.1;
+const SLACK: f64 = 140_000.0;
+
+struct Pattern {
+    instances: usize,
+    zones: usize,
+    duration_ms: u64,
+    /// Requested units per second of the whole fleet at a time.
+    demand: fn(u64) -> f64,
+    /// Rate of the cap at a time.
+    rate: fn(u64) -> f64,
+    /// Whether a zone is cut off from the others at a time.
+    is_cut: fn(usize, u64) -> bool,
+    /// Time at which half of the instances restart; 0 for never.
+    restart_at_ms: u64,
+}
+
+impl Default for Pattern {
+    fn default() -> Self {
+        Self {
+            instances: 295,
+            zones: 6,
+            duration_ms: 30_000,
+            demand: |_| 6.0 * RATE,
+            rate: |_| RATE,
+            is_cut: |_, _| false,
+            restart_at_ms: 0,
+        }
+    }
+}
+
+struct Member {
+    cap: SharedCap,
+    boot: u64,
+    sequence: u64,
+    own: OwnDigests,
+    demand: f64,
+}
+
+struct Zone {
+    aggregator: ZoneAggregator,
+    /// Sums that are returned to members, with the time at which they were made.
+    sums: Option<(ZoneDigest, u64)>,
+    /// Digests received from the other zones, with the time of their arrival.
+    others: BTreeMap<usize, (ZoneDigest, u64)>,
+}
+
+fn limits(rate: f64) -> CapLimits {
+    let burst = BURST * rate / RATE;
+    CapLimits::new(rate, burst, (WINDOW_MS, OVERSHOOT, SLACK), REPORT_INTERVAL_MS)
+}
+
+fn allowed_in_window(rate: f64) -> f64 {
+    let burst = BURST * rate / RATE;
+    (rate * WINDOW_MS as f64 / 1_000.0 + burst) * (1.0 + OVERSHOOT) + SLACK
+}
+
+fn member_digest(number: usize, zone: usize, member: &mut Member) -> MemberDigest {
+    let totals = member.cap.broadcast_totals();
+    member.sequence += 1;
+    MemberDigest {
+        instance: format!("relay-{number}"),
+        boot: member.boot,
+        availability_zone: format!("zone-{zone}"),
+        peer_address: "127.0.0.1:7000".parse().expect("an address"),
+        sender_wall_ms: 0,
+        cap_totals: BTreeMap::from([(
+            ORGANISATION.to_owned(),
+            (totals.used as u64, totals.requested as u64),
+        )]),
+        windows: Vec::new(),
+        services: BTreeMap::new(),
+        store_era: 0,
+        version: None,
+        departures: Vec::new(),
+        committed_usage: Vec::new(),
+        sequence: member.sequence,
+    }
+}
+
+fn apply(cap: &mut SharedCap, zone: &ZoneDigest, at_ms: u64) {
+    let (used, requested) = zone.cap_totals.get(ORGANISATION).copied().unwrap_or_default();
+    let totals = CapTotals { used: used as f64, requested: requested as f64 };
+    cap.apply_group_report(
+        &zone.availability_zone,
+        zone.boot,
+        totals,
+        zone.instances as usize,
+        at_ms,
+    );
+}
+
+/// Plays a pattern; returns the units granted in each step.
+fn play(pattern: &Pattern) -> Vec<f64> {
+    let instances = pattern.instances;
+    let new_member = |number: usize, boot: u64, rate: f64, now_ms: u64| Member {
+        cap: SharedCap::new(limits(rate), instances, now_ms)
+            .with_shedding_phase((number as f64 * 0.7549).fract()),
+        boot,
+        sequence: 0,
+        own: OwnDigests::default(),
+        demand: 0.0,
+    };
+    let mut members: Vec<Member> =
+        (0..instances).map(|number| new_member(number, 1, RATE, 0)).collect();
+    let mut zones: Vec<Zone> = (0..pattern.zones)
+        .map(|_| Zone {
+            aggregator: ZoneAggregator::default(),
+            sums: None,
+            others: BTreeMap::new(),
+        })
+        .collect();
+    let mut granted = Vec::new();
+    for now_ms in (0..pattern.duration_ms).step_by(STEP_MS as usize) {
+        let rate = (pattern.rate)(now_ms);
+        if pattern.restart_at_ms > 0 && now_ms == pattern.restart_at_ms {
+            for (number, member) in members.iter_mut().enumerate().step_by(2) {
+                *member = new_member(number, 2, rate, now_ms);
+            }
+        }
+        for member in &mut members {
+            member.cap.set_limits(limits(rate));
+        }
+        let mut units = 0.0;
+        for (number, member) in members.iter_mut().enumerate() {
+            // Requests of an instance are seconds apart; the fraction spreads them over the fleet.
+            let share = (pattern.demand)(now_ms) / instances as f64;
+            if member.demand == 0.0 {
+                member.demand = (number as f64 * 0.618).fract() * UNITS_PER_REQUEST;
+            }
+            member.demand += share * STEP_MS as f64 / 1_000.0;
+            while member.demand >= UNITS_PER_REQUEST {
+                member.demand -= UNITS_PER_REQUEST - f64::EPSILON;
+                if member.cap.try_acquire(UNITS_PER_REQUEST, 1, instances, now_ms).is_ok() {
+                    units += UNITS_PER_REQUEST;
+                }
+            }
+        }
+        granted.push(units);
+        exchange(pattern, &mut members, &mut zones, now_ms);
+    }
+    granted
+}
+
+fn exchange(pattern: &Pattern, members: &mut [Member], zones: &mut [Zone], now_ms: u64) {
+    for (number, member) in members.iter_mut().enumerate() {
+        let phase_ms = (number as u64 * 7) % (EXCHANGE_MS / STEP_MS) * STEP_MS;
+        if now_ms % EXCHANGE_MS != phase_ms {
+            continue;
+        }
+        let zone_number = number % pattern.zones;
+        let digest = member_digest(number, zone_number, member);
+        member.own.record(digest.clone());
+        let zone = &mut zones[zone_number];
+        zone.aggregator.record(digest, now_ms);
+        let sums = sums_of(zone, zone_number, now_ms);
+        let mut own_zone = sums.0.clone();
+        if member.own.subtract_from(&mut own_zone, &format!("relay-{number}")) {
+            apply(&mut member.cap, &own_zone, sums.1);
+        }
+        for (other, received_at_ms) in zone.others.values() {
+            apply(&mut member.cap, other, *received_at_ms);
+        }
+    }
+    for from in 0..pattern.zones {
+        if now_ms % EXCHANGE_MS != from as u64 * STEP_MS {
+            continue;
+        }
+        let sums = sums_of(&mut zones[from], from, now_ms);
+        for to in (0..pattern.zones).filter(|to| *to != from) {
+            if !(pattern.is_cut)(from, now_ms) && !(pattern.is_cut)(to, now_ms) {
+                zones[to].others.insert(from, (sums.0.clone(), now_ms));
+            }
+        }
+    }
+}
+
+fn sums_of(zone: &mut Zone, number: usize, now_ms: u64) -> (ZoneDigest, u64) {
+    if let Some(sums) = zone.sums.as_ref().filter(|(_, at_ms)| now_ms - at_ms < SUMS_TTL_MS) {
+        return sums.clone();
+    }
+    let mut digest = ZoneDigest::new(&format!("zone-{number}"), "aggregator", 1);
+    zone.aggregator.sum_into(&mut digest, now_ms);
+    zone.sums = Some((digest.clone(), now_ms));
+    (digest, now_ms)
+}
+
+/// Units granted in the windows that begin at or after `from_ms`, relative to what is allowed.
+fn windows(granted: &[f64], from_ms: u64, rate: f64) -> Vec<f64> {
+    let length = (WINDOW_MS / STEP_MS) as usize;
+    let first = (from_ms / STEP_MS) as usize;
+    let windows = granted[first..].windows(length);
+    windows.map(|window| window.iter().sum::<f64>() / allowed_in_window(rate)).collect()
+}
+
+fn worst(windows: &[f64]) -> f64 {
+    windows.iter().copied().fold(0.0, f64::max)
+}
+
+/// Units granted per second from `from_ms` on, relative to the rate.
+fn use_of_rate(granted: &[f64], from_ms: u64, rate: f64) -> f64 {
+    let later = &granted[(from_ms / STEP_MS) as usize..];
+    later.iter().sum::<f64>() / (later.len() as f64 * STEP_MS as f64 / 1_000.0) / rate
+}
+
+const SIZES: [(usize, usize); 3] = [(24, 4), (295, 6), (1_100, 9)];
+
+// Load pattern: an organisation asks for six times its cap from the first second on.
+#[test]
+fn flood_from_start_stays_within_cap_and_uses_it() {
+    for (instances, zones) in SIZES {
+        let granted = play(&Pattern { instances, zones, ..Pattern::default() });
+        let most = worst(&windows(&granted, 0, RATE));
+        println!("{instances} instances: worst window {most:.3}");
+        assert!(most <= 1.0, "{instances} instances: {most}");
+        let used = use_of_rate(&granted, 10_000, RATE);
+        assert!(used >= 0.9, "{instances} instances use {used} of the rate");
+    }
+}
+
+// Load pattern: the bucket is full when the flood begins, and no instance has reported any use.
+#[test]
+fn flood_after_idle_stays_within_cap_and_uses_it() {
+    for (instances, zones) in SIZES {
+        let demand = |now_ms| if now_ms < 10_000 { 0.0 } else { 6.0 * RATE };
+        let pattern =
+            Pattern { instances, zones, demand, duration_ms: 40_000, ..Pattern::default() };
+        let granted = play(&pattern);
+        let most = worst(&windows(&granted, 0, RATE));
+        println!("{instances} instances: worst window {most:.3}");
+        assert!(most <= 1.0, "{instances} instances: {most}");
+        let used = use_of_rate(&granted, 20_000, RATE);
+        assert!(used >= 0.9, "{instances} instances use {used} of the rate");
+    }
+}
+
+// Load pattern: the operators lower a cap to a quarter under load. It binds one window after all
+// instances have applied it.
+#[test]
+fn lowered_cap_binds_after_one_window() {
+    for (instances, zones) in SIZES {
+        let rate = |now_ms| if now_ms < 12_000 { RATE } else { RATE / 4.0 };
+        let pattern = Pattern { instances, zones, rate, duration_ms: 40_000, ..Pattern::default() };
+        let granted = play(&pattern);
+        let most = worst(&windows(&granted, 12_000 + WINDOW_MS, RATE / 4.0));
+        println!("{instances} instances: worst window {most:.3}");
+        assert!(most <= 1.0, "{instances} instances: {most}");
+    }
+}
+
+// Load pattern: one zone is cut off during the flood; neither side knows what the other uses.
+#[test]
+fn flood_with_zone_cut_stays_within_cap() {
+    for (instances, zones) in SIZES {
+        let is_cut = |zone, now_ms| zone == 0 && (8_000..20_000).contains(&now_ms);
+        let granted = play(&Pattern { instances, zones, is_cut, ..Pattern::default() });
+        let most = worst(&windows(&granted, 0, RATE));
+        println!("{instances} instances: worst window {most:.3}");
+        assert!(most <= 1.0, "{instances} instances: {most}");
+    }
+}
+
+// Load pattern: half of the processes are killed at once during the flood and start again without
+// knowledge of what was used.
+#[test]
+fn flood_with_herd_of_restarts_stays_within_cap() {
+    for (instances, zones) in SIZES {
+        let pattern = Pattern { instances, zones, restart_at_ms: 10_000, ..Pattern::default() };
+        let granted = play(&pattern);
+        let most = worst(&windows(&granted, 0, RATE));
+        println!("{instances} instances: worst window {most:.3}");
+        assert!(most <= 1.0, "{instances} instances: {most}");
+    }
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -78,6 +78,8 @@
     /// The latest digest of each other zone, with its sender's address and the time of its arrival.
     zones: BTreeMap<String, (ZoneDigest, Option<SocketAddr>, u64)>,
     encoded: Option<EncodedSums>,
+    /// Start of the aggregator and sequence number of the digest that was applied last, by zone.
+    applied: BTreeMap<String, (u64, u64)>,
 }
 
 impl ExchangeState {
@@ -109,6 +111,17 @@
         true
     }
 
+    /// Records that the digest of a zone is applied; returns false if it is not newer than the one that was
+    /// applied last.
+    fn start_applying(&mut self, zone: &ZoneDigest) -> bool {
+        let applied = self.applied.entry(zone.availability_zone.clone()).or_default();
+        let is_new = applied.0 != zone.boot || applied.1 < zone.sequence;
+        if is_new {
+            *applied = (zone.boot, zone.sequence);
+        }
+        is_new
+    }
+
     /// Returns the digests of the other zones with their present age.
     fn other_zones(&self, now_ms: u64) -> impl Iterator<Item = ZoneDigest> {
         let known = self.zones.values().filter_map(move |(zone, _, received_at_ms)| {
@@ -396,6 +409,9 @@
         let relay = &self.relay;
         let settings = &relay.settings;
         let reported_at_ms = now_ms.saturating_sub(zone.age_ms);
+        if !relay.exchange.lock().start_applying(&zone) {
+            return;
+        }
         if zone.availability_zone == settings.availability_zone {
             if !relay.exchange.lock().own.subtract_from(&mut zone, &settings.instance) {
                 count_dropped("old");
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -475,12 +475,18 @@
                 shared.set_limits(limits);
                 shared
             });
-            let shared = shared.unwrap_or_else(|| SharedCap::new(limits, instances, now_ms));
+            let shared = shared.unwrap_or_else(|| self.new_cap(limits, instances, now_ms));
             retained.insert(organisation.name.clone(), shared);
         }
         *caps = retained;
     }
 
+    fn new_cap(&self, limits: CapLimits, instances: usize, now_ms: u64) -> SharedCap {
+        // The boot identifier is random below 2^63.
+        let phase = self.boot as f64 / (u64::MAX >> 1) as f64;
+        SharedCap::new(limits, instances, now_ms).with_shedding_phase(phase)
+    }
+
     /// Typical time in milliseconds between two reports of another instance, in a fleet of this size.
     pub fn report_interval_ms(&self, instances: usize) -> u64 {
         report_interval_ms(self.settings.policy.exchange, instances)
@@ -509,7 +515,7 @@
         let mut caps = self.caps.lock();
         let shared = caps
             .entry(organisation.to_owned())
-            .or_insert_with(|| SharedCap::new(limits, instances, now_ms));
+            .or_insert_with(|| self.new_cap(limits, instances, now_ms));
         shared.set_limits(limits);
         let acquired = shared.try_acquire(units, urgency, instances, now_ms);
         if shared.is_early_broadcast_due() {
--- a/crates/testkit/src/bin/measure/relay_cores.rs
+++ b/crates/testkit/src/bin/measure/relay_cores.rs
@@ -67,7 +67,7 @@
             parts: &parts,
             prompt_tokens: 2_500,
             urgency: (round % 3) as u8,
-            seed: u64::from(round),
+            seed: round,
             excluded: &[],
         };
         if let Some(placement) = table.choose(&request, round / 100) {
