Capacity: measure how much of the believed cache is missed, keep a margin without supply

The planner kept on-demand upstreams for 6 to 7 needed, although the engines read for 11: prompt tokens of the affinity upstream's shared parts were taken as cached, of which only 30% were. When the last zone with reclaimable upstreams was taken, 8 upstreams were left and half of the requests failed for 12 s.

Change: times to the first byte measure the fraction of the believed cache that is missed; it counts towards the demand of the planner, not towards placement and admission (in the model, that refused more in floods and served less). While a zone has no supply, the upstreams that must survive a reclaim are a quarter more. The plan's log line shows the estimates.

The model's test of a hot organisation stays above its bound: levels are refilled at reports only where requests are rarer. The planner's test of partly filled orders names the part that its bound was written for.

--- a/crates/caps/src/shared_cap.rs
+++ b/crates/caps/src/shared_cap.rs
@@ -375,12 +375,15 @@
             return;
         };
         // A report that is repeated must not replace the usage that was extrapolated since.
-        if now_ms <= known.reported_at_ms {
+        let is_repeated = now_ms == known.reported_at_ms && totals == known.totals;
+        if now_ms < known.reported_at_ms || is_repeated {
             return;
         }
-        // What was extrapolated up to this report is replaced by it. Requests may be rarer than reports,
-        // so the level is not up to date.
-        self.refill(now_ms);
+        // Where requests are rarer than reports, the level has to be brought up to date first: otherwise
+        // the use in this report would be extrapolated once more at the next request.
+        if now_ms.saturating_sub(self.updated_at_ms) > self.limits.report_interval_ms {
+            self.refill(now_ms);
+        }
         let known = self.peers.get(peer).copied().unwrap_or(known);
         let used = (totals.used - known.totals.used).max(0.0);
         let requested = (totals.requested - known.totals.requested).max(0.0);
--- a/crates/duties/src/capacity.rs
+++ b/crates/duties/src/capacity.rs
@@ -60,6 +60,8 @@
 pub struct CapacityPlannerOptions {
     /// Upstreams that must remain after the reclaim of a zone, per upstream that the load needs.
     pub headroom: f64,
+    /// Factor on `headroom` while a zone has no reclaimable upstreams available.
+    pub scarcity_margin: f64,
     /// On-demand upstreams to order per upstream that the load needs.
     pub on_demand_part: f64,
     /// Reclaimable upstreams to order per upstream that the load needs; over-provisioning them is
@@ -81,6 +83,7 @@
     fn default() -> Self {
         Self {
             headroom: 1.0,
+            scarcity_margin: 1.25,
             on_demand_part: 0.0,
             reclaimable_part: 4.0,
             initial_part: 0.6,
@@ -295,13 +298,17 @@
         for name in &names {
             plan.insert((*name).clone(), CapacityCounts::default());
         }
+        let unavailable_count = unavailable.len();
         for zone in unavailable {
             let present = zones.get(zone).copied().unwrap_or_default().ready.reclaimable;
             plan.entry(zone.clone()).or_default().reclaimable = present;
         }
         let on_demand = (needed * self.options.on_demand_part).ceil() as u32;
         let reclaimable = (needed * self.options.reclaimable_part).ceil() as u32;
-        let survivors = (needed * self.options.headroom).ceil() as u32;
+        // Where no more is to be had, the next zone that is lost can't be replaced before on-demand
+        // upstreams have started.
+        let margin = if unavailable_count > 0 { self.options.scarcity_margin } else { 1.0 };
+        let survivors = (needed * self.options.headroom * margin).ceil() as u32;
         fill(
             &mut plan,
             &names,
--- a/crates/duties/tests/capacity.rs
+++ b/crates/duties/tests/capacity.rs
@@ -158,6 +158,8 @@
     // On-demand upstreams occupy most of each zone when the reclaimable ones are ordered, so the
     // platform fills the accepted orders only partly; they must be sent again.
     let mut platform = SimulatedPlatform::new(4);
+    let options = CapacityPlannerOptions { reclaimable_part: 4.0, ..Default::default() };
+    platform.planner = CapacityPlanner::new(options);
     for now_ms in (0..30_000).step_by(1_000) {
         platform.step(Some(6.0), now_ms);
     }
@@ -245,3 +247,26 @@
         assert!(platform.total() >= before, "{:?} at {now_ms}", platform.zones);
     }
 }
+
+// Load pattern: the zones are reclaimed one after the other while no reclaimable upstreams are to be had.
+// Each loss must leave enough for the load, as on-demand upstreams take seconds to start.
+#[test]
+fn plan_during_reclaims_without_supply_keeps_load_covered() {
+    let mut platform = SimulatedPlatform::new(2);
+    let needed = 7.0;
+    for now_ms in (0..30_000).step_by(1_000) {
+        platform.step(Some(needed), now_ms);
+    }
+    platform.is_exhausted = true;
+    for (number, zone) in ZONES.iter().enumerate() {
+        let reclaimed_at_ms = 30_000 + 12_000 * number as u64;
+        let lost = platform.zones.get_mut(*zone).expect("a known zone");
+        lost.ready.reclaimable = 0;
+        platform.planner.record_reclaimed(zone);
+        let left = platform.total();
+        assert!(f64::from(left) >= needed, "{left} left after zone {zone}: {:?}", platform.zones);
+        for now_ms in (reclaimed_at_ms..reclaimed_at_ms + 12_000).step_by(1_000) {
+            platform.step(Some(needed), now_ms);
+        }
+    }
+}
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -241,7 +241,7 @@
             self.record_outcome(request, Outcome::Failed);
             return;
         };
-        table.record_arrival(group.urgency, placement.uncached_tokens, self.now_ms);
+        table.record_arrival(&placement, self.now_ms);
         let waited_ms = self.now_ms - request_state.attempt_arrival_ms;
         let forecast = placement.forecast(waited_ms, group.target_ms, group.patience_ms);
         if let Admission::Refuse { retry_after_ms } = table.admit(&forecast, self.now_ms) {
--- a/crates/placement/src/latency.rs
+++ b/crates/placement/src/latency.rs
@@ -14,6 +14,13 @@
 /// Upper bound of a measured delay per queued request.
 const MAX_DELAY_PER_REQUEST_MS: f64 = 500.0;
 
+/// Weight of one measurement of the miss rate; the average spans about fifty.
+const MISS_RATE_WEIGHT: f64 = 0.02;
+/// Miss rate before any measurement.
+const INITIAL_MISS_RATE: f64 = 0.2;
+/// Shortest prefill time of the part that is believed cached for which a first byte shows whether it was.
+const SIGNIFICANT_PREFILL_MS: f64 = 20.0;
+
 /// Latency model of the upstreams of one service.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LatencyEstimate {
@@ -21,6 +28,9 @@
     pub(crate) tokens_per_ms: f64,
     /// Time to the first byte at an idle upstream, without prefill.
     pub(crate) idle_first_byte_ms: f64,
+    /// Fraction of the tokens believed to be in a prefix cache that are not: caches evict, and upstreams
+    /// come and go.
+    pub(crate) miss_rate: f64,
     /// Queueing delay per request ahead where several are queued: besides its prefill, a request may
     /// have to wait for a batch slot.
     pub(crate) delay_per_request_ms: f64,
@@ -32,6 +42,7 @@
         Self {
             tokens_per_ms: options.prefill_tokens_per_ms,
             idle_first_byte_ms: options.idle_first_byte_ms,
+            miss_rate: INITIAL_MISS_RATE,
             delay_per_request_ms: 0.0,
         }
     }
@@ -43,6 +54,10 @@
         if placement.ahead_tokens > 0 {
             return;
         }
+        let cached_ms = placement.cached_tokens as f64 / self.tokens_per_ms;
+        if cached_ms > SIGNIFICANT_PREFILL_MS {
+            self.record_cache_outcome(placement, cached_ms, elapsed_ms);
+        }
         let tokens = placement.uncached_tokens as f64;
         let expected_prefill_ms = tokens / self.tokens_per_ms;
         if expected_prefill_ms > self.idle_first_byte_ms {
@@ -56,6 +71,18 @@
         }
     }
 
+    /// Updates the miss rate: a first byte that takes longer than the prefill of the other tokens has
+    /// waited for that of the tokens believed cached, which takes `cached_ms`.
+    fn record_cache_outcome(&mut self, placement: &Placement, cached_ms: f64, elapsed_ms: f64) {
+        if !placement.has_free_slots {
+            return;
+        }
+        let certain_ms = placement.uncached_tokens as f64 / self.tokens_per_ms;
+        let excess_ms = elapsed_ms - self.idle_first_byte_ms - certain_ms;
+        let measured = (excess_ms / cached_ms).clamp(0.0, 1.0);
+        self.miss_rate += (measured - self.miss_rate) * MISS_RATE_WEIGHT;
+    }
+
     /// Updates the delay per queued request with a wait of `elapsed_ms` behind other requests.
     pub(crate) fn update_delay_per_request(&mut self, placement: &Placement, elapsed_ms: f64) {
         if placement.requests_ahead < MIN_REQUESTS_AHEAD || placement.ahead_tokens == 0 {
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -73,6 +73,8 @@
     pub prefill_share_ms: u64,
     /// Prompt tokens that are expected to miss the prefix cache.
     pub uncached_tokens: u64,
+    /// Prompt tokens that are believed to be in the prefix cache.
+    pub cached_tokens: u64,
     /// Uncached prompt tokens of the queued requests of the same or a more urgent rank.
     pub ahead_tokens: u64,
     /// Estimated number of those requests.
@@ -341,12 +343,12 @@
             failure_ms: upstream.health.failure_rate() * FAILURE_COST_MS,
             running: load.running,
         });
-        Candidate { id, upstream, load, uncached_tokens: uncached, cost }
+        Candidate { id, upstream, load, uncached_tokens: uncached, cached_tokens: cached, cost }
     }
 
     /// Forecasts the latency of a request at the upstream that was chosen for it.
     fn build_placement(&self, chosen: &Candidate<'_>, context: &RequestContext<'_>) -> Placement {
-        let Candidate { load, uncached_tokens, .. } = *chosen;
+        let Candidate { load, uncached_tokens, cached_tokens, .. } = *chosen;
         let (running, slots) = (load.running as f64, chosen.upstream.slots as f64);
         let requests_before = load.answering as f64 + load.requests_ahead;
         let overflow = (requests_before + 1.0 - slots).max(0.0) / slots;
@@ -366,6 +368,7 @@
             queue_ms: queue_ms as u64,
             prefill_share_ms: (uncached_tokens as f64 / context.prefill_rate_per_instance) as u64,
             uncached_tokens,
+            cached_tokens,
             ahead_tokens: load.tokens_ahead as u64,
             requests_ahead: load.requests_ahead,
             has_free_slots: running < slots,
@@ -477,9 +480,11 @@
         loaded.map(|(id, upstream)| (id.as_str(), upstream.load()))
     }
 
-    /// Counts the uncached prompt tokens of a request on arrival, whether it is then sent or refused.
-    pub fn record_arrival(&mut self, urgency: u8, uncached_tokens: u64, now_ms: u64) {
-        self.arrival_meter.add(urgency, uncached_tokens, now_ms);
+    /// Counts the prompt tokens of a request on arrival, whether it is then sent or refused: those that
+    /// miss the prefix cache, and of those believed cached the part that usually misses it too.
+    pub fn record_arrival(&mut self, placement: &Placement, now_ms: u64) {
+        let missed = (placement.cached_tokens as f64 * self.latency.miss_rate) as u64;
+        self.arrival_meter.add(placement.urgency, placement.uncached_tokens + missed, now_ms);
     }
 
     /// Token demand of this instance's requests.
@@ -531,6 +536,11 @@
         self.upstreams.values().map(|upstream| upstream.slots).max().unwrap_or(1)
     }
 
+    /// Estimated fraction of the tokens believed cached that are not.
+    pub fn miss_rate(&self) -> f64 {
+        self.latency.miss_rate
+    }
+
     /// Estimated prompt tokens that an engine prefills per millisecond.
     pub fn prefill_tokens_per_ms(&self) -> f64 {
         self.latency.tokens_per_ms
@@ -544,6 +554,8 @@
     load: LoadEstimate,
     /// Prompt tokens that would miss its prefix cache.
     uncached_tokens: u64,
+    /// Prompt tokens that are believed to be in its prefix cache.
+    cached_tokens: u64,
     cost: f64,
 }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -191,7 +191,7 @@
             drop(placements);
             return Err(self.unavailable_problem(retry_state, backoff_ms));
         };
-        placements.record_arrival(self.urgency, placement.uncached_tokens, now_ms);
+        placements.record_arrival(&placement, now_ms);
         if retry_state.sent_attempts > 0 {
             drop(placements);
             return match relay.try_acquire_retry(&self.service) {
--- a/crates/relay/src/duty_tasks.rs
+++ b/crates/relay/src/duty_tasks.rs
@@ -334,6 +334,7 @@
             self.relay.log.write("capacity_planned", || {
                 json!({
                     "service": name, "busy_upstreams": demand.busy_upstreams,
+                    "estimates": planning::describe_estimates(&self.relay, name),
                     "zones": format!("{zones:?}"), "orders": format!("{orders:?}"),
                 })
             });
--- a/crates/relay/src/planning.rs
+++ b/crates/relay/src/planning.rs
@@ -1,6 +1,7 @@
 //! Capacity that the present load of a service needs, for the capacity planner.
 
 use hickorycourse_duties::CapacityDemand;
+use serde_json::{Value, json};
 
 use crate::state::Relay;
 
@@ -21,3 +22,16 @@
     let by_prefill = placement_table.demand_tokens_per_ms(now_ms) / prefill_tokens_per_ms;
     CapacityDemand { busy_upstreams: Some(by_slots.max(by_prefill)) }
 }
+
+/// Returns the estimates that the demand is computed with, for the log.
+pub fn describe_estimates(relay: &Relay, service: &str) -> Value {
+    let Some(placement_table) = relay.placement_table(service) else { return Value::Null };
+    let placement_table = placement_table.lock();
+    let now_ms = relay.now_ms();
+    json!({
+        "tokens_per_ms": placement_table.demand_tokens_per_ms(now_ms),
+        "prefill_tokens_per_ms": placement_table.prefill_tokens_per_ms(),
+        "miss_rate": placement_table.miss_rate(),
+        "answering": placement_table.count_answering(now_ms),
+    })
+}
