Cover the loss of all aggregators of a zone

Cause: processes of two zones whose aggregators were killed (new test) never heard of each other again, until the store's leases of the killed ones had ended after 20 s: each zone sent its digests to the instances that it expected to aggregate.

Change: a zone without recent digests is also sent to some of its other instances, which forward the digest to those that they know to aggregate. Digests of zones hold the six newest usage windows, as a new holder of the duties may still have to report the fourth. Three reclaimable upstreams are ordered for each that the load needs (four before), as the need is now measured.

Result: departure_is_told_to_all_zones failed before and passes.

--- a/crates/digest/src/aggregator.rs
+++ b/crates/digest/src/aggregator.rs
@@ -18,8 +18,8 @@
 const MAX_STARTS: usize = 5;
 /// Members that are kept; more than a zone has.
 const MAX_MEMBERS: usize = 4_096;
-/// Usage windows in a digest.
-const WINDOWS_PER_DIGEST: usize = 3;
+/// Usage windows in a digest: those that a new holder of the duties may still have to report.
+const WINDOWS_PER_DIGEST: usize = 6;
 /// Windows after which the usage of a member's earlier start is forgotten.
 const USAGE_WINDOWS: u64 = 10;
 /// Departures and committed reports in a digest.
--- a/crates/digest/src/message.rs
+++ b/crates/digest/src/message.rs
@@ -86,6 +86,9 @@
     /// differ by digests that only one of them has received.
     #[serde(rename = "b")]
     pub boot: u64,
+    /// Address that receives the aggregator's datagrams; the digest may be forwarded by another instance.
+    #[serde(rename = "a", default)]
+    pub peer_address: Option<SocketAddr>,
     /// Increases with each digest of a start.
     #[serde(rename = "q")]
     pub sequence: u64,
@@ -131,6 +134,7 @@
             availability_zone: availability_zone.to_owned(),
             aggregator: aggregator.to_owned(),
             boot,
+            peer_address: None,
             sequence: 0,
             sender_wall_ms: 0,
             age_ms: 0,
--- a/crates/duties/src/capacity.rs
+++ b/crates/duties/src/capacity.rs
@@ -85,7 +85,7 @@
             headroom: 1.0,
             scarcity_margin: 1.25,
             on_demand_part: 0.0,
-            reclaimable_part: 4.0,
+            reclaimable_part: 3.0,
             initial_part: 0.6,
             keep_ms: 20_000,
             shrink_ms: 3_000,
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -392,7 +392,7 @@
             Message::Report { nonce, wanted, digest } => {
                 self.handle_report(nonce, wanted, *digest, source).await;
             }
-            Message::Zone(zone) => self.handle_zone(*zone, source).await,
+            Message::Zone(zone) => self.handle_zone(*zone).await,
         }
     }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -12,6 +12,7 @@
 use hickorycourse_digest::{
     AGGREGATORS_PER_ZONE, MemberDigest, OwnDigests, ZoneAggregator, ZoneDigest, rank_aggregators,
 };
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use xxhash_rust::xxh3::xxh3_64;
@@ -36,6 +37,8 @@
 const SUMS_TTL_MS: u64 = 120;
 /// Time without a digest after which another zone's aggregator is replaced by one that sends.
 const ZONE_SOURCE_SILENCE_MS: u64 = 1_200;
+/// Instances of a zone without recent digests that get a digest in addition to its aggregators.
+const FORWARDERS_PER_SILENT_ZONE: usize = 3;
 /// Age above which the digest of another zone is not passed on.
 const MAX_ZONE_AGE_MS: u64 = 10_000;
 
@@ -75,8 +78,8 @@
     sequence: u64,
     own: OwnDigests,
     aggregator: ZoneAggregator,
-    /// The latest digest of each other zone, with its sender's address and the time of its arrival.
-    zones: BTreeMap<String, (ZoneDigest, Option<SocketAddr>, u64)>,
+    /// The latest digest of each other zone, with the time of its arrival.
+    zones: BTreeMap<String, (ZoneDigest, u64)>,
     encoded: Option<EncodedSums>,
     /// Start of the aggregator and sequence number of the digest that was applied last, by zone.
     applied: BTreeMap<String, (u64, u64)>,
@@ -95,8 +98,8 @@
 
     /// Records the digest of another zone; returns false if it is old, or from another aggregator than
     /// the one that sends for that zone.
-    fn record_zone(&mut self, zone: ZoneDigest, source: Option<SocketAddr>, now_ms: u64) -> bool {
-        if let Some((known, _, received_at_ms)) = self.zones.get(&zone.availability_zone) {
+    fn record_zone(&mut self, zone: ZoneDigest, now_ms: u64) -> bool {
+        if let Some((known, received_at_ms)) = self.zones.get(&zone.availability_zone) {
             let is_same_source =
                 (known.aggregator.as_str(), known.boot) == (zone.aggregator.as_str(), zone.boot);
             let is_accepted = match is_same_source {
@@ -107,10 +110,17 @@
                 return false;
             }
         }
-        self.zones.insert(zone.availability_zone.clone(), (zone, source, now_ms));
+        self.zones.insert(zone.availability_zone.clone(), (zone, now_ms));
         true
     }
 
+    /// Returns whether no digest of another zone has arrived recently.
+    fn is_zone_silent(&self, availability_zone: &str, now_ms: u64) -> bool {
+        self.zones.get(availability_zone).is_none_or(|(_, received_at_ms)| {
+            now_ms.saturating_sub(*received_at_ms) > ZONE_SOURCE_SILENCE_MS
+        })
+    }
+
     /// Records that the digest of a zone is applied; returns false if it is not newer than the one that was
     /// applied last.
     fn start_applying(&mut self, zone: &ZoneDigest) -> bool {
@@ -124,7 +134,7 @@
 
     /// Returns the digests of the other zones with their present age.
     fn other_zones(&self, now_ms: u64) -> impl Iterator<Item = ZoneDigest> {
-        let known = self.zones.values().filter_map(move |(zone, _, received_at_ms)| {
+        let known = self.zones.values().filter_map(move |(zone, received_at_ms)| {
             let age_ms = zone.age_ms + now_ms.saturating_sub(*received_at_ms);
             (age_ms < MAX_ZONE_AGE_MS).then(|| ZoneDigest { age_ms, ..zone.clone() })
         });
@@ -183,7 +193,8 @@
     }
 
     /// Returns the addresses of the instances that aggregate for the other zones: those that are
-    /// expected to, and those that have sent the latest digests.
+    /// expected to, and those that have sent the latest digests. From a zone without recent digests some
+    /// other instances are added, as all of its aggregators may be lost; they forward the digest.
     fn remote_aggregators(&self, now_ms: u64) -> Vec<SocketAddr> {
         let own_zone = &self.relay.settings.availability_zone;
         let mut addresses = Vec::new();
@@ -191,12 +202,18 @@
             let members = self.relay.members.lock();
             for zone in members.availability_zones(now_ms).iter().filter(|zone| *zone != own_zone) {
                 let ranked = rank_aggregators(members.responsive_names(zone, now_ms));
-                let chosen = ranked.into_iter().take(AGGREGATORS_PER_ZONE);
+                let others = match self.relay.exchange.lock().is_zone_silent(zone, now_ms) {
+                    true => FORWARDERS_PER_SILENT_ZONE,
+                    false => 0,
+                };
+                let (expected, rest) = ranked.split_at(ranked.len().min(AGGREGATORS_PER_ZONE));
+                let others = rest.choose_multiple(&mut rand::rng(), others);
+                let chosen = expected.iter().chain(others);
                 addresses.extend(chosen.filter_map(|name| members.address(name)));
             }
         }
         let exchange = self.relay.exchange.lock();
-        addresses.extend(exchange.zones.values().filter_map(|(_, source, _)| *source));
+        addresses.extend(exchange.zones.values().filter_map(|(zone, _)| zone.peer_address));
         addresses.sort_unstable();
         addresses.dedup();
         addresses
@@ -342,8 +359,9 @@
         }
     }
 
-    /// Handles the digest of another zone.
-    pub async fn handle_zone(&self, zone: ZoneDigest, source: SocketAddr) {
+    /// Handles the digest of another zone. An instance that is not an aggregator forwards it to those of
+    /// its zone, which rank before it, so that it does not come back.
+    pub async fn handle_zone(&self, zone: ZoneDigest) {
         let relay = &self.relay;
         if zone.availability_zone == relay.settings.availability_zone {
             count_dropped("misdirected");
@@ -351,7 +369,14 @@
         }
         let now_ms = relay.now_ms();
         self.apply_notices(&zone.departures, &zone.committed_usage, zone.store_era);
-        if !relay.exchange.lock().record_zone(zone, Some(source), now_ms) {
+        let aggregators = self.own_aggregators(now_ms);
+        if !aggregators.is_aggregator {
+            let addresses: Vec<SocketAddr> =
+                aggregators.others.iter().map(|(_, address)| *address).collect();
+            self.send_all(&Message::Zone(Box::new(zone)), &addresses).await;
+            return;
+        }
+        if !relay.exchange.lock().record_zone(zone, now_ms) {
             count_dropped("old");
         }
     }
@@ -361,6 +386,7 @@
         let relay = &self.relay;
         let settings = &relay.settings;
         let mut zone = ZoneDigest::new(&settings.availability_zone, &settings.instance, relay.boot);
+        zone.peer_address = Some(settings.peer_address);
         zone.sender_wall_ms = relay.wall_clock.lock().local_ms(now_ms);
         zone.version = relay.active_document.read().version();
         let mut exchange = relay.exchange.lock();
