--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -1,7 +1,7 @@
-//! UDP datagrams between instances: periodic digests of state that changes too often for the store,
-//! and freshness attestations of the active document for instances that can't reach the store.
+//! The socket for datagrams between instances, and the digests that each instance of a small fleet sends
+//! to all others.
 //!
-//! Each instance sends its digest to all others directly. Datagrams are used rather than
+//! [`crate::exchange`] replaces these digests in a large fleet. Datagrams are used rather than
 //! connections: a digest carries cumulative counts, so the next one makes up for a lost one, and
 //! there is no connection that could stall unnoticed.
 
@@ -13,20 +13,18 @@
 
 use futures_util::future::select;
 use hickorycourse_caps::CapTotals;
-use hickorycourse_digest::{MemberDigest, ServiceDigest, ZoneDigest};
+use hickorycourse_digest::{MemberDigest, ServiceDigest};
 use hickorycourse_duties::WindowCounts;
 use hickorycourse_placement::{TokenDemand, UpstreamLoad, WaitingRequests};
-use hickorycourse_routes::{RouteDocument, UpstreamEntry};
 use hickorycourse_telemetry::EventLog;
 use ntex::time::{sleep, timeout};
 use parking_lot::Mutex;
-use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
-use crate::exchange::{EXCHANGE_INTERVAL_MS, WantedReply};
+use crate::datagrams::Message;
+use crate::exchange::EXCHANGE_INTERVAL_MS;
 use crate::follow::{ViewQuery, ViewReply, make_reply};
 use crate::state::Relay;
 
@@ -44,17 +42,10 @@
 /// Digests to the own availability zone for each digest to the whole fleet, in a fleet above that
 /// size.
 const ZONE_DIGESTS_PER_FLEET_DIGEST: u64 = 3;
-/// Number of instances that receive a freshness query.
-const FRESHNESS_QUERY_FANOUT: usize = 3;
-/// Age at which a pending query is discarded, checked when the next one is sent; responses to a
-/// discarded query are ignored.
-const FRESHNESS_QUERY_TIMEOUT_MS: u64 = 2_000;
 /// Announced departures in a digest.
 const MAX_DEPARTURES_PER_DIGEST: usize = 32;
 /// Largest difference between the known era and one that another instance reports.
 const MAX_ERA_STEP: u64 = 64;
-/// Queries that may await a response at the same time.
-const MAX_PENDING_QUERIES: usize = 16;
 /// Largest UDP payload over IPv4.
 const MAX_DATAGRAM_BYTES: usize = 65_507;
 
@@ -63,80 +54,13 @@
     MIN_DIGEST_PERIOD_MS + DIGEST_PERIOD_PER_INSTANCE_MS * instances as u64
 }
 
-/// Response of an instance that reaches the store to one that does not.
-#[derive(Debug, Deserialize, Serialize)]
-pub struct FreshnessAttestation {
-    nonce: u64,
-    version: u64,
-    /// Staleness bound: the version was the newest this many milliseconds before the response was
-    /// sent.
-    age_ms: u64,
-    /// The document, if it is newer than the version in the query.
-    document: Option<RouteDocument>,
-    upstreams: Vec<UpstreamEntry>,
-    /// Era of the store that attests; 0 from a build that knows none.
-    #[serde(default)]
-    store_era: u64,
-}
-
-/// A datagram.
-#[derive(Debug, Deserialize, Serialize)]
-pub enum Message {
-    /// Digest of an instance in a small fleet.
-    Digest(Box<MemberDigest>),
-    /// Freshness query.
-    Ask {
-        /// Identifies the query.
-        nonce: u64,
-        /// The version that is known.
-        version: Option<u64>,
-    },
-    /// Reply to a freshness query.
-    Proof(Box<FreshnessAttestation>),
-    /// Query of a follower.
-    Follow {
-        /// Identifies the query.
-        nonce: u64,
-        /// The query.
-        query: ViewQuery,
-    },
-    /// Reply to a follower.
-    View {
-        /// Identifies the query.
-        nonce: u64,
-        /// The reply.
-        reply: Box<ViewReply>,
-    },
-    /// Digest of a member to an aggregator of its availability zone.
-    Report {
-        /// Identifies the report if a reply is expected.
-        nonce: Option<u64>,
-        /// What the member expects as a reply.
-        wanted: WantedReply,
-        /// The digest.
-        digest: Box<MemberDigest>,
-    },
-    /// Reply of an aggregator, with the encoded digests of all availability zones.
-    Fleet {
-        /// Identifies the report.
-        nonce: u64,
-        /// Time since the digests were encoded.
-        age_ms: u64,
-        /// Encoded [`ZoneDigest`]s; empty if none were wanted.
-        #[serde(with = "serde_bytes")]
-        zones: Vec<u8>,
-    },
-    /// Digest of an availability zone to the aggregators of the others.
-    Zone(Box<ZoneDigest>),
-}
-
 /// The socket for datagrams, with the freshness queries that await a response.
 pub struct PeerBroadcast {
     /// State that all parts of the process share.
     pub relay: Arc<Relay>,
     socket: UdpSocket,
-    /// Time at which each query was sent, by nonce.
-    pending_queries: Mutex<HashMap<u64, u64>>,
+    /// Time at which each freshness query was sent, by nonce.
+    pub pending_queries: Mutex<HashMap<u64, u64>>,
     /// Receivers of replies, by nonce.
     pending_replies: Mutex<HashMap<u64, oneshot::Sender<Message>>>,
 }
@@ -317,43 +241,6 @@
             .collect()
     }
 
-    async fn query_freshness_if_stale(&self, addresses: &[SocketAddr], now_ms: u64) {
-        let (version, staleness_ms) = {
-            let active_document = self.relay.active_document.read();
-            (active_document.version(), active_document.staleness_bound_ms(now_ms))
-        };
-        let query_after_ms = self.relay.settings.bounds.freshness_query_after_ms();
-        if staleness_ms.is_some_and(|staleness_ms| staleness_ms < query_after_ms) {
-            return;
-        }
-        let chosen: Vec<SocketAddr> =
-            addresses.choose_multiple(&mut rand::rng(), FRESHNESS_QUERY_FANOUT).copied().collect();
-        self.query_freshness(version, &chosen, now_ms).await;
-    }
-
-    async fn query_freshness(&self, version: Option<u64>, addresses: &[SocketAddr], now_ms: u64) {
-        let nonce = rand::random();
-        {
-            let mut pending_queries = self.pending_queries.lock();
-            pending_queries
-                .retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < FRESHNESS_QUERY_TIMEOUT_MS);
-            if pending_queries.len() >= MAX_PENDING_QUERIES {
-                return;
-            }
-            pending_queries.insert(nonce, now_ms);
-        }
-        self.send_all(&Message::Ask { nonce, version }, addresses).await;
-    }
-
-    /// Asks another instance for its document if that is newer: a store that was restored from a
-    /// backup may list an older one until the operators have written the newer one again.
-    pub async fn query_newer_document(&self, version: Option<u64>, address: SocketAddr) {
-        let known = self.relay.active_document.read().version();
-        if version > known {
-            self.query_freshness(known, &[address], self.relay.now_ms()).await;
-        }
-    }
-
     /// Sends a message to each address.
     pub async fn send_all(&self, message: &Message, addresses: &[SocketAddr]) {
         let mut bytes = Vec::new();
@@ -449,61 +336,6 @@
             self.relay.observe_store_era(era, "peer");
         }
     }
-
-    fn make_attestation(
-        &self,
-        nonce: u64,
-        known_version: Option<u64>,
-    ) -> Option<FreshnessAttestation> {
-        let relay = &self.relay;
-        let active_document = relay.active_document.read();
-        let table = active_document.table()?;
-        let version = table.document().version;
-        let age_ms = active_document.staleness_bound_ms(relay.now_ms())?;
-        let is_newer = known_version.is_none_or(|known| known < version);
-        Some(FreshnessAttestation {
-            nonce,
-            version,
-            age_ms,
-            document: is_newer.then(|| table.document().clone()),
-            upstreams: relay.directory.lock().entries().cloned().collect(),
-            store_era: relay.store_era(),
-        })
-    }
-
-    fn apply_attestation(&self, attestation: FreshnessAttestation, peer: SocketAddr) {
-        let relay = &self.relay;
-        // The response was made after the query was sent. Whatever the network delay was, the
-        // version was therefore still the newest at the time of the query minus the reported age.
-        let Some(queried_at_ms) = self.pending_queries.lock().get(&attestation.nonce).copied()
-        else {
-            return;
-        };
-        let Some(attested_at_ms) = queried_at_ms.checked_sub(attestation.age_ms) else { return };
-        self.observe_peer_era(attestation.store_era);
-        if attestation.store_era < relay.store_era() {
-            return;
-        }
-        // A newer document was acknowledged by the store, whatever the age of the attestation.
-        if let Some(document) = attestation.document {
-            relay.apply_document(document, "peer");
-        }
-        let now_ms = relay.now_ms();
-        let own_age_ms = relay.active_document.read().staleness_bound_ms(now_ms);
-        let is_fresher =
-            own_age_ms.is_none_or(|age_ms| now_ms.saturating_sub(attested_at_ms) < age_ms);
-        if !is_fresher {
-            return;
-        }
-        relay.replace_upstreams(attestation.upstreams);
-        relay.active_document.write().attest_freshness(attestation.version, attested_at_ms);
-        relay.log.write("proof_from_peer", || {
-            json!({
-                "peer": peer, "version": attestation.version, "own_age_ms": own_age_ms,
-                "age_ms": now_ms.saturating_sub(attested_at_ms),
-            })
-        });
-    }
 }
 
 /// Converts the counters of a digest.
--- /dev/null
+++ b/crates/relay/src/datagrams.rs
@@ -0,0 +1,78 @@
+//! Datagrams between instances.
+
+use hickorycourse_digest::{MemberDigest, ZoneDigest};
+use hickorycourse_routes::{RouteDocument, UpstreamEntry};
+use serde::{Deserialize, Serialize};
+
+use crate::exchange::WantedReply;
+use crate::follow::{ViewQuery, ViewReply};
+
+/// Response of an instance that reaches the store to one that does not.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct FreshnessAttestation {
+    /// Identifies the query.
+    pub nonce: u64,
+    /// The newest version that the sender knows.
+    pub version: u64,
+    /// Staleness bound: the version was the newest this many milliseconds before the response was
+    /// sent.
+    pub age_ms: u64,
+    /// The document, if it is newer than the version in the query.
+    pub document: Option<RouteDocument>,
+    /// The upstreams that the sender knows.
+    pub upstreams: Vec<UpstreamEntry>,
+    /// Era of the store that attests; 0 from a build that knows none.
+    #[serde(default)]
+    pub store_era: u64,
+}
+
+/// A datagram.
+#[derive(Debug, Deserialize, Serialize)]
+pub enum Message {
+    /// Digest of an instance in a small fleet.
+    Digest(Box<MemberDigest>),
+    /// Freshness query.
+    Ask {
+        /// Identifies the query.
+        nonce: u64,
+        /// The version that is known.
+        version: Option<u64>,
+    },
+    /// Reply to a freshness query.
+    Proof(Box<FreshnessAttestation>),
+    /// Query of a follower.
+    Follow {
+        /// Identifies the query.
+        nonce: u64,
+        /// The query.
+        query: ViewQuery,
+    },
+    /// Reply to a follower.
+    View {
+        /// Identifies the query.
+        nonce: u64,
+        /// The reply.
+        reply: Box<ViewReply>,
+    },
+    /// Digest of a member to an aggregator of its availability zone.
+    Report {
+        /// Identifies the report if a reply is expected.
+        nonce: Option<u64>,
+        /// What the member expects as a reply.
+        wanted: WantedReply,
+        /// The digest.
+        digest: Box<MemberDigest>,
+    },
+    /// Reply of an aggregator, with the encoded digests of all availability zones.
+    Fleet {
+        /// Identifies the report.
+        nonce: u64,
+        /// Time since the digests were encoded.
+        age_ms: u64,
+        /// Encoded [`ZoneDigest`]s; empty if none were wanted.
+        #[serde(with = "serde_bytes")]
+        zones: Vec<u8>,
+    },
+    /// Digest of an availability zone to the aggregators of the others.
+    Zone(Box<ZoneDigest>),
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -18,8 +18,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::broadcast::{
-    Message, PeerBroadcast, apply_services, count_dropped, digest_period_ms, into_cap_totals,
+    PeerBroadcast, apply_services, count_dropped, digest_period_ms, into_cap_totals,
 };
+use crate::datagrams::Message;
 use crate::settings::ExchangePolicy;
 
 /// Interval between two reports of a member, and between two digests of a zone.
@@ -31,6 +32,8 @@
 const AGGREGATED_MIN_INSTANCES: usize = 17;
 /// Size of the fleet below which they are no longer aggregated.
 const MESH_BELOW_INSTANCES: usize = 12;
+/// Reports after which the aggregator that is not asked usually is asked once.
+const OTHER_ASKED_INTERVAL: u64 = 10;
 /// Time for the reply of an aggregator.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which the sums that are returned to members are kept.
@@ -481,6 +484,3 @@
         }
     }
 }
-
-/// Reports after which the aggregator that is not asked usually is asked once.
-const OTHER_ASKED_INTERVAL: u64 = 10;
--- /dev/null
+++ b/crates/relay/src/state/limits.rs
@@ -0,0 +1,167 @@
+//! Usage caps and retry budgets, which all instances enforce together.
+
+use std::collections::{BTreeMap, HashMap};
+
+use hickorycourse_caps::{CapLimits, CapTotals, RetryBudgetLimits, RetryBudgetShare, SharedCap};
+use hickorycourse_duties::FleetUsage;
+use hickorycourse_routes::UsageCap;
+use serde_json::json;
+
+use super::Relay;
+use crate::exchange::report_interval_ms;
+
+impl Relay {
+    /// Applies the caps of the active document.
+    pub(super) fn refresh_caps(&self) {
+        let Some(table) = self.route_table() else { return };
+        let mut caps = self.caps.lock();
+        let organisations = table.document().organisations.iter().flatten();
+        let mut retained = HashMap::new();
+        let now_ms = self.now_ms();
+        let instances = self.members.lock().count(now_ms);
+        for organisation in organisations {
+            let Some(cap) = organisation.cap else { continue };
+            let limits = self.cap_limits(&cap, instances);
+            let shared = caps.remove(&organisation.name).map(|mut shared| {
+                shared.set_limits(limits);
+                shared
+            });
+            let shared = shared.unwrap_or_else(|| self.new_cap(limits, instances, now_ms));
+            retained.insert(organisation.name.clone(), shared);
+        }
+        *caps = retained;
+    }
+
+    fn new_cap(&self, limits: CapLimits, instances: usize, now_ms: u64) -> SharedCap {
+        // The boot identifier is random below 2^63.
+        let phase = self.boot as f64 / (u64::MAX >> 1) as f64;
+        SharedCap::new(limits, instances, now_ms).with_shedding_phase(phase)
+    }
+
+    /// Typical time in milliseconds between two reports of another instance, in a fleet of this size.
+    pub fn report_interval_ms(&self, instances: usize) -> u64 {
+        report_interval_ms(self.settings.policy.exchange, instances)
+    }
+
+    fn cap_limits(&self, cap: &UsageCap, instances: usize) -> CapLimits {
+        let bounds = &self.settings.bounds;
+        let excess = (bounds.cap_window_ms, bounds.cap_overshoot, bounds.cap_slack);
+        CapLimits::new(cap.per_second, cap.burst, excess, self.report_interval_ms(instances))
+    }
+
+    /// Acquires units from an organisation's usage cap.
+    ///
+    /// # Errors
+    /// The time in milliseconds after which the units are expected to be available.
+    pub fn acquire_cap(
+        &self,
+        organisation: &str,
+        cap: &UsageCap,
+        units: f64,
+        urgency: u8,
+    ) -> Result<(), u64> {
+        let now_ms = self.now_ms();
+        let instances = self.members.lock().count(now_ms);
+        let limits = self.cap_limits(cap, instances);
+        let mut caps = self.caps.lock();
+        let shared = caps
+            .entry(organisation.to_owned())
+            .or_insert_with(|| self.new_cap(limits, instances, now_ms));
+        shared.set_limits(limits);
+        let acquired = shared.try_acquire(units, urgency, instances, now_ms);
+        if shared.is_early_broadcast_due() {
+            self.digest_requested.notify_one();
+        }
+        if let Err(retry_after_ms) = acquired {
+            let (level, is_shedding) = (shared.level(), shared.is_shedding());
+            self.log.write("cap_refused", || {
+                json!({
+                    "organisation": organisation, "units": units, "level": level,
+                    "per_second": cap.per_second, "burst": cap.burst, "instances": instances,
+                    "is_thinned": is_shedding, "process_age_ms": now_ms,
+                    "retry_after_ms": retry_after_ms,
+                })
+            });
+        }
+        acquired
+    }
+
+    /// Returns units of a request that did not run.
+    pub fn refund_cap(&self, organisation: &str, units: f64) {
+        if let Some(shared) = self.caps.lock().get_mut(organisation) {
+            shared.refund(units);
+        }
+    }
+
+    /// Returns the cap usage of this process since its start, for a digest, and marks it as sent.
+    pub fn cap_totals_for_digest(&self) -> BTreeMap<String, CapTotals> {
+        let mut caps = self.caps.lock();
+        caps.iter_mut().map(|(name, shared)| (name.clone(), shared.broadcast_totals())).collect()
+    }
+
+    /// Applies the cap usage that `instances` other instances have reported as `peer`. `boot` identifies
+    /// the start of the process that reports it.
+    pub fn apply_cap_totals<'a>(
+        &self,
+        peer: &str,
+        boot: u64,
+        totals: impl Iterator<Item = (&'a str, CapTotals)>,
+        instances: usize,
+        reported_at_ms: u64,
+    ) {
+        let mut caps = self.caps.lock();
+        for (organisation, totals) in totals {
+            if let Some(shared) = caps.get_mut(organisation) {
+                shared.apply_group_report(peer, boot, totals, instances, reported_at_ms);
+            }
+        }
+    }
+
+    /// Forgets what other instances have reported of their load and use, when they report in other
+    /// groups from now on.
+    pub fn clear_reports(&self) {
+        for shared in self.caps.lock().values_mut() {
+            shared.clear_peers();
+        }
+        for (_, placement_table) in self.placement_tables() {
+            placement_table.lock().clear_peers();
+        }
+        *self.fleet_usage.lock() = FleetUsage::default();
+    }
+
+    /// Records a request to a service; the retry budget grows with the number of requests.
+    pub fn record_request(&self, service: &str) {
+        let now_ms = self.now_ms();
+        self.with_retry_budget(service, |share| share.add_request(now_ms));
+    }
+
+    /// Acquires one retry from the retry budget of a service; returns whether it was granted.
+    pub fn try_acquire_retry(&self, service: &str) -> bool {
+        let now_ms = self.now_ms();
+        let instances = self.members.lock().count(now_ms);
+        let is_granted =
+            self.with_retry_budget(service, |share| share.try_acquire(instances, now_ms));
+        let name = if is_granted { "granted" } else { "denied" };
+        metrics::counter!("hickorycourse_retries_total", "outcome" => name).increment(1);
+        is_granted
+    }
+
+    fn with_retry_budget<T>(
+        &self,
+        service: &str,
+        update: impl FnOnce(&mut RetryBudgetShare) -> T,
+    ) -> T {
+        let bounds = &self.settings.bounds;
+        let limits = RetryBudgetLimits {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window_ms: bounds.retry_window_ms,
+        };
+        let mut retry_budgets = self.retry_budgets.lock();
+        update(
+            retry_budgets
+                .entry(service.to_owned())
+                .or_insert_with(|| RetryBudgetShare::new(limits)),
+        )
+    }
+}
--- a/crates/testkit/src/bin/measure/relay_cores.rs
+++ b/crates/testkit/src/bin/measure/relay_cores.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use hickorycourse_caps::{CapLimits, CapTotals, SharedCap};
+use hickorycourse_digest::{MemberDigest, ServiceDigest, ZoneAggregator, ZoneDigest};
 use hickorycourse_duties::{
     CapacityCounts, CapacityDemand, CapacityPlanner, CapacityPlannerOptions, FleetUsage,
     WindowCounts, ZoneCapacity,
@@ -33,6 +34,15 @@
     for count in [7, 70, 350, 1_100] {
         measure_usage(count);
     }
+    println!(
+        "fleets of that many instances: members and upstreams of a zone; microseconds to record a"
+    );
+    println!(
+        "digest, to sum a zone, to encode and to decode all zones; bytes to and from an aggregator"
+    );
+    for (instances, zones) in [(24, 4), (76, 4), (295, 6), (1_100, 9)] {
+        measure_aggregation(instances, zones)?;
+    }
     println!("planning for that many upstreams in nine zones, microseconds");
     for count in [10, 100, 1_000, 10_000] {
         measure_plan(count);
@@ -117,6 +127,83 @@
     println!("{count:>7} instances {merge_us:>10.2} us {total_us:>10.2} us");
 }
 
+/// Digest of a member that has placed load on `upstreams` of its zone.
+fn make_digest(number: usize, sequence: u64, upstreams: usize) -> eyre::Result<MemberDigest> {
+    // A member has a handful of requests in flight.
+    let loads = (0..6).map(|offset| {
+        let id = format!("i-{:010x}", (number * 7 + offset) % upstreams);
+        (id, 2, 1, vec![(0, 1, 900), (1, 1, 4_000)])
+    });
+    let service = ServiceDigest { loads: loads.collect(), ..ServiceDigest::default() };
+    let totals = (0..40).map(|organisation| (format!("hule9{organisation:02}"), (90_000, 99_000)));
+    Ok(MemberDigest {
+        instance: format!("edge-zone-{number}"),
+        boot: 1,
+        availability_zone: "zone-0".to_owned(),
+        peer_address: "127.0.0.1:7000".parse()?,
+        sender_wall_ms: 0,
+        cap_totals: totals.collect(),
+        windows: Vec::new(),
+        services: BTreeMap::from([("desk".to_owned(), service)]),
+        store_era: 1,
+        version: Some(1),
+        departures: Vec::new(),
+        committed_usage: Vec::new(),
+        sequence,
+    })
+}
+
+fn measure_aggregation(instances: usize, zones: usize) -> eyre::Result<()> {
+    let members = instances / zones;
+    // As many engines for each instance as the large deployment has.
+    let upstreams = members * 6 / 10;
+    let mut aggregator = ZoneAggregator::default();
+    let mut digests = Vec::new();
+    for round in 0..20 {
+        for number in 0..members {
+            digests.push(make_digest(number, round + 1, upstreams.max(1))?);
+        }
+    }
+    let mut member_bytes = Vec::new();
+    ciborium::into_writer(&digests[0], &mut member_bytes)?;
+    let count = digests.len() as u32;
+    let mut digests = digests.into_iter();
+    let record_us = time_us(count, |_| {
+        if let Some(digest) = digests.next() {
+            std::hint::black_box(aggregator.record(digest, 0));
+        }
+    });
+    let sum = || {
+        let mut zone = ZoneDigest::new("zone-0", "edge-zone-0", 1);
+        aggregator.sum_into(&mut zone, 0);
+        zone
+    };
+    let sum_us = time_us(200, |_| {
+        std::hint::black_box(sum());
+    });
+    let zone = sum();
+    let other = ZoneDigest { members: Vec::new(), ..zone.clone() };
+    let all: Vec<ZoneDigest> =
+        std::iter::once(zone).chain(std::iter::repeat_n(other, zones - 1)).collect();
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&all, &mut bytes)?;
+    let encode_us = time_us(200, |_| {
+        let mut encoded = Vec::new();
+        std::hint::black_box(ciborium::into_writer(&all, &mut encoded).is_ok());
+    });
+    let decode_us = time_us(200, |_| {
+        let decoded: Result<Vec<ZoneDigest>, _> = ciborium::from_reader(bytes.as_slice());
+        std::hint::black_box(decoded.is_ok());
+    });
+    println!(
+        "{instances:>7} instances {members:>5} {upstreams:>5} {record_us:>8.2} us {sum_us:>8.0} us \
+         {encode_us:>8.0} us {decode_us:>8.0} us {:>7} B {:>7} B",
+        member_bytes.len(),
+        bytes.len()
+    );
+    Ok(())
+}
+
 fn measure_plan(count: u32) {
     let names: Vec<String> = (0..9).map(|number| format!("zone-{number}")).collect();
     let limits = CapacityLimits {
