Tell followers of an entry that confirms an announced departure

Cause: a reader that had heard of a departure in a response took the entry that says so for a heartbeat, which followers are not told of. Found by reading; the test fails without the change.

--- a/crates/routes/src/directory.rs
+++ b/crates/routes/src/directory.rs
@@ -190,12 +190,14 @@
     }
 
     /// Returns whether an entry is only a heartbeat: it differs from the known one in nothing but its
-    /// sequence number and the remaining warm-up time.
+    /// sequence number and the remaining warm-up time. The known phase may be that of an announcement,
+    /// which says nothing of the entry.
     pub fn is_heartbeat(&self, entry: &UpstreamEntry) -> bool {
         self.upstreams.get(&entry.id).is_some_and(|listed| {
             let UpstreamEntry { sequence, warm_up_left_ms, .. } = listed.entry;
             let same = UpstreamEntry { sequence, warm_up_left_ms, ..entry.clone() };
-            listed.grace_until_ms.is_none() && same == listed.entry
+            let is_as_listed = listed.grace_until_ms.is_none() && !listed.is_departure_announced;
+            is_as_listed && same == listed.entry
         })
     }
 
--- a/crates/routes/tests/directory.rs
+++ b/crates/routes/tests/directory.rs
@@ -111,3 +111,16 @@
     assert_eq!(directory.entries().count(), 0);
     assert_eq!(directory.put(entry("i-1", 100, 6)), DirectoryChange::Added);
 }
+
+#[test]
+fn is_heartbeat_of_changed_entry_is_false() {
+    let mut directory = UpstreamDirectory::default();
+    assert!(!directory.is_heartbeat(&entry("i-1", 100, 1)));
+    directory.put(entry("i-1", 100, 1));
+    assert!(directory.is_heartbeat(&entry("i-1", 100, 2)));
+    assert!(!directory.is_heartbeat(&leaving(entry("i-1", 100, 2))));
+    assert!(!directory.is_heartbeat(&entry("i-1", 200, 1)));
+    // The entry that says what was announced is a change for those that have not heard of it.
+    directory.announce_departure("i-1", None);
+    assert!(!directory.is_heartbeat(&leaving(entry("i-1", 100, 2))));
+}
