Upstreams told by another instance are provisional

Followers of a quiet store are older than the age from which freshness is asked of other instances, so they asked all the time. Each reply has that instance's whole list of upstreams, which may be behind: an upstream that was removed came back with a newer sequence number than the follower knew, and its deletion was not told again; one that was missing was taken for outdated when it was listed again, and a follower hears no heartbeats.

Change: followers ask from the age from which they read the store themselves. A list from another instance leaves no trace in what is known of former upstreams, and the store is listed before its changes are followed or watched further.

Result: replace_from_peer_without_entry_accepts_it_again failed before.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -1,6 +1,7 @@
 //! Following: learning the state of the platform's store from an instance that reads it.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hickorycourse_store::{KeyValue, KeyValueRecord, WatchEvent};
@@ -114,7 +115,8 @@
         let now_ms = relay.now_ms();
         let is_selected = relay.is_reader(now_ms);
         let must_read = timings.must_read(is_selected, heard, now_ms);
-        let must_list = matches!(step, Some(FollowStep::Relist));
+        let must_list = matches!(step, Some(FollowStep::Relist))
+            || relay.is_listing_needed.load(Ordering::Relaxed);
         if must_read || must_list || relay.drain.is_stopping() {
             metrics::gauge!("hickorycourse_store_following").set(0.0);
             relay.log.write("store_read", || {
--- a/crates/relay/src/freshness.rs
+++ b/crates/relay/src/freshness.rs
@@ -24,7 +24,13 @@
             let active_document = self.relay.active_document.read();
             (active_document.version(), active_document.staleness_bound_ms(now_ms))
         };
-        let query_after_ms = self.relay.settings.bounds.freshness_query_after_ms();
+        // What a follower knows of a quiet store is usually older than what a reader knows.
+        let query_after_ms = self
+            .relay
+            .settings
+            .bounds
+            .freshness_query_after_ms()
+            .max(self.relay.follow_timings().max_age_ms);
         if staleness_ms.is_some_and(|staleness_ms| staleness_ms < query_after_ms) {
             return;
         }
@@ -103,7 +109,7 @@
         if !is_fresher {
             return;
         }
-        relay.replace_upstreams(attestation.upstreams);
+        relay.replace_upstreams_from_peer(attestation.upstreams);
         relay.active_document.write().attest_freshness(attestation.version, attested_at_ms);
         relay.log.write("proof_from_peer", || {
             json!({
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use hickorycourse_caps::{RetryBudgetShare, SharedCap};
 use hickorycourse_clock::{Clock, SystemClock};
@@ -66,6 +66,8 @@
     pub drain: DrainState,
     /// Number of requests in flight.
     pub in_flight: AtomicU64,
+    /// Whether the state of the store has to be listed before its changes are followed.
+    pub is_listing_needed: AtomicBool,
     /// Time of the latest query of a follower that this instance could not answer; 0 without one.
     unanswered_query_at_ms: AtomicU64,
     /// This instance's view of the lease on the duties: usage reports and capacity orders, which
@@ -114,6 +116,7 @@
             members: Mutex::default(),
             drain: DrainState::default(),
             in_flight: AtomicU64::new(0),
+            is_listing_needed: AtomicBool::new(false),
             unanswered_query_at_ms: AtomicU64::new(0),
             duty_lease: Mutex::new(DutyLease::new(LeaseOptions::from_ttl(bounds.lease_ms))),
             wall_clock: Mutex::new(WallClockEstimator::new(clock.wall_ms(), now_ms)),
@@ -222,6 +225,14 @@
         self.apply_changes(&changes);
     }
 
+    /// Applies a listing of the upstreams that another instance has told. The state of the store has to be
+    /// listed anew before changes to it are followed again: the other instance may have been behind.
+    pub fn replace_upstreams_from_peer(&self, entries: Vec<UpstreamEntry>) {
+        let changes = self.directory.lock().replace_from_peer(entries);
+        self.apply_changes(&changes);
+        self.is_listing_needed.store(true, Ordering::Relaxed);
+    }
+
     /// Removes upstreams whose entries have been absent for longer than their grace period.
     pub fn expire_upstreams(&self) {
         let expired = self.directory.lock().expire(self.now_ms());
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -9,6 +9,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::future::select;
@@ -114,6 +115,7 @@
     let mut watch = key_value.watch("").await?;
     relay.observe_store_era(key_value.era(), "store");
     let started_at_ms = relay.now_ms();
+    relay.is_listing_needed.store(false, Ordering::Relaxed);
     let items = key_value.list("", 0).await?;
     relay.observe_store_era(key_value.era(), "store");
     log_listing(relay, &items, watch.revision());
@@ -126,6 +128,10 @@
         {
             return Ok(WatchEnd::Following { revision: watch.revision() });
         }
+        if relay.is_listing_needed.load(Ordering::Relaxed) {
+            let reason = "another instance has told the upstreams meanwhile";
+            return Err(PlatformError::HistoryLost(reason.to_owned()));
+        }
         let started_at_ms = now_ms;
         key_value.raise_era(relay.store_era());
         let bounds = &relay.settings.bounds;
--- a/crates/routes/src/directory.rs
+++ b/crates/routes/src/directory.rs
@@ -240,6 +240,18 @@
         DirectoryChange::Gone
     }
 
+    /// Applies a listing that another instance has told. What is missing from it may only be unknown to
+    /// that instance, so a later listing of the same entry is not taken for an outdated one.
+    pub fn replace_from_peer(
+        &mut self,
+        entries: Vec<UpstreamEntry>,
+    ) -> Vec<(String, DirectoryChange)> {
+        let former = self.former.clone();
+        let changes = self.replace(entries, None);
+        self.former = former;
+        changes
+    }
+
     /// Applies a complete listing. Upstreams missing from it are removed as by [`Self::remove`].
     /// Returns the change of each upstream by its identifier.
     pub fn replace(
--- a/crates/routes/tests/directory.rs
+++ b/crates/routes/tests/directory.rs
@@ -124,3 +124,13 @@
     directory.announce_departure("i-1", None);
     assert!(!directory.is_heartbeat(&leaving(entry("i-1", 100, 2))));
 }
+
+// Guards against an upstream that another instance did not know yet and that stays unused for good.
+#[test]
+fn replace_from_peer_without_entry_accepts_it_again() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(entry("i-1", 100, 5));
+    directory.replace_from_peer(Vec::new());
+    assert_eq!(directory.entries().count(), 0);
+    assert_eq!(directory.put(entry("i-1", 100, 5)), DirectoryChange::Added);
+}
