--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -71,6 +71,7 @@
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     let status = response.status().as_u16();
+    let arrived_after_stop_ms = relay.drain.stopping_for_ms(arrived_at_ms);
     let took_ms = relay.now_ms().saturating_sub(arrived_at_ms);
     relay.log.write("answered", || {
         let (version, staleness_ms) = {
@@ -82,6 +83,7 @@
             "organisation": outcome.organisation, "upstream": outcome.upstream,
             "attempts": outcome.attempts, "status": status, "failure": outcome.failure,
             "took_ms": took_ms, "version": version, "proof_age_ms": staleness_ms,
+            "arrived_after_stop_ms": arrived_after_stop_ms,
         })
     });
     let label = status.to_string();
--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -45,6 +45,12 @@
         self.stopping_since_ms.load(Ordering::SeqCst) != NOT_STOPPING
     }
 
+    /// Returns the time since the stop signal; `None` if there was none.
+    pub fn stopping_for_ms(&self, now_ms: u64) -> Option<u64> {
+        let stopping_since_ms = self.stopping_since_ms.load(Ordering::SeqCst);
+        (stopping_since_ms != NOT_STOPPING).then(|| (now_ms + 1).saturating_sub(stopping_since_ms))
+    }
+
     /// Returns whether new requests are rejected because they could not be finished before
     /// `stop_ms`.
     pub fn rejects_requests(&self, now_ms: u64, stop_ms: u64) -> bool {
