Relay: decide the end of the drain and the admission of requests together

Callers saw answers cut in the middle after a planned stop: requests that arrived 2.8 s to 2.88 s after SIGTERM on connections in use were admitted and sent to an upstream, and the process was gone 1.3 s later.

Cause: check, then act, on two atomics. The wait for requests in flight ended once 2.8 s had passed and the count was 0; admission went on until 36% of stop_ms, and nothing told it that the wait had ended.

Change: one state behind one lock holds the phase and the count. A request whose body is being read counts from its arrival.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -58,7 +58,7 @@
     payload: Payload,
 ) -> HttpResponse {
     let arrived_at_ms = relay.now_ms();
-    let in_flight = InFlightGuard::new(&relay);
+    let in_flight = InFlightGuard::try_new(&relay);
     let connections = CONNECTIONS.with(ConnectionPool::clone);
     evict_idle_connections(&connections, arrived_at_ms);
     let mut outcome = RequestOutcome::default();
@@ -147,14 +147,14 @@
     request: &HttpRequest,
     payload: Payload,
     arrived_at_ms: u64,
-    in_flight: InFlightGuard,
+    in_flight: Option<InFlightGuard>,
     outcome: &mut RequestOutcome,
 ) -> Result<HttpResponse, Problem> {
     let received = receive_request(relay, request, payload).await?;
     outcome.request_id = received.metadata.request_id.clone().unwrap_or_default();
-    if relay.drain.rejects_requests(relay.now_ms(), relay.settings.bounds.stop_ms) {
-        return Err(retryable_problem(ErrorCode::Draining));
-    }
+    let in_flight = in_flight
+        .filter(|_| relay.drain.admit(relay.now_ms(), &relay.drain_timings()))
+        .ok_or_else(|| retryable_problem(ErrorCode::Draining))?;
     // Read after the body, whose transfer can take long, so that the newest table applies.
     let table = relay.route_table().ok_or_else(|| retryable_problem(ErrorCode::SettingsMissing))?;
     let route = find_route(relay, &table, &received.host, request.path())?;
--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -1,17 +1,19 @@
 //! Graceful shutdown: the readiness check fails at once, requests in flight are finished, and new
 //! requests are rejected once they could not be finished in time.
+//!
+//! Whether a request is admitted and whether the process may end are decided under one lock: once no
+//! request is in flight and the process is about to end, no further request is admitted.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use ntex::time::sleep;
+use parking_lot::Mutex;
 use serde_json::json;
 use tokio::sync::Notify;
 
 use crate::state::Relay;
 
-const NOT_STOPPING: u64 = 0;
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Shortest time between the stop signal and the end of the process, for callers that still arrive:
 /// the balancer needs two failed checks, a second apart, to detect that this instance is not ready.
@@ -23,40 +25,140 @@
 /// The balancer has detected the shutdown by then; later requests arrive on kept-alive connections.
 const REJECT_AFTER_PERCENT: u64 = 36;
 
-/// Shutdown state of the process.
+/// Times of a shutdown, in milliseconds since the stop signal.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DrainTimings {
+    /// Time for which requests are admitted even if none is in flight.
+    pub min_drain_ms: u64,
+    /// Time after which no further request is admitted.
+    pub reject_after_ms: u64,
+    /// Time after which requests in flight are cut off.
+    pub drain_timeout_ms: u64,
+}
+
+impl DrainTimings {
+    /// Derives the times from the time after which the platform kills a stopping process.
+    pub fn from_stop_ms(stop_ms: u64) -> Self {
+        let drain_timeout_ms = stop_ms * DRAIN_TIMEOUT_PERCENT / 100;
+        Self {
+            min_drain_ms: MIN_DRAIN_MS.min(drain_timeout_ms / 2),
+            reject_after_ms: stop_ms * REJECT_AFTER_PERCENT / 100,
+            drain_timeout_ms,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Phase {
+    /// There was no stop signal.
+    #[default]
+    Serving,
+    /// Requests are admitted until the process may end.
+    Stopping { since_ms: u64 },
+    /// No further request is admitted.
+    Closed { since_ms: u64 },
+}
+
+#[derive(Debug, Default)]
+struct State {
+    phase: Phase,
+    in_flight: u64,
+}
+
+impl State {
+    /// Returns whether requests are admitted; ends that when it is due.
+    fn is_open(&mut self, now_ms: u64, timings: &DrainTimings) -> bool {
+        if let Phase::Stopping { since_ms } = self.phase
+            && now_ms >= since_ms + timings.reject_after_ms
+        {
+            self.phase = Phase::Closed { since_ms };
+        }
+        !matches!(self.phase, Phase::Closed { .. })
+    }
+
+    fn stopping_since_ms(&self) -> Option<u64> {
+        match self.phase {
+            Phase::Serving => None,
+            Phase::Stopping { since_ms } | Phase::Closed { since_ms } => Some(since_ms),
+        }
+    }
+}
+
+/// How a drain has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DrainEnd {
+    /// Time since the stop signal.
+    pub spent_ms: u64,
+    /// Requests in flight that the end of the process cuts off; above 0 only at the drain timeout.
+    pub cut_off: u64,
+}
+
+/// Shutdown state of the process, with the number of requests in flight.
 #[derive(Debug, Default)]
 pub struct DrainState {
-    /// Time of the stop signal plus one; 0 if there was none.
-    stopping_since_ms: AtomicU64,
+    state: Mutex<State>,
     started: Notify,
 }
 
 impl DrainState {
     /// Starts the shutdown; later calls have no effect.
     pub fn start(&self, now_ms: u64) {
-        let (order, not_stopping) = (Ordering::SeqCst, NOT_STOPPING);
-        if self.stopping_since_ms.compare_exchange(not_stopping, now_ms + 1, order, order).is_ok() {
+        let mut state = self.state.lock();
+        if state.phase == Phase::Serving {
+            state.phase = Phase::Stopping { since_ms: now_ms };
+            drop(state);
             self.started.notify_one();
         }
     }
 
     /// Returns whether the shutdown has started.
     pub fn is_stopping(&self) -> bool {
-        self.stopping_since_ms.load(Ordering::SeqCst) != NOT_STOPPING
+        self.state.lock().phase != Phase::Serving
     }
 
     /// Returns the time since the stop signal; `None` if there was none.
     pub fn stopping_for_ms(&self, now_ms: u64) -> Option<u64> {
-        let stopping_since_ms = self.stopping_since_ms.load(Ordering::SeqCst);
-        (stopping_since_ms != NOT_STOPPING).then(|| (now_ms + 1).saturating_sub(stopping_since_ms))
+        let since_ms = self.state.lock().stopping_since_ms()?;
+        Some(now_ms.saturating_sub(since_ms))
+    }
+
+    /// Counts a request that has arrived as in flight, so that the process does not end while its body
+    /// is read. Returns false if it came too late to be admitted: such requests don't delay the end.
+    pub fn begin_request(&self, now_ms: u64, timings: &DrainTimings) -> bool {
+        let mut state = self.state.lock();
+        let is_open = state.is_open(now_ms, timings);
+        state.in_flight += u64::from(is_open);
+        is_open
+    }
+
+    /// Ends a request that [`begin_request`](Self::begin_request) has counted.
+    pub fn end_request(&self) {
+        let mut state = self.state.lock();
+        state.in_flight = state.in_flight.saturating_sub(1);
+    }
+
+    /// Returns the number of requests in flight.
+    pub fn in_flight(&self) -> u64 {
+        self.state.lock().in_flight
+    }
+
+    /// Decides whether a request that is in flight is admitted. The process does not end before the
+    /// drain timeout while an admitted request is in flight.
+    pub fn admit(&self, now_ms: u64, timings: &DrainTimings) -> bool {
+        self.state.lock().is_open(now_ms, timings)
     }
 
-    /// Returns whether new requests are rejected because they could not be finished before
-    /// `stop_ms`.
-    pub fn rejects_requests(&self, now_ms: u64, stop_ms: u64) -> bool {
-        let stopping_since_ms = self.stopping_since_ms.load(Ordering::SeqCst);
-        stopping_since_ms != NOT_STOPPING
-            && now_ms >= stopping_since_ms + stop_ms * REJECT_AFTER_PERCENT / 100
+    /// Ends the drain if no request is in flight and the shortest time has passed, or at the drain
+    /// timeout. No request is admitted from then on. Returns `None` while the drain goes on.
+    pub fn try_end(&self, now_ms: u64, timings: &DrainTimings) -> Option<DrainEnd> {
+        let mut state = self.state.lock();
+        let since_ms = state.stopping_since_ms()?;
+        let spent_ms = now_ms.saturating_sub(since_ms);
+        let is_idle = spent_ms >= timings.min_drain_ms && state.in_flight == 0;
+        (is_idle || spent_ms >= timings.drain_timeout_ms).then(|| {
+            state.phase = Phase::Closed { since_ms };
+            DrainEnd { spent_ms, cut_off: state.in_flight }
+        })
     }
 
     /// Waits for the start of the shutdown; supports a single waiting task.
@@ -71,16 +173,12 @@
 /// has expired.
 pub async fn wait_until_drained(relay: &Arc<Relay>) {
     relay.drain.wait_until_stopping().await;
-    let started_at_ms = relay.now_ms();
-    let in_flight = relay.in_flight.load(Ordering::SeqCst);
-    relay.log.write("stopping", || json!({ "in_flight": in_flight }));
-    let drain_timeout_ms = relay.settings.bounds.stop_ms * DRAIN_TIMEOUT_PERCENT / 100;
-    let min_drain_ms = MIN_DRAIN_MS.min(drain_timeout_ms / 2);
+    relay.log.write("stopping", || json!({ "in_flight": relay.drain.in_flight() }));
     loop {
-        let spent_ms = relay.now_ms().saturating_sub(started_at_ms);
-        let in_flight = relay.in_flight.load(Ordering::SeqCst);
-        if spent_ms >= drain_timeout_ms || (spent_ms >= min_drain_ms && in_flight == 0) {
-            relay.log.write("stopped", || json!({ "spent_ms": spent_ms, "cut_off": in_flight }));
+        if let Some(end) = relay.drain.try_end(relay.now_ms(), &relay.drain_timings()) {
+            relay
+                .log
+                .write("stopped", || json!({ "spent_ms": end.spent_ms, "cut_off": end.cut_off }));
             return;
         }
         sleep(POLL_INTERVAL).await;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,6 +42,7 @@
 }
 
 pub use broadcast::digest_period_ms;
+pub use drain::{DrainEnd, DrainState, DrainTimings};
 pub use events::EventTracker;
 pub use exchange::report_interval_ms;
 pub use members::{MemberRecord, MemberTable};
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -27,7 +27,7 @@
 
 use self::store::StoreHealth;
 use crate::adapter::Protocol;
-use crate::drain::DrainState;
+use crate::drain::{DrainState, DrainTimings};
 use crate::exchange::ExchangeState;
 use crate::members::MemberTable;
 use crate::settings::{AdmissionPolicy, PlacementPolicy, RelaySettings};
@@ -62,10 +62,8 @@
     pub directory: Mutex<UpstreamDirectory>,
     /// The other instances.
     pub members: Mutex<MemberTable>,
-    /// Shutdown state.
+    /// Shutdown state, with the number of requests in flight.
     pub drain: DrainState,
-    /// Number of requests in flight.
-    pub in_flight: AtomicU64,
     /// Whether the state of the store has to be listed before its changes are followed.
     pub is_listing_needed: AtomicBool,
     /// Time of the latest query of a follower that this instance could not answer; 0 without one.
@@ -115,7 +113,6 @@
             directory: Mutex::default(),
             members: Mutex::default(),
             drain: DrainState::default(),
-            in_flight: AtomicU64::new(0),
             is_listing_needed: AtomicBool::new(false),
             unanswered_query_at_ms: AtomicU64::new(0),
             duty_lease: Mutex::new(DutyLease::new(LeaseOptions::from_ttl(bounds.lease_ms))),
@@ -141,6 +138,11 @@
         self.clock.now_ms()
     }
 
+    /// Times of a shutdown.
+    pub fn drain_timings(&self) -> DrainTimings {
+        DrainTimings::from_stop_ms(self.settings.bounds.stop_ms)
+    }
+
     /// Returns the active routes; `None` until a document has been received.
     pub fn route_table(&self) -> Option<Arc<RouteTable>> {
         self.active_document.read().table()
@@ -339,15 +341,15 @@
 }
 
 impl InFlightGuard {
-    /// Increments the counter.
-    pub fn new(relay: &Arc<Relay>) -> Self {
-        relay.in_flight.fetch_add(1, Ordering::SeqCst);
-        Self { relay: Arc::clone(relay) }
+    /// Counts a request that has arrived; `None` if it came too late to be admitted.
+    pub fn try_new(relay: &Arc<Relay>) -> Option<Self> {
+        let is_counted = relay.drain.begin_request(relay.now_ms(), &relay.drain_timings());
+        is_counted.then(|| Self { relay: Arc::clone(relay) })
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.relay.in_flight.fetch_sub(1, Ordering::SeqCst);
+        self.relay.drain.end_request();
     }
 }
