Entry: decide admission and the end of the drain in one state

Callers with an order id of a draining entry got 409 (4005, may_have_run) for orders that their service had executed. The entry that had issued the id runs the call, whichever entry receives it, and such forwarded calls were admitted without a look at the drain: they went through a channel and were counted only in the task that ran them. The drain was declared over at in_flight == 0, a call that arrived after that still went to a service, and the process ended under it. Handed-over jobs had the same gap between JobTaken and the table of jobs.

DrainState now holds the phase and the number of requests in flight behind one lock. A request is admitted and counted in one step, and the drain completes in the same state, with the jobs' lock held, so nothing can be admitted once it is complete. Forwarded calls and handovers are admitted when their message is received; after the grace period they are refused (2003, not_run) like a caller's request. Further work of an admitted request extends its admission by cloning the guard.

drain_orders_forwarded_until_exit_none_cut_off before the change:

"code":4005, "The owner of this order id can't be reached.", "execution":"may_have_run" ...

It passes with the change, as do the tests of jobs, orders and streams.

--- a/crates/entry/src/caller/at_most_once.rs
+++ b/crates/entry/src/caller/at_most_once.rs
@@ -171,14 +171,13 @@
         &context.entry,
         &context.request_id,
         CallerIdentity::clone(&context.identity),
+        context.extend_in_flight(),
     );
     detached.usage_key.clone_from(&context.usage_key);
     let routed = routed.clone();
-    let guard = InFlightGuard::new(&context.entry);
     ntex::rt::spawn(async move {
         let result = dispatch(&detached, &routed, &call, claim).await;
         let _ = reply.send(result);
-        drop(guard);
     });
     let result = receiver.await.map_err(|_| Problem::new(ErrorCode::Internal))?;
     result.map(|response| to_executed_response(&response))
@@ -343,18 +342,20 @@
     while let Some(request) = requests.recv().await {
         let entry = Arc::clone(&entry);
         ntex::rt::spawn(async move {
-            let guard = InFlightGuard::new(&entry);
-            let reply = execute_forwarded(&entry, &request.call).await;
+            let reply = execute_forwarded(&entry, &request.call, &request.guard).await;
             if let Some(mesh) = entry.mesh() {
                 mesh.send(&request.from, &PeerMessage::ForwardAnswer(reply));
             }
-            drop(guard);
         });
     }
 }
 
-async fn execute_forwarded(entry: &Arc<Entry>, forwarded: &ForwardedCall) -> ForwardAnswer {
-    match try_execute_forwarded(entry, forwarded).await {
+async fn execute_forwarded(
+    entry: &Arc<Entry>,
+    forwarded: &ForwardedCall,
+    guard: &InFlightGuard,
+) -> ForwardAnswer {
+    match try_execute_forwarded(entry, forwarded, guard).await {
         Ok(response) => ForwardAnswer {
             call_id: forwarded.call_id,
             error_number: None,
@@ -362,19 +363,25 @@
             detail: String::new(),
             answer: Some(response),
         },
-        Err(problem) => ForwardAnswer {
-            call_id: forwarded.call_id,
-            error_number: Some(problem.code.number()),
-            execution: problem.execution.as_str().to_owned(),
-            detail: problem.detail,
-            answer: None,
-        },
+        Err(problem) => problem_to_forward_answer(forwarded.call_id, problem),
+    }
+}
+
+/// The answer to a forwarded call that failed or was refused.
+pub fn problem_to_forward_answer(call_id: u64, problem: Problem) -> ForwardAnswer {
+    ForwardAnswer {
+        call_id,
+        error_number: Some(problem.code.number()),
+        execution: problem.execution.as_str().to_owned(),
+        detail: problem.detail,
+        answer: None,
     }
 }
 
 async fn try_execute_forwarded(
     entry: &Arc<Entry>,
     forwarded: &ForwardedCall,
+    guard: &InFlightGuard,
 ) -> Result<StoredResponse, Problem> {
     if forwarded.incarnation != entry.incarnation {
         return Err(ErrorCode::OwnerUnreachable.into());
@@ -384,7 +391,8 @@
         caller: forwarded.caller.clone(),
         highest_rank: None,
     };
-    let mut context = CallContext::detached(entry, &forwarded.request_id, identity);
+    let mut context =
+        CallContext::detached(entry, &forwarded.request_id, identity, Some(guard.clone()));
     let routed = context.route(&forwarded.service, Some(&forwarded.rank))?;
     let call = PlainCall {
         method: forwarded.method.clone(),
--- a/crates/entry/src/caller/chat.rs
+++ b/crates/entry/src/caller/chat.rs
@@ -229,7 +229,7 @@
         caller: job.caller.clone(),
         highest_rank: None,
     };
-    let mut context = CallContext::detached(entry, &job.job_id, identity);
+    let mut context = CallContext::detached(entry, &job.job_id, identity, None);
     let result = match start_job(&mut context, job) {
         Ok(mut session) => session.complete().await,
         Err(problem) => Err(problem),
--- a/crates/entry/src/caller/context.rs
+++ b/crates/entry/src/caller/context.rs
@@ -51,21 +51,27 @@
 }
 
 impl CallContext {
-    /// Creates the context of a received request and starts its span.
-    pub fn new(entry: &Arc<Entry>, request: &HttpRequest, guard: InFlightGuard) -> Self {
+    /// Creates the context of a received request and starts its span. Without a guard the request
+    /// is refused.
+    pub fn new(entry: &Arc<Entry>, request: &HttpRequest, guard: Option<InFlightGuard>) -> Self {
         let parent = read_header(request, "traceparent").and_then(TraceContext::from_traceparent);
         let mut span = Span::start("caller", parent);
         let request_id = request_id_or_new(entry, request);
         span.set_attribute("request_id", request_id.as_str());
         span.set_attribute("path", request.path());
-        Self::with_span(entry, request_id, span, Some(guard))
+        Self::with_span(entry, request_id, span, guard)
     }
 
     /// Creates the context of a call that is not tied to a caller's connection: a job, a forwarded
-    /// call, or a claimed call.
-    pub fn detached(entry: &Arc<Entry>, request_id: &str, identity: CallerIdentity) -> Self {
+    /// call, or a claimed call. A job has no guard, because the drain waits for the table of jobs.
+    pub fn detached(
+        entry: &Arc<Entry>,
+        request_id: &str,
+        identity: CallerIdentity,
+        guard: Option<InFlightGuard>,
+    ) -> Self {
         let span = Span::start("job", None);
-        let mut context = Self::with_span(entry, request_id.to_owned(), span, None);
+        let mut context = Self::with_span(entry, request_id.to_owned(), span, guard);
         context.identity = Arc::new(identity);
         context
     }
@@ -183,6 +189,16 @@
         }
     }
 
+    /// Whether the request was admitted and is counted as in flight.
+    pub fn is_admitted(&self) -> bool {
+        self.guard.is_some()
+    }
+
+    /// A guard for further work of this call that may outlive its context.
+    pub fn extend_in_flight(&self) -> Option<InFlightGuard> {
+        self.guard.clone()
+    }
+
     /// Moves the in-flight guard out, for a streamed response that outlives the request handler.
     pub fn take_in_flight_guard(&mut self) -> Option<InFlightGuard> {
         self.guard.take()
--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -13,7 +13,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_upstream::HttpUpstreams;
@@ -22,7 +21,7 @@
 
 use crate::state::{Entry, InFlightGuard};
 
-pub use at_most_once::run_forwarded_calls;
+pub use at_most_once::{problem_to_forward_answer, run_forwarded_calls};
 pub use chat::{is_transient_failure, run_job};
 pub use context::CallContext;
 pub use respond::problem_response;
@@ -48,7 +47,7 @@
         "/readyz" => return respond_readiness(&entry),
         _ => {}
     }
-    let guard = InFlightGuard::new(&entry);
+    let guard = InFlightGuard::try_admit(&entry);
     let mut context = CallContext::new(&entry, &request, guard);
     let result = route_request(&mut context, &request, payload).await;
     respond::finalize(context, result)
@@ -90,10 +89,10 @@
 fn validate_request(context: &CallContext, request: &HttpRequest) -> Result<(), Problem> {
     let entry = &context.entry;
     let limits = &entry.settings.limits;
-    if entry.drain.is_refusing_requests(entry.clock.now_ms()) {
+    if !context.is_admitted() {
         return Err(Problem::new(ErrorCode::Draining).with_retry_after_s(1));
     }
-    if entry.in_flight.load(Ordering::SeqCst) > limits.requests as u64 {
+    if entry.drain.in_flight() > limits.requests as u64 {
         return Err(Problem::new(ErrorCode::TooManyRequests).with_retry_after_s(1));
     }
     let headers = request.headers();
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -5,13 +5,17 @@
 //! served for a grace period, in which the load balancer observes the failed readiness, and refused
 //! after it. The process exits when no request and no job is in flight, or at the drain timeout.
 //! The HTTP library's own graceful stop is not used because it aborts streams.
+//!
+//! Admission and the end of the drain are decided in one state under one lock ([`DrainState`]), so
+//! that the process never ends under a request that it has admitted. What it can't admit any more
+//! is refused with [`Draining`](hickorycourse_codes::ErrorCode::Draining).
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use hickorycourse_peer::PeerMessage;
 use ntex::time::sleep;
+use parking_lot::Mutex;
 use tokio::sync::Notify;
 
 use crate::state::Entry;
@@ -19,29 +23,46 @@
 /// Grace period in which new requests are still served. It is shorter than the 3 s after the notice
 /// within which traffic to a leaving instance has to cease.
 pub const GRACE_MS: u64 = 2_000;
-const NOT_LEAVING: u64 = 0;
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Whether and since when this entry is draining.
+/// The phase of the drain and the number of requests in flight.
 #[derive(Debug, Default)]
 pub struct DrainState {
-    /// Start of the drain plus one; 0 while the entry is not draining.
-    since_ms: AtomicU64,
+    progress: Mutex<Progress>,
     started: Notify,
 }
 
+#[derive(Debug, Default)]
+struct Progress {
+    phase: Phase,
+    in_flight: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Phase {
+    #[default]
+    Serving,
+    Draining {
+        since_ms: u64,
+    },
+    /// Nothing is in flight and nothing is admitted any more.
+    Complete,
+}
+
 impl DrainState {
     /// Starts the drain; false if it had already started.
     pub fn start(&self, now_ms: u64) -> bool {
-        let started = self.since_ms.compare_exchange(
-            NOT_LEAVING,
-            now_ms + 1,
-            Ordering::SeqCst,
-            Ordering::SeqCst,
-        );
+        let is_first = {
+            let mut progress = self.progress.lock();
+            let is_first = progress.phase == Phase::Serving;
+            if is_first {
+                progress.phase = Phase::Draining { since_ms: now_ms };
+            }
+            is_first
+        };
         // `Notify` stores the permit if no task is waiting yet.
         self.started.notify_one();
-        started.is_ok()
+        is_first
     }
 
     /// Waits until the drain starts. Only one task may wait, because the notification wakes only
@@ -54,13 +75,63 @@
 
     /// Whether the drain has started.
     pub fn is_leaving(&self) -> bool {
-        self.since_ms.load(Ordering::SeqCst) != NOT_LEAVING
+        self.progress.lock().phase != Phase::Serving
     }
 
-    /// Whether new requests are refused: the grace period of the drain has elapsed.
-    pub fn is_refusing_requests(&self, now_ms: u64) -> bool {
-        let since_ms = self.since_ms.load(Ordering::SeqCst);
-        since_ms != NOT_LEAVING && now_ms + 1 >= since_ms + GRACE_MS
+    /// Whether the drain is complete.
+    pub fn is_complete(&self) -> bool {
+        self.progress.lock().phase == Phase::Complete
+    }
+
+    /// Number of requests in flight: callers' requests, detached calls, and calls and jobs received
+    /// from peers.
+    pub fn in_flight(&self) -> u64 {
+        self.progress.lock().in_flight
+    }
+
+    /// Counts a new request as in flight, unless the grace period of the drain has elapsed. Each
+    /// admission is ended by [`Self::end`].
+    pub fn try_admit(&self, now_ms: u64) -> bool {
+        let mut progress = self.progress.lock();
+        let is_admitted = match progress.phase {
+            Phase::Serving => true,
+            Phase::Draining { since_ms } => now_ms < since_ms + GRACE_MS,
+            Phase::Complete => false,
+        };
+        progress.in_flight += u64::from(is_admitted);
+        is_admitted
+    }
+
+    /// Counts further work of a request in flight, in any phase.
+    pub fn extend(&self) {
+        self.progress.lock().in_flight += 1;
+    }
+
+    /// Ends what [`Self::try_admit`] or [`Self::extend`] has counted.
+    pub fn end(&self) {
+        self.progress.lock().in_flight -= 1;
+    }
+
+    /// Completes the drain if its grace period has elapsed and no request is in flight.
+    pub fn try_complete(&self, now_ms: u64) -> bool {
+        let mut progress = self.progress.lock();
+        let is_due = match progress.phase {
+            Phase::Serving => false,
+            Phase::Draining { since_ms } => now_ms >= since_ms + GRACE_MS,
+            Phase::Complete => true,
+        };
+        let is_complete = is_due && progress.in_flight == 0;
+        if is_complete {
+            progress.phase = Phase::Complete;
+        }
+        is_complete
+    }
+
+    /// Completes the drain at its timeout; returns the number of requests that are cut off.
+    pub fn abort(&self) -> u64 {
+        let mut progress = self.progress.lock();
+        progress.phase = Phase::Complete;
+        progress.in_flight
     }
 }
 
@@ -83,13 +154,13 @@
     let limit_ms = entry.settings.timing.drain_timeout_ms;
     loop {
         let now_ms = entry.clock.now_ms();
-        let in_flight = entry.in_flight.load(Ordering::SeqCst);
-        let jobs = entry.jobs.lock().count_blocking_drain();
-        if entry.drain.is_refusing_requests(now_ms) && in_flight == 0 && jobs == 0 {
+        if try_complete(entry, now_ms) {
             log::info!(target: "drain", "Drain complete: no requests or jobs in flight.");
             return;
         }
         if now_ms >= started_at_ms + limit_ms.max(GRACE_MS) {
+            let in_flight = entry.drain.abort();
+            let jobs = entry.jobs.lock().count_blocking_drain();
             log::warn!(
                 target: "drain",
                 "Drain timeout of {limit_ms} ms: aborting {in_flight} requests and {jobs} jobs.",
@@ -99,3 +170,10 @@
         sleep(POLL_INTERVAL).await;
     }
 }
+
+/// Holds the lock of the jobs while it decides, so that none is added in between: jobs are added
+/// only by requests in flight or, before the drain is complete, by the job task.
+fn try_complete(entry: &Entry, now_ms: u64) -> bool {
+    let jobs = entry.jobs.lock();
+    jobs.count_blocking_drain() == 0 && entry.drain.try_complete(now_ms)
+}
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use crate::caller;
+use crate::peers::JobHandover;
 use crate::state::Entry;
 
 /// Interval of the task's ticks.
@@ -19,12 +20,12 @@
 /// Runs the job task until the channel of ticks closes.
 pub async fn run_job_task(
     entry: Arc<Entry>,
-    mut handovers: mpsc::UnboundedReceiver<JobCopy>,
+    mut handovers: mpsc::UnboundedReceiver<JobHandover>,
     mut ticks: mpsc::Receiver<hickorycourse_clock::Tick>,
 ) {
     loop {
         let actions = tokio::select! {
-            Some(copy) = handovers.recv() => accept_handover(&entry, &copy),
+            Some(handover) = handovers.recv() => accept_handover(&entry, handover),
             tick = ticks.recv() => match tick {
                 Some(_) => tick_jobs(&entry),
                 None => return,
@@ -36,8 +37,11 @@
     }
 }
 
-fn accept_handover(entry: &Entry, copy: &JobCopy) -> Vec<JobAction> {
-    entry.jobs.lock().accept_handover(copy, own_id(entry), entry.clock.now_ms())
+fn accept_handover(entry: &Entry, handover: JobHandover) -> Vec<JobAction> {
+    let JobHandover { copy, guard } = handover;
+    let actions = entry.jobs.lock().accept_handover(&copy, own_id(entry), entry.clock.now_ms());
+    drop(guard);
+    actions
 }
 
 fn own_id(entry: &Entry) -> HolderId<'_> {
@@ -64,6 +68,9 @@
         copy_target: copy_target.as_deref(),
     };
     let mut jobs = entry.jobs.lock();
+    if entry.drain.is_complete() {
+        return Vec::new();
+    }
     let mut actions = jobs.tick(&view);
     actions.extend(jobs.take_over_lost(&view, own_id(entry)));
     actions
--- a/crates/entry/src/operator/status.rs
+++ b/crates/entry/src/operator/status.rs
@@ -18,7 +18,7 @@
         metrics::counter!("hickorycourse_peer_received_bytes_total")
             .absolute(traffic.received_bytes);
     }
-    let in_flight = entry.in_flight.load(Ordering::Relaxed);
+    let in_flight = entry.drain.in_flight();
     metrics::gauge!("hickorycourse_requests_in_flight").set(in_flight as f64);
     HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(entry.meter.render())
 }
@@ -42,7 +42,7 @@
         "availability_zone": entry.settings.availability_zone,
         "incarnation": format!("{:x}", entry.incarnation),
         "is_leaving": entry.drain.is_leaving(),
-        "in_flight": entry.in_flight.load(Ordering::Relaxed),
+        "in_flight": entry.drain.in_flight(),
         "is_platform_up": entry.is_platform_up.load(Ordering::Relaxed),
         "settings_digest": format!("{:016x}", snapshot.digest),
         "settings": entry.replica.read().list_versions(),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -3,13 +3,14 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_jobs::JobCopy;
 use hickorycourse_peer::{ForwardAnswer, ForwardedCall, PeerHandler, PeerMessage};
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::drain;
-use crate::state::{Entry, UsageOwner};
+use crate::state::{Entry, InFlightGuard, UsageOwner};
+use crate::{caller, drain};
 
 /// A call that a peer has forwarded to this entry.
 pub struct ForwardRequest {
@@ -17,6 +18,16 @@
     pub from: String,
     /// The call.
     pub call: ForwardedCall,
+    /// Counts the call as in flight until its answer has been sent.
+    pub guard: InFlightGuard,
+}
+
+/// A job that a peer has handed over to this entry.
+pub struct JobHandover {
+    /// The job.
+    pub copy: JobCopy,
+    /// Counts the job as in flight until it is in the table of jobs.
+    pub guard: InFlightGuard,
 }
 
 /// Calls forwarded by this entry that await a response.
@@ -58,7 +69,7 @@
 /// tasks of the main thread, so that they do not block the links.
 pub struct EntryPeerHandler {
     entry: Arc<Entry>,
-    handovers: mpsc::UnboundedSender<JobCopy>,
+    handovers: mpsc::UnboundedSender<JobHandover>,
 }
 
 /// Job queries sent by this entry that await replies.
@@ -89,7 +100,7 @@
 
 impl EntryPeerHandler {
     /// Creates the handler. Jobs handed over by peers are sent to `handovers`.
-    pub fn new(entry: &Arc<Entry>, handovers: mpsc::UnboundedSender<JobCopy>) -> Arc<Self> {
+    pub fn new(entry: &Arc<Entry>, handovers: mpsc::UnboundedSender<JobHandover>) -> Arc<Self> {
         Arc::new(Self { entry: Arc::clone(entry), handovers })
     }
 
@@ -124,8 +135,9 @@
                 if entry.drain.is_leaving() {
                     return Vec::new();
                 }
+                let Some(guard) = InFlightGuard::try_admit(entry) else { return Vec::new() };
                 let job_id = copy.job_id.clone();
-                let _ = self.handovers.send(copy);
+                let _ = self.handovers.send(JobHandover { copy, guard });
                 return vec![PeerMessage::JobTaken { job_id }];
             }
             PeerMessage::JobTaken { job_id } => {
@@ -143,6 +155,18 @@
         Vec::new()
     }
 
+    /// Passes a forwarded call on to its task, or refuses it like a caller's request.
+    fn handle_forward(&self, from: &str, call: ForwardedCall) -> Vec<PeerMessage> {
+        let Some(guard) = InFlightGuard::try_admit(&self.entry) else {
+            let problem = Problem::new(ErrorCode::Draining);
+            let answer = caller::problem_to_forward_answer(call.call_id, problem);
+            return vec![PeerMessage::ForwardAnswer(answer)];
+        };
+        let request = ForwardRequest { from: from.to_owned(), call, guard };
+        let _ = self.entry.forwarded_calls.send(request);
+        Vec::new()
+    }
+
     /// Replies with the documents of which this entry has a newer revision. If the peer has a newer
     /// revision of any, also replies with this entry's revisions, so that the peer sends it.
     fn handle_versions(
@@ -175,9 +199,7 @@
                 let owner = UsageOwner { instance: from.to_owned(), incarnation };
                 entry.usage_copies.lock().entry(owner).or_default().merge(&book);
             }
-            PeerMessage::Forward(call) => {
-                let _ = entry.forwarded_calls.send(ForwardRequest { from: from.to_owned(), call });
-            }
+            PeerMessage::Forward(call) => return self.handle_forward(from, call),
             PeerMessage::ForwardAnswer(answer) => entry.pending_forwards.complete(answer),
             PeerMessage::Goodbye => entry.members.lock().remove(from),
             job_message => return self.handle_job_message(from, job_message),
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -6,7 +6,6 @@
 
 use eyre::WrapErr;
 use hickorycourse_clock::TimerService;
-use hickorycourse_jobs::JobCopy;
 use hickorycourse_peer::{PeerHandler, PeerMesh, PeerMessage, PeerOptions};
 use hickorycourse_settings::{LogFormat, LogLevel, ProcessSettings};
 use hickorycourse_store::{Fleet, FleetClient, GatewayClient, KeyValue};
@@ -18,7 +17,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 
-use crate::peers::EntryPeerHandler;
+use crate::peers::{EntryPeerHandler, JobHandover};
 use crate::state::{Entry, TaskChannels};
 use crate::{caller, claims, drain, jobs, operator, platform_tasks, reports, spans, usage_tasks};
 
@@ -103,7 +102,7 @@
 fn start_peer_mesh(
     entry: &Arc<Entry>,
     timer: &TimerService,
-) -> eyre::Result<mpsc::UnboundedReceiver<JobCopy>> {
+) -> eyre::Result<mpsc::UnboundedReceiver<JobHandover>> {
     let (sender, handovers) = mpsc::unbounded_channel();
     let handler: Arc<dyn PeerHandler> = EntryPeerHandler::new(entry, sender);
     let options = PeerOptions {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -57,10 +57,8 @@
     pub job_waiters: Mutex<HashMap<String, oneshot::Sender<()>>>,
     /// Names of the instances known to be leaving.
     pub leaving_instances: Mutex<BTreeSet<String>>,
-    /// Whether and since when this entry is draining.
+    /// The phase of the drain and the number of requests in flight.
     pub drain: DrainState,
-    /// Number of callers' requests, detached calls and forwarded calls in flight.
-    pub in_flight: AtomicU64,
     /// Whether the last claim access or settings watch at the platform's key-value service
     /// succeeded.
     pub is_platform_up: AtomicBool,
@@ -115,7 +113,6 @@
             job_waiters: Mutex::default(),
             leaving_instances: Mutex::default(),
             drain: DrainState::default(),
-            in_flight: AtomicU64::new(0),
             is_platform_up: AtomicBool::new(false),
             claim_commands: channels.claim_commands,
             forwarded_calls: channels.forwarded_calls,
@@ -285,15 +282,23 @@
 }
 
 impl InFlightGuard {
-    /// Increments the number of requests in flight.
-    pub fn new(entry: &Arc<Entry>) -> Self {
-        entry.in_flight.fetch_add(1, Ordering::SeqCst);
-        Self { entry: Arc::clone(entry) }
+    /// Admits a new request; `None` if the drain refuses it.
+    pub fn try_admit(entry: &Arc<Entry>) -> Option<Self> {
+        let is_admitted = entry.drain.try_admit(entry.clock.now_ms());
+        is_admitted.then(|| Self { entry: Arc::clone(entry) })
+    }
+}
+
+impl Clone for InFlightGuard {
+    /// Counts further work of the same request, which the drain waits for too.
+    fn clone(&self) -> Self {
+        self.entry.drain.extend();
+        Self { entry: Arc::clone(&self.entry) }
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.entry.in_flight.fetch_sub(1, Ordering::SeqCst);
+        self.entry.drain.end();
     }
 }
