Entry: a response is in flight until its last byte is in the socket

Callers that read slowly got a response that broke off when the entry was stopped. A response that is not streamed was counted as in flight until the handler returned it, before the first byte was written, and a stream until its last event was in the connection's write buffer. The drain was declared over, and the rest of the buffer was given 0.3 s, plus one second of the HTTP library's shutdown timeout.

The in-flight guard now moves into the response's body, for streams and complete responses alike. The body ends only once the write buffer is empty, so the drain waits for the bytes, and a connection that closes after its response has none left. Without a slow caller the buffer is written in the same poll and nothing waits.

--- a/crates/entry/src/caller/chat.rs
+++ b/crates/entry/src/caller/chat.rs
@@ -171,7 +171,7 @@
 /// Starts a streamed response. The first event is awaited before the headers are sent, so that a
 /// rejected request still gets its own status code.
 async fn respond_streaming(
-    context: &mut CallContext,
+    context: &CallContext,
     mut session: ChatSession,
 ) -> Result<HttpResponse, Problem> {
     let first = session.next().await?;
@@ -179,7 +179,6 @@
         session: Some(session),
         next: Some(first),
         request_id: context.request_id.clone(),
-        _guard: context.take_in_flight_guard(),
     };
     let events = Box::pin(stream::unfold(state, |mut state| async move {
         let event = state.next_sse_event().await?;
@@ -195,7 +194,6 @@
     session: Option<ChatSession>,
     next: Option<SessionEvent>,
     request_id: String,
-    _guard: Option<crate::state::InFlightGuard>,
 }
 
 impl SseStream {
--- a/crates/entry/src/caller/context.rs
+++ b/crates/entry/src/caller/context.rs
@@ -199,7 +199,7 @@
         self.guard.clone()
     }
 
-    /// Moves the in-flight guard out, for a streamed response that outlives the request handler.
+    /// Moves the in-flight guard out, for the response, which outlives the request handler.
     pub fn take_in_flight_guard(&mut self) -> Option<InFlightGuard> {
         self.guard.take()
     }
--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -9,6 +9,7 @@
 mod order_ids;
 mod plain;
 mod respond;
+mod response_body;
 mod session;
 
 use std::rc::Rc;
@@ -50,7 +51,7 @@
     let guard = InFlightGuard::try_admit(&entry);
     let mut context = CallContext::new(&entry, &request, guard);
     let result = route_request(&mut context, &request, payload).await;
-    respond::finalize(context, result)
+    respond::finalize(context, result, request.io())
 }
 
 fn respond_readiness(entry: &Entry) -> HttpResponse {
--- a/crates/entry/src/caller/respond.rs
+++ b/crates/entry/src/caller/respond.rs
@@ -2,13 +2,21 @@
 
 use hickorycourse_codes::Problem;
 use hickorycourse_usage::UsageCount;
+use ntex::http::body::{Body, ResponseBody};
 use ntex::http::{StatusCode, header};
+use ntex::io::IoRef;
 use ntex::web::HttpResponse;
 
 use super::context::CallContext;
+use super::response_body::FlushedBody;
 
-/// Converts the result of a call to a response, and records the call's metrics and span.
-pub fn finalize(mut context: CallContext, result: Result<HttpResponse, Problem>) -> HttpResponse {
+/// Converts the result of a call to a response, and records the call's metrics and span. The call is
+/// in flight until the response has been written to its connection.
+pub fn finalize(
+    mut context: CallContext,
+    result: Result<HttpResponse, Problem>,
+    connection: Option<&IoRef>,
+) -> HttpResponse {
     let mut response = match result {
         Ok(response) => response,
         Err(problem) => record_problem(&mut context, &problem),
@@ -22,8 +30,15 @@
     metrics::counter!("hickorycourse_requests_total", "status" => status.clone()).increment(1);
     context.span.set_attribute("status", status);
     let entry = context.entry.clone();
+    let guard = context.take_in_flight_guard();
     context.span.end(&entry.spans);
-    response
+    match (guard, connection) {
+        (Some(guard), Some(io)) => response.map_body(|_, body| {
+            let body = FlushedBody::new(body.into(), io.clone(), guard);
+            ResponseBody::Body(Body::from_message(body))
+        }),
+        _ => response,
+    }
 }
 
 fn record_problem(context: &mut CallContext, problem: &Problem) -> HttpResponse {
