Entry: refuse requests on open connections until these are gone

Callers that used a kept-alive connection at the moment at which a drained entry ended got a reset instead of a response. Once the drain was complete, the servers were stopped after 0.3 s, and the HTTP library drops what it has not read yet on connections that look idle to it.

After the drain the entry now goes on refusing requests (2003, not_run, `Connection: close`) until callers have no open connection, for at most 5 s. Responses of health checks close their connection in a drain too, so that a balancer's kept-alive checks don't hold the process. What remains is a connection that was not used since the signal and is used for the first time at the end of these 5 s.

--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -4,6 +4,7 @@
 mod at_most_once;
 mod chat;
 mod completion_writer;
+mod connections;
 mod context;
 mod models;
 mod order_ids;
@@ -24,6 +25,7 @@
 
 pub use at_most_once::{problem_to_forward_answer, run_forwarded_calls};
 pub use chat::{is_transient_failure, run_job};
+pub use connections::wait_until_closed;
 pub use context::CallContext;
 pub use respond::problem_response;
 
@@ -43,9 +45,10 @@
     entry: types::State<Arc<Entry>>,
 ) -> HttpResponse {
     let entry: Arc<Entry> = Arc::clone(&entry);
+    connections::track(&entry, request.io());
     match request.path() {
-        "/healthz" => return HttpResponse::Ok().body("alive\n"),
-        "/readyz" => return respond_readiness(&entry),
+        "/healthz" => return respond::close_if_leaving(&entry, HttpResponse::Ok().body("alive\n")),
+        "/readyz" => return respond::close_if_leaving(&entry, respond_readiness(&entry)),
         _ => {}
     }
     let guard = InFlightGuard::try_admit(&entry);
--- a/crates/entry/src/caller/respond.rs
+++ b/crates/entry/src/caller/respond.rs
@@ -9,6 +9,7 @@
 
 use super::context::CallContext;
 use super::response_body::FlushedBody;
+use crate::state::Entry;
 
 /// Converts the result of a call to a response, and records the call's metrics and span. The call is
 /// in flight until the response has been written to its connection.
@@ -22,10 +23,7 @@
         Err(problem) => record_problem(&mut context, &problem),
     };
     set_header(&mut response, "x-request-id", &context.request_id);
-    if context.entry.drain.is_leaving() {
-        // Closes the connection, so that the caller's next request reaches another instance.
-        response.head_mut().set_connection_type(ntex::http::ConnectionType::Close);
-    }
+    response = close_if_leaving(&context.entry, response);
     let status = response.status().as_u16().to_string();
     metrics::counter!("hickorycourse_requests_total", "status" => status.clone()).increment(1);
     context.span.set_attribute("status", status);
@@ -41,6 +39,15 @@
     }
 }
 
+/// Makes the response close its connection if this entry is leaving, so that the caller's next
+/// request reaches another instance.
+pub fn close_if_leaving(entry: &Entry, mut response: HttpResponse) -> HttpResponse {
+    if entry.drain.is_leaving() {
+        response.head_mut().set_connection_type(ntex::http::ConnectionType::Close);
+    }
+    response
+}
+
 fn record_problem(context: &mut CallContext, problem: &Problem) -> HttpResponse {
     let number = problem.code.number();
     log::debug!(target: "caller", "Request {} failed: {problem}.", context.request_id);
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -26,6 +26,9 @@
 /// Time after which an idle connection of a caller is closed.
 const KEEP_ALIVE_S: u16 = 30;
 const OPERATOR_WORKERS: usize = 1;
+/// Time after the drain in which requests on connections that are still open are refused. Callers
+/// that have not used a connection by then close it themselves or find it closed.
+const IDLE_CONNECTION_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(5_000);
 /// Delay after the last request has completed, so that buffered response bytes are sent before the
 /// servers stop.
 const RESPONSE_FLUSH_DELAY: std::time::Duration = std::time::Duration::from_millis(300);
@@ -74,6 +77,7 @@
     if let Some(mesh) = entry.mesh() {
         mesh.broadcast(&PeerMessage::Goodbye);
     }
+    caller::wait_until_closed(&entry, IDLE_CONNECTION_TIMEOUT).await;
     sleep(RESPONSE_FLUSH_DELAY).await;
     caller_server.stop(true).await;
     operator_server.stop(true).await;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -59,6 +59,8 @@
     pub leaving_instances: Mutex<BTreeSet<String>>,
     /// The phase of the drain and the number of requests in flight.
     pub drain: DrainState,
+    /// Number of callers' open connections on which a request has been received.
+    pub open_connections: AtomicU64,
     /// Whether the last claim access or settings watch at the platform's key-value service
     /// succeeded.
     pub is_platform_up: AtomicBool,
@@ -113,6 +115,7 @@
             job_waiters: Mutex::default(),
             leaving_instances: Mutex::default(),
             drain: DrainState::default(),
+            open_connections: AtomicU64::new(0),
             is_platform_up: AtomicBool::new(false),
             claim_commands: channels.claim_commands,
             forwarded_calls: channels.forwarded_calls,
--- a/crates/entry/tests/drain.rs
+++ b/crates/entry/tests/drain.rs
@@ -6,25 +6,72 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use hickorycourse_testkit::fleet::{DEALER_KEY, poll_until};
+use hickorycourse_testkit::fleet::{DEALER_KEY, MODEL, poll_until};
 use hickorycourse_testkit::prelude::*;
 
 /// Longer than the grace period and everything that follows it.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(20);
 const DRAINING: u64 = 2003;
 
+/// What a caller got on a kept-alive connection.
+#[derive(Debug)]
+enum Outcome {
+    /// A response with its whole body.
+    Whole { status: u16, closes_connection: bool, body: String },
+    /// The connection had been closed before the request was sent.
+    ClosedBefore,
+}
+
 /// A kept-alive connection of a caller.
 struct Connection {
     reader: BufReader<TcpStream>,
 }
 
 impl Connection {
+    /// Connects and exchanges one request, so that a worker of the entry has the connection.
     fn open(address: SocketAddr) -> Self {
         let stream = TcpStream::connect(address).unwrap();
+        stream.set_nodelay(true).unwrap();
         stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
-        Self { reader: BufReader::new(stream) }
+        let mut connection = Self { reader: BufReader::new(stream) };
+        let outcome = connection.exchange("GET", "/healthz", &[], "");
+        assert!(matches!(outcome, Ok(Outcome::Whole { status: 200, .. })), "{outcome:?}");
+        connection
+    }
+
+    fn is_closed(&self) -> bool {
+        let stream = self.reader.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let peeked = stream.peek(&mut [0]);
+        stream.set_nonblocking(false).unwrap();
+        match peeked {
+            Ok(length) => length == 0,
+            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Sends a request and reads its response; an error if there is no whole response.
+    fn exchange(
+        &mut self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> std::io::Result<Outcome> {
+        let mut text = format!("{method} {path} HTTP/1.1\r\nhost: entry\r\n");
+        text.push_str(&format!("authorization: Bearer {DEALER_KEY}\r\n"));
+        for (name, value) in headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        text.push_str(&format!("content-length: {}\r\n\r\n{body}", body.len()));
+        if self.is_closed() {
+            return Ok(Outcome::ClosedBefore);
+        }
+        self.reader.get_mut().write_all(text.as_bytes())?;
+        self.read_response()
     }
 
     fn read_head(&mut self) -> std::io::Result<(u16, BTreeMap<String, String>)> {
@@ -45,6 +92,122 @@
             };
         }
     }
+
+    fn read_response(&mut self) -> std::io::Result<Outcome> {
+        let (status, headers) = self.read_head()?;
+        let mut body = Vec::new();
+        match headers.get("content-length") {
+            Some(length) => {
+                body.resize(length.parse().unwrap(), 0);
+                self.reader.read_exact(&mut body)?;
+            }
+            None => self.read_chunks(&mut body)?,
+        }
+        let connection = headers.get("connection").map_or("", String::as_str);
+        Ok(Outcome::Whole {
+            status,
+            closes_connection: connection.eq_ignore_ascii_case("close"),
+            body: String::from_utf8_lossy(&body).into_owned(),
+        })
+    }
+
+    fn read_chunks(&mut self, body: &mut Vec<u8>) -> std::io::Result<()> {
+        loop {
+            let mut line = String::new();
+            self.reader.read_line(&mut line)?;
+            let length = usize::from_str_radix(line.trim_end(), 16)
+                .map_err(|_| std::io::Error::other("a chunk is missing"))?;
+            let mut chunk = vec![0; length + 2];
+            self.reader.read_exact(&mut chunk)?;
+            if length == 0 {
+                return Ok(());
+            }
+            body.extend_from_slice(&chunk[..length]);
+        }
+    }
+}
+
+/// Whether the response is the whole answer, or a truthful rejection after which the connection is
+/// closed.
+fn is_answered(outcome: &std::io::Result<Outcome>, kind: usize) -> bool {
+    let Ok(outcome) = outcome else { return false };
+    match outcome {
+        Outcome::ClosedBefore => true,
+        Outcome::Whole { status: 200, body, .. } => kind != 1 || body.ends_with("data: [DONE]\n\n"),
+        Outcome::Whole { status, closes_connection, body } => {
+            let problem: Value = serde_json::from_str(body).unwrap_or_default();
+            *status == 503
+                && *closes_connection
+                && problem["code"] == DRAINING
+                && problem["execution"] == "not_run"
+        }
+    }
+}
+
+/// Sends a plain call, a stream, a complete chat or an order, by turns.
+fn exchange_in_turn(connection: &mut Connection, number: usize) -> std::io::Result<Outcome> {
+    match number % 4 {
+        0 => connection.exchange("GET", &format!("/orders/{number}"), &[], ""),
+        1 => {
+            // From a few milliseconds to most of a second.
+            let tokens = [2, 20, 120][number % 3];
+            let body = chat_body(MODEL, &format!("drain {number}"), tokens, true).to_string();
+            connection.exchange("POST", "/v1/chat/completions", &[], &body)
+        }
+        2 => {
+            let body = chat_body(MODEL, &format!("drain {number}"), 3, false).to_string();
+            connection.exchange("POST", "/v1/chat/completions", &[], &body)
+        }
+        _ => {
+            let key = format!("drain-{number}");
+            connection.exchange("POST", "/orders/new", &[("idempotency-key", &key)], "x")
+        }
+    }
+}
+
+#[test]
+fn drain_kept_alive_connections_used_until_exit_all_answered() {
+    const INTERVAL: Duration = Duration::from_millis(5);
+    let mut fleet = FleetBuilder::new().with_concurrency(64).start();
+    for service in &fleet.services {
+        service.set_faults(&json!({ "delay_before_ms": 150 }));
+    }
+    let address = fleet.entries[0].caller_address;
+    let connections: Vec<Connection> = (0..1_000).map(|_| Connection::open(address)).collect();
+    fleet.entries[0].process.send_sigterm();
+    let started = Instant::now();
+    let is_exited = AtomicBool::new(false);
+    let outcomes: Vec<(usize, Duration, std::io::Result<Outcome>)> = std::thread::scope(|scope| {
+        let mut callers = Vec::new();
+        let exited = &is_exited;
+        let process = &mut fleet.entries[0].process;
+        scope.spawn(move || {
+            let status = process.wait(EXIT_TIMEOUT);
+            exited.store(true, Ordering::SeqCst);
+            assert!(status.is_some_and(|status| status.success()), "{status:?}");
+        });
+        for (number, mut connection) in connections.into_iter().enumerate() {
+            let due = INTERVAL * u32::try_from(number).unwrap();
+            std::thread::sleep(due.saturating_sub(started.elapsed()));
+            if is_exited.load(Ordering::SeqCst) {
+                break;
+            }
+            let sent_at = started.elapsed();
+            callers.push(scope.spawn(move || {
+                let outcome = exchange_in_turn(&mut connection, number);
+                (number, sent_at, outcome)
+            }));
+        }
+        callers.into_iter().map(|caller| caller.join().unwrap()).collect()
+    });
+    assert!(is_exited.load(Ordering::SeqCst), "the connections did not last until the exit");
+    let unanswered: Vec<_> =
+        outcomes.iter().filter(|(number, _, outcome)| !is_answered(outcome, number % 4)).collect();
+    assert!(unanswered.is_empty(), "{} of {}: {unanswered:?}", unanswered.len(), outcomes.len());
+    let rejected = outcomes
+        .iter()
+        .filter(|(.., outcome)| matches!(outcome, Ok(Outcome::Whole { status: 503, .. })));
+    assert!(rejected.count() > 10, "requests arrived after the grace period");
 }
 
 #[test]
