Relay: a response is in flight until its last byte is in the socket

Callers that read slowly got a response that broke off about 4 s after SIGTERM, although stop_ms is 8 s: 6.8 of 8.4 MB of a complete response that began 2.5 s after the signal.

Cause: the guard that counts a request ended when the handler returned a buffered response, or a stream its last event, while its bytes were still in the connection's write buffer. The process then waited for a fixed 0.1 s and the server's shutdown timeout. Beside that, the HTTP library closes a connection one second after a response with Connection: close was encoded, whether or not it is written.

Change: while the process stops, a request stays in flight until the write buffer of its connection is empty or the connection is closed; the fixed delay is gone. The time for the last bytes before a close is 30 s.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -2,6 +2,7 @@
 //! sent to an upstream as a [`Call`].
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
 use crate::buffered_response;
 use crate::call::{Call, DEFAULT_RETRY_AFTER_MS, RetryState};
 use crate::connections::ConnectionPool;
+use crate::drain::hold_until_flushed;
 use crate::messages::{copy_headers, read_host, write_buffered, write_headers};
 use crate::state::{InFlightGuard, Relay};
 use crate::stream::{self, StreamResponse};
@@ -58,11 +60,12 @@
     payload: Payload,
 ) -> HttpResponse {
     let arrived_at_ms = relay.now_ms();
-    let in_flight = InFlightGuard::try_new(&relay);
+    let in_flight = InFlightGuard::try_new(&relay).map(Rc::new);
     let connections = CONNECTIONS.with(ConnectionPool::clone);
     evict_idle_connections(&connections, arrived_at_ms);
     let mut outcome = RequestOutcome::default();
-    let result = serve(&relay, &request, payload, arrived_at_ms, in_flight, &mut outcome).await;
+    let result =
+        serve(&relay, &request, payload, arrived_at_ms, in_flight.clone(), &mut outcome).await;
     let mut response = match result {
         Ok(response) => response,
         Err(problem) => problem_response(&relay, &mut outcome, &problem),
@@ -89,6 +92,9 @@
     let label = status.to_string();
     metrics::counter!("hickorycourse_requests_total", "status" => label).increment(1);
     metrics::histogram!("hickorycourse_first_byte_seconds").record(took_ms as f64 / 1_000.0);
+    if let Some(in_flight) = in_flight {
+        hold_until_flushed(&relay, in_flight, request.io().cloned());
+    }
     response
 }
 
@@ -147,7 +153,7 @@
     request: &HttpRequest,
     payload: Payload,
     arrived_at_ms: u64,
-    in_flight: Option<InFlightGuard>,
+    in_flight: Option<Rc<InFlightGuard>>,
     outcome: &mut RequestOutcome,
 ) -> Result<HttpResponse, Problem> {
     let received = receive_request(relay, request, payload).await?;
@@ -288,7 +294,7 @@
 async fn respond_stream(
     call: Call,
     last_event_id: Option<u64>,
-    in_flight: InFlightGuard,
+    in_flight: Rc<InFlightGuard>,
     connection: Option<IoRef>,
     outcome: &mut RequestOutcome,
 ) -> Result<HttpResponse, Problem> {
--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -4,17 +4,21 @@
 //! Whether a request is admitted and whether the process may end are decided under one lock: once no
 //! request is in flight and the process is about to end, no further request is admitted.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use ntex::io::IoRef;
 use ntex::time::sleep;
 use parking_lot::Mutex;
 use serde_json::json;
 use tokio::sync::Notify;
 
-use crate::state::Relay;
+use crate::state::{InFlightGuard, Relay};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which the write buffer of a connection is checked.
+const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Shortest time between the stop signal and the end of the process, for callers that still arrive:
 /// the balancer needs two failed checks, a second apart, to detect that this instance is not ready.
 const MIN_DRAIN_MS: u64 = 2_800;
@@ -184,3 +188,18 @@
         sleep(POLL_INTERVAL).await;
     }
 }
+
+/// Keeps a request in flight until its response has been written to the caller's connection. While
+/// the process serves, nothing has to wait for that.
+pub fn hold_until_flushed(relay: &Relay, in_flight: Rc<InFlightGuard>, connection: Option<IoRef>) {
+    let Some(connection) = connection.filter(|_| relay.drain.is_stopping()) else { return };
+    ntex::rt::spawn(async move {
+        let _in_flight = in_flight;
+        // The server writes the response to the buffer after its handler has returned.
+        sleep(FLUSH_POLL_INTERVAL).await;
+        while !connection.is_closed() && connection.with_write_dst_buf(|buffer| !buffer.is_empty())
+        {
+            sleep(FLUSH_POLL_INTERVAL).await;
+        }
+    });
+}
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -3,14 +3,14 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use eyre::WrapErr;
 use hickorycourse_store::KeyValue;
 use hickorycourse_telemetry::{EventLog, Meter};
 use ntex::http::{HttpServiceConfig, KeepAlive};
+use ntex::io::IoConfig;
 use ntex::server::Server;
-use ntex::time::{Seconds, sleep};
+use ntex::time::Seconds;
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, types};
 use ntex::{SharedCfg, rt};
 use serde_json::json;
@@ -33,8 +33,8 @@
 const MAX_HEAD_BYTES: usize = 65_536;
 /// Time for connections to close after the drain; requests have ended or been cut off by then.
 const SHUTDOWN_TIMEOUT: Seconds = Seconds(1);
-/// Time to flush the last bytes after the last request has ended.
-const FLUSH_DELAY: Duration = Duration::from_millis(100);
+/// Time for the last bytes of a response to a slow caller before its connection is closed.
+const FLUSH_TIMEOUT: Seconds = Seconds(30);
 
 /// A platform's implementations of the traits in [`adapter`](crate::adapter), and the client of its
 /// store.
@@ -83,7 +83,6 @@
     let management_server = start_management_server(&relay)?;
     rt::spawn(handle_signals(Arc::clone(&relay)));
     drain::wait_until_drained(&relay).await;
-    sleep(FLUSH_DELAY).await;
     caller_server.stop(true).await;
     management_server.stop(true).await;
     Ok(())
@@ -99,6 +98,7 @@
         .set_client_timeout(HEAD_TIMEOUT)
         .set_max_headers(MAX_HEADERS)
         .set_max_buf_size(MAX_HEAD_BYTES);
+    let connection_config = IoConfig::new().set_disconnect_timeout(FLUSH_TIMEOUT);
     let shared = Arc::clone(relay);
     let server = HttpServer::new(async move || {
         let relay = Arc::clone(&shared);
@@ -109,7 +109,7 @@
         ))
     })
     .workers(relay.settings.worker_threads)
-    .config(SharedCfg::new("callers").add(config))
+    .config(SharedCfg::new("callers").add(config).add(connection_config))
     // ntex's own graceful stop interrupts streams, so this process handles signals itself.
     .disable_signals()
     .shutdown_timeout(SHUTDOWN_TIMEOUT)
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -1,5 +1,6 @@
 //! Event streams, and their resumption at another upstream.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::{Stream, stream};
@@ -16,6 +17,7 @@
 use crate::buffered_response::{self, BufferedResponse, FetchError};
 use crate::call::{Call, RetryState};
 use crate::connections::UpstreamConnection;
+use crate::drain::hold_until_flushed;
 use crate::events::EventTracker;
 use crate::state::InFlightGuard;
 
@@ -59,7 +61,7 @@
     first_events: Option<Vec<u8>>,
     upstreams: Vec<String>,
     is_ended: bool,
-    _in_flight: InFlightGuard,
+    in_flight: Option<Rc<InFlightGuard>>,
 }
 
 struct UpstreamSource {
@@ -75,7 +77,7 @@
 pub async fn open(
     call: Call,
     last_event_id: Option<u64>,
-    in_flight: InFlightGuard,
+    in_flight: Rc<InFlightGuard>,
 ) -> Result<StreamResponse, (RetryState, Problem)> {
     let mut retry_state = RetryState::default();
     let mut events = EventTracker::resume_after(last_event_id);
@@ -104,7 +106,7 @@
                     first_events: Some(started.first_events),
                     upstreams: vec![upstream],
                     is_ended: false,
-                    _in_flight: in_flight,
+                    in_flight: Some(in_flight),
                 })));
             }
             StreamStart::Buffered(buffered) => return Ok(StreamResponse::Buffered(buffered)),
@@ -358,7 +360,13 @@
 ) -> impl Stream<Item = Result<ntex::util::Bytes, StreamInterrupted>> {
     stream::unfold(Some((relayed, connection)), |state| async move {
         let (mut relayed, connection) = state?;
-        match relayed.next().await? {
+        let Some(next) = relayed.next().await else {
+            if let Some(in_flight) = relayed.in_flight.take() {
+                hold_until_flushed(&relayed.call.relay, in_flight, connection);
+            }
+            return None;
+        };
+        match next {
             Ok(bytes) => {
                 let bytes = ntex::util::Bytes::copy_from_slice(&bytes);
                 Some((Ok(bytes), Some((relayed, connection))))
