Relay: install the signal handlers before the listeners

A relay that got SIGTERM within about 10 ms of binding its caller address was ended by the signal, and accepted connections were reset.

Cause: the handlers were installed by a task that was spawned after the servers had started. Change: the handlers are installed first. The error of a handler that can't be installed is logged.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -14,7 +14,7 @@
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, types};
 use ntex::{SharedCfg, rt};
 use serde_json::json;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::adapter::{DutyClient, Protocol};
 use crate::broadcast::PeerBroadcast;
@@ -55,6 +55,8 @@
     let log = EventLog::start(settings.log.lines_per_second)
         .wrap_err("cannot start the event log's thread")?;
     let relay = Relay::new(settings, adapter.protocol, log, Meter::install());
+    // Installed before the listeners: without a handler, a signal ends the process at once.
+    rt::spawn(handle_signals(Arc::clone(&relay), install_signals()));
     let settings = &relay.settings;
     relay.log.write("started", || {
         json!({
@@ -81,7 +83,6 @@
     }
     let caller_server = start_caller_server(&relay)?;
     let management_server = start_management_server(&relay)?;
-    rt::spawn(handle_signals(Arc::clone(&relay)));
     drain::wait_until_drained(&relay).await;
     caller_server.stop(true).await;
     management_server.stop(true).await;
@@ -143,13 +144,24 @@
     Ok(server.run())
 }
 
+fn install_signals() -> std::io::Result<[Signal; 3]> {
+    Ok([
+        signal(SignalKind::terminate())?,
+        signal(SignalKind::interrupt())?,
+        signal(SignalKind::hangup())?,
+    ])
+}
+
 /// Starts the shutdown at the first SIGTERM or SIGINT. SIGHUP changes nothing: all settings that
 /// can change while the process runs come from the store.
-async fn handle_signals(relay: Arc<Relay>) {
-    let kinds = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()];
-    let [Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)] = kinds.map(signal) else {
-        relay.log.write("signals_failed", || json!({}));
-        return;
+async fn handle_signals(relay: Arc<Relay>, signals: std::io::Result<[Signal; 3]>) {
+    let [mut terminate, mut interrupt, mut hangup] = match signals {
+        Ok(signals) => signals,
+        Err(error) => {
+            let reason = error.to_string();
+            relay.log.write("signals_failed", || json!({ "reason": reason }));
+            return;
+        }
     };
     loop {
         tokio::select! {
