Relay: ignore requests behind a response with Connection: close

After SIGTERM each response bears Connection: close. Requests that a caller had pipelined on that connection were executed all the same, and answered; a caller ignores what follows the close and sends them again elsewhere, so that an at-most-once request could run twice (RFC 9112, 9.6).

Cause: the HTTP library goes on with requests that it has read. Change: connections on which a close was announced are noted until they are closed; further requests on them are rejected as not run.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -21,7 +21,7 @@
 use crate::buffered_response;
 use crate::call::{Call, DEFAULT_RETRY_AFTER_MS, RetryState};
 use crate::connections::ConnectionPool;
-use crate::drain::hold_until_flushed;
+use crate::drain::{hold_until_flushed, is_closing, mark_closing};
 use crate::messages::{copy_headers, read_host, write_buffered, write_headers};
 use crate::state::{InFlightGuard, Relay};
 use crate::stream::{self, StreamResponse};
@@ -72,6 +72,9 @@
     };
     if relay.drain.is_stopping() {
         response.head_mut().set_connection_type(ConnectionType::Close);
+        if let Some(connection) = request.io() {
+            mark_closing(connection);
+        }
     }
     let status = response.status().as_u16();
     let arrived_after_stop_ms = relay.drain.stopping_for_ms(arrived_at_ms);
@@ -158,6 +161,9 @@
 ) -> Result<HttpResponse, Problem> {
     let received = receive_request(relay, request, payload).await?;
     outcome.request_id = received.metadata.request_id.clone().unwrap_or_default();
+    if relay.drain.is_stopping() && request.io().is_some_and(is_closing) {
+        return Err(retryable_problem(ErrorCode::Draining));
+    }
     let in_flight = in_flight
         .filter(|_| relay.drain.admit(relay.now_ms(), &relay.drain_timings()))
         .ok_or_else(|| retryable_problem(ErrorCode::Draining))?;
--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -4,6 +4,7 @@
 //! Whether a request is admitted and whether the process may end are decided under one lock: once no
 //! request is in flight and the process is about to end, no further request is admitted.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -189,6 +190,25 @@
     }
 }
 
+thread_local! {
+    /// Open connections of this thread on which a response has announced that they will be closed.
+    static CLOSING: RefCell<Vec<IoRef>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Notes that a response announces the end of its connection. A caller ignores what follows on the
+/// connection (RFC 9112, 9.6).
+pub fn mark_closing(connection: &IoRef) {
+    CLOSING.with_borrow_mut(|closing| {
+        closing.retain(|known| !known.is_closed());
+        closing.push(connection.clone());
+    });
+}
+
+/// Returns whether an earlier response has announced that this connection will be closed.
+pub fn is_closing(connection: &IoRef) -> bool {
+    CLOSING.with_borrow(|closing| closing.contains(connection))
+}
+
 /// Keeps a request in flight until its response has been written to the caller's connection. While
 /// the process serves, nothing has to wait for that.
 pub fn hold_until_flushed(relay: &Relay, in_flight: Rc<InFlightGuard>, connection: Option<IoRef>) {
