Add the crate that finds parts of prompts that crash engines

Change: PartQuarantine, without I/O and clock: ends of starts of upstreams with the parts of the attempts that broke before they were well begun; answers begun, which clear parts; the decision; and digests that can be merged in any order. A part without a known answer is quarantined after three ends over at least 200 ms that have settled for 300 ms, or five at once; a part on which answers have begun before takes five settled ends and answers on other parts meanwhile. Of several, the one latest in its prompts comes first, and the ends that it explains are no evidence against the others.

Result: 20 tests of the decision and the merge.

--- /dev/null
+++ b/crates/quarantine/src/evidence.rs
@@ -0,0 +1,175 @@
+//! Ends of starts of upstreams, and the parts on which answers have begun.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// Ends that are kept.
+pub const MAX_ENDS: usize = 64;
+/// Parts that are kept for each end.
+pub const MAX_PARTS_PER_END: usize = 64;
+/// Parts whose latest begun answer is kept.
+const MAX_BEGUN_PARTS: usize = 4_096;
+
+/// The end of one start of an upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UpstreamEnd {
+    /// Time at which the first attempt broke.
+    pub ended_at_ms: u64,
+    /// Parts of the attempts that broke before their answer was well begun, with their largest
+    /// position in a prompt.
+    pub parts: BTreeMap<u64, u8>,
+}
+
+/// The latest times at which answers began on parts. The parts that were added first are forgotten
+/// first.
+#[derive(Clone, Debug, Default)]
+pub struct BegunParts {
+    begun_at_ms: HashMap<u64, u64>,
+    order: VecDeque<u64>,
+}
+
+impl BegunParts {
+    /// Records an answer; returns whether it is the latest one on this part.
+    pub fn record(&mut self, part: u64, begun_at_ms: u64) -> bool {
+        if let Some(known) = self.begun_at_ms.get_mut(&part) {
+            let is_later = begun_at_ms > *known;
+            *known = begun_at_ms.max(*known);
+            return is_later;
+        }
+        if self.order.len() >= MAX_BEGUN_PARTS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.begun_at_ms.remove(&oldest);
+        }
+        self.order.push_back(part);
+        self.begun_at_ms.insert(part, begun_at_ms);
+        true
+    }
+
+    /// Returns the time of the latest answer.
+    pub fn latest_ms(&self, part: u64) -> Option<u64> {
+        self.begun_at_ms.get(&part).copied()
+    }
+}
+
+/// The ends that are not explained by a quarantined part.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamEnds {
+    ends: BTreeMap<u64, UpstreamEnd>,
+}
+
+impl UpstreamEnds {
+    /// Adds parts to the end of a start. Returns whether anything is new.
+    pub fn add(&mut self, start: u64, ended_at_ms: u64, parts: &[(u64, u8)]) -> bool {
+        if !self.ends.contains_key(&start) && self.ends.len() >= MAX_ENDS {
+            let oldest = self.ends.iter().min_by_key(|(_, end)| end.ended_at_ms);
+            let Some((oldest, oldest_at_ms)) = oldest.map(|(start, end)| (*start, end.ended_at_ms))
+            else {
+                return false;
+            };
+            if ended_at_ms <= oldest_at_ms {
+                return false;
+            }
+            self.ends.remove(&oldest);
+        }
+        let is_known = self.ends.contains_key(&start);
+        let end = self
+            .ends
+            .entry(start)
+            .or_insert_with(|| UpstreamEnd { ended_at_ms, parts: BTreeMap::new() });
+        end.ended_at_ms = end.ended_at_ms.min(ended_at_ms);
+        let mut is_new = !is_known;
+        for (part, position) in parts {
+            if let Some(known) = end.parts.get_mut(part) {
+                *known = (*known).max(*position);
+            } else if end.parts.len() < MAX_PARTS_PER_END {
+                end.parts.insert(*part, *position);
+                is_new = true;
+            }
+        }
+        is_new
+    }
+
+    /// Returns the end of a start.
+    pub fn get(&self, start: u64) -> Option<&UpstreamEnd> {
+        self.ends.get(&start)
+    }
+
+    /// Removes the end of a start.
+    pub fn remove(&mut self, start: u64) {
+        self.ends.remove(&start);
+    }
+
+    /// Removes a part from the ends before `begun_at_ms`.
+    pub fn clear_part(&mut self, part: u64, begun_at_ms: u64) {
+        for end in self.ends.values_mut().filter(|end| end.ended_at_ms < begun_at_ms) {
+            end.parts.remove(&part);
+        }
+    }
+
+    /// Removes the ends that a part explains.
+    pub fn explain(&mut self, part: u64) {
+        self.ends.retain(|_, end| !end.parts.contains_key(&part));
+    }
+
+    /// Removes the ends before `expired_before_ms`.
+    pub fn expire(&mut self, expired_before_ms: u64) {
+        self.ends.retain(|_, end| end.ended_at_ms >= expired_before_ms);
+    }
+
+    /// Returns whether there are no ends.
+    pub fn is_empty(&self) -> bool {
+        self.ends.is_empty()
+    }
+
+    /// Returns the ends, newest first.
+    pub fn newest(&self) -> Vec<(u64, &UpstreamEnd)> {
+        let mut ends: Vec<_> = self.ends.iter().map(|(start, end)| (*start, end)).collect();
+        ends.sort_by_key(|(start, end)| (std::cmp::Reverse(end.ended_at_ms), *start));
+        ends
+    }
+
+    /// Returns the number of ends under a part.
+    pub fn count(&self, part: u64) -> usize {
+        self.ends.values().filter(|end| end.parts.contains_key(&part)).count()
+    }
+
+    /// Returns the evidence against each part, from the ends until `until_ms`.
+    pub fn support_until(&self, until_ms: u64) -> BTreeMap<u64, Support> {
+        let mut supports: BTreeMap<u64, Support> = BTreeMap::new();
+        for end in self.ends.values().filter(|end| end.ended_at_ms <= until_ms) {
+            for (part, position) in &end.parts {
+                let support = supports.entry(*part).or_insert(Support {
+                    starts: 0,
+                    first_ms: end.ended_at_ms,
+                    last_ms: end.ended_at_ms,
+                    position: 0,
+                });
+                support.starts += 1;
+                support.first_ms = support.first_ms.min(end.ended_at_ms);
+                support.last_ms = support.last_ms.max(end.ended_at_ms);
+                support.position = support.position.max(*position);
+            }
+        }
+        supports
+    }
+}
+
+/// Evidence against a part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Support {
+    /// Starts that ended under the part.
+    pub starts: usize,
+    /// Time of the first of these ends.
+    pub first_ms: u64,
+    /// Time of the last of these ends.
+    pub last_ms: u64,
+    /// Largest position of the part in a prompt.
+    pub position: u8,
+}
+
+impl Support {
+    /// Time between the first and the last end.
+    pub fn span_ms(&self) -> u64 {
+        self.last_ms - self.first_ms
+    }
+}
--- /dev/null
+++ b/crates/quarantine/src/options.rs
@@ -0,0 +1,40 @@
+//! Parameters of the decision.
+
+/// When a part is quarantined and for how long.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct QuarantineOptions {
+    /// Starts of upstreams that have to end under a part on which no answer is known to have begun.
+    pub min_starts: usize,
+    /// Starts that have to end under a part on which answers have begun before, or whose ends need not
+    /// be settled.
+    pub min_starts_certain: usize,
+    /// Time after the end of a start until which an answer that clears a part may still be told.
+    pub settle_ms: u64,
+    /// Shortest time between the first and the last of these ends. Upstreams that end together may have
+    /// a common cause.
+    pub min_span_ms: u64,
+    /// Time after which the end of a start is forgotten.
+    pub evidence_ttl_ms: u64,
+    /// Time after the break of an attempt from which progress at the same start shows that the start has
+    /// not ended. Bytes that were under way may still be read before.
+    pub alive_after_ms: u64,
+    /// Time within which such progress counts; later, the same id may be another start.
+    pub alive_within_ms: u64,
+    /// Time without a request with a quarantined part after which the quarantine is lifted.
+    pub idle_lift_ms: u64,
+}
+
+impl Default for QuarantineOptions {
+    fn default() -> Self {
+        Self {
+            min_starts: 3,
+            min_starts_certain: 5,
+            settle_ms: 300,
+            min_span_ms: 200,
+            evidence_ttl_ms: 600_000,
+            alive_after_ms: 300,
+            alive_within_ms: 1_500,
+            idle_lift_ms: 600_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/quarantine/tests/quarantine.rs
@@ -0,0 +1,318 @@
+//! Verdicts from recorded evidence, and the merge of what instances tell each other.
+
+use hickorycourse_quarantine::{
+    EndDigest, MergeError, PartQuarantine, QuarantineChange, QuarantineDigest, QuarantineOptions,
+    QuarantinedDigest,
+};
+
+const FIRST: u64 = 0xf;
+const BAD: u64 = 0xbad;
+
+fn quarantine() -> PartQuarantine {
+    PartQuarantine::new(QuarantineOptions::default())
+}
+
+fn quarantined(quarantine: &PartQuarantine) -> Vec<u64> {
+    quarantine.quarantined().map(|(part, _)| part).collect()
+}
+
+/// Sends the state of `from` to `to`, without a delay.
+fn tell(from: &PartQuarantine, to: &mut PartQuarantine, now_ms: u64) -> Vec<QuarantineChange> {
+    to.merge(&from.digest(now_ms), now_ms).expect("an own digest is within the limits")
+}
+
+#[test]
+fn part_under_three_ends_quarantined() {
+    let mut table = quarantine();
+    assert_eq!(table.record_broken_beginning(1, &[FIRST, BAD], 1_000), []);
+    table.record_begun(&[FIRST, 0xa], 1_100, 1_250);
+    assert_eq!(table.record_broken_beginning(2, &[FIRST, BAD], 1_300), []);
+    table.record_begun(&[FIRST, 0xb], 1_400, 1_550);
+    assert_eq!(table.record_broken_beginning(3, &[FIRST, BAD], 1_600), []);
+    assert_eq!(table.expire(1_899), [], "an answer on it may still be told");
+    let changes = table.expire(1_900);
+    assert_eq!(changes, [QuarantineChange::Found { part: BAD, starts: 3, span_ms: 600 }]);
+    assert_eq!(table.check(&[0xa, BAD], 1_950), Some(BAD));
+    assert_eq!(table.check(&[FIRST, 0xa], 1_950), None);
+}
+
+#[test]
+fn part_under_five_ends_quarantined_at_once() {
+    let mut table = quarantine();
+    for start in 1..5 {
+        assert_eq!(table.record_broken_beginning(start, &[BAD], 1_000 + 50 * start), []);
+    }
+    let changes = table.record_broken_beginning(5, &[BAD], 1_250);
+    assert_eq!(changes, [QuarantineChange::Found { part: BAD, starts: 5, span_ms: 200 }]);
+}
+
+#[test]
+fn part_with_an_answer_since_not_quarantined() {
+    let mut table = quarantine();
+    table.record_broken_beginning(1, &[FIRST, BAD], 1_000);
+    table.record_broken_beginning(2, &[FIRST, BAD], 1_300);
+    table.record_begun(&[BAD], 1_400, 1_550);
+    table.record_broken_beginning(3, &[FIRST, 0xa], 1_600);
+    table.expire(2_000);
+    assert_eq!(quarantined(&table), [FIRST], "no answer has begun on this one");
+}
+
+#[test]
+fn part_with_an_answer_before_quarantined() {
+    let mut table = quarantine();
+    table.record_begun(&[FIRST, BAD], 900, 1_050);
+    for start in 1..6 {
+        let now_ms = 1_000 + 200 * start;
+        table.record_broken_beginning(start, &[FIRST, BAD], now_ms);
+        table.record_begun(&[FIRST], now_ms + 50, now_ms + 199);
+    }
+    assert_eq!(table.expire(2_299), []);
+    table.expire(2_300);
+    assert_eq!(quarantined(&table), [BAD]);
+}
+
+#[test]
+fn ends_at_the_same_moment_not_sufficient() {
+    let mut table = quarantine();
+    for start in 1..20 {
+        assert_eq!(table.record_broken_beginning(start, &[FIRST, 0xa], 1_000 + start), []);
+    }
+    table.record_begun(&[FIRST, 0xa], 1_100, 1_250);
+    assert_eq!(table.record_broken_beginning(30, &[FIRST, 0xa], 1_500), []);
+}
+
+#[test]
+fn one_start_counts_once() {
+    let mut table = quarantine();
+    for now_ms in (1_000..3_000).step_by(100) {
+        table.record_broken_beginning(1, &[FIRST, BAD], now_ms);
+    }
+    assert_eq!(quarantined(&table), []);
+}
+
+#[test]
+fn start_that_goes_on_is_no_evidence() {
+    let mut table = quarantine();
+    for (start, now_ms) in [(1, 1_000), (2, 2_000), (3, 3_000), (4, 4_000)] {
+        assert_eq!(table.record_broken_beginning(start, &[FIRST, 0xa], now_ms), []);
+        table.record_progress(start, now_ms + 400);
+    }
+    assert_eq!(quarantined(&table), []);
+}
+
+#[test]
+fn bytes_read_after_the_end_leave_the_evidence() {
+    let mut table = quarantine();
+    for (start, now_ms) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
+        table.record_broken_beginning(start, &[BAD], now_ms);
+        table.record_progress(start, now_ms + 2);
+    }
+    table.expire(3_300);
+    assert_eq!(quarantined(&table), [BAD]);
+}
+
+#[test]
+fn tied_parts_the_later_in_the_prompt_quarantined() {
+    let mut table = quarantine();
+    for (start, now_ms) in [(1, 1_000), (2, 1_200), (3, 1_400)] {
+        table.record_broken_beginning(start, &[FIRST, BAD], now_ms);
+    }
+    table.expire(1_700);
+    assert_eq!(quarantined(&table), [BAD]);
+    // The ends that it explains are no evidence against the first part.
+    assert_eq!(table.record_broken_beginning(4, &[FIRST, 0xa], 1_600), []);
+}
+
+#[test]
+fn first_part_that_crashes_quarantined() {
+    let mut table = quarantine();
+    for (start, now_ms) in [(1, 1_000), (2, 1_200), (3, 1_400)] {
+        table.record_broken_beginning(start, &[BAD, 0xa0 + start], now_ms);
+    }
+    table.expire(1_700);
+    assert_eq!(quarantined(&table), [BAD]);
+}
+
+#[test]
+fn two_parts_each_quarantined() {
+    let mut table = quarantine();
+    for (start, part) in [(1, 0xb1), (2, 0xb2), (3, 0xb1), (4, 0xb2), (5, 0xb1), (6, 0xb2)] {
+        table.record_broken_beginning(start, &[FIRST, part], 1_000 + 150 * start);
+        table.record_begun(&[FIRST], 1_010 + 150 * start, 1_100 + 150 * start);
+    }
+    table.expire(2_200);
+    assert_eq!(quarantined(&table), [0xb1, 0xb2]);
+}
+
+/// Load pattern: two parts crash all upstreams within a second, so that no answer begins on the part that
+/// all requests share.
+#[test]
+fn first_part_of_all_requests_not_quarantined_while_nothing_begins() {
+    let mut table = quarantine();
+    table.record_begun(&[FIRST, 0xa], 990, 1_140);
+    for start in 1..8 {
+        table.record_broken_beginning(start, &[FIRST, 0xb1 + start % 2], 1_000 + 165 * start);
+        table.expire(1_100 + 165 * start);
+    }
+    for now_ms in (2_200..8_000).step_by(100) {
+        table.expire(now_ms);
+    }
+    assert_eq!(quarantined(&table), [0xb1, 0xb2]);
+}
+
+#[test]
+fn instances_that_see_one_end_each_agree() {
+    let mut tables = [quarantine(), quarantine(), quarantine()];
+    for (index, table) in tables.iter_mut().enumerate() {
+        let now_ms = 1_000 + 300 * index as u64;
+        table.record_broken_beginning(index as u64, &[FIRST, 0xa + index as u64, BAD], now_ms);
+    }
+    let [first, second, third] = &mut tables;
+    tell(first, second, 1_650);
+    tell(second, third, 1_700);
+    third.expire(1_900);
+    assert_eq!(quarantined(third), [BAD]);
+    let told = tell(third, first, 1_950);
+    assert_eq!(told, [QuarantineChange::Told { part: BAD }]);
+    assert_eq!(tell(third, first, 2_000), [], "a second copy changes nothing");
+}
+
+#[test]
+fn answer_at_another_instance_clears_a_part() {
+    let (mut first, mut second) = (quarantine(), quarantine());
+    first.record_broken_beginning(1, &[FIRST], 1_000);
+    first.record_broken_beginning(2, &[FIRST], 1_500);
+    tell(&first, &mut second, 1_600);
+    second.record_begun(&[FIRST], 1_700, 1_850);
+    tell(&second, &mut first, 1_900);
+    assert_eq!(first.record_broken_beginning(3, &[FIRST], 2_000), []);
+}
+
+#[test]
+fn answer_before_the_digest_clears_a_part() {
+    let (mut first, mut second) = (quarantine(), quarantine());
+    first.record_broken_beginning(1, &[FIRST], 1_000);
+    first.record_broken_beginning(2, &[FIRST], 1_500);
+    second.record_begun(&[FIRST], 1_550, 1_700);
+    tell(&first, &mut second, 1_750);
+    tell(&second, &mut first, 1_800);
+    assert_eq!(first.record_broken_beginning(3, &[FIRST], 2_000), []);
+}
+
+#[test]
+fn lifted_part_stays_lifted() {
+    let (mut first, mut second) = (quarantine(), quarantine());
+    for (start, now_ms) in [(1, 1_000), (2, 1_200), (3, 1_400)] {
+        first.record_broken_beginning(start, &[BAD], now_ms);
+    }
+    first.expire(1_700);
+    tell(&first, &mut second, 1_750);
+    assert!(second.lift(BAD, 2_000));
+    tell(&first, &mut second, 2_100);
+    assert_eq!(quarantined(&second), []);
+    assert_eq!(tell(&second, &mut first, 2_200), [QuarantineChange::Lifted { part: BAD }]);
+    assert_eq!(quarantined(&first), []);
+    for start in 4..9 {
+        second.record_broken_beginning(start, &[BAD], 3_000 + 100 * start);
+    }
+    // Answers on other parts begin meanwhile.
+    second.record_begun(&[0xa], 3_500, 3_650);
+    second.expire(4_200);
+    tell(&second, &mut first, 4_300);
+    assert_eq!(quarantined(&first), [BAD], "it crashes upstreams again");
+}
+
+#[test]
+fn idle_part_lifted_pinned_part_kept() {
+    let options = QuarantineOptions::default();
+    let mut table = quarantine();
+    for (start, now_ms) in [(1, 1_000), (2, 1_200), (3, 1_400)] {
+        table.record_broken_beginning(start, &[BAD], now_ms);
+    }
+    table.expire(1_700);
+    table.pin(0xa, 1_700);
+    table.check(&[BAD], 5_000);
+    assert_eq!(table.expire(4_999 + options.idle_lift_ms), []);
+    let lifted = table.expire(5_000 + options.idle_lift_ms);
+    assert_eq!(lifted, [QuarantineChange::Lifted { part: BAD }]);
+    assert_eq!(quarantined(&table), [0xa]);
+}
+
+#[test]
+fn digests_out_of_bounds_rejected() {
+    let end = |parts: usize| EndDigest {
+        start: 1,
+        age_ms: 0,
+        parts: (0..parts as u64).map(|part| (part, 0)).collect(),
+    };
+    let told = |starts| QuarantinedDigest {
+        part: BAD,
+        age_ms: 0,
+        last_request_age_ms: 0,
+        starts,
+        is_pinned: false,
+    };
+    let cases = [
+        (QuarantineDigest { ends: vec![end(17)], ..Default::default() }, MergeError::TooLong),
+        (QuarantineDigest { ends: vec![end(1); 17], ..Default::default() }, MergeError::TooLong),
+        (QuarantineDigest { cleared: vec![(1, 1); 33], ..Default::default() }, MergeError::TooLong),
+        (
+            QuarantineDigest { quarantined: vec![told(3); 65], ..Default::default() },
+            MergeError::TooLong,
+        ),
+        (
+            QuarantineDigest { quarantined: vec![told(2)], ..Default::default() },
+            MergeError::Unfounded,
+        ),
+    ];
+    for (digest, error) in cases {
+        let mut table = quarantine();
+        assert_eq!(table.merge(&digest, 1_000_000), Err(error));
+        assert_eq!(quarantined(&table), []);
+    }
+}
+
+#[test]
+fn ages_of_any_size_accepted() {
+    let digest = QuarantineDigest {
+        ends: vec![EndDigest { start: 1, age_ms: u64::MAX, parts: vec![(BAD, 255)] }],
+        cleared: vec![(BAD, u64::MAX)],
+        alive: vec![(1, u64::MAX)],
+        lifted: vec![(BAD, u64::MAX)],
+        quarantined: vec![QuarantinedDigest {
+            part: BAD,
+            age_ms: u64::MAX,
+            last_request_age_ms: u64::MAX,
+            starts: u64::MAX,
+            is_pinned: false,
+        }],
+    };
+    let mut aged = digest.clone();
+    aged.add_age(u64::MAX);
+    assert_eq!(aged, digest);
+    let mut table = quarantine();
+    assert_eq!(table.merge(&digest, 10), Ok(Vec::new()));
+    assert_eq!(quarantined(&table), []);
+}
+
+/// Load pattern: three waves of crashes, none caused by a request, under parts that are asked for more or
+/// less often.
+#[test]
+fn waves_of_crashes_popular_parts_not_quarantined() {
+    let mut table = quarantine();
+    let mut start = 0;
+    for wave in 0..3_u64 {
+        let at_ms = 1_000 + 4_000 * wave;
+        for _ in 0..6 {
+            start += 1;
+            let subject = 0x100 + start % 5;
+            assert_eq!(table.record_broken_beginning(start, &[FIRST, subject], at_ms + start), []);
+        }
+        // Each part is answered again before the next wave.
+        for subject in 0x100..0x105 {
+            table.record_begun(&[FIRST, subject], at_ms + 500, at_ms + 700);
+        }
+        table.expire(at_ms + 1_000);
+    }
+    assert_eq!(quarantined(&table), []);
+}
