Relay: quarantine parts of prompts that crash engines

Cause: the relay records failures by upstream only, so the next such request is placed on the next engine.

Change: attempts report a connection that breaks before their answer is well begun (150 ms after its first bytes), unless the upstream has announced that it leaves, and answers that are. Instances tell each other in their digests, at once when there is something new; the holder of the duties keeps the quarantined parts in the store for instances that start. A request under which an upstream ended is sent to one other at most, and to none while one of its parts is suspected. A stream without a length or chunks that ends before its first event is taken for broken.

--- a/crates/caps/tests/fleet.rs
+++ b/crates/caps/tests/fleet.rs
@@ -93,6 +93,7 @@
         departures: Vec::new(),
         committed_usage: Vec::new(),
         sequence: member.sequence,
+        quarantine: Default::default(),
     }
 }
 
--- a/crates/digest/src/message.rs
+++ b/crates/digest/src/message.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 use hickorycourse_duties::WindowCounts;
+use hickorycourse_quarantine::QuarantineDigest;
 use serde::{Deserialize, Serialize};
 
 /// State of one instance.
@@ -49,6 +50,9 @@
     /// Increases with each digest of a start; 0 from a build that does not number them.
     #[serde(rename = "q", default)]
     pub sequence: u64,
+    /// What it knows of parts of prompts that crash upstreams.
+    #[serde(rename = "p", default, skip_serializing_if = "QuarantineDigest::is_empty")]
+    pub quarantine: QuarantineDigest,
 }
 
 /// Load that one instance or zone has placed on the upstreams of a service.
@@ -125,6 +129,9 @@
     /// Usage reports that were committed in the store.
     #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
     pub committed_usage: Vec<WindowCounts>,
+    /// What the aggregator knows of parts of prompts that crash upstreams.
+    #[serde(rename = "p", default, skip_serializing_if = "QuarantineDigest::is_empty")]
+    pub quarantine: QuarantineDigest,
 }
 
 impl ZoneDigest {
@@ -147,6 +154,7 @@
             version: None,
             departures: Vec::new(),
             committed_usage: Vec::new(),
+            quarantine: QuarantineDigest::default(),
         }
     }
 }
--- a/crates/digest/tests/aggregation.rs
+++ b/crates/digest/tests/aggregation.rs
@@ -31,6 +31,7 @@
         departures: Vec::new(),
         committed_usage: Vec::new(),
         sequence,
+        quarantine: Default::default(),
     }
 }
 
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -1,6 +1,7 @@
 //! Traits and types that a platform's adapter implements and uses.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use hickorycourse_duties::CapacityOrder;
 use hickorycourse_placement::PromptPart;
@@ -25,6 +26,14 @@
     pub last_event_id: Option<u64>,
 }
 
+impl RequestMetadata {
+    /// Returns the hashes of the prompt's parts without the last one, which only this request has.
+    pub fn shared_parts(&self) -> Rc<[u64]> {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|part| part.hash).collect()
+    }
+}
+
 /// Token counts of a request.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct TokenCounts {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,5 +1,6 @@
 //! A call's attempt at one upstream.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use hickorycourse_placement::{AttemptOutcome, Placement};
@@ -10,8 +11,12 @@
 use crate::adapter::{BackoffRequest, ResponseMetadata};
 use crate::call::Call;
 use crate::connections::UpstreamConnection;
+use crate::quarantine::hash_upstream_start;
 use crate::state::{Relay, SharedPlacementTable};
 
+/// Time after its first byte for which an answer is not well begun.
+const BEGINNING_MS: u64 = 150;
+
 /// A request that occupies a slot at an upstream. Dropping it without an outcome counts as
 /// cancelled by the caller.
 pub struct Attempt {
@@ -19,7 +24,13 @@
     placement_table: SharedPlacementTable,
     /// The selected upstream and the forecast for it.
     pub placement: Placement,
-    has_first_byte: bool,
+    request_id: String,
+    /// Parts of the prompt without the last one.
+    shared_parts: Rc<[u64]>,
+    /// Identifies the start of the upstream that this attempt was sent to.
+    upstream_start: u64,
+    first_byte_at_ms: Option<u64>,
+    is_begun: bool,
     is_ended: bool,
 }
 
@@ -33,11 +44,16 @@
     ) -> Self {
         let request = call.placement_request(excluded);
         placement_table.lock().begin_attempt(&placement, &request, call.relay.now_ms());
+        let started_at_ms = call.relay.directory.lock().started_at_ms(&placement.upstream);
         Self {
             relay: Arc::clone(&call.relay),
             placement_table,
+            upstream_start: hash_upstream_start(&placement.upstream, started_at_ms),
             placement,
-            has_first_byte: false,
+            request_id: call.request_id.clone(),
+            shared_parts: Rc::clone(&call.shared_parts),
+            first_byte_at_ms: None,
+            is_begun: false,
             is_ended: false,
         }
     }
@@ -79,11 +95,48 @@
 
     /// Records the arrival of the response's first byte; later calls have no effect.
     pub fn record_first_byte(&mut self) {
-        if !std::mem::replace(&mut self.has_first_byte, true) {
-            self.placement_table.lock().record_first_byte(&self.placement, self.relay.now_ms());
+        if self.first_byte_at_ms.is_none() {
+            let now_ms = self.relay.now_ms();
+            self.first_byte_at_ms = Some(now_ms);
+            self.placement_table.lock().record_first_byte(&self.placement, now_ms);
+        }
+    }
+
+    /// Records that more of the response has arrived.
+    pub fn record_progress(&mut self) {
+        if self.shared_parts.is_empty() {
+            return;
+        }
+        let now_ms = self.relay.now_ms();
+        let begun_at_ms = self.first_byte_at_ms.unwrap_or(now_ms);
+        if now_ms >= begun_at_ms + BEGINNING_MS {
+            self.record_begun(begun_at_ms);
+        }
+        self.relay.record_upstream_progress(self.upstream_start);
+    }
+
+    fn record_begun(&mut self, begun_at_ms: u64) {
+        if !std::mem::replace(&mut self.is_begun, true) {
+            self.relay.record_begun_answer(&self.shared_parts, begun_at_ms);
         }
     }
 
+    /// Ends an attempt whose connection broke. Returns whether its answer was not well begun, while the
+    /// upstream had not announced that it leaves: the request may have crashed it.
+    pub fn end_broken(mut self) -> bool {
+        let is_beginning = !self.is_begun && !self.shared_parts.is_empty() && self.is_open();
+        if is_beginning {
+            self.relay.record_broken_beginning(
+                &self.request_id,
+                &self.placement.upstream,
+                self.upstream_start,
+                &self.shared_parts,
+            );
+        }
+        self.record_end(AttemptOutcome::Failed);
+        is_beginning
+    }
+
     /// Releases the slot and records the outcome.
     pub fn end(mut self, outcome: AttemptOutcome) {
         self.record_end(outcome);
@@ -92,9 +145,12 @@
     fn record_end(&mut self, outcome: AttemptOutcome) {
         if !std::mem::replace(&mut self.is_ended, true) {
             let now_ms = self.relay.now_ms();
+            if outcome == AttemptOutcome::Answered {
+                self.record_begun(self.first_byte_at_ms.unwrap_or(now_ms));
+            }
             self.placement_table.lock().end_attempt(
                 &self.placement,
-                self.has_first_byte,
+                self.first_byte_at_ms.is_some(),
                 outcome,
                 now_ms,
             );
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -95,6 +95,7 @@
             };
             self.query_freshness_if_stale(&all, now_ms).await;
             relay.expire_upstreams();
+            relay.expire_quarantine();
             let pause_ms = pause_ms.saturating_sub(relay.now_ms().saturating_sub(now_ms));
             let min_pause_ms = pause_ms / MAX_URGENT_DIGESTS_PER_PERIOD;
             sleep(Duration::from_millis(min_pause_ms)).await;
@@ -225,6 +226,7 @@
                 .collect(),
             committed_usage: self.committed_usage_for_digest(),
             sequence,
+            quarantine: relay.quarantine.lock().digest(now_ms),
         }
     }
 
@@ -312,6 +314,7 @@
         relay.members.lock().record_digest(name, zone, digest.peer_address, now_ms);
         relay.wall_clock.lock().record_peer(name, digest.sender_wall_ms, now_ms);
         self.apply_notices(&digest.departures, &digest.committed_usage, digest.store_era);
+        relay.merge_quarantine(&digest.quarantine, name);
     }
 
     /// Applies what others have learned of upstreams and of the store.
--- a/crates/relay/src/buffered_response.rs
+++ b/crates/relay/src/buffered_response.rs
@@ -73,7 +73,7 @@
         };
         let upstream = opened.attempt.placement.upstream.clone();
         call.count_run();
-        match read_response(call, opened).await {
+        match read_response(call, retry_state, opened).await {
             Ok(buffered) => return Ok(buffered),
             Err(FetchError::ServerError(buffered)) => {
                 retry_state.record_failure(upstream, format!("answered {}", buffered.status));
@@ -101,6 +101,7 @@
 /// The response has a 5xx status or was interrupted.
 pub async fn read_response(
     call: &Call,
+    retry_state: &mut RetryState,
     opened: OpenedResponse,
 ) -> Result<BufferedResponse, FetchError> {
     let OpenedResponse { mut attempt, connection, response } = opened;
@@ -109,10 +110,14 @@
     let limit = Duration::from_millis(call.remaining_ms().max(1));
     let body = match timeout(limit, read_body(body)).await {
         Ok(Ok(body)) => body,
-        Ok(Err(detail)) => {
-            attempt.end(AttemptOutcome::Failed);
+        Ok(Err(BodyError::Broken(detail))) => {
+            retry_state.record_broken(attempt);
             return Err(FetchError::Interrupted(detail));
         }
+        Ok(Err(error @ BodyError::TooLarge { .. })) => {
+            attempt.end(AttemptOutcome::Failed);
+            return Err(FetchError::Interrupted(error.to_string()));
+        }
         Err(()) => {
             attempt.end(AttemptOutcome::Unresponsive);
             return Err(FetchError::Interrupted(
@@ -135,14 +140,23 @@
     Ok(buffered)
 }
 
-async fn read_body(mut body: Incoming) -> Result<Bytes, String> {
+/// Why a body could not be read to its end.
+#[derive(Debug, thiserror::Error)]
+enum BodyError {
+    #[error("{0}")]
+    Broken(String),
+    #[error("the response is too large: {bytes} bytes received")]
+    TooLarge { bytes: usize },
+}
+
+async fn read_body(mut body: Incoming) -> Result<Bytes, BodyError> {
     let mut bytes = Vec::new();
     let mut reservation = BufferReservation::default();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| error.to_string())?;
+        let frame = frame.map_err(|error| BodyError::Broken(error.to_string()))?;
         let Ok(data) = frame.into_data() else { continue };
         if !reservation.grow(data.len()) {
-            return Err(format!("the response is too large: {} bytes received", reservation.bytes));
+            return Err(BodyError::TooLarge { bytes: reservation.bytes });
         }
         bytes.extend_from_slice(&data);
     }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -1,6 +1,7 @@
 //! A call: a caller's request with its route, sent to upstreams in one or more attempts.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -63,6 +64,8 @@
     pub body: Bytes,
     /// Parts of the prompt, in order.
     pub parts: Vec<PromptPart>,
+    /// Hashes of the parts without the last one, which only this request has.
+    pub shared_parts: Rc<[u64]>,
     /// Token counts; 0 if not stated.
     pub tokens: TokenCounts,
     /// Time of arrival.
@@ -83,6 +86,8 @@
     pub excluded: Vec<String>,
     /// Whether an upstream may have run the request.
     pub may_have_run: bool,
+    /// Attempts that broke before their answer was well begun, as the upstream ended.
+    pub broken_beginnings: u32,
     /// Connections that could not be opened or used.
     pub failed_dials: u32,
     /// The latest failure, for the log.
@@ -90,6 +95,11 @@
 }
 
 impl RetryState {
+    /// Ends an attempt whose connection broke.
+    pub fn record_broken(&mut self, attempt: Attempt) {
+        self.broken_beginnings += u32::from(attempt.end_broken());
+    }
+
     /// Records the failure of an upstream that may have run the request.
     pub fn record_failure(&mut self, upstream: String, failure: String) {
         self.may_have_run = true;
@@ -118,9 +128,20 @@
     /// Returns whether the attempt limit and the route's retry semantics permit another attempt.
     pub fn may_retry(&self, retry_state: &RetryState) -> bool {
         retry_state.sent_attempts < self.route.attempt_limit
+            && self.may_repeat_beginning(retry_state)
             && (self.route.repeat.allows_reexecution() || !retry_state.may_have_run)
     }
 
+    /// Returns whether the request may be sent again although upstreams have ended under it: once, and
+    /// not while one of its parts is suspected of that.
+    fn may_repeat_beginning(&self, retry_state: &RetryState) -> bool {
+        match retry_state.broken_beginnings {
+            0 => true,
+            1 => !self.relay.quarantine.lock().is_suspected(&self.shared_parts),
+            _ => false,
+        }
+    }
+
     /// Sends the call until an upstream returns the head of a response. A stream resumes after
     /// `last_event_id`.
     ///
@@ -163,6 +184,12 @@
         let Some(table) = relay.route_table() else {
             return Err(refuse(ErrorCode::SettingsMissing));
         };
+        relay.check_quarantine(&self.shared_parts).map_err(|problem| {
+            match retry_state.may_have_run {
+                true => self.failure_problem(retry_state),
+                false => problem,
+            }
+        })?;
         if self.organisation.is_none() {
             return Ok(());
         }
@@ -270,21 +297,24 @@
                     ExchangeError::NotSent(_) => {
                         retry_state.sent_attempts -= 1;
                         retry_state.failed_dials += 1;
-                        AttemptOutcome::Cancelled
+                        Some(AttemptOutcome::Cancelled)
                     }
                     ExchangeError::TimedOut(_) => {
                         retry_state.may_have_run = true;
-                        AttemptOutcome::Unresponsive
+                        Some(AttemptOutcome::Unresponsive)
                     }
                     ExchangeError::Interrupted(_) => {
                         retry_state.may_have_run = true;
-                        AttemptOutcome::Failed
+                        None
                     }
                 };
                 if retry_state.may_have_run {
                     self.count_uncertain_run();
                 }
-                attempt.end(outcome);
+                match outcome {
+                    Some(outcome) => attempt.end(outcome),
+                    None => retry_state.record_broken(attempt),
+                }
                 Err(error.to_string())
             }
         }
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -128,6 +128,8 @@
     headers: HeaderMap,
     host: String,
     metadata: RequestMetadata,
+    /// Hashes of the prompt's parts without the last one.
+    shared_parts: Rc<[u64]>,
     body: Bytes,
 }
 
@@ -148,7 +150,8 @@
         .protocol
         .read_request_headers(&headers)
         .map_err(|detail| Problem::new(ErrorCode::InvalidHeader).with_detail(detail))?;
-    Ok(ReceivedRequest { headers, host, metadata, body })
+    let shared_parts = metadata.shared_parts();
+    Ok(ReceivedRequest { headers, host, metadata, shared_parts, body })
 }
 
 async fn serve(
@@ -176,6 +179,7 @@
     let service = RouteTable::choose_service(route, &outcome.request_id)
         .ok_or_else(|| retryable_problem(ErrorCode::NoUpstream))?;
     outcome.service = Some(service.to_owned());
+    relay.check_quarantine(&received.shared_parts)?;
     if let Some((name, cap)) = organisation.and_then(|o| Some((&o.name, o.cap.as_ref()?))) {
         outcome.cap = Some(acquire_cap(relay, name, cap, received.metadata.tokens, route.urgency)?);
     }
@@ -255,6 +259,7 @@
         arrived_at_ms,
         is_run_counted: Cell::new(false),
         parts: metadata.parts,
+        shared_parts: received.shared_parts,
         route: route.clone(),
         headers: received.headers,
     })
--- a/crates/relay/src/duty_tasks.rs
+++ b/crates/relay/src/duty_tasks.rs
@@ -17,6 +17,7 @@
 
 use crate::adapter::{DutyClient, DutyError, DutyHolder};
 use crate::planning;
+use crate::quarantine::{QUARANTINE_KEY, QuarantineRecord};
 use crate::settings::Duty;
 use crate::state::Relay;
 use crate::store_watch::random_acquire_delay_ms;
@@ -61,6 +62,9 @@
     first_recorded_window: Option<u64>,
     planners: BTreeMap<String, CapacityPlanner>,
     planned_at_ms: u64,
+    /// The quarantined parts in the store, and whether they are pinned, with the revision of their
+    /// record; `None` until this instance has written it.
+    stored_quarantine: Option<(BTreeSet<(u64, bool)>, u64)>,
 }
 
 impl DutyTasks {
@@ -79,6 +83,7 @@
             first_recorded_window: None,
             planners: BTreeMap::new(),
             planned_at_ms: 0,
+            stored_quarantine: None,
         }
     }
 
@@ -122,6 +127,7 @@
             Ok(SwapOutcome::Swapped { mod_revision }) => {
                 lease.record_acquired(*mod_revision, started_at_ms, now_ms);
                 self.planners.clear();
+                self.stored_quarantine = None;
                 self.first_recorded_window = None;
             }
             Ok(SwapOutcome::Conflict { stored: Some(stored) }) => {
@@ -181,6 +187,7 @@
     }
 
     async fn run_due_duties(&mut self) {
+        self.store_quarantine().await;
         if self.relay.settings.duties.contains(&Duty::Usage) {
             self.report_usage().await;
         }
@@ -192,6 +199,43 @@
         }
     }
 
+    /// Writes the quarantined parts to the store when they have changed, for instances that start.
+    async fn store_quarantine(&mut self) {
+        let record = self.relay.make_quarantine_record();
+        let keys: BTreeSet<(u64, bool)> =
+            record.digest.quarantined.iter().map(|part| (part.part, part.is_pinned)).collect();
+        if self.stored_quarantine.as_ref().is_some_and(|(known, _)| *known == keys)
+            || (self.stored_quarantine.is_none() && keys.is_empty())
+        {
+            return;
+        }
+        let revision = self.stored_quarantine.as_ref().map_or(0, |(_, revision)| *revision);
+        match self.write_quarantine(&record, revision).await {
+            Ok(SwapOutcome::Swapped { mod_revision }) => {
+                self.stored_quarantine = Some((keys, mod_revision));
+            }
+            // Of an earlier holder. Its parts were applied when it was written or listed.
+            Ok(SwapOutcome::Conflict { stored }) => {
+                let revision = stored.map_or(0, |stored| stored.mod_revision);
+                self.stored_quarantine = Some((BTreeSet::new(), revision));
+            }
+            Err(error) => self
+                .relay
+                .log
+                .write("quarantine_not_stored", || json!({ "reason": error.to_string() })),
+        }
+    }
+
+    async fn write_quarantine(
+        &self,
+        record: &QuarantineRecord,
+        expected_revision: u64,
+    ) -> Result<SwapOutcome, PlatformError> {
+        let value = serde_json::to_vec(record)
+            .map_err(|error| PlatformError::InvalidResponse(error.to_string()))?;
+        self.key_value.compare_and_swap(QUARANTINE_KEY, expected_revision, &value, None).await
+    }
+
     async fn report_usage(&mut self) {
         let bounds = &self.relay.settings.bounds;
         let window_ms = bounds.usage_window_ms;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -384,6 +384,7 @@
         }
         let now_ms = relay.now_ms();
         self.apply_notices(&zone.departures, &zone.committed_usage, zone.store_era);
+        self.merge_zone_quarantine(&zone);
         let aggregators = self.own_aggregators(now_ms);
         if !aggregators.is_aggregator {
             let addresses: Vec<SocketAddr> =
@@ -396,6 +397,13 @@
         }
     }
 
+    /// Merges what a zone tells of parts of prompts that crash upstreams.
+    fn merge_zone_quarantine(&self, zone: &ZoneDigest) {
+        let mut quarantine = zone.quarantine.clone();
+        quarantine.add_age(zone.age_ms);
+        self.relay.merge_quarantine(&quarantine, &zone.aggregator);
+    }
+
     /// Returns the sums of the own zone.
     fn sum_own_zone(&self, now_ms: u64) -> ZoneDigest {
         let relay = &self.relay;
@@ -404,6 +412,7 @@
         zone.peer_address = Some(settings.peer_address);
         zone.sender_wall_ms = relay.wall_clock.lock().local_ms(now_ms);
         zone.version = relay.active_document.read().version();
+        zone.quarantine = relay.quarantine.lock().digest(now_ms);
         let mut exchange = relay.exchange.lock();
         zone.sequence = exchange.next_sequence();
         exchange.aggregator.sum_into(&mut zone, now_ms);
@@ -479,6 +488,7 @@
         relay.fleet_usage.lock().merge(&peer, 0, &zone.windows);
         apply_services(relay, &peer, &zone.services, instances, reported_at_ms);
         self.apply_notices(&zone.departures, &zone.committed_usage, zone.store_era);
+        self.merge_zone_quarantine(&zone);
         if let Some(source) = source {
             self.query_newer_document(zone.version, source).await;
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod members;
 mod messages;
 mod planning;
+mod quarantine;
 mod readers;
 mod server;
 mod settings;
--- /dev/null
+++ b/crates/relay/src/quarantine.rs
@@ -0,0 +1,209 @@
+//! Use of the quarantine of parts of prompts: what attempts observe, what other instances tell, and the
+//! record in the store from which a restarted fleet knows the quarantined parts.
+
+use hickorycourse_codes::{ErrorCode, Problem};
+use hickorycourse_quarantine::{QuarantineChange, QuarantineDigest};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::state::Relay;
+
+/// Store key of the [`QuarantineRecord`].
+pub const QUARANTINE_KEY: &str = "hickorycourse/quarantine";
+
+/// The quarantined parts in the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuarantineRecord {
+    /// Wall-clock time of the write.
+    pub written_at_wall_ms: u64,
+    /// The quarantined parts, with their ages at that time.
+    pub digest: QuarantineDigest,
+}
+
+/// Returns the hash that identifies a start of an upstream at all instances.
+pub fn hash_upstream_start(upstream: &str, started_at_ms: Option<u64>) -> u64 {
+    xxh3_64_with_seed(upstream.as_bytes(), started_at_ms.unwrap_or_default())
+}
+
+fn format_part(part: u64) -> String {
+    format!("{part:x}")
+}
+
+impl Relay {
+    /// Checks the parts of a prompt, without the last one, against the quarantine.
+    ///
+    /// # Errors
+    /// The problem for the response to the caller if a part is quarantined.
+    pub fn check_quarantine(&self, parts: &[u64]) -> Result<(), Problem> {
+        if parts.is_empty() {
+            return Ok(());
+        }
+        let Some(part) = self.quarantine.lock().check(parts, self.now_ms()) else { return Ok(()) };
+        metrics::counter!("hickorycourse_quarantine_refusals_total").increment(1);
+        let detail = format!(
+            "Part {} of the prompt crashes the engines that answer it. The request was not sent.",
+            format_part(part)
+        );
+        Err(Problem::new(ErrorCode::PartQuarantined).with_detail(detail))
+    }
+
+    /// Records that an attempt broke before its answer was well begun.
+    pub fn record_broken_beginning(
+        &self,
+        request: &str,
+        upstream: &str,
+        upstream_start: u64,
+        parts: &[u64],
+    ) {
+        if parts.is_empty() {
+            return;
+        }
+        metrics::counter!("hickorycourse_broken_beginnings_total").increment(1);
+        self.log.write("beginning_broken", || {
+            let parts: Vec<String> = parts.iter().copied().map(format_part).collect();
+            json!({ "request": request, "upstream": upstream, "parts": parts })
+        });
+        let now_ms = self.now_ms();
+        let changes = self.quarantine.lock().record_broken_beginning(upstream_start, parts, now_ms);
+        self.log_quarantine_changes(&changes, "evidence");
+        self.digest_requested.notify_one();
+    }
+
+    /// Records that an answer is well begun or complete.
+    pub fn record_begun_answer(&self, parts: &[u64], begun_at_ms: u64) {
+        if !parts.is_empty() {
+            self.quarantine.lock().record_begun(parts, begun_at_ms, self.now_ms());
+        }
+    }
+
+    /// Records progress of an answer at a start of an upstream.
+    pub fn record_upstream_progress(&self, upstream_start: u64) {
+        let mut quarantine = self.quarantine.lock();
+        if quarantine.has_ends() {
+            quarantine.record_progress(upstream_start, self.now_ms());
+        }
+    }
+
+    /// Merges what another instance tells. `source` names its origin in the log.
+    pub fn merge_quarantine(&self, digest: &QuarantineDigest, source: &str) {
+        if digest.is_empty() {
+            return;
+        }
+        let merged = self.quarantine.lock().merge(digest, self.now_ms());
+        match merged {
+            Ok(changes) => {
+                self.log_quarantine_changes(&changes, source);
+                if !changes.is_empty() {
+                    self.digest_requested.notify_one();
+                }
+            }
+            Err(error) => {
+                metrics::counter!("hickorycourse_datagrams_dropped_total", "reason" => "quarantine")
+                    .increment(1);
+                let reason = error.to_string();
+                self.log
+                    .write("quarantine_ignored", || json!({ "source": source, "reason": reason }));
+            }
+        }
+    }
+
+    /// Forgets old evidence, and ends the quarantine of parts that no request has had for long.
+    pub fn expire_quarantine(&self) {
+        let changes = self.quarantine.lock().expire(self.now_ms());
+        self.log_quarantine_changes(&changes, "idle");
+    }
+
+    /// Quarantines a part until an operator lifts it.
+    pub fn pin_part(&self, part: u64) {
+        self.quarantine.lock().pin(part, self.now_ms());
+        self.log.write("part_pinned", || json!({ "part": format_part(part) }));
+        self.digest_requested.notify_one();
+    }
+
+    /// Lifts the quarantine of a part at all instances; returns whether it was quarantined here.
+    pub fn lift_part(&self, part: u64) -> bool {
+        let is_lifted = self.quarantine.lock().lift(part, self.now_ms());
+        self.log.write(
+            "part_lifted",
+            || json!({ "part": format_part(part), "source": "operator", "was": is_lifted }),
+        );
+        self.digest_requested.notify_one();
+        is_lifted
+    }
+
+    /// Returns the quarantined parts for operators.
+    pub fn quarantine_status(&self) -> Value {
+        let now_ms = self.now_ms();
+        let quarantine = self.quarantine.lock();
+        let parts: Vec<Value> = quarantine
+            .quarantined()
+            .map(|(part, quarantined)| {
+                json!({
+                    "part": format_part(part), "starts": quarantined.starts,
+                    "is_pinned": quarantined.is_pinned,
+                    "age_ms": now_ms.saturating_sub(quarantined.since_ms),
+                    "last_request_age_ms": now_ms.saturating_sub(quarantined.last_request_at_ms),
+                })
+            })
+            .collect();
+        json!({ "parts": parts })
+    }
+
+    /// Returns the record of the quarantined parts for the store.
+    pub fn make_quarantine_record(&self) -> QuarantineRecord {
+        let now_ms = self.now_ms();
+        let digest = self.quarantine.lock().digest(now_ms);
+        QuarantineRecord {
+            written_at_wall_ms: self.wall_clock.lock().estimate_ms(now_ms),
+            digest: QuarantineDigest {
+                quarantined: digest.quarantined,
+                ..QuarantineDigest::default()
+            },
+        }
+    }
+
+    /// Applies the record in the store.
+    pub fn apply_quarantine_record(&self, value: &[u8]) {
+        match serde_json::from_slice::<QuarantineRecord>(value) {
+            Ok(record) => {
+                let wall_ms = self.wall_clock.lock().estimate_ms(self.now_ms());
+                let mut digest = record.digest;
+                digest.add_age(wall_ms.saturating_sub(record.written_at_wall_ms));
+                self.merge_quarantine(&digest, "store");
+            }
+            Err(error) => self.log.write(
+                "item_ignored",
+                || json!({ "key": QUARANTINE_KEY, "reason": error.to_string() }),
+            ),
+        }
+    }
+
+    fn log_quarantine_changes(&self, changes: &[QuarantineChange], source: &str) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            match *change {
+                QuarantineChange::Found { part, starts, span_ms } => {
+                    self.log.write("part_quarantined", || {
+                        json!({
+                            "part": format_part(part), "source": source, "starts": starts,
+                            "span_ms": span_ms,
+                        })
+                    });
+                }
+                QuarantineChange::Told { part } => self.log.write(
+                    "part_quarantined",
+                    || json!({ "part": format_part(part), "source": source }),
+                ),
+                QuarantineChange::Lifted { part } => self.log.write(
+                    "part_lifted",
+                    || json!({ "part": format_part(part), "source": source }),
+                ),
+            }
+        }
+        let count = self.quarantine.lock().quarantined().count();
+        metrics::gauge!("hickorycourse_quarantined_parts").set(count as f64);
+    }
+}
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -16,6 +16,7 @@
     AdmissionRule, AdmitAll, CostRule, ExpectedWait, LeastRequests, PlacementOptions,
     PlacementTable, TargetAdmission,
 };
+use hickorycourse_quarantine::{PartQuarantine, QuarantineOptions};
 use hickorycourse_routes::{
     ActiveDocument, ApplyOutcome, DirectoryChange, RouteDocument, RouteTable, UpstreamDirectory,
     UpstreamEntry,
@@ -84,6 +85,8 @@
     /// Usage reports that were committed in the store before they were sent, by window. A store that
     /// is restored from a backup may lack them.
     pub committed_usage: Mutex<BTreeMap<u64, BTreeMap<String, u64>>>,
+    /// Parts of prompts that crash upstreams.
+    pub quarantine: Mutex<PartQuarantine>,
     /// Usage counts of all instances.
     pub fleet_usage: Mutex<FleetUsage>,
     placement_tables: RwLock<BTreeMap<String, SharedPlacementTable>>,
@@ -122,6 +125,7 @@
             view_log: Mutex::default(),
             registration_requested: Notify::new(),
             committed_usage: Mutex::default(),
+            quarantine: Mutex::new(PartQuarantine::new(QuarantineOptions::default())),
             fleet_usage: Mutex::default(),
             placement_tables: RwLock::default(),
             caps: Mutex::default(),
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -26,6 +26,7 @@
 use crate::duty_tasks::{DUTY_LEASE_KEY, ERA_RECORD_KEY, USAGE_REPORT_PREFIX};
 use crate::follow::follow_until_stale;
 use crate::members::{MEMBER_PREFIX, MemberRecord};
+use crate::quarantine::QUARANTINE_KEY;
 use crate::state::Relay;
 use crate::view_log::StoreChange;
 
@@ -286,11 +287,14 @@
     }
 }
 
-/// Applies an item that the relays write: the duty lease or a member record.
+/// Applies an item that the relays write: the duty lease, the quarantined parts or a member record.
 fn apply_relay_item(relay: &Relay, item: &KeyValueRecord) {
     if item.key == DUTY_LEASE_KEY {
         relay.duty_lease.lock().observe_holder(item.mod_revision);
     }
+    if item.key == QUARANTINE_KEY {
+        relay.apply_quarantine_record(&item.value);
+    }
     let Some(name) = item.key.strip_prefix(MEMBER_PREFIX) else { return };
     if name == relay.settings.instance {
         return;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -7,6 +7,7 @@
 use hickorycourse_codes::Problem;
 use hickorycourse_placement::AttemptOutcome;
 use http::HeaderMap;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 use ntex::io::IoRef;
@@ -45,6 +46,9 @@
 enum StreamStep {
     Events(Vec<u8>),
     End,
+    /// The connection broke, or the stream ended within an event.
+    Broken(String),
+    /// The stream was given up.
     Interrupted(String),
 }
 
@@ -90,7 +94,7 @@
             }
         };
         let upstream = opened.attempt.placement.upstream.clone();
-        let start = wait_for_first_events(&call, &retry_state, opened, &mut events).await;
+        let start = wait_for_first_events(&call, &mut retry_state, opened, &mut events).await;
         if !matches!(start, StreamStart::Interrupted(_)) {
             call.count_run();
         }
@@ -145,23 +149,34 @@
 
 async fn wait_for_first_events(
     call: &Call,
-    retry_state: &RetryState,
+    retry_state: &mut RetryState,
     opened: OpenedResponse,
     events: &mut EventTracker,
 ) -> StreamStart {
     if !opened.response.status().is_success() {
-        return match buffered_response::read_response(call, opened).await {
+        return match buffered_response::read_response(call, retry_state, opened).await {
             Ok(buffered) => StreamStart::Buffered(buffered),
             Err(FetchError::ServerError(buffered)) => StreamStart::ServerError(buffered),
             Err(FetchError::Interrupted(detail)) => StreamStart::Interrupted(detail),
         };
     }
     let (head, mut source) = split(opened);
+    let is_framed = is_framed(&head.headers);
     match next_events(call, retry_state, &mut source, events, true).await {
+        // An upstream that ends after the head of its response leaves this, too.
+        StreamStep::End if !is_framed && events.last_id().is_none() => {
+            let detail = "the connection ended before the first event".to_owned();
+            source.fail_broken(call, retry_state, &detail);
+            StreamStart::Interrupted(detail)
+        }
         StreamStep::Interrupted(detail) => {
             source.fail(call, &detail);
             StreamStart::Interrupted(detail)
         }
+        StreamStep::Broken(detail) => {
+            source.fail_broken(call, retry_state, &detail);
+            StreamStart::Interrupted(detail)
+        }
         StreamStep::Events(first_events) => {
             source.attempt.record_first_byte();
             StreamStart::Stream(Box::new(StartedStream {
@@ -182,6 +197,12 @@
     }
 }
 
+/// Returns whether the end of a response is marked by a length or a last chunk, rather than by the end of
+/// its connection.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 fn split(opened: OpenedResponse) -> (http::response::Parts, UpstreamSource) {
     let OpenedResponse { attempt, connection, response } = opened;
     let (head, body) = response.into_parts();
@@ -196,12 +217,22 @@
     }
 
     fn fail(self, call: &Call, detail: &str) {
-        let upstream = self.attempt.placement.upstream.clone();
+        self.log_failure(call, detail);
+        self.attempt.end(AttemptOutcome::Failed);
+    }
+
+    /// As [`fail`](Self::fail), for a connection that broke: the upstream may have ended.
+    fn fail_broken(self, call: &Call, retry_state: &mut RetryState, detail: &str) {
+        self.log_failure(call, detail);
+        retry_state.record_broken(self.attempt);
+    }
+
+    fn log_failure(&self, call: &Call, detail: &str) {
+        let upstream = &self.attempt.placement.upstream;
         call.relay.log.write(
             "stream_broken",
             || json!({ "request": call.request_id, "upstream": upstream, "failure": detail }),
         );
-        self.attempt.end(AttemptOutcome::Failed);
     }
 }
 
@@ -233,12 +264,12 @@
                 ));
             }
             Ok(None) if events.has_partial() => {
-                return StreamStep::Interrupted(
+                return StreamStep::Broken(
                     "the upstream ended the stream within an event".to_owned(),
                 );
             }
             Ok(None) => return StreamStep::End,
-            Ok(Some(Err(error))) => return StreamStep::Interrupted(error.to_string()),
+            Ok(Some(Err(error))) => return StreamStep::Broken(error.to_string()),
             Ok(Some(Ok(frame))) => frame,
         };
         if let Ok(data) = frame.into_data() {
@@ -294,22 +325,32 @@
             };
             match next_events(&self.call, &self.retry_state, source, &mut self.events, false).await
             {
-                StreamStep::Events(events) => return Some(Ok(Bytes::from(events))),
+                StreamStep::Events(events) => {
+                    source.attempt.record_first_byte();
+                    source.attempt.record_progress();
+                    return Some(Ok(Bytes::from(events)));
+                }
                 StreamStep::End => {
                     if let Some(source) = self.source.take() {
                         source.complete(&self.call);
                     }
                 }
+                StreamStep::Broken(detail) => {
+                    if let Some(source) = self.source.take() {
+                        self.retry_state.excluded.push(source.attempt.placement.upstream.clone());
+                        source.fail_broken(&self.call, &mut self.retry_state, &detail);
+                    }
+                    if let Err(interrupted) = self.resume_after(detail).await {
+                        return Some(Err(interrupted));
+                    }
+                }
                 StreamStep::Interrupted(detail) => {
                     if let Some(source) = self.source.take() {
                         self.retry_state.excluded.push(source.attempt.placement.upstream.clone());
                         source.fail(&self.call, &detail);
                     }
-                    self.retry_state.may_have_run = true;
-                    self.retry_state.failure = Some(detail.clone());
-                    if !self.resume().await {
-                        self.end("broken");
-                        return Some(Err(StreamInterrupted(detail)));
+                    if let Err(interrupted) = self.resume_after(detail).await {
+                        return Some(Err(interrupted));
                     }
                 }
             }
@@ -322,6 +363,17 @@
         }
     }
 
+    /// Resumes after an interruption for the reason `detail`.
+    async fn resume_after(&mut self, detail: String) -> Result<(), StreamInterrupted> {
+        self.retry_state.may_have_run = true;
+        self.retry_state.failure = Some(detail.clone());
+        if self.resume().await {
+            return Ok(());
+        }
+        self.end("broken");
+        Err(StreamInterrupted(detail))
+    }
+
     /// Resumes at another upstream after the last event sent to the caller; returns whether an
     /// upstream accepted.
     async fn resume(&mut self) -> bool {
--- a/crates/routes/src/directory.rs
+++ b/crates/routes/src/directory.rs
@@ -292,6 +292,12 @@
         expired
     }
 
+    /// Returns the wall-clock time at which an upstream started; `None` if it is not listed or reports
+    /// none.
+    pub fn started_at_ms(&self, id: &str) -> Option<u64> {
+        self.upstreams.get(id)?.entry.started_at_ms
+    }
+
     /// Returns all entries, including those in their grace period.
     pub fn entries(&self) -> impl Iterator<Item = &UpstreamEntry> {
         self.upstreams.values().map(|listed| &listed.entry)
--- a/crates/testkit/src/bin/measure/relay_cores.rs
+++ b/crates/testkit/src/bin/measure/relay_cores.rs
@@ -150,6 +150,7 @@
         departures: Vec::new(),
         committed_usage: Vec::new(),
         sequence,
+        quarantine: Default::default(),
     })
 }
 
