Relay: endpoints to list, pin and lift quarantined parts; mend the record in the store

Cause: operators had no way to see or change the quarantine. The holder of the duties wrote no record when it held no part and had not written one itself, so a part that was lifted after a change of the holder stayed in the record, and a restarted instance quarantined it again. After a conflict it took the record for empty in the same way. The record also kept the age of the latest request at its write, so that a fleet restarted ten minutes later took a part for idle that requests still had.

Change: GET /quarantine, PUT and DELETE /quarantine/PART at the management address, in a module of its own; changes only from the instance's own host. A new holder reads the record (one call), applies it and compares it with its own parts; it writes it again when a part was asked for two minutes later than the record says. A pin that finds no room is refused, and the gauge of quarantined parts follows pins and lifts.

--- a/crates/quarantine/src/digest.rs
+++ b/crates/quarantine/src/digest.rs
@@ -1,6 +1,8 @@
 //! What instances tell each other. Times are ages, as the clocks of instances differ; serialized field
 //! names are short, as every instance receives them several times a second.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 /// Ends in a digest.
@@ -103,6 +105,21 @@
         }
     }
 
+    /// Returns whether the quarantined parts of `current` have to be stored in the place of these: they
+    /// are others, another one is pinned, or requests with them came more than `max_lag_ms` later than
+    /// is known here. Both have to be of the same age.
+    pub fn is_outdated_by(&self, current: &Self, max_lag_ms: u64) -> bool {
+        let stored: BTreeMap<u64, &QuarantinedDigest> =
+            self.quarantined.iter().map(|known| (known.part, known)).collect();
+        let is_current = |part: &QuarantinedDigest| {
+            stored.get(&part.part).is_some_and(|known| {
+                let lag_ms = known.last_request_age_ms.saturating_sub(part.last_request_age_ms);
+                known.is_pinned == part.is_pinned && (part.is_pinned || lag_ms <= max_lag_ms)
+            })
+        };
+        stored.len() != current.quarantined.len() || !current.quarantined.iter().all(is_current)
+    }
+
     /// Checks the digest against the limits that each instance keeps.
     ///
     /// # Errors
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -132,9 +132,8 @@
         parts.iter().any(|part| self.quarantined.contains_key(part) || self.ends.count(*part) > 1)
     }
 
-    /// Quarantines a part until an operator lifts it.
-    pub fn pin(&mut self, part: u64, now_ms: u64) {
-        self.lifted.remove(&part);
+    /// Quarantines a part until an operator lifts it. Returns false if too many parts are quarantined.
+    pub fn pin(&mut self, part: u64, now_ms: u64) -> bool {
         let known = self.quarantined.get(&part).copied();
         let known = known.unwrap_or(QuarantinedPart {
             since_ms: now_ms,
@@ -143,7 +142,12 @@
             is_pinned: true,
         });
         // A pin is later than a lift that other instances may still tell.
-        self.insert(part, QuarantinedPart { since_ms: now_ms, is_pinned: true, ..known });
+        let is_kept =
+            self.insert(part, QuarantinedPart { since_ms: now_ms, is_pinned: true, ..known });
+        if is_kept {
+            self.lifted.remove(&part);
+        }
+        is_kept
     }
 
     /// Lifts the quarantine of a part. Ends before are no evidence against it.
@@ -154,6 +158,11 @@
         self.quarantined.remove(&part).is_some()
     }
 
+    /// Returns whether a part is quarantined.
+    pub fn is_quarantined(&self, part: u64) -> bool {
+        self.quarantined.contains_key(&part)
+    }
+
     /// Returns the quarantined parts.
     pub fn quarantined(&self) -> impl Iterator<Item = (u64, &QuarantinedPart)> {
         self.quarantined.iter().map(|(part, quarantined)| (*part, quarantined))
--- a/crates/relay/src/duty_tasks.rs
+++ b/crates/relay/src/duty_tasks.rs
@@ -10,7 +10,7 @@
     CapacityOrder, CapacityPlanner, LeaseAction, WindowCounts, ZoneCapacity,
 };
 use hickorycourse_routes::{Service, UpstreamPhase};
-use hickorycourse_store::{KeyValue, Lease, PlatformError, SwapOutcome};
+use hickorycourse_store::{KeyValue, KeyValueRecord, Lease, PlatformError, SwapOutcome};
 use ntex::time::sleep;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -62,9 +62,9 @@
     first_recorded_window: Option<u64>,
     planners: BTreeMap<String, CapacityPlanner>,
     planned_at_ms: u64,
-    /// The quarantined parts in the store, and whether they are pinned, with the revision of their
-    /// record; `None` until this instance has written it.
-    stored_quarantine: Option<(BTreeSet<(u64, bool)>, u64)>,
+    /// The record of the quarantined parts in the store, with its revision; `None` until this holder
+    /// has read it.
+    stored_quarantine: Option<(QuarantineRecord, u64)>,
 }
 
 impl DutyTasks {
@@ -201,29 +201,44 @@
 
     /// Writes the quarantined parts to the store when they have changed, for instances that start.
     async fn store_quarantine(&mut self) {
-        let record = self.relay.make_quarantine_record();
-        let keys: BTreeSet<(u64, bool)> =
-            record.digest.quarantined.iter().map(|part| (part.part, part.is_pinned)).collect();
-        if self.stored_quarantine.as_ref().is_some_and(|(known, _)| *known == keys)
-            || (self.stored_quarantine.is_none() && keys.is_empty())
-        {
-            return;
+        if let Err(error) = self.try_store_quarantine().await {
+            let reason = error.to_string();
+            self.relay.log.write("quarantine_not_stored", || json!({ "reason": reason }));
         }
-        let revision = self.stored_quarantine.as_ref().map_or(0, |(_, revision)| *revision);
-        match self.write_quarantine(&record, revision).await {
-            Ok(SwapOutcome::Swapped { mod_revision }) => {
-                self.stored_quarantine = Some((keys, mod_revision));
-            }
-            // Of an earlier holder. Its parts were applied when it was written or listed.
-            Ok(SwapOutcome::Conflict { stored }) => {
-                let revision = stored.map_or(0, |stored| stored.mod_revision);
-                self.stored_quarantine = Some((BTreeSet::new(), revision));
-            }
-            Err(error) => self
-                .relay
-                .log
-                .write("quarantine_not_stored", || json!({ "reason": error.to_string() })),
+    }
+
+    async fn try_store_quarantine(&mut self) -> Result<(), PlatformError> {
+        // Read again after a failed write, which may have taken effect.
+        let (stored, revision) = match self.stored_quarantine.take() {
+            Some(stored) => stored,
+            None => self.read_quarantine().await?,
+        };
+        let record = self.relay.make_quarantine_record();
+        if !stored.is_outdated_by(&record) {
+            self.stored_quarantine = Some((stored, revision));
+            return Ok(());
         }
+        self.stored_quarantine = match self.write_quarantine(&record, revision).await? {
+            SwapOutcome::Swapped { mod_revision } => Some((record, mod_revision)),
+            // Of another holder.
+            SwapOutcome::Conflict { stored } => Some(self.apply_stored_quarantine(stored.as_ref())),
+        };
+        Ok(())
+    }
+
+    async fn read_quarantine(&self) -> Result<(QuarantineRecord, u64), PlatformError> {
+        let listed = self.key_value.list(QUARANTINE_KEY, 0).await?;
+        let stored = listed.iter().find(|item| item.key == QUARANTINE_KEY);
+        Ok(self.apply_stored_quarantine(stored))
+    }
+
+    /// Applies the record in the store, as the watch may not have shown it yet, and returns it with its
+    /// revision.
+    fn apply_stored_quarantine(&self, stored: Option<&KeyValueRecord>) -> (QuarantineRecord, u64) {
+        stored.map_or_else(Default::default, |item| {
+            let record = self.relay.apply_quarantine_record(&item.value);
+            (record.unwrap_or_default(), item.mod_revision)
+        })
     }
 
     async fn write_quarantine(
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -12,8 +12,12 @@
 /// Store key of the [`QuarantineRecord`].
 pub const QUARANTINE_KEY: &str = "hickorycourse/quarantine";
 
+/// Time after which the record is written again if a quarantined part was asked for since. A restarted
+/// fleet takes a part for idle otherwise.
+const RECORD_REFRESH_MS: u64 = 120_000;
+
 /// The quarantined parts in the store.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct QuarantineRecord {
     /// Wall-clock time of the write.
     pub written_at_wall_ms: u64,
@@ -21,6 +25,20 @@
     pub digest: QuarantineDigest,
 }
 
+impl QuarantineRecord {
+    /// Returns whether `newer` has to be written in the place of this record.
+    pub fn is_outdated_by(&self, newer: &Self) -> bool {
+        let age_ms = newer.written_at_wall_ms.saturating_sub(self.written_at_wall_ms);
+        self.digest_after(age_ms).is_outdated_by(&newer.digest, RECORD_REFRESH_MS)
+    }
+
+    fn digest_after(&self, age_ms: u64) -> QuarantineDigest {
+        let mut digest = self.digest.clone();
+        digest.add_age(age_ms);
+        digest
+    }
+}
+
 /// Returns the hash that identifies a start of an upstream at all instances.
 pub fn hash_upstream_start(upstream: &str, started_at_ms: Option<u64>) -> u64 {
     xxh3_64_with_seed(upstream.as_bytes(), started_at_ms.unwrap_or_default())
@@ -114,21 +132,27 @@
         self.log_quarantine_changes(&changes, "idle");
     }
 
-    /// Quarantines a part until an operator lifts it.
-    pub fn pin_part(&self, part: u64) {
-        self.quarantine.lock().pin(part, self.now_ms());
-        self.log.write("part_pinned", || json!({ "part": format_part(part) }));
-        self.digest_requested.notify_one();
+    /// Quarantines a part at all instances until an operator lifts it. Returns false if too many parts
+    /// are quarantined.
+    pub fn pin_part(&self, part: u64) -> bool {
+        let is_pinned = self.quarantine.lock().pin(part, self.now_ms());
+        if is_pinned {
+            self.log.write("part_pinned", || json!({ "part": format_part(part) }));
+            self.update_quarantine_gauge();
+            self.digest_requested.notify_one();
+        }
+        is_pinned
     }
 
-    /// Lifts the quarantine of a part at all instances; returns whether it was quarantined here.
+    /// Lifts the quarantine of a part at all instances. Returns false if it is not quarantined here.
     pub fn lift_part(&self, part: u64) -> bool {
-        let is_lifted = self.quarantine.lock().lift(part, self.now_ms());
-        self.log.write(
-            "part_lifted",
-            || json!({ "part": format_part(part), "source": "operator", "was": is_lifted }),
-        );
-        self.digest_requested.notify_one();
+        let mut quarantine = self.quarantine.lock();
+        let is_lifted = quarantine.is_quarantined(part) && quarantine.lift(part, self.now_ms());
+        drop(quarantine);
+        if is_lifted {
+            self.log_quarantine_changes(&[QuarantineChange::Lifted { part }], "operator");
+            self.digest_requested.notify_one();
+        }
         is_lifted
     }
 
@@ -163,19 +187,21 @@
         }
     }
 
-    /// Applies the record in the store.
-    pub fn apply_quarantine_record(&self, value: &[u8]) {
+    /// Applies the record in the store and returns it; `None` if it is invalid.
+    pub fn apply_quarantine_record(&self, value: &[u8]) -> Option<QuarantineRecord> {
         match serde_json::from_slice::<QuarantineRecord>(value) {
             Ok(record) => {
                 let wall_ms = self.wall_clock.lock().estimate_ms(self.now_ms());
-                let mut digest = record.digest;
-                digest.add_age(wall_ms.saturating_sub(record.written_at_wall_ms));
-                self.merge_quarantine(&digest, "store");
+                let age_ms = wall_ms.saturating_sub(record.written_at_wall_ms);
+                self.merge_quarantine(&record.digest_after(age_ms), "store");
+                Some(record)
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                self.log
+                    .write("item_ignored", || json!({ "key": QUARANTINE_KEY, "reason": reason }));
+                None
             }
-            Err(error) => self.log.write(
-                "item_ignored",
-                || json!({ "key": QUARANTINE_KEY, "reason": error.to_string() }),
-            ),
         }
     }
 
@@ -203,6 +229,10 @@
                 ),
             }
         }
+        self.update_quarantine_gauge();
+    }
+
+    fn update_quarantine_gauge(&self) {
         let count = self.quarantine.lock().quarantined().count();
         metrics::gauge!("hickorycourse_quarantined_parts").set(count as f64);
     }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -11,7 +11,7 @@
 use ntex::io::IoConfig;
 use ntex::server::Server;
 use ntex::time::Seconds;
-use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, types};
+use ntex::web::{self, App, HttpRequest, HttpServer, types};
 use ntex::{SharedCfg, rt};
 use serde_json::json;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -19,6 +19,7 @@
 use crate::adapter::{DutyClient, Protocol};
 use crate::broadcast::PeerBroadcast;
 use crate::duty_tasks::DutyTasks;
+use crate::management::start_management_server;
 use crate::settings::RelaySettings;
 use crate::state::Relay;
 use crate::{caller, drain, store_watch};
@@ -32,7 +33,7 @@
 /// Buffer for a request's head; the limit in the document is checked afterwards.
 const MAX_HEAD_BYTES: usize = 65_536;
 /// Time for connections to close after the drain; requests have ended or been cut off by then.
-const SHUTDOWN_TIMEOUT: Seconds = Seconds(1);
+pub const SHUTDOWN_TIMEOUT: Seconds = Seconds(1);
 /// Time for the last bytes of a response to a slow caller before its connection is closed.
 const FLUSH_TIMEOUT: Seconds = Seconds(30);
 
@@ -89,7 +90,11 @@
     Ok(())
 }
 
-fn listen(address: SocketAddr) -> eyre::Result<TcpListener> {
+/// Binds the listener of a server.
+///
+/// # Errors
+/// The address can't be bound.
+pub fn listen(address: SocketAddr) -> eyre::Result<TcpListener> {
     TcpListener::bind(address).wrap_err_with(|| format!("cannot listen on {address}"))
 }
 
@@ -119,31 +124,6 @@
     Ok(server)
 }
 
-fn start_management_server(relay: &Arc<Relay>) -> eyre::Result<Server> {
-    let shared = Arc::clone(relay);
-    let mut server = HttpServer::new(async move || {
-        let relay = Arc::clone(&shared);
-        App::new().default_service(web::route().to(move |request: HttpRequest| {
-            let relay = Arc::clone(&relay);
-            async move {
-                match request.path() {
-                    "/readyz" => caller::readiness_response(&relay),
-                    "/metrics" => HttpResponse::Ok().body(relay.meter.render()),
-                    _ => HttpResponse::NotFound().finish(),
-                }
-            }
-        }))
-    })
-    .workers(1)
-    .disable_signals()
-    .shutdown_timeout(SHUTDOWN_TIMEOUT)
-    .listen(listen(relay.settings.ready_address)?)?;
-    if let Some(address) = relay.settings.metrics_address {
-        server = server.listen(listen(address)?)?;
-    }
-    Ok(server.run())
-}
-
 fn install_signals() -> std::io::Result<[Signal; 3]> {
     Ok([
         signal(SignalKind::terminate())?,
