hickoryctl: list, lift and pin quarantined parts

Cause: operators had to call the relay's management endpoints by hand.

The operator key is not sent to relays. An error without a body names its status.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -1,4 +1,4 @@
-//! HTTP client of the operators' API of an entry.
+//! HTTP client of the operators' API of an entry, and of a relay's management endpoints.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,7 +15,7 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(15);
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
-/// Client of one entry; sends the operator key with each request.
+/// Client of one entry or relay; sends the operator key with each request.
 pub struct OperatorClient {
     client: Client,
     address: SocketAddr,
@@ -23,7 +23,7 @@
 }
 
 impl OperatorClient {
-    /// Creates a client of the entry at `address`; opens no connection yet.
+    /// Creates a client of the process at `address`; opens no connection yet.
     pub async fn new(address: SocketAddr, key: &str) -> Self {
         Self { client: build_client().await, address, key: key.to_owned() }
     }
@@ -51,6 +51,16 @@
         self.send(self.client.post(self.url(path)), None::<&()>).await.map(|_| ())
     }
 
+    /// Sends a PUT request without a body and discards the response body.
+    pub async fn put_empty(&self, path: &str) -> Result<(), CommandError> {
+        self.send(self.client.put(self.url(path)), None::<&()>).await.map(|_| ())
+    }
+
+    /// Sends a DELETE request and discards the response body.
+    pub async fn delete(&self, path: &str) -> Result<(), CommandError> {
+        self.send(self.client.delete(self.url(path)), None::<&()>).await.map(|_| ())
+    }
+
     fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.address)
     }
@@ -70,14 +80,18 @@
                 None => request.send().await,
             };
             let response = response.map_err(|error| no_response(error.to_string()))?;
-            let is_success = response.status().is_success();
+            let status = response.status();
             let bytes = response
                 .body()
                 .limit(MAX_RESPONSE_BYTES)
                 .await
                 .map_err(|error| no_response(error.to_string()))?;
-            match is_success {
+            match status.is_success() {
                 true => Ok(bytes.to_vec()),
+                false if bytes.is_empty() => {
+                    let reason = format!("{} responded with {status}.", self.address);
+                    Err(CommandError::Request(reason))
+                }
                 false => Err(CommandError::Request(format_problem(&bytes))),
             }
         };
@@ -90,7 +104,7 @@
 
 fn format_problem(bytes: &[u8]) -> String {
     let Ok(problem) = serde_json::from_slice::<Value>(bytes) else {
-        return String::from_utf8_lossy(bytes).into_owned();
+        return String::from_utf8_lossy(bytes).trim_end().to_owned();
     };
     let detail = problem["detail"].as_str().unwrap_or("");
     let execution = problem["execution"].as_str().unwrap_or("");
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,13 +1,15 @@
 //! `hickoryctl`: the command line for operators.
 //!
 //! Most commands send requests to the operators' HTTP API of one entry, which may be any entry of the fleet;
-//! `key` and `check` need no entry. Exit codes: 0 for success, 1 if the command line can't be parsed or the
-//! entry can't be reached or responds with an error, 2 if a file or the value of an argument is invalid.
+//! `quarantine` sends them to the ready address of any relay, and `key` and `check` need neither. Exit codes:
+//! 0 for success, 1 if the command line can't be parsed or the process can't be reached or responds with an
+//! error, 2 if a file or the value of an argument is invalid.
 
 mod client;
 mod fleet;
 mod key;
 mod output;
+mod quarantine;
 mod settings;
 mod usage;
 
@@ -26,7 +28,8 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
 struct Options {
-    /// Operators' address (IP:PORT) of any entry; 127.0.0.1:9080 if left out
+    /// Operators' address (IP:PORT) of any entry, or ready address of any relay for `quarantine`;
+    /// 127.0.0.1:9080 if left out
     #[bpaf(argument("ADDRESS"), env("HICKORYCTL_ADDRESS"), fallback(default_address()))]
     address: SocketAddr,
     /// Operator key; empty if left out
@@ -57,6 +60,9 @@
     /// Drain an entry: it finishes the requests in flight, then exits
     #[bpaf(command)]
     Drain,
+    /// List, lift and pin quarantined parts of prompts on a relay
+    #[bpaf(command)]
+    Quarantine(#[bpaf(external(quarantine::quarantine_command))] quarantine::QuarantineCommand),
     /// Show usage by organisation, caller, service and rank
     #[bpaf(command)]
     Usage {
@@ -94,12 +100,18 @@
 }
 
 async fn run(options: Options) -> Result<(), CommandError> {
-    let client = OperatorClient::new(options.address, &options.key).await;
+    // Relays have no operator keys and must not receive one.
+    let key = match options.command {
+        Command::Quarantine(_) => "",
+        _ => options.key.as_str(),
+    };
+    let client = OperatorClient::new(options.address, key).await;
     match options.command {
         Command::Settings(command) => settings::run(&client, command).await,
         Command::Key(command) => key::run(command),
         Command::Status { json } => fleet::show_status(&client, json).await,
         Command::Drain => fleet::drain(&client).await,
+        Command::Quarantine(command) => quarantine::run(&client, command).await,
         Command::Usage { csv } => usage::show(&client, csv).await,
         Command::Bill { cents, hours, csv } => usage::bill(&client, cents, hours, csv).await,
         Command::Check { file } => settings::check(&file),
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -5,7 +5,7 @@
 pub enum CommandError {
     /// A file or the value of an argument is invalid.
     Usage(String),
-    /// The entry did not respond or responded with an error.
+    /// The entry or relay did not respond or responded with an error.
     Request(String),
 }
 
