Relay: keep the record of quarantined parts without a holder of duties

A relay that was restarted after a part had been quarantined sent its first request with that part to an engine, where the platform has no duties.

Cause: only the holder of the duty lease wrote the record that starting instances read. Change: the first responsive instance by rendezvous hashing writes it, and all know its revision from their view of the store, so that a change of the writer costs no read. Result: restarted_relay_rejects_its_first_quarantined_request failed before and passes; the other tests of platform/tests/quarantine_fleet.rs and operators.rs pass (9).

--- a/crates/relay/src/duty_tasks.rs
+++ b/crates/relay/src/duty_tasks.rs
@@ -10,14 +10,13 @@
     CapacityOrder, CapacityPlanner, LeaseAction, WindowCounts, ZoneCapacity,
 };
 use hickorycourse_routes::{Service, UpstreamPhase};
-use hickorycourse_store::{KeyValue, KeyValueRecord, Lease, PlatformError, SwapOutcome};
+use hickorycourse_store::{KeyValue, Lease, PlatformError, SwapOutcome};
 use ntex::time::sleep;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use crate::adapter::{DutyClient, DutyError, DutyHolder};
 use crate::planning;
-use crate::quarantine::{QUARANTINE_KEY, QuarantineRecord};
 use crate::settings::Duty;
 use crate::state::Relay;
 use crate::store_watch::random_acquire_delay_ms;
@@ -62,9 +61,6 @@
     first_recorded_window: Option<u64>,
     planners: BTreeMap<String, CapacityPlanner>,
     planned_at_ms: u64,
-    /// The record of the quarantined parts in the store, with its revision; `None` until this holder
-    /// has read it.
-    stored_quarantine: Option<(QuarantineRecord, u64)>,
 }
 
 impl DutyTasks {
@@ -83,7 +79,6 @@
             first_recorded_window: None,
             planners: BTreeMap::new(),
             planned_at_ms: 0,
-            stored_quarantine: None,
         }
     }
 
@@ -127,7 +122,6 @@
             Ok(SwapOutcome::Swapped { mod_revision }) => {
                 lease.record_acquired(*mod_revision, started_at_ms, now_ms);
                 self.planners.clear();
-                self.stored_quarantine = None;
                 self.first_recorded_window = None;
             }
             Ok(SwapOutcome::Conflict { stored: Some(stored) }) => {
@@ -187,7 +181,6 @@
     }
 
     async fn run_due_duties(&mut self) {
-        self.store_quarantine().await;
         if self.relay.settings.duties.contains(&Duty::Usage) {
             self.report_usage().await;
         }
@@ -199,58 +192,6 @@
         }
     }
 
-    /// Writes the quarantined parts to the store when they have changed, for instances that start.
-    async fn store_quarantine(&mut self) {
-        if let Err(error) = self.try_store_quarantine().await {
-            let reason = error.to_string();
-            self.relay.log.write("quarantine_not_stored", || json!({ "reason": reason }));
-        }
-    }
-
-    async fn try_store_quarantine(&mut self) -> Result<(), PlatformError> {
-        // Read again after a failed write, which may have taken effect.
-        let (stored, revision) = match self.stored_quarantine.take() {
-            Some(stored) => stored,
-            None => self.read_quarantine().await?,
-        };
-        let record = self.relay.make_quarantine_record();
-        if !stored.is_outdated_by(&record) {
-            self.stored_quarantine = Some((stored, revision));
-            return Ok(());
-        }
-        self.stored_quarantine = match self.write_quarantine(&record, revision).await? {
-            SwapOutcome::Swapped { mod_revision } => Some((record, mod_revision)),
-            // Of another holder.
-            SwapOutcome::Conflict { stored } => Some(self.apply_stored_quarantine(stored.as_ref())),
-        };
-        Ok(())
-    }
-
-    async fn read_quarantine(&self) -> Result<(QuarantineRecord, u64), PlatformError> {
-        let listed = self.key_value.list(QUARANTINE_KEY, 0).await?;
-        let stored = listed.iter().find(|item| item.key == QUARANTINE_KEY);
-        Ok(self.apply_stored_quarantine(stored))
-    }
-
-    /// Applies the record in the store, as the watch may not have shown it yet, and returns it with its
-    /// revision.
-    fn apply_stored_quarantine(&self, stored: Option<&KeyValueRecord>) -> (QuarantineRecord, u64) {
-        stored.map_or_else(Default::default, |item| {
-            let record = self.relay.apply_quarantine_record(&item.value);
-            (record.unwrap_or_default(), item.mod_revision)
-        })
-    }
-
-    async fn write_quarantine(
-        &self,
-        record: &QuarantineRecord,
-        expected_revision: u64,
-    ) -> Result<SwapOutcome, PlatformError> {
-        let value = serde_json::to_vec(record)
-            .map_err(|error| PlatformError::InvalidResponse(error.to_string()))?;
-        self.key_value.compare_and_swap(QUARANTINE_KEY, expected_revision, &value, None).await
-    }
-
     async fn report_usage(&mut self) {
         let bounds = &self.relay.settings.bounds;
         let window_ms = bounds.usage_window_ms;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod messages;
 mod planning;
 mod quarantine;
+mod quarantine_record;
 mod readers;
 mod server;
 mod settings;
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,44 +1,12 @@
-//! Use of the quarantine of parts of prompts: what attempts observe, what other instances tell, and the
-//! record in the store from which a restarted fleet knows the quarantined parts.
+//! Use of the quarantine of parts of prompts: what attempts observe, and what other instances tell.
 
 use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_quarantine::{QuarantineChange, QuarantineDigest};
-use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::state::Relay;
 
-/// Store key of the [`QuarantineRecord`].
-pub const QUARANTINE_KEY: &str = "hickorycourse/quarantine";
-
-/// Time after which the record is written again if a quarantined part was asked for since. A restarted
-/// fleet takes a part for idle otherwise.
-const RECORD_REFRESH_MS: u64 = 120_000;
-
-/// The quarantined parts in the store.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct QuarantineRecord {
-    /// Wall-clock time of the write.
-    pub written_at_wall_ms: u64,
-    /// The quarantined parts, with their ages at that time.
-    pub digest: QuarantineDigest,
-}
-
-impl QuarantineRecord {
-    /// Returns whether `newer` has to be written in the place of this record.
-    pub fn is_outdated_by(&self, newer: &Self) -> bool {
-        let age_ms = newer.written_at_wall_ms.saturating_sub(self.written_at_wall_ms);
-        self.digest_after(age_ms).is_outdated_by(&newer.digest, RECORD_REFRESH_MS)
-    }
-
-    fn digest_after(&self, age_ms: u64) -> QuarantineDigest {
-        let mut digest = self.digest.clone();
-        digest.add_age(age_ms);
-        digest
-    }
-}
-
 /// Returns the hash that identifies a start of an upstream at all instances.
 pub fn hash_upstream_start(upstream: &str, started_at_ms: Option<u64>) -> u64 {
     xxh3_64_with_seed(upstream.as_bytes(), started_at_ms.unwrap_or_default())
@@ -174,37 +142,6 @@
         json!({ "parts": parts })
     }
 
-    /// Returns the record of the quarantined parts for the store.
-    pub fn make_quarantine_record(&self) -> QuarantineRecord {
-        let now_ms = self.now_ms();
-        let digest = self.quarantine.lock().digest(now_ms);
-        QuarantineRecord {
-            written_at_wall_ms: self.wall_clock.lock().estimate_ms(now_ms),
-            digest: QuarantineDigest {
-                quarantined: digest.quarantined,
-                ..QuarantineDigest::default()
-            },
-        }
-    }
-
-    /// Applies the record in the store and returns it; `None` if it is invalid.
-    pub fn apply_quarantine_record(&self, value: &[u8]) -> Option<QuarantineRecord> {
-        match serde_json::from_slice::<QuarantineRecord>(value) {
-            Ok(record) => {
-                let wall_ms = self.wall_clock.lock().estimate_ms(self.now_ms());
-                let age_ms = wall_ms.saturating_sub(record.written_at_wall_ms);
-                self.merge_quarantine(&record.digest_after(age_ms), "store");
-                Some(record)
-            }
-            Err(error) => {
-                let reason = error.to_string();
-                self.log
-                    .write("item_ignored", || json!({ "key": QUARANTINE_KEY, "reason": reason }));
-                None
-            }
-        }
-    }
-
     fn log_quarantine_changes(&self, changes: &[QuarantineChange], source: &str) {
         if changes.is_empty() {
             return;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -20,6 +20,7 @@
 use crate::broadcast::PeerBroadcast;
 use crate::duty_tasks::DutyTasks;
 use crate::management::start_management_server;
+use crate::quarantine_record::maintain_quarantine_record;
 use crate::settings::RelaySettings;
 use crate::state::Relay;
 use crate::{caller, drain, store_watch};
@@ -76,6 +77,7 @@
         broadcast,
     ));
     rt::spawn(store_watch::maintain_membership(Arc::clone(&relay), Rc::clone(&adapter.key_value)));
+    rt::spawn(maintain_quarantine_record(Arc::clone(&relay), Rc::clone(&adapter.key_value)));
     let duties = adapter
         .duty_client
         .map(|client| DutyTasks::new(&relay, Rc::clone(&adapter.key_value), client));
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -31,6 +31,7 @@
 use crate::drain::{DrainState, DrainTimings};
 use crate::exchange::ExchangeState;
 use crate::members::MemberTable;
+use crate::quarantine_record::StoredQuarantine;
 use crate::settings::{AdmissionPolicy, PlacementPolicy, RelaySettings};
 use crate::view_log::ViewLog;
 
@@ -87,6 +88,8 @@
     pub committed_usage: Mutex<BTreeMap<u64, BTreeMap<String, u64>>>,
     /// Parts of prompts that crash upstreams.
     pub quarantine: Mutex<PartQuarantine>,
+    /// The record of the quarantined parts in the store.
+    pub stored_quarantine: Mutex<StoredQuarantine>,
     /// Usage counts of all instances.
     pub fleet_usage: Mutex<FleetUsage>,
     placement_tables: RwLock<BTreeMap<String, SharedPlacementTable>>,
@@ -126,6 +129,7 @@
             registration_requested: Notify::new(),
             committed_usage: Mutex::default(),
             quarantine: Mutex::new(PartQuarantine::new(QuarantineOptions::default())),
+            stored_quarantine: Mutex::default(),
             fleet_usage: Mutex::default(),
             placement_tables: RwLock::default(),
             caps: Mutex::default(),
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -26,7 +26,7 @@
 use crate::duty_tasks::{DUTY_LEASE_KEY, ERA_RECORD_KEY, USAGE_REPORT_PREFIX};
 use crate::follow::follow_until_stale;
 use crate::members::{MEMBER_PREFIX, MemberRecord};
-use crate::quarantine::QUARANTINE_KEY;
+use crate::quarantine_record::QUARANTINE_KEY;
 use crate::state::Relay;
 use crate::view_log::StoreChange;
 
@@ -241,6 +241,9 @@
             None => {}
         }
     }
+    if !items.iter().any(|item| item.key == QUARANTINE_KEY) {
+        relay.apply_stored_quarantine(None);
+    }
     relay.replace_upstreams(upstreams);
     let now_ms = relay.now_ms();
     let mut member_table = relay.members.lock();
@@ -293,7 +296,7 @@
         relay.duty_lease.lock().observe_holder(item.mod_revision);
     }
     if item.key == QUARANTINE_KEY {
-        relay.apply_quarantine_record(&item.value);
+        relay.apply_stored_quarantine(Some(item));
     }
     let Some(name) = item.key.strip_prefix(MEMBER_PREFIX) else { return };
     if name == relay.settings.instance {
@@ -313,6 +316,9 @@
         let delay_ms = random_acquire_delay_ms(relay, now_ms);
         relay.duty_lease.lock().observe_vacant(Some(revision), delay_ms, now_ms);
     }
+    if key == QUARANTINE_KEY {
+        relay.apply_stored_quarantine(None);
+    }
     if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
         relay.members.lock().mark_unlisted(name);
     }
