Entry: the drain waits until outcomes of orders are recorded

A caller that repeated an order whose answer it had got from a draining entry was told 409 (4002, may_have_run) instead of the stored answer. The outcome of a claimed call goes through a channel to the claim task, which writes it to the platform's key-value service; the call was no longer in flight then, and the process ended while the write was to be repeated.

Commands to the claim task carry a guard of their request, and the task keeps one guard for each shard until the shard has nothing left to write. The release of a claim whose caller has gone is handled at once instead of through the channel, so that the guard covers it. While the platform is down this holds the drain, up to `drain_timeout_ms`.

drain_outcome_of_order_recorded_before_exit (platform down from the signal until 2.5 s after the answer) before the change:

assertion `left == right` failed: HttpResponse { status: 409, ... "x-execution", "may_have_run" ... "code":4002 ... left: (409, "may_have_run") right: (200, "ran")

--- a/crates/entry/src/caller/at_most_once.rs
+++ b/crates/entry/src/caller/at_most_once.rs
@@ -28,7 +28,7 @@
 use super::chat::stored_to_http_response;
 use super::context::{CallContext, RoutedCall};
 use super::plain::{self, AttemptSlots, PlainCall};
-use crate::claims::{ClaimCommand, ClaimReply};
+use crate::claims::{ClaimCommand, ClaimReply, GuardedCommand};
 use crate::peers::ForwardRequest;
 use crate::state::{Entry, InFlightGuard};
 
@@ -135,7 +135,7 @@
 ) -> Result<ClaimReply, Problem> {
     let (reply, receiver) = oneshot::channel();
     let command = ClaimCommand::Begin { key, request_digest, reply };
-    context.entry.claim_commands.send(command).map_err(|_| Problem::new(ErrorCode::Internal))?;
+    send_claim_command(context, command);
     receiver.await.map_err(|_| Problem::new(ErrorCode::Internal))
 }
 
@@ -220,6 +220,12 @@
     }
 }
 
+/// Passes a command to the claim task; the receiver of its reply fails if the task has ended.
+fn send_claim_command(context: &CallContext, command: ClaimCommand) {
+    let guard = context.extend_in_flight();
+    let _ = context.entry.claim_commands.send(GuardedCommand { command, guard });
+}
+
 fn finish_claim(context: &CallContext, claim: Claim, response: &ServiceResponse) {
     let limit_bytes = context.entry.settings.limits.stored_answer_bytes;
     let content_type = response.headers.get(header::CONTENT_TYPE);
@@ -233,7 +239,7 @@
         Claim::Issued { sequence } => context.entry.order_ids.lock().finish(sequence, stored),
         Claim::Recorded { key, token } => {
             let command = ClaimCommand::Finish { key, token, response: stored };
-            let _ = context.entry.claim_commands.send(command);
+            send_claim_command(context, command);
         }
     }
 }
@@ -243,7 +249,7 @@
         Claim::Unkeyed => {}
         Claim::Issued { sequence } => context.entry.order_ids.lock().release(sequence),
         Claim::Recorded { key, token } => {
-            let _ = context.entry.claim_commands.send(ClaimCommand::Release { key, token });
+            send_claim_command(context, ClaimCommand::Release { key, token });
         }
     }
 }
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -15,7 +15,7 @@
 use hickorycourse_store::{KeyValue, KeyValueRecord, PlatformError, SwapOutcome};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::state::Entry;
+use crate::state::{Entry, InFlightGuard};
 
 /// Number of shards. Each shard is one value in the key-value service, which limits a value to one
 /// megabyte.
@@ -55,6 +55,14 @@
     },
 }
 
+/// A command with the guard of the request that it belongs to.
+pub struct GuardedCommand {
+    /// The command.
+    pub command: ClaimCommand,
+    /// Keeps the request in flight until the shard has no write to make.
+    pub guard: Option<InFlightGuard>,
+}
+
 /// The reply to [`ClaimCommand::Begin`].
 #[derive(Debug)]
 pub struct ClaimReply {
@@ -64,6 +72,13 @@
     pub token: ClaimToken,
 }
 
+impl ClaimCommand {
+    fn shard(&self) -> u32 {
+        let (Self::Begin { key, .. } | Self::Finish { key, .. } | Self::Release { key, .. }) = self;
+        key.shard(SHARD_COUNT)
+    }
+}
+
 struct PendingClaim {
     reply: oneshot::Sender<ClaimReply>,
     token: ClaimToken,
@@ -71,7 +86,7 @@
 }
 
 enum Input {
-    Command(ClaimCommand),
+    Command(GuardedCommand),
     Event { shard: u32, event: ClaimEvent },
 }
 
@@ -80,6 +95,8 @@
     key_value: Rc<dyn KeyValue>,
     shards: HashMap<u32, ClaimShard>,
     pending: HashMap<u64, PendingClaim>,
+    /// Keep the drain from completing; one for each shard that is not idle.
+    guards: HashMap<u32, InFlightGuard>,
     next_waiter_id: u64,
     input_sender: mpsc::UnboundedSender<Input>,
 }
@@ -88,7 +105,7 @@
 pub async fn run_claim_task(
     entry: Arc<Entry>,
     key_value: Rc<dyn KeyValue>,
-    mut commands: mpsc::UnboundedReceiver<ClaimCommand>,
+    mut commands: mpsc::UnboundedReceiver<GuardedCommand>,
     mut ticks: mpsc::Receiver<hickorycourse_clock::Tick>,
 ) {
     let (input_sender, mut inputs) = mpsc::unbounded_channel();
@@ -97,6 +114,7 @@
         key_value,
         shards: HashMap::new(),
         pending: HashMap::new(),
+        guards: HashMap::new(),
         next_waiter_id: 1,
         input_sender,
     };
@@ -116,17 +134,26 @@
     fn handle_input(&mut self, input: Input) {
         match input {
             Input::Event { shard, event } => self.handle_event(shard, event),
-            Input::Command(ClaimCommand::Begin { key, request_digest, reply }) => {
+            Input::Command(GuardedCommand { command, guard }) => {
+                if let Some(guard) = guard {
+                    self.guards.entry(command.shard()).or_insert(guard);
+                }
+                self.handle_command(command);
+            }
+        }
+    }
+
+    fn handle_command(&mut self, command: ClaimCommand) {
+        let shard = command.shard();
+        match command {
+            ClaimCommand::Begin { key, request_digest, reply } => {
                 self.begin(key, request_digest, reply);
             }
-            Input::Command(ClaimCommand::Finish { key, token, response }) => {
-                self.handle_event(
-                    key.shard(SHARD_COUNT),
-                    ClaimEvent::Finish { key, token, response },
-                );
+            ClaimCommand::Finish { key, token, response } => {
+                self.handle_event(shard, ClaimEvent::Finish { key, token, response });
             }
-            Input::Command(ClaimCommand::Release { key, token }) => {
-                self.handle_event(key.shard(SHARD_COUNT), ClaimEvent::Release { key, token });
+            ClaimCommand::Release { key, token } => {
+                self.handle_event(shard, ClaimEvent::Release { key, token });
             }
         }
     }
@@ -166,6 +193,9 @@
         for action in claims.handle(event, clock.now_ms(), clock.wall_ms()) {
             self.execute_action(shard, action);
         }
+        if self.shards.get(&shard).is_some_and(ClaimShard::is_idle) {
+            self.guards.remove(&shard);
+        }
     }
 
     fn execute_action(&mut self, shard: u32, action: ClaimAction) {
@@ -203,8 +233,7 @@
             // The caller disconnected while the claim was being written; the call is not
             // dispatched.
             let event = ClaimEvent::Release { key: pending.key, token: pending.token };
-            let input = Input::Event { shard: pending.key.shard(SHARD_COUNT), event };
-            let _ = self.input_sender.send(input);
+            self.handle_event(pending.key.shard(SHARD_COUNT), event);
         }
     }
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -17,7 +17,7 @@
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::claims::ClaimCommand;
+use crate::claims::GuardedCommand;
 use crate::drain::DrainState;
 use crate::peers::{ForwardRequest, PendingForwards, PendingJobQueries};
 use crate::pool::ServicePool;
@@ -65,7 +65,7 @@
     /// succeeded.
     pub is_platform_up: AtomicBool,
     /// Passes commands to the claim task.
-    pub claim_commands: mpsc::UnboundedSender<ClaimCommand>,
+    pub claim_commands: mpsc::UnboundedSender<GuardedCommand>,
     /// Passes calls forwarded by peers to the task that executes them.
     pub forwarded_calls: mpsc::UnboundedSender<ForwardRequest>,
     mesh: RwLock<Option<Arc<PeerMesh>>>,
@@ -84,7 +84,7 @@
 /// Channels to the tasks of the main thread.
 pub struct TaskChannels {
     /// Passes commands to the claim task.
-    pub claim_commands: mpsc::UnboundedSender<ClaimCommand>,
+    pub claim_commands: mpsc::UnboundedSender<GuardedCommand>,
     /// Passes calls forwarded by peers to the task that executes them.
     pub forwarded_calls: mpsc::UnboundedSender<ForwardRequest>,
 }
--- a/crates/entry/tests/drain.rs
+++ b/crates/entry/tests/drain.rs
@@ -252,6 +252,40 @@
     assert!(rejected.count() > 0, "orders were forwarded after the grace period");
 }
 
+#[test]
+fn drain_outcome_of_order_recorded_before_exit() {
+    let timing = json!({ "usage_flush_ms": 60_000 });
+    let mut fleet = FleetBuilder::new().with_timing(timing).start();
+    for service in &fleet.services {
+        service.set_faults(&json!({ "delay_before_ms": 2_500 }));
+    }
+    let response = std::thread::scope(|scope| {
+        let entry = &fleet.entries[0];
+        let caller = scope.spawn(|| entry.post_order(Some("last"), "x"));
+        poll_until("the order to reach a service", || {
+            fleet.services.iter().any(|service| service.stats()["calls"] == 1)
+        });
+        entry.process.send_sigterm();
+        fleet.platform.set_faults(&json!({ "down": true }));
+        caller.join().unwrap()
+    });
+    assert_eq!(response.status, 200, "{response:?}");
+    std::thread::sleep(Duration::from_millis(2_500));
+    fleet.platform.set_faults(&json!({}));
+    let status = fleet.entries[0].process.wait(EXIT_TIMEOUT);
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+    let mut repeat = None;
+    poll_until("the other entry to reach the platform", || {
+        let response = fleet.entries[1].post_order(Some("last"), "x");
+        let is_claim_read = response.problem_code() != 4001;
+        repeat = Some(response);
+        is_claim_read
+    });
+    let repeat = repeat.unwrap();
+    assert_eq!((repeat.status, repeat.execution().as_str()), (200, "ran"), "{repeat:?}");
+    assert_eq!(fleet.count_executions("last"), 1);
+}
+
 #[test]
 fn drain_response_read_slowly_sent_completely() {
     const BODY_BYTES: usize = 7 * 1024 * 1024;
