Entry: the drain waits for operators' requests

An operator who changed settings at a draining entry lost the connection without a response, while the change might already have been written to the platform. Requests to the operators' port were not counted, so the process ended under them.

They are now admitted and counted like callers' requests, but without the limit of the grace period: operators follow a drain on the same port. They are refused once the drain is complete. The count of callers' requests, which the status and the limit of requests use, stays separate. An edit is read within the time limit for bodies, so that a stalled upload can't hold the drain.

drain_settings_change_in_progress_answered (platform with 1.5 s for each call) before the change:

assertion `left == right` failed: HttpResponse { status: 0, headers: [], body: "io: Peer disconnected", is_complete: false } left: 0 right: 200

--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -23,13 +23,14 @@
 use ntex::http::Method;
 use ntex::web::{HttpRequest, HttpResponse, types};
 
+use crate::drain::RequestKind;
 use crate::state::{Entry, InFlightGuard};
 
 pub use at_most_once::{problem_to_forward_answer, run_forwarded_calls};
 pub use chat::{is_transient_failure, run_job};
 pub use connections::wait_until_closed;
 pub use context::CallContext;
-pub use respond::problem_response;
+pub use respond::{finish_response, problem_response};
 
 thread_local! {
     static UPSTREAMS: Rc<HttpUpstreams> = Rc::new(HttpUpstreams::new());
@@ -53,7 +54,7 @@
         "/readyz" => return respond::close_if_leaving(&entry, respond_readiness(&entry)),
         _ => {}
     }
-    let guard = InFlightGuard::try_admit(&entry);
+    let guard = InFlightGuard::try_admit(&entry, RequestKind::Caller);
     let mut context = CallContext::new(&entry, &request, guard);
     let result = match check_request(&mut context, &request) {
         Ok(()) => route_request(&mut context, &request, payload).await,
@@ -82,7 +83,7 @@
 
 /// Reads the body of a rejected request. If the connection were closed while the body arrives, it
 /// would be reset, and the caller could lose the response.
-async fn discard_body(entry: &Entry, payload: types::Payload) {
+pub async fn discard_body(entry: &Entry, payload: types::Payload) {
     let limits = &entry.settings.limits;
     let time_limit = Duration::from_millis(limits.body_timeout_ms);
     let _ = read_body(payload, limits.body_bytes, time_limit).await;
--- a/crates/entry/src/caller/respond.rs
+++ b/crates/entry/src/caller/respond.rs
@@ -9,7 +9,7 @@
 
 use super::context::CallContext;
 use super::response_body::FlushedBody;
-use crate::state::Entry;
+use crate::state::{Entry, InFlightGuard};
 
 /// Converts the result of a call to a response, and records the call's metrics and span. The call is
 /// in flight until the response has been written to its connection.
@@ -23,13 +23,24 @@
         Err(problem) => record_problem(&mut context, &problem),
     };
     set_header(&mut response, "x-request-id", &context.request_id);
-    response = close_if_leaving(&context.entry, response);
     let status = response.status().as_u16().to_string();
     metrics::counter!("hickorycourse_requests_total", "status" => status.clone()).increment(1);
     context.span.set_attribute("status", status);
     let entry = context.entry.clone();
     let guard = context.take_in_flight_guard();
     context.span.end(&entry.spans);
+    finish_response(&entry, response, connection, guard)
+}
+
+/// Keeps a request in flight until its response has been written to the connection, and closes the
+/// connection after it if this entry is leaving.
+pub fn finish_response(
+    entry: &Entry,
+    response: HttpResponse,
+    connection: Option<&IoRef>,
+    guard: Option<InFlightGuard>,
+) -> HttpResponse {
+    let response = close_if_leaving(entry, response);
     match (guard, connection) {
         (Some(guard), Some(io)) => response.map_body(|_, body| {
             let body = FlushedBody::new(body.into(), io.clone(), guard);
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -32,10 +32,21 @@
     started: Notify,
 }
 
+/// Who sent a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestKind {
+    /// A caller, directly or through a peer. Refused after the grace period.
+    Caller,
+    /// An operator, who may still need to look at the draining entry. Refused once the drain is
+    /// complete.
+    Operator,
+}
+
 #[derive(Debug, Default)]
 struct Progress {
     phase: Phase,
-    in_flight: u64,
+    callers_in_flight: u64,
+    operators_in_flight: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -49,6 +60,15 @@
     Complete,
 }
 
+impl Progress {
+    fn in_flight(&mut self, kind: RequestKind) -> &mut u64 {
+        match kind {
+            RequestKind::Caller => &mut self.callers_in_flight,
+            RequestKind::Operator => &mut self.operators_in_flight,
+        }
+    }
+}
+
 impl DrainState {
     /// Starts the drain; false if it had already started.
     pub fn start(&self, now_ms: u64) -> bool {
@@ -83,33 +103,35 @@
         self.progress.lock().phase == Phase::Complete
     }
 
-    /// Number of requests in flight: callers' requests, detached calls, and calls and jobs received
-    /// from peers.
+    /// Number of callers' requests in flight, with detached calls, and calls and jobs received from
+    /// peers.
     pub fn in_flight(&self) -> u64 {
-        self.progress.lock().in_flight
+        self.progress.lock().callers_in_flight
     }
 
-    /// Counts a new request as in flight, unless the grace period of the drain has elapsed. Each
-    /// admission is ended by [`Self::end`].
-    pub fn try_admit(&self, now_ms: u64) -> bool {
+    /// Counts a new request as in flight, unless the drain refuses it. Each admission is ended by
+    /// [`Self::end`].
+    pub fn try_admit(&self, kind: RequestKind, now_ms: u64) -> bool {
         let mut progress = self.progress.lock();
         let is_admitted = match progress.phase {
             Phase::Serving => true,
-            Phase::Draining { since_ms } => now_ms < since_ms + GRACE_MS,
+            Phase::Draining { since_ms } => {
+                kind == RequestKind::Operator || now_ms < since_ms + GRACE_MS
+            }
             Phase::Complete => false,
         };
-        progress.in_flight += u64::from(is_admitted);
+        *progress.in_flight(kind) += u64::from(is_admitted);
         is_admitted
     }
 
     /// Counts further work of a request in flight, in any phase.
-    pub fn extend(&self) {
-        self.progress.lock().in_flight += 1;
+    pub fn extend(&self, kind: RequestKind) {
+        *self.progress.lock().in_flight(kind) += 1;
     }
 
     /// Ends what [`Self::try_admit`] or [`Self::extend`] has counted.
-    pub fn end(&self) {
-        self.progress.lock().in_flight -= 1;
+    pub fn end(&self, kind: RequestKind) {
+        *self.progress.lock().in_flight(kind) -= 1;
     }
 
     /// Completes the drain if its grace period has elapsed and no request is in flight.
@@ -120,7 +142,8 @@
             Phase::Draining { since_ms } => now_ms >= since_ms + GRACE_MS,
             Phase::Complete => true,
         };
-        let is_complete = is_due && progress.in_flight == 0;
+        let is_idle = progress.callers_in_flight == 0 && progress.operators_in_flight == 0;
+        let is_complete = is_due && is_idle;
         if is_complete {
             progress.phase = Phase::Complete;
         }
@@ -131,7 +154,7 @@
     pub fn abort(&self) -> u64 {
         let mut progress = self.progress.lock();
         progress.phase = Phase::Complete;
-        progress.in_flight
+        progress.callers_in_flight + progress.operators_in_flight
     }
 }
 
--- a/crates/entry/src/operator/mod.rs
+++ b/crates/entry/src/operator/mod.rs
@@ -13,9 +13,9 @@
 use ntex::http::Method;
 use ntex::web::{HttpRequest, HttpResponse, types};
 
-use crate::caller::problem_response;
-use crate::drain;
-use crate::state::Entry;
+use crate::caller::{discard_body, finish_response, problem_response};
+use crate::drain::{self, RequestKind};
+use crate::state::{Entry, InFlightGuard};
 
 thread_local! {
     static KEY_VALUE: OnceCell<Rc<dyn KeyValue>> = const { OnceCell::new() };
@@ -40,10 +40,17 @@
     entry: types::State<Arc<Entry>>,
 ) -> HttpResponse {
     let entry: Arc<Entry> = Arc::clone(&entry);
-    match route_request(&entry, &request, payload).await {
-        Ok(response) => response,
-        Err(problem) => problem_response(&problem, &entry.generate_id()),
-    }
+    let guard = InFlightGuard::try_admit(&entry, RequestKind::Operator);
+    let result = match &guard {
+        Some(_) => route_request(&entry, &request, payload).await,
+        None => {
+            discard_body(&entry, payload).await;
+            Err(ErrorCode::Draining.into())
+        }
+    };
+    let response =
+        result.unwrap_or_else(|problem| problem_response(&problem, &entry.generate_id()));
+    finish_response(&entry, response, request.io(), guard)
 }
 
 async fn route_request(
--- a/crates/entry/src/operator/settings.rs
+++ b/crates/entry/src/operator/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hickorycourse_body::read_body;
 use hickorycourse_codes::{ErrorCode, Execution, Problem};
 use hickorycourse_membership::VersionedDocument;
 use hickorycourse_settings::document::{Document, DocumentName, Edit, EditError};
@@ -9,7 +10,6 @@
 use hickorycourse_store::{KeyValue, PlatformError, SwapOutcome};
 use ntex::http::Method;
 use ntex::time::sleep;
-use ntex::util::BytesMut;
 use ntex::web::{HttpRequest, HttpResponse, types};
 
 use super::key_value_client;
@@ -41,7 +41,7 @@
     match *request.method() {
         Method::GET => get(entry, &name),
         Method::PUT => {
-            let edit = read_edit(payload).await?;
+            let edit = read_edit(entry, payload).await?;
             put(entry, &name, &edit).await
         }
         _ => Err(ErrorCode::MethodNotAllowed.into()),
@@ -55,15 +55,10 @@
     Ok(HttpResponse::Ok().json(document))
 }
 
-async fn read_edit(mut payload: types::Payload) -> Result<Edit, Problem> {
-    let mut body = BytesMut::new();
-    while let Some(part) = payload.recv().await {
-        let part = part.map_err(|_| Problem::new(ErrorCode::BrokenBody))?;
-        body.extend_from_slice(&part);
-        if body.len() > MAX_EDIT_BYTES {
-            return Err(ErrorCode::BodyTooLarge.into());
-        }
-    }
+/// Reads an edit within the time limit for bodies, because a drain waits for the request.
+async fn read_edit(entry: &Entry, payload: types::Payload) -> Result<Edit, Problem> {
+    let body_timeout = Duration::from_millis(entry.settings.limits.body_timeout_ms);
+    let body = read_body(payload, MAX_EDIT_BYTES, body_timeout).await?;
     serde_json::from_slice(&body).map_err(|error| {
         Problem::new(ErrorCode::MalformedJson).with_detail(format!("Not an edit: {error}."))
     })
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::drain::RequestKind;
 use crate::state::{Entry, InFlightGuard, UsageOwner};
 use crate::{caller, drain};
 
@@ -135,7 +136,9 @@
                 if entry.drain.is_leaving() {
                     return Vec::new();
                 }
-                let Some(guard) = InFlightGuard::try_admit(entry) else { return Vec::new() };
+                let Some(guard) = InFlightGuard::try_admit(entry, RequestKind::Caller) else {
+                    return Vec::new();
+                };
                 let job_id = copy.job_id.clone();
                 let _ = self.handovers.send(JobHandover { copy, guard });
                 return vec![PeerMessage::JobTaken { job_id }];
@@ -157,7 +160,7 @@
 
     /// Passes a forwarded call on to its task, or refuses it like a caller's request.
     fn handle_forward(&self, from: &str, call: ForwardedCall) -> Vec<PeerMessage> {
-        let Some(guard) = InFlightGuard::try_admit(&self.entry) else {
+        let Some(guard) = InFlightGuard::try_admit(&self.entry, RequestKind::Caller) else {
             let problem = Problem::new(ErrorCode::Draining);
             let answer = caller::problem_to_forward_answer(call.call_id, problem);
             return vec![PeerMessage::ForwardAnswer(answer)];
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::claims::GuardedCommand;
-use crate::drain::DrainState;
+use crate::drain::{DrainState, RequestKind};
 use crate::peers::{ForwardRequest, PendingForwards, PendingJobQueries};
 use crate::pool::ServicePool;
 
@@ -282,26 +282,27 @@
 /// Counts a request as in flight until the guard is dropped.
 pub struct InFlightGuard {
     entry: Arc<Entry>,
+    kind: RequestKind,
 }
 
 impl InFlightGuard {
     /// Admits a new request; `None` if the drain refuses it.
-    pub fn try_admit(entry: &Arc<Entry>) -> Option<Self> {
-        let is_admitted = entry.drain.try_admit(entry.clock.now_ms());
-        is_admitted.then(|| Self { entry: Arc::clone(entry) })
+    pub fn try_admit(entry: &Arc<Entry>, kind: RequestKind) -> Option<Self> {
+        let is_admitted = entry.drain.try_admit(kind, entry.clock.now_ms());
+        is_admitted.then(|| Self { entry: Arc::clone(entry), kind })
     }
 }
 
 impl Clone for InFlightGuard {
     /// Counts further work of the same request, which the drain waits for too.
     fn clone(&self) -> Self {
-        self.entry.drain.extend();
-        Self { entry: Arc::clone(&self.entry) }
+        self.entry.drain.extend(self.kind);
+        Self { entry: Arc::clone(&self.entry), kind: self.kind }
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.entry.drain.end();
+        self.entry.drain.end(self.kind);
     }
 }
--- a/crates/entry/tests/drain.rs
+++ b/crates/entry/tests/drain.rs
@@ -343,3 +343,21 @@
     assert!(matches!(outcome, Ok(Outcome::Whole { status: 503, .. })), "{outcome:?}");
     assert!(is_answered(&outcome, 3), "{outcome:?}");
 }
+
+#[test]
+fn drain_settings_change_in_progress_answered() {
+    let timing = json!({ "platform_timeout_ms": 5_000 });
+    let mut fleet = FleetBuilder::new().with_timing(timing).start();
+    let site = fleet.build_site_settings();
+    let revision = fleet.active_revision(0, "site");
+    fleet.platform.set_faults(&json!({ "slow_ms": 1_500 }));
+    fleet.entries[0].process.send_sigterm();
+    std::thread::sleep(Duration::from_millis(1_500));
+    // A read and a write at the platform: the response is due about a second and a half after the
+    // grace period.
+    let changed = fleet.set_settings(0, "site", revision, &site);
+    assert_eq!(changed.status, 200, "{changed:?}");
+    fleet.platform.set_faults(&json!({}));
+    let status = fleet.entries[0].process.wait(EXIT_TIMEOUT);
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+}
