Entry: SIGHUP no longer ends the process

A hangup ended an entry at once, under the requests and streams that it was serving: only SIGTERM and SIGINT had handlers. SIGHUP is now logged and changes nothing, as in the relay. Repeated SIGTERM, SIGINT and SIGHUP in a drain interrupt nothing either, which was so for SIGTERM and SIGINT before.

--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -1,5 +1,6 @@
 //! Start-up and shutdown of the process: servers, peer mesh and background tasks.
 
+use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -14,7 +15,7 @@
 use ntex::time::{Seconds, sleep};
 use ntex::web::{self, App, HttpServer};
 use ntex::{SharedCfg, rt};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 
 use crate::peers::{EntryPeerHandler, JobHandover};
@@ -71,7 +72,8 @@
         entry.settings.availability_zone,
         entry.settings.caller_address,
     );
-    rt::spawn(drain_on_signal(entry.clone()));
+    let signals = Signals::install().wrap_err("failed to install signal handlers")?;
+    rt::spawn(drain_on_signal(entry.clone(), signals));
     drain::wait_until_drained(&entry).await;
     usage_tasks::flush_own(&entry, key_value.as_ref()).await;
     if let Some(mesh) = entry.mesh() {
@@ -193,20 +195,33 @@
     Ok(server)
 }
 
-/// Starts the drain at the first SIGTERM or SIGINT.
-async fn drain_on_signal(entry: Arc<Entry>) {
-    let terminate = signal(SignalKind::terminate());
-    let interrupt = signal(SignalKind::interrupt());
-    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-        log::error!(
-            target: "entry",
-            "Failed to install signal handlers; SIGTERM and SIGINT will not start a drain.",
-        );
-        return;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// The handled signals. Once installed, a handler replaces the default action for as long as the
+/// process runs, so that repeated signals don't interrupt a drain.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn install() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+/// Starts the drain at the first SIGTERM or SIGINT. SIGHUP changes nothing: settings that can change
+/// while the process runs come from the platform.
+async fn drain_on_signal(entry: Arc<Entry>, mut signals: Signals) {
+    loop {
+        tokio::select! {
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => log::info!(target: "entry", "Ignored SIGHUP."),
+        }
     }
     drain::start_drain(&entry, "received SIGTERM or SIGINT");
 }
--- a/crates/entry/tests/drain.rs
+++ b/crates/entry/tests/drain.rs
@@ -361,3 +361,30 @@
     let status = fleet.entries[0].process.wait(EXIT_TIMEOUT);
     assert!(status.is_some_and(|status| status.success()), "{status:?}");
 }
+
+#[test]
+fn drain_signals_repeated_interrupt_no_stream() {
+    let mut fleet = FleetBuilder::new().start();
+    let is_running = AtomicBool::new(false);
+    let entry = &fleet.entries[0];
+    let response = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let body = chat_body(MODEL, "signals", 600, true);
+            entry.stream(&body, |count| is_running.store(count > 5, Ordering::SeqCst))
+        });
+        poll_until("the stream to run", || is_running.load(Ordering::SeqCst));
+        entry.process.send_sighup();
+        std::thread::sleep(Duration::from_millis(200));
+        assert!(entry.is_ready(), "a hangup starts no drain");
+        for _ in 0..3 {
+            entry.process.send_sigterm();
+            entry.process.send_sigint();
+            entry.process.send_sighup();
+            std::thread::sleep(Duration::from_millis(700));
+        }
+        caller.join().unwrap()
+    });
+    assert!(response.is_complete, "{:?}", response.problem);
+    let status = fleet.entries[0].process.wait(EXIT_TIMEOUT);
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+}
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -104,6 +104,16 @@
         self.send_signal(Signal::TERM);
     }
 
+    /// Sends SIGINT, which requests a graceful shutdown too.
+    pub fn send_sigint(&self) {
+        self.send_signal(Signal::INT);
+    }
+
+    /// Sends SIGHUP.
+    pub fn send_sighup(&self) {
+        self.send_signal(Signal::HUP);
+    }
+
     /// Sends SIGSTOP, which suspends the process.
     pub fn suspend(&self) {
         self.send_signal(Signal::STOP);
