Entry: install the signal handlers before anything listens

An entry that got SIGTERM while it started was ended by the signal's default action, although it already listened for peers and callers: the handlers were installed by a task that ran only after the servers had been started. They are now installed first, and the signal is kept until the drain's task runs.

drain_signal_during_start_exits_with_success (SIGTERM as soon as the peer port accepts a connection) before the change:

round 0: Some(ExitStatus(unix_wait_status(15)))

--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -42,6 +42,9 @@
 /// The timer thread can't be started, or an address can't be bound.
 pub async fn run(settings: ProcessSettings) -> eyre::Result<()> {
     init_logging(log_options(&settings));
+    // Before anything listens, so that a signal during the start can't end the process under a
+    // request or a peer's message.
+    let signals = Signals::install().wrap_err("failed to install signal handlers")?;
     let meter = Meter::install();
     let timer = TimerService::start().wrap_err("failed to start the timer thread")?;
     let (claim_sender, claim_commands) = mpsc::unbounded_channel();
@@ -72,7 +75,6 @@
         entry.settings.availability_zone,
         entry.settings.caller_address,
     );
-    let signals = Signals::install().wrap_err("failed to install signal handlers")?;
     rt::spawn(drain_on_signal(entry.clone(), signals));
     drain::wait_until_drained(&entry).await;
     usage_tasks::flush_own(&entry, key_value.as_ref()).await;
--- a/crates/entry/tests/drain.rs
+++ b/crates/entry/tests/drain.rs
@@ -388,3 +388,19 @@
     let status = fleet.entries[0].process.wait(EXIT_TIMEOUT);
     assert!(status.is_some_and(|status| status.success()), "{status:?}");
 }
+
+#[test]
+fn drain_signal_during_start_exits_with_success() {
+    let mut fleet = FleetBuilder::new().with_zones(1).start();
+    for round in 0..3 {
+        fleet.restart_entry(0);
+        let entry = &mut fleet.entries[0];
+        // The peer address is the first one that a process listens on.
+        while TcpStream::connect(entry.peer_address).is_err() {
+            std::thread::yield_now();
+        }
+        entry.process.send_sigterm();
+        let status = entry.process.wait(EXIT_TIMEOUT);
+        assert!(status.is_some_and(|status| status.success()), "round {round}: {status:?}");
+    }
+}
