Entry: send the final usage counters to a peer before the exit

Calls that an entry answered in its last seconds were not accounted if the platform was down at that moment: the counters were flushed once after the drain, a failure was only logged, and peers had the copy of the last tick of `usage_flush_ms`. The entry now also sends its final counters to a peer, which flushes them once the platform is back.

drain_platform_down_usage_flushed_by_peer before the change:

assertion `left == right` failed left: 0 right: 65

--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -77,6 +77,7 @@
     );
     rt::spawn(drain_on_signal(entry.clone(), signals));
     drain::wait_until_drained(&entry).await;
+    usage_tasks::send_copy(&entry);
     usage_tasks::flush_own(&entry, key_value.as_ref()).await;
     if let Some(mesh) = entry.mesh() {
         mesh.broadcast(&PeerMessage::Goodbye);
--- a/crates/entry/src/usage_tasks.rs
+++ b/crates/entry/src/usage_tasks.rs
@@ -52,7 +52,9 @@
     UsageOwner { instance: entry.settings.instance.clone(), incarnation: entry.incarnation }
 }
 
-fn send_copy(entry: &Entry) {
+/// Sends a copy of this incarnation's counters to a peer, which flushes it if this process ends
+/// without a flush.
+pub fn send_copy(entry: &Entry) {
     let now_ms = entry.clock.now_ms();
     let holder = entry.members.lock().choose_copy_target(COPY_SEED, now_ms);
     let (Some(holder), Some(mesh)) = (holder, entry.mesh()) else { return };
--- a/crates/entry/tests/drain.rs
+++ b/crates/entry/tests/drain.rs
@@ -362,6 +362,30 @@
     assert!(status.is_some_and(|status| status.success()), "{status:?}");
 }
 
+#[test]
+fn drain_platform_down_usage_flushed_by_peer() {
+    let timing = json!({ "usage_flush_ms": 8_000, "platform_timeout_ms": 300 });
+    let mut fleet = FleetBuilder::new().with_timing(timing).start();
+    fleet.platform.set_faults(&json!({ "down": true }));
+    fleet.entries[0].process.send_sigterm();
+    let mut answered = 0;
+    while fleet.entries[0].chat(&chat_body(MODEL, "count", 3, false)).status == 200 {
+        answered += 1;
+    }
+    assert!(answered > 10);
+    let status = fleet.entries[0].process.wait(EXIT_TIMEOUT);
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+    fleet.platform.set_faults(&json!({}));
+    let mut seen = 0;
+    let started = Instant::now();
+    while seen != answered && started.elapsed() < EXIT_TIMEOUT {
+        std::thread::sleep(Duration::from_millis(100));
+        let rows = fleet.entries[1].send_operator_request("GET", "/v1/usage", None).json();
+        seen = rows[0]["count"]["answered"].as_u64().unwrap_or(0);
+    }
+    assert_eq!(seen, answered);
+}
+
 #[test]
 fn drain_signals_repeated_interrupt_no_stream() {
     let mut fleet = FleetBuilder::new().start();
