Jobs: a copy whose holder is unreachable blocks the drain

An entry that drains may have the only copy of an accepted job whose holder has just been lost. It takes such a job over after 0.5 s and then hands it over, but the drain did not wait for that: only jobs that the entry held itself blocked its end, so the job was lost if the drain ended in between. Copies of open jobs whose holder is unreachable now block the drain too.

job_copy_of_lost_holder_blocks_drain_until_handed_over before the change:

assertion `left == right` failed left: 0 right: 1

With the change it passes, as do the generated schedules of this crate (3,000 each) and the tests of the entry.

--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -208,12 +208,17 @@
         held.or_else(|| self.remote_jobs.get(job_id).map(|remote| &remote.copy))
     }
 
-    /// The number of jobs that block the end of a drain: open jobs, and finished ones whose copy is
-    /// not confirmed.
+    /// The number of jobs that block the end of a drain: open jobs, finished ones whose copy is not
+    /// confirmed, and copies of open jobs whose holder is unreachable, because this may be the only
+    /// copy until the job has been taken over.
     pub fn count_blocking_drain(&self) -> usize {
-        let blocking =
+        let held =
             self.held_jobs.values().filter(|job| !job.copy.is_finished() || !job.is_copy_confirmed);
-        blocking.count()
+        let orphaned = self
+            .remote_jobs
+            .values()
+            .filter(|remote| !remote.copy.is_finished() && remote.unreachable_since_ms.is_some());
+        held.count() + orphaned.count()
     }
 
     /// Whether the table contains neither jobs nor copies, so that a tick has no effect.
--- a/crates/jobs/tests/jobs.rs
+++ b/crates/jobs/tests/jobs.rs
@@ -303,3 +303,28 @@
         })
         .unwrap();
 }
+
+#[test]
+fn job_copy_of_lost_holder_blocks_drain_until_handed_over() {
+    let mut simulation = Simulation::new();
+    simulation.run(&Step::Add { entry: 0 });
+    simulation.tick();
+    while !simulation.messages.is_empty() {
+        simulation.deliver(0, false);
+    }
+    let job_id = "job-1";
+    let holder_of_copy = (1..ENTRIES)
+        .find(|entry| simulation.tables[*entry].find(job_id).is_some())
+        .expect("an entry has a copy");
+    simulation.is_leaving[holder_of_copy] = true;
+    assert_eq!(simulation.tables[holder_of_copy].count_blocking_drain(), 0);
+    simulation.is_alive[0] = false;
+    // The holder is found lost, but its job is not taken over yet.
+    simulation.tick();
+    assert_eq!(simulation.tables[holder_of_copy].count_blocking_drain(), 1);
+    simulation.run_until_copied();
+    assert_eq!(simulation.tables[holder_of_copy].count_blocking_drain(), 0);
+    let others = (1..ENTRIES).filter(|entry| *entry != holder_of_copy);
+    let copies = others.filter(|entry| simulation.tables[*entry].find(job_id).is_some());
+    assert!(copies.count() > 0, "another entry has the job");
+}
