Relay: hold a request until its response is written, also before a stop

Callers saw: a response that was complete at the relay before SIGTERM, and that its caller read slowly, ended in the middle when the process ended.

Cause: a request was held until its last bytes were in the socket only if the stop had begun when its handler returned. Before, the guard ended with the handler, while the server still had the response in its write buffer.

Responses too large for a send buffer, and streams whose connection still has bytes to write, are now held in any phase; the drain timeout bounds that. Small responses are not, so that they cost no task.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -11,6 +11,7 @@
 use hickorycourse_routes::{Access, CapUnit, Organisation, Route, RouteTable, UsageCap};
 use http::{HeaderMap, Method};
 use hyper::body::Bytes;
+use ntex::http::body::{BodySize, MessageBody};
 use ntex::http::{ConnectionType, StatusCode};
 use ntex::io::IoRef;
 use ntex::web::types::Payload;
@@ -96,7 +97,11 @@
     metrics::counter!("hickorycourse_requests_total", "status" => label).increment(1);
     metrics::histogram!("hickorycourse_first_byte_seconds").record(took_ms as f64 / 1_000.0);
     if let Some(in_flight) = in_flight {
-        hold_until_flushed(&relay, in_flight, request.io().cloned());
+        let unwritten_bytes = match response.body().size() {
+            BodySize::Sized(bytes) => bytes,
+            BodySize::None | BodySize::Empty | BodySize::Stream => 0,
+        };
+        hold_until_flushed(&relay, in_flight, request.io().cloned(), unwritten_bytes);
     }
     response
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -414,7 +414,7 @@
         let (mut relayed, connection) = state?;
         let Some(next) = relayed.next().await else {
             if let Some(in_flight) = relayed.in_flight.take() {
-                hold_until_flushed(&relayed.call.relay, in_flight, connection);
+                hold_until_flushed(&relayed.call.relay, in_flight, connection, 0);
             }
             return None;
         };
