Quarantine: a start that was alive before its end has ended nonetheless

Callers saw: nothing yet; evidence against a part that crashes engines could be lost at all instances, so that more engines end before the verdict.

Cause: the notice that a start was alive, which is told for ten seconds, removed the end of that start from the table of each instance that it reached, also an end after the time of the notice. Engines that now and then reset a connection have such notices all the time.

Evidence: start_told_alive_before_its_end_remains_evidence. Before: no part quarantined, 0xbad expected. After: passes.

The notice now removes only an end that is not later than itself.

--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -99,6 +99,13 @@
         self.ends.remove(&start);
     }
 
+    /// Removes the end of a start that was still alive at `alive_at_ms`.
+    pub fn remove_until(&mut self, start: u64, alive_at_ms: u64) {
+        if self.ends.get(&start).is_some_and(|end| end.ended_at_ms <= alive_at_ms) {
+            self.ends.remove(&start);
+        }
+    }
+
     /// Removes a part from the ends before `begun_at_ms`.
     pub fn clear_part(&mut self, part: u64, begun_at_ms: u64) {
         for end in self.ends.values_mut().filter(|end| end.ended_at_ms < begun_at_ms) {
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -262,7 +262,7 @@
         }
         for (start, age_ms) in &digest.alive {
             if *age_ms < NOTICE_TTL_MS {
-                self.ends.remove(*start);
+                self.ends.remove_until(*start, at_ms(*age_ms));
                 insert_bounded(&mut self.alive, *start, at_ms(*age_ms));
             }
         }
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -316,3 +316,16 @@
     }
     assert_eq!(quarantined(&table), []);
 }
+
+#[test]
+fn start_told_alive_before_its_end_remains_evidence() {
+    let (mut first, mut second) = (quarantine(), quarantine());
+    first.record_broken_beginning(1, &[0xa], 1_000);
+    first.record_progress(1, 1_400);
+    for (start, now_ms) in [(1, 3_000), (2, 3_200), (3, 3_400)] {
+        second.record_broken_beginning(start, &[BAD], now_ms);
+    }
+    tell(&first, &mut second, 3_450);
+    second.expire(3_700);
+    assert_eq!(quarantined(&second), [BAD]);
+}
