Quarantine: an answer that begins after the verdict lifts it

Callers saw: a sound part, in most requests of a service, could be rejected with 422 at all instances for ten minutes or more.

Cause: an instance that has seen no answer on a part, because it has just started or gets few requests, judges it by the ends alone. The answers at other instances are known to it only one exchange of digests later than the ends (a second or more in a large fleet), and every other instance took over the verdict although it knew of later answers itself.

Evidence: told_part_with_an_answer_since_not_quarantined and quarantined_part_lifted_by_an_answer_since. Before, the first one: [0xf] quarantined at the instance that knows the answer, [] expected; the second did not compile, as no change was returned. After: both pass.

No answer begins on a part that crashes each engine, so one that has begun after the verdict disproves it. Such a verdict is not taken over, and the instance that made it is told. Pinned parts stay.

--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -92,13 +92,21 @@
 
     /// Records that an answer on these parts is well begun or complete. `begun_at_ms` is the time of its
     /// first bytes.
-    pub fn record_begun(&mut self, parts: &[u64], begun_at_ms: u64, now_ms: u64) {
+    pub fn record_begun(
+        &mut self,
+        parts: &[u64],
+        begun_at_ms: u64,
+        now_ms: u64,
+    ) -> Vec<QuarantineChange> {
         self.latest_begun_at_ms = self.latest_begun_at_ms.max(begun_at_ms);
+        let mut changes = Vec::new();
         for part in parts {
             if self.begun.record(*part, begun_at_ms) {
                 self.clear_part(*part, begun_at_ms, now_ms);
+                self.lift_disproved(*part, begun_at_ms, &mut changes);
             }
         }
+        changes
     }
 
     /// Records progress of an answer at a start of an upstream.
@@ -258,6 +266,7 @@
         for (part, age_ms) in &digest.cleared {
             if self.begun.record(*part, at_ms(*age_ms)) {
                 self.clear_part(*part, at_ms(*age_ms), now_ms);
+                self.lift_disproved(*part, at_ms(*age_ms), &mut changes);
             }
         }
         for (start, age_ms) in &digest.alive {
@@ -289,6 +298,18 @@
         }
     }
 
+    /// Lifts the quarantine of a part on which an answer has begun since. The instance that has
+    /// quarantined it did not know of answers on it.
+    fn lift_disproved(&mut self, part: u64, begun_at_ms: u64, changes: &mut Vec<QuarantineChange>) {
+        let is_disproved =
+            |known: &QuarantinedPart| !known.is_pinned && begun_at_ms > known.since_ms;
+        if self.quarantined.get(&part).is_some_and(is_disproved) {
+            self.quarantined.remove(&part);
+            insert_bounded(&mut self.cleared, part, begun_at_ms);
+            changes.push(QuarantineChange::Lifted { part });
+        }
+    }
+
     fn merge_quarantined(
         &mut self,
         told: &QuarantinedDigest,
@@ -308,6 +329,14 @@
         if is_lifted || is_idle {
             return;
         }
+        if !told.is_pinned
+            && let Some(begun_at_ms) = self.begun.latest_ms(told.part)
+            && begun_at_ms > since_ms
+        {
+            // Told to the instance that has quarantined the part.
+            insert_bounded(&mut self.cleared, told.part, begun_at_ms);
+            return;
+        }
         let quarantined = QuarantinedPart {
             since_ms,
             last_request_at_ms,
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -329,3 +329,35 @@
     second.expire(3_700);
     assert_eq!(quarantined(&second), [BAD]);
 }
+
+#[test]
+fn told_part_with_an_answer_since_not_quarantined() {
+    let (mut first, mut second) = (quarantine(), quarantine());
+    for (start, now_ms) in [(1, 1_000), (2, 1_200), (3, 1_400)] {
+        first.record_broken_beginning(start, &[FIRST], now_ms);
+    }
+    first.expire(1_700);
+    assert_eq!(quarantined(&first), [FIRST], "no answer on it is known here");
+    second.record_begun(&[FIRST], 1_750, 1_900);
+    tell(&first, &mut second, 1_950);
+    assert_eq!(quarantined(&second), [], "an answer on it has begun since");
+    assert_eq!(tell(&second, &mut first, 2_000), [QuarantineChange::Lifted { part: FIRST }]);
+    assert_eq!(quarantined(&first), []);
+}
+
+#[test]
+fn quarantined_part_lifted_by_an_answer_since() {
+    let (mut first, mut second) = (quarantine(), quarantine());
+    for (start, now_ms) in [(1, 1_000), (2, 1_200), (3, 1_400)] {
+        first.record_broken_beginning(start, &[FIRST], now_ms);
+    }
+    first.expire(1_700);
+    first.pin(0xa, 1_700);
+    tell(&first, &mut second, 1_710);
+    assert_eq!(second.record_begun(&[FIRST], 1_690, 1_850), [], "it began before");
+    let lifted = second.record_begun(&[FIRST, 0xa], 1_750, 1_900);
+    assert_eq!(lifted, [QuarantineChange::Lifted { part: FIRST }]);
+    assert_eq!(tell(&first, &mut second, 1_910), [], "told again by an instance behind");
+    assert_eq!(tell(&second, &mut first, 1_920), [QuarantineChange::Lifted { part: FIRST }]);
+    assert_eq!((quarantined(&first), quarantined(&second)), (vec![0xa], vec![0xa]));
+}
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -58,8 +58,13 @@
 
     /// Records that an answer is well begun or complete.
     pub fn record_begun_answer(&self, parts: &[u64], begun_at_ms: u64) {
-        if !parts.is_empty() {
-            self.quarantine.lock().record_begun(parts, begun_at_ms, self.now_ms());
+        if parts.is_empty() {
+            return;
+        }
+        let changes = self.quarantine.lock().record_begun(parts, begun_at_ms, self.now_ms());
+        self.log_quarantine_changes(&changes, "answer");
+        if !changes.is_empty() {
+            self.digest_requested.notify_one();
         }
     }
 
