Quarantine: answers of another service prove nothing about a lost one

Callers saw: when all upstreams of a service ended within a second for other reasons, all requests of the service could be rejected with 422 from then on.

Cause: a part on which answers had begun before is quarantined after five ends if answers have begun on any other part since, as upstreams then do answer. Also those of other services counted, so that the first part of all requests of a service without upstreams stood out. No request with it was sent any more, so no answer could disprove the verdict.

Evidence: first_part_of_service_without_upstreams_not_quarantined. Before: the first part [0xf] quarantined, [] expected. After: passes.

Ends and answers carry the service now, and only its answers count.

--- a/crates/quarantine/src/digest.rs
+++ b/crates/quarantine/src/digest.rs
@@ -22,6 +22,9 @@
 /// The end of a start of an upstream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EndDigest {
+    /// Hash of the service of the upstream.
+    #[serde(rename = "b")]
+    pub service: u64,
     /// Hash of the upstream and its start.
     #[serde(rename = "s")]
     pub start: u64,
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -12,6 +12,8 @@
 /// The end of one start of an upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct UpstreamEnd {
+    /// Hash of the service of the upstream.
+    pub service: u64,
     /// Time at which the first attempt broke.
     pub ended_at_ms: u64,
     /// Parts of the attempts that broke before their answer was well begun, with their largest
@@ -59,7 +61,7 @@
 
 impl UpstreamEnds {
     /// Adds parts to the end of a start. Returns whether anything is new.
-    pub fn add(&mut self, start: u64, ended_at_ms: u64, parts: &[(u64, u8)]) -> bool {
+    pub fn add(&mut self, service: u64, start: u64, ended_at_ms: u64, parts: &[(u64, u8)]) -> bool {
         if !self.ends.contains_key(&start) && self.ends.len() >= MAX_ENDS {
             let oldest = self.ends.iter().min_by_key(|(_, end)| end.ended_at_ms);
             let Some((oldest, oldest_at_ms)) = oldest.map(|(start, end)| (*start, end.ended_at_ms))
@@ -72,10 +74,11 @@
             self.ends.remove(&oldest);
         }
         let is_known = self.ends.contains_key(&start);
-        let end = self
-            .ends
-            .entry(start)
-            .or_insert_with(|| UpstreamEnd { ended_at_ms, parts: BTreeMap::new() });
+        let end = self.ends.entry(start).or_insert_with(|| UpstreamEnd {
+            service,
+            ended_at_ms,
+            parts: BTreeMap::new(),
+        });
         end.ended_at_ms = end.ended_at_ms.min(ended_at_ms);
         let mut is_new = !is_known;
         for (part, position) in parts {
@@ -146,6 +149,7 @@
         for end in self.ends.values().filter(|end| end.ended_at_ms <= until_ms) {
             for (part, position) in &end.parts {
                 let support = supports.entry(*part).or_insert(Support {
+                    service: end.service,
                     starts: 0,
                     first_ms: end.ended_at_ms,
                     last_ms: end.ended_at_ms,
@@ -164,6 +168,8 @@
 /// Evidence against a part.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Support {
+    /// Hash of the service of the upstreams that ended; that of any of them if they differ.
+    pub service: u64,
     /// Starts that ended under the part.
     pub starts: usize,
     /// Time of the first of these ends.
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -54,8 +54,8 @@
     options: QuarantineOptions,
     ends: UpstreamEnds,
     begun: BegunParts,
-    /// Time of the latest answer that has begun on any parts.
-    latest_begun_at_ms: u64,
+    /// Times of the latest answers that have begun on any parts, by service.
+    latest_begun_at_ms: BTreeMap<u64, u64>,
     quarantined: BTreeMap<u64, QuarantinedPart>,
     /// Times at which parts were cleared that had been in an attempt at an end.
     cleared: BTreeMap<u64, u64>,
@@ -70,10 +70,11 @@
         Self { options, ..Self::default() }
     }
 
-    /// Records that an attempt broke at a start of an upstream before its answer was well begun.
-    /// `parts` are the parts of its prompt in order, without the last one.
+    /// Records that an attempt broke at a start of an upstream of a service before its answer was well
+    /// begun. `parts` are the parts of its prompt in order, without the last one.
     pub fn record_broken_beginning(
         &mut self,
+        service: u64,
         start: u64,
         parts: &[u64],
         now_ms: u64,
@@ -86,19 +87,20 @@
             .enumerate()
             .map(|(position, part)| (*part, u8::try_from(position).unwrap_or(u8::MAX)))
             .collect();
-        self.add_end(start, now_ms, &parts);
+        self.add_end(service, start, now_ms, &parts);
         self.decide(now_ms)
     }
 
-    /// Records that an answer on these parts is well begun or complete. `begun_at_ms` is the time of its
-    /// first bytes.
+    /// Records that an answer of a service on these parts is well begun or complete. `begun_at_ms` is the
+    /// time of its first bytes.
     pub fn record_begun(
         &mut self,
+        service: u64,
         parts: &[u64],
         begun_at_ms: u64,
         now_ms: u64,
     ) -> Vec<QuarantineChange> {
-        self.latest_begun_at_ms = self.latest_begun_at_ms.max(begun_at_ms);
+        insert_bounded(&mut self.latest_begun_at_ms, service, begun_at_ms);
         let mut changes = Vec::new();
         for part in parts {
             if self.begun.record(*part, begun_at_ms) {
@@ -209,6 +211,7 @@
         };
         let ends = self.ends.newest().into_iter().take(digest::MAX_ENDS);
         let ends = ends.map(|(start, end)| EndDigest {
+            service: end.service,
             start,
             age_ms: age_ms(end.ended_at_ms),
             parts: self.most_suspected(end.parts.iter().map(|(part, position)| (*part, *position))),
@@ -278,7 +281,7 @@
         for end in &digest.ends {
             let is_recent = end.age_ms < self.options.evidence_ttl_ms;
             if is_recent && !self.is_alive_since(end.start, at_ms(end.age_ms)) {
-                self.add_end(end.start, at_ms(end.age_ms), &end.parts);
+                self.add_end(end.service, end.start, at_ms(end.age_ms), &end.parts);
             }
         }
         changes.extend(self.decide(now_ms));
@@ -360,7 +363,7 @@
 
     /// Adds the parts that are still suspected to an end. An end under a quarantined part says nothing of
     /// the other parts.
-    fn add_end(&mut self, start: u64, ended_at_ms: u64, parts: &[(u64, u8)]) {
+    fn add_end(&mut self, service: u64, start: u64, ended_at_ms: u64, parts: &[(u64, u8)]) {
         if parts.iter().any(|(part, _)| self.quarantined.contains_key(part)) {
             self.ends.remove(start);
             return;
@@ -373,7 +376,7 @@
                 None => suspected.push((*part, *position)),
             }
         }
-        self.ends.add(start, ended_at_ms, &suspected);
+        self.ends.add(service, start, ended_at_ms, &suspected);
     }
 
     fn clear_part(&mut self, part: u64, begun_at_ms: u64, now_ms: u64) {
@@ -422,11 +425,14 @@
         let founded = latest.into_iter().filter_map(|(part, latest)| {
             let settled = settled.get(&part);
             let founded = match self.begun.latest_ms(part) {
-                // Answers that begin on other parts show that a part in most requests is not just one
-                // of many that upstreams can't answer at the moment.
+                // Answers of the service that begin on other parts show that a part in most requests is
+                // not just one of many that its upstreams can't answer at the moment.
                 Some(_) => settled
                     .filter(|settled| is_founded(settled, options.min_starts_certain))
-                    .filter(|settled| settled.first_ms < self.latest_begun_at_ms),
+                    .filter(|settled| {
+                        let begun_at_ms = self.latest_begun_at_ms.get(&settled.service);
+                        begun_at_ms.is_some_and(|begun_at_ms| settled.first_ms < *begun_at_ms)
+                    }),
                 None => settled
                     .filter(|settled| is_founded(settled, options.min_starts))
                     .or(Some(&latest).filter(|all| is_founded(all, options.min_starts_certain))),
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -5,6 +5,8 @@
     QuarantinedDigest,
 };
 
+const SERVICE: u64 = 0x5e;
+const OTHER_SERVICE: u64 = 0x5f;
 const FIRST: u64 = 0xf;
 const BAD: u64 = 0xbad;
 
@@ -24,11 +26,11 @@
 #[test]
 fn part_under_three_ends_quarantined() {
     let mut table = quarantine();
-    assert_eq!(table.record_broken_beginning(1, &[FIRST, BAD], 1_000), []);
-    table.record_begun(&[FIRST, 0xa], 1_100, 1_250);
-    assert_eq!(table.record_broken_beginning(2, &[FIRST, BAD], 1_300), []);
-    table.record_begun(&[FIRST, 0xb], 1_400, 1_550);
-    assert_eq!(table.record_broken_beginning(3, &[FIRST, BAD], 1_600), []);
+    assert_eq!(table.record_broken_beginning(SERVICE, 1, &[FIRST, BAD], 1_000), []);
+    table.record_begun(SERVICE, &[FIRST, 0xa], 1_100, 1_250);
+    assert_eq!(table.record_broken_beginning(SERVICE, 2, &[FIRST, BAD], 1_300), []);
+    table.record_begun(SERVICE, &[FIRST, 0xb], 1_400, 1_550);
+    assert_eq!(table.record_broken_beginning(SERVICE, 3, &[FIRST, BAD], 1_600), []);
     assert_eq!(table.expire(1_899), [], "an answer on it may still be told");
     let changes = table.expire(1_900);
     assert_eq!(changes, [QuarantineChange::Found { part: BAD, starts: 3, span_ms: 600 }]);
@@ -40,19 +42,19 @@
 fn part_under_five_ends_quarantined_at_once() {
     let mut table = quarantine();
     for start in 1..5 {
-        assert_eq!(table.record_broken_beginning(start, &[BAD], 1_000 + 50 * start), []);
+        assert_eq!(table.record_broken_beginning(SERVICE, start, &[BAD], 1_000 + 50 * start), []);
     }
-    let changes = table.record_broken_beginning(5, &[BAD], 1_250);
+    let changes = table.record_broken_beginning(SERVICE, 5, &[BAD], 1_250);
     assert_eq!(changes, [QuarantineChange::Found { part: BAD, starts: 5, span_ms: 200 }]);
 }
 
 #[test]
 fn part_with_an_answer_since_not_quarantined() {
     let mut table = quarantine();
-    table.record_broken_beginning(1, &[FIRST, BAD], 1_000);
-    table.record_broken_beginning(2, &[FIRST, BAD], 1_300);
-    table.record_begun(&[BAD], 1_400, 1_550);
-    table.record_broken_beginning(3, &[FIRST, 0xa], 1_600);
+    table.record_broken_beginning(SERVICE, 1, &[FIRST, BAD], 1_000);
+    table.record_broken_beginning(SERVICE, 2, &[FIRST, BAD], 1_300);
+    table.record_begun(SERVICE, &[BAD], 1_400, 1_550);
+    table.record_broken_beginning(SERVICE, 3, &[FIRST, 0xa], 1_600);
     table.expire(2_000);
     assert_eq!(quarantined(&table), [FIRST], "no answer has begun on this one");
 }
@@ -60,11 +62,11 @@
 #[test]
 fn part_with_an_answer_before_quarantined() {
     let mut table = quarantine();
-    table.record_begun(&[FIRST, BAD], 900, 1_050);
+    table.record_begun(SERVICE, &[FIRST, BAD], 900, 1_050);
     for start in 1..6 {
         let now_ms = 1_000 + 200 * start;
-        table.record_broken_beginning(start, &[FIRST, BAD], now_ms);
-        table.record_begun(&[FIRST], now_ms + 50, now_ms + 199);
+        table.record_broken_beginning(SERVICE, start, &[FIRST, BAD], now_ms);
+        table.record_begun(SERVICE, &[FIRST], now_ms + 50, now_ms + 199);
     }
     assert_eq!(table.expire(2_299), []);
     table.expire(2_300);
@@ -75,17 +77,17 @@
 fn ends_at_the_same_moment_not_sufficient() {
     let mut table = quarantine();
     for start in 1..20 {
-        assert_eq!(table.record_broken_beginning(start, &[FIRST, 0xa], 1_000 + start), []);
+        assert_eq!(table.record_broken_beginning(SERVICE, start, &[FIRST, 0xa], 1_000 + start), []);
     }
-    table.record_begun(&[FIRST, 0xa], 1_100, 1_250);
-    assert_eq!(table.record_broken_beginning(30, &[FIRST, 0xa], 1_500), []);
+    table.record_begun(SERVICE, &[FIRST, 0xa], 1_100, 1_250);
+    assert_eq!(table.record_broken_beginning(SERVICE, 30, &[FIRST, 0xa], 1_500), []);
 }
 
 #[test]
 fn one_start_counts_once() {
     let mut table = quarantine();
     for now_ms in (1_000..3_000).step_by(100) {
-        table.record_broken_beginning(1, &[FIRST, BAD], now_ms);
+        table.record_broken_beginning(SERVICE, 1, &[FIRST, BAD], now_ms);
     }
     assert_eq!(quarantined(&table), []);
 }
@@ -94,7 +96,7 @@
 fn start_that_goes_on_is_no_evidence() {
     let mut table = quarantine();
     for (start, now_ms) in [(1, 1_000), (2, 2_000), (3, 3_000), (4, 4_000)] {
-        assert_eq!(table.record_broken_beginning(start, &[FIRST, 0xa], now_ms), []);
+        assert_eq!(table.record_broken_beginning(SERVICE, start, &[FIRST, 0xa], now_ms), []);
         table.record_progress(start, now_ms + 400);
     }
     assert_eq!(quarantined(&table), []);
@@ -104,7 +106,7 @@
 fn bytes_read_after_the_end_leave_the_evidence() {
     let mut table = quarantine();
     for (start, now_ms) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
-        table.record_broken_beginning(start, &[BAD], now_ms);
+        table.record_broken_beginning(SERVICE, start, &[BAD], now_ms);
         table.record_progress(start, now_ms + 2);
     }
     table.expire(3_300);
@@ -115,19 +117,19 @@
 fn tied_parts_the_later_in_the_prompt_quarantined() {
     let mut table = quarantine();
     for (start, now_ms) in [(1, 1_000), (2, 1_200), (3, 1_400)] {
-        table.record_broken_beginning(start, &[FIRST, BAD], now_ms);
+        table.record_broken_beginning(SERVICE, start, &[FIRST, BAD], now_ms);
     }
     table.expire(1_700);
     assert_eq!(quarantined(&table), [BAD]);
     // The ends that it explains are no evidence against the first part.
-    assert_eq!(table.record_broken_beginning(4, &[FIRST, 0xa], 1_600), []);
+    assert_eq!(table.record_broken_beginning(SERVICE, 4, &[FIRST, 0xa], 1_600), []);
 }
 
 #[test]
 fn first_part_that_crashes_quarantined() {
     let mut table = quarantine();
     for (start, now_ms) in [(1, 1_000), (2, 1_200), (3, 1_400)] {
-        table.record_broken_beginning(start, &[BAD, 0xa0 + start], now_ms);
+        table.record_broken_beginning(SERVICE, start, &[BAD, 0xa0 + start], now_ms);
     }
     table.expire(1_700);
     assert_eq!(quarantined(&table), [BAD]);
@@ -137,8 +139,8 @@
 fn two_parts_each_quarantined() {
     let mut table = quarantine();
     for (start, part) in [(1, 0xb1), (2, 0xb2), (3, 0xb1), (4, 0xb2), (5, 0xb1), (6, 0xb2)] {
-        table.record_broken_beginning(start, &[FIRST, part], 1_000 + 150 * start);
-        table.record_begun(&[FIRST], 1_010 + 150 * start, 1_100 + 150 * start);
+        table.record_broken_beginning(SERVICE, start, &[FIRST, part], 1_000 + 150 * start);
+        table.record_begun(SERVICE, &[FIRST], 1_010 + 150 * start, 1_100 + 150 * start);
     }
     table.expire(2_200);
     assert_eq!(quarantined(&table), [0xb1, 0xb2]);
@@ -149,9 +151,14 @@
 #[test]
 fn first_part_of_all_requests_not_quarantined_while_nothing_begins() {
     let mut table = quarantine();
-    table.record_begun(&[FIRST, 0xa], 990, 1_140);
+    table.record_begun(SERVICE, &[FIRST, 0xa], 990, 1_140);
     for start in 1..8 {
-        table.record_broken_beginning(start, &[FIRST, 0xb1 + start % 2], 1_000 + 165 * start);
+        table.record_broken_beginning(
+            SERVICE,
+            start,
+            &[FIRST, 0xb1 + start % 2],
+            1_000 + 165 * start,
+        );
         table.expire(1_100 + 165 * start);
     }
     for now_ms in (2_200..8_000).step_by(100) {
@@ -165,7 +172,12 @@
     let mut tables = [quarantine(), quarantine(), quarantine()];
     for (index, table) in tables.iter_mut().enumerate() {
         let now_ms = 1_000 + 300 * index as u64;
-        table.record_broken_beginning(index as u64, &[FIRST, 0xa + index as u64, BAD], now_ms);
+        table.record_broken_beginning(
+            SERVICE,
+            index as u64,
+            &[FIRST, 0xa + index as u64, BAD],
+            now_ms,
+        );
     }
     let [first, second, third] = &mut tables;
     tell(first, second, 1_650);
@@ -180,30 +192,30 @@
 #[test]
 fn answer_at_another_instance_clears_a_part() {
     let (mut first, mut second) = (quarantine(), quarantine());
-    first.record_broken_beginning(1, &[FIRST], 1_000);
-    first.record_broken_beginning(2, &[FIRST], 1_500);
+    first.record_broken_beginning(SERVICE, 1, &[FIRST], 1_000);
+    first.record_broken_beginning(SERVICE, 2, &[FIRST], 1_500);
     tell(&first, &mut second, 1_600);
-    second.record_begun(&[FIRST], 1_700, 1_850);
+    second.record_begun(SERVICE, &[FIRST], 1_700, 1_850);
     tell(&second, &mut first, 1_900);
-    assert_eq!(first.record_broken_beginning(3, &[FIRST], 2_000), []);
+    assert_eq!(first.record_broken_beginning(SERVICE, 3, &[FIRST], 2_000), []);
 }
 
 #[test]
 fn answer_before_the_digest_clears_a_part() {
     let (mut first, mut second) = (quarantine(), quarantine());
-    first.record_broken_beginning(1, &[FIRST], 1_000);
-    first.record_broken_beginning(2, &[FIRST], 1_500);
-    second.record_begun(&[FIRST], 1_550, 1_700);
+    first.record_broken_beginning(SERVICE, 1, &[FIRST], 1_000);
+    first.record_broken_beginning(SERVICE, 2, &[FIRST], 1_500);
+    second.record_begun(SERVICE, &[FIRST], 1_550, 1_700);
     tell(&first, &mut second, 1_750);
     tell(&second, &mut first, 1_800);
-    assert_eq!(first.record_broken_beginning(3, &[FIRST], 2_000), []);
+    assert_eq!(first.record_broken_beginning(SERVICE, 3, &[FIRST], 2_000), []);
 }
 
 #[test]
 fn lifted_part_stays_lifted() {
     let (mut first, mut second) = (quarantine(), quarantine());
     for (start, now_ms) in [(1, 1_000), (2, 1_200), (3, 1_400)] {
-        first.record_broken_beginning(start, &[BAD], now_ms);
+        first.record_broken_beginning(SERVICE, start, &[BAD], now_ms);
     }
     first.expire(1_700);
     tell(&first, &mut second, 1_750);
@@ -213,10 +225,10 @@
     assert_eq!(tell(&second, &mut first, 2_200), [QuarantineChange::Lifted { part: BAD }]);
     assert_eq!(quarantined(&first), []);
     for start in 4..9 {
-        second.record_broken_beginning(start, &[BAD], 3_000 + 100 * start);
+        second.record_broken_beginning(SERVICE, start, &[BAD], 3_000 + 100 * start);
     }
     // Answers on other parts begin meanwhile.
-    second.record_begun(&[0xa], 3_500, 3_650);
+    second.record_begun(SERVICE, &[0xa], 3_500, 3_650);
     second.expire(4_200);
     tell(&second, &mut first, 4_300);
     assert_eq!(quarantined(&first), [BAD], "it crashes upstreams again");
@@ -227,7 +239,7 @@
     let options = QuarantineOptions::default();
     let mut table = quarantine();
     for (start, now_ms) in [(1, 1_000), (2, 1_200), (3, 1_400)] {
-        table.record_broken_beginning(start, &[BAD], now_ms);
+        table.record_broken_beginning(SERVICE, start, &[BAD], now_ms);
     }
     table.expire(1_700);
     table.pin(0xa, 1_700);
@@ -241,6 +253,7 @@
 #[test]
 fn digests_out_of_bounds_rejected() {
     let end = |parts: usize| EndDigest {
+        service: SERVICE,
         start: 1,
         age_ms: 0,
         parts: (0..parts as u64).map(|part| (part, 0)).collect(),
@@ -275,7 +288,12 @@
 #[test]
 fn ages_of_any_size_accepted() {
     let digest = QuarantineDigest {
-        ends: vec![EndDigest { start: 1, age_ms: u64::MAX, parts: vec![(BAD, 255)] }],
+        ends: vec![EndDigest {
+            service: SERVICE,
+            start: 1,
+            age_ms: u64::MAX,
+            parts: vec![(BAD, 255)],
+        }],
         cleared: vec![(BAD, u64::MAX)],
         alive: vec![(1, u64::MAX)],
         lifted: vec![(BAD, u64::MAX)],
@@ -306,11 +324,14 @@
         for _ in 0..6 {
             start += 1;
             let subject = 0x100 + start % 5;
-            assert_eq!(table.record_broken_beginning(start, &[FIRST, subject], at_ms + start), []);
+            assert_eq!(
+                table.record_broken_beginning(SERVICE, start, &[FIRST, subject], at_ms + start),
+                []
+            );
         }
         // Each part is answered again before the next wave.
         for subject in 0x100..0x105 {
-            table.record_begun(&[FIRST, subject], at_ms + 500, at_ms + 700);
+            table.record_begun(SERVICE, &[FIRST, subject], at_ms + 500, at_ms + 700);
         }
         table.expire(at_ms + 1_000);
     }
@@ -320,10 +341,10 @@
 #[test]
 fn start_told_alive_before_its_end_remains_evidence() {
     let (mut first, mut second) = (quarantine(), quarantine());
-    first.record_broken_beginning(1, &[0xa], 1_000);
+    first.record_broken_beginning(SERVICE, 1, &[0xa], 1_000);
     first.record_progress(1, 1_400);
     for (start, now_ms) in [(1, 3_000), (2, 3_200), (3, 3_400)] {
-        second.record_broken_beginning(start, &[BAD], now_ms);
+        second.record_broken_beginning(SERVICE, start, &[BAD], now_ms);
     }
     tell(&first, &mut second, 3_450);
     second.expire(3_700);
@@ -334,11 +355,11 @@
 fn told_part_with_an_answer_since_not_quarantined() {
     let (mut first, mut second) = (quarantine(), quarantine());
     for (start, now_ms) in [(1, 1_000), (2, 1_200), (3, 1_400)] {
-        first.record_broken_beginning(start, &[FIRST], now_ms);
+        first.record_broken_beginning(SERVICE, start, &[FIRST], now_ms);
     }
     first.expire(1_700);
     assert_eq!(quarantined(&first), [FIRST], "no answer on it is known here");
-    second.record_begun(&[FIRST], 1_750, 1_900);
+    second.record_begun(SERVICE, &[FIRST], 1_750, 1_900);
     tell(&first, &mut second, 1_950);
     assert_eq!(quarantined(&second), [], "an answer on it has begun since");
     assert_eq!(tell(&second, &mut first, 2_000), [QuarantineChange::Lifted { part: FIRST }]);
@@ -349,15 +370,28 @@
 fn quarantined_part_lifted_by_an_answer_since() {
     let (mut first, mut second) = (quarantine(), quarantine());
     for (start, now_ms) in [(1, 1_000), (2, 1_200), (3, 1_400)] {
-        first.record_broken_beginning(start, &[FIRST], now_ms);
+        first.record_broken_beginning(SERVICE, start, &[FIRST], now_ms);
     }
     first.expire(1_700);
     first.pin(0xa, 1_700);
     tell(&first, &mut second, 1_710);
-    assert_eq!(second.record_begun(&[FIRST], 1_690, 1_850), [], "it began before");
-    let lifted = second.record_begun(&[FIRST, 0xa], 1_750, 1_900);
+    assert_eq!(second.record_begun(SERVICE, &[FIRST], 1_690, 1_850), [], "it began before");
+    let lifted = second.record_begun(SERVICE, &[FIRST, 0xa], 1_750, 1_900);
     assert_eq!(lifted, [QuarantineChange::Lifted { part: FIRST }]);
     assert_eq!(tell(&first, &mut second, 1_910), [], "told again by an instance behind");
     assert_eq!(tell(&second, &mut first, 1_920), [QuarantineChange::Lifted { part: FIRST }]);
     assert_eq!((quarantined(&first), quarantined(&second)), (vec![0xa], vec![0xa]));
 }
+
+/// Load pattern: all upstreams of one service are lost to other causes, and another service goes on.
+#[test]
+fn first_part_of_service_without_upstreams_not_quarantined() {
+    let mut table = quarantine();
+    table.record_begun(SERVICE, &[FIRST, 0xa], 990, 1_140);
+    for start in 1..7 {
+        table.record_broken_beginning(SERVICE, start, &[FIRST, 0xa0 + start], 1_000 + 100 * start);
+    }
+    table.record_begun(OTHER_SERVICE, &[0x0ff], 1_700, 1_850);
+    table.expire(2_000);
+    assert_eq!(quarantined(&table), []);
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -11,7 +11,7 @@
 use crate::adapter::{BackoffRequest, ResponseMetadata};
 use crate::call::Call;
 use crate::connections::UpstreamConnection;
-use crate::quarantine::hash_upstream_start;
+use crate::quarantine::{hash_service, hash_upstream_start};
 use crate::state::{Relay, SharedPlacementTable};
 
 /// Time after its first byte for which an answer is not well begun.
@@ -27,6 +27,8 @@
     request_id: String,
     /// Parts of the prompt without the last one.
     shared_parts: Rc<[u64]>,
+    /// Identifies the service.
+    service_hash: u64,
     /// Identifies the start of the upstream that this attempt was sent to.
     upstream_start: u64,
     first_byte_at_ms: Option<u64>,
@@ -48,6 +50,7 @@
         Self {
             relay: Arc::clone(&call.relay),
             placement_table,
+            service_hash: hash_service(&call.service),
             upstream_start: hash_upstream_start(&placement.upstream, started_at_ms),
             placement,
             request_id: call.request_id.clone(),
@@ -117,7 +120,7 @@
 
     fn record_begun(&mut self, begun_at_ms: u64) {
         if !std::mem::replace(&mut self.is_begun, true) {
-            self.relay.record_begun_answer(&self.shared_parts, begun_at_ms);
+            self.relay.record_begun_answer(self.service_hash, &self.shared_parts, begun_at_ms);
         }
     }
 
@@ -128,6 +131,7 @@
         if is_beginning {
             self.relay.record_broken_beginning(
                 &self.request_id,
+                self.service_hash,
                 &self.placement.upstream,
                 self.upstream_start,
                 &self.shared_parts,
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -3,7 +3,7 @@
 use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_quarantine::{QuarantineChange, QuarantineDigest};
 use serde_json::{Value, json};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::state::Relay;
 
@@ -12,6 +12,11 @@
     xxh3_64_with_seed(upstream.as_bytes(), started_at_ms.unwrap_or_default())
 }
 
+/// Returns the hash that identifies a service at all instances.
+pub fn hash_service(service: &str) -> u64 {
+    xxh3_64(service.as_bytes())
+}
+
 fn format_part(part: u64) -> String {
     format!("{part:x}")
 }
@@ -38,6 +43,7 @@
     pub fn record_broken_beginning(
         &self,
         request: &str,
+        service: u64,
         upstream: &str,
         upstream_start: u64,
         parts: &[u64],
@@ -51,17 +57,20 @@
             json!({ "request": request, "upstream": upstream, "parts": parts })
         });
         let now_ms = self.now_ms();
-        let changes = self.quarantine.lock().record_broken_beginning(upstream_start, parts, now_ms);
+        let mut quarantine = self.quarantine.lock();
+        let changes = quarantine.record_broken_beginning(service, upstream_start, parts, now_ms);
+        drop(quarantine);
         self.log_quarantine_changes(&changes, "evidence");
         self.digest_requested.notify_one();
     }
 
     /// Records that an answer is well begun or complete.
-    pub fn record_begun_answer(&self, parts: &[u64], begun_at_ms: u64) {
+    pub fn record_begun_answer(&self, service: u64, parts: &[u64], begun_at_ms: u64) {
         if parts.is_empty() {
             return;
         }
-        let changes = self.quarantine.lock().record_begun(parts, begun_at_ms, self.now_ms());
+        let now_ms = self.now_ms();
+        let changes = self.quarantine.lock().record_begun(service, parts, begun_at_ms, now_ms);
         self.log_quarantine_changes(&changes, "answer");
         if !changes.is_empty() {
             self.digest_requested.notify_one();
