Quarantine: tell ends with suspected parts before those without

Callers saw: nothing yet; after a wave of crashes, instances that had missed a digest, or had started since, did not learn of older ends under a part that crashes engines, so that more engines end before the verdict.

Cause: a digest has room for the 16 newest ends. Those whose parts have all been cleared were dropped only after these had been chosen.

Evidence: open_ends_behind_cleared_ends_told, 20 cleared ends after two under the part. Before: no part quarantined after the third end, 0xbad expected. After: passes.

--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -209,7 +209,8 @@
             aged.truncate(digest::MAX_NOTICES);
             aged
         };
-        let ends = self.ends.newest().into_iter().take(digest::MAX_ENDS);
+        let open_ends = self.ends.newest().into_iter().filter(|(_, end)| !end.parts.is_empty());
+        let ends = open_ends.take(digest::MAX_ENDS);
         let ends = ends.map(|(start, end)| EndDigest {
             service: end.service,
             start,
@@ -220,7 +221,7 @@
         quarantined.sort_by_key(|(_, part)| std::cmp::Reverse(part.last_request_at_ms));
         let quarantined = quarantined.into_iter().take(digest::MAX_QUARANTINED);
         QuarantineDigest {
-            ends: ends.filter(|end| !end.parts.is_empty()).collect(),
+            ends: ends.collect(),
             cleared: aged(&self.cleared),
             alive: aged(&self.alive),
             quarantined: quarantined
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -395,3 +395,19 @@
     table.expire(2_000);
     assert_eq!(quarantined(&table), []);
 }
+
+#[test]
+fn open_ends_behind_cleared_ends_told() {
+    let (mut first, mut second) = (quarantine(), quarantine());
+    for (start, now_ms) in [(1, 1_000), (2, 1_200)] {
+        first.record_broken_beginning(SERVICE, start, &[BAD], now_ms);
+    }
+    for start in 10..30 {
+        first.record_broken_beginning(SERVICE, start, &[0xa], 1_300 + start);
+    }
+    first.record_begun(SERVICE, &[0xa], 1_400, 1_550);
+    tell(&first, &mut second, 1_600);
+    second.record_broken_beginning(SERVICE, 3, &[BAD], 1_700);
+    second.expire(2_000);
+    assert_eq!(quarantined(&second), [BAD]);
+}
