Quarantine: tell all parts of an end if there are few ends

Callers saw: nothing yet; a part that crashes engines was not found at all where each end takes many waiting requests, whose other parts stand later in their prompts.

Cause: a digest told at most 16 parts of each end, the ones latest in their prompts first. Each end was seen by another instance, so that the part was told by none of them, and none counted more than one end under it.

The limit of a digest is now 256 parts in all, as many as before, which its ends share. digests_out_of_bounds_rejected has the case of 17 parts in one end, which is valid now, replaced by 257 parts in one and in two ends.

--- a/crates/quarantine/src/digest.rs
+++ b/crates/quarantine/src/digest.rs
@@ -7,8 +7,8 @@
 
 /// Ends in a digest.
 pub const MAX_ENDS: usize = 16;
-/// Parts of each end in a digest.
-pub const MAX_PARTS_PER_END: usize = 16;
+/// Parts of all ends in a digest.
+pub const MAX_PARTS: usize = 256;
 /// Quarantined parts in a digest.
 pub const MAX_QUARANTINED: usize = 64;
 /// Cleared and lifted parts, and starts found alive, in a digest.
@@ -129,7 +129,7 @@
     /// The first limit that it breaks.
     pub fn check(&self, min_starts: usize) -> Result<(), MergeError> {
         let is_short = self.ends.len() <= MAX_ENDS
-            && self.ends.iter().all(|end| end.parts.len() <= MAX_PARTS_PER_END)
+            && self.ends.iter().map(|end| end.parts.len()).sum::<usize>() <= MAX_PARTS
             && self.quarantined.len() <= MAX_QUARANTINED
             && [&self.cleared, &self.alive, &self.lifted].iter().all(|l| l.len() <= MAX_NOTICES);
         if !is_short {
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -210,12 +210,13 @@
             aged
         };
         let open_ends = self.ends.newest().into_iter().filter(|(_, end)| !end.parts.is_empty());
-        let ends = open_ends.take(digest::MAX_ENDS);
-        let ends = ends.map(|(start, end)| EndDigest {
+        let ends: Vec<_> = open_ends.take(digest::MAX_ENDS).collect();
+        let max_parts = digest::MAX_PARTS / ends.len().max(1);
+        let ends = ends.into_iter().map(|(start, end)| EndDigest {
             service: end.service,
             start,
             age_ms: age_ms(end.ended_at_ms),
-            parts: self.most_suspected(end.parts.iter().map(|(part, position)| (*part, *position))),
+            parts: self.most_suspected(&end.parts, max_parts),
         });
         let mut quarantined: Vec<_> = self.quarantined().collect();
         quarantined.sort_by_key(|(_, part)| std::cmp::Reverse(part.last_request_at_ms));
@@ -239,12 +240,13 @@
 
     /// Returns the parts that fit into a digest: those under which most starts have ended, and of these
     /// the ones late in their prompts, which the fewest requests share.
-    fn most_suspected(&self, parts: impl Iterator<Item = (u64, u8)>) -> Vec<(u64, u8)> {
-        let mut parts: Vec<(u64, u8)> = parts.collect();
-        if parts.len() > digest::MAX_PARTS_PER_END {
+    fn most_suspected(&self, parts: &BTreeMap<u64, u8>, max_parts: usize) -> Vec<(u64, u8)> {
+        let mut parts: Vec<(u64, u8)> =
+            parts.iter().map(|(part, position)| (*part, *position)).collect();
+        if parts.len() > max_parts {
             let key = |(part, position): &(u64, u8)| (self.ends.count(*part), *position);
             parts.sort_by_cached_key(|part| std::cmp::Reverse(key(part)));
-            parts.truncate(digest::MAX_PARTS_PER_END);
+            parts.truncate(max_parts);
         }
         parts
     }
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -266,7 +266,11 @@
         is_pinned: false,
     };
     let cases = [
-        (QuarantineDigest { ends: vec![end(17)], ..Default::default() }, MergeError::TooLong),
+        (QuarantineDigest { ends: vec![end(257)], ..Default::default() }, MergeError::TooLong),
+        (
+            QuarantineDigest { ends: vec![end(129), end(128)], ..Default::default() },
+            MergeError::TooLong,
+        ),
         (QuarantineDigest { ends: vec![end(1); 17], ..Default::default() }, MergeError::TooLong),
         (QuarantineDigest { cleared: vec![(1, 1); 33], ..Default::default() }, MergeError::TooLong),
         (
@@ -411,3 +415,31 @@
     second.expire(2_000);
     assert_eq!(quarantined(&second), [BAD]);
 }
+
+/// Load pattern: each end takes many waiting requests with parts that no other request has.
+#[test]
+fn part_of_ends_with_many_parts_found() {
+    let mut tables = [quarantine(), quarantine(), quarantine()];
+    for (index, table) in tables.iter_mut().enumerate() {
+        let start = index as u64 + 1;
+        let at_ms = 1_000 + 300 * index as u64;
+        for waiting in 0..12 {
+            let unique = start * 0x1000 + waiting * 2;
+            table.record_broken_beginning(SERVICE, start, &[FIRST, unique, unique + 1], at_ms);
+        }
+        table.record_broken_beginning(SERVICE, start, &[BAD, start * 0x1000 + 0xff], at_ms);
+        table.record_begun(SERVICE, &[FIRST], at_ms + 50, at_ms + 200);
+    }
+    for now_ms in (1_900..4_000).step_by(300) {
+        for from in 0..tables.len() {
+            let told = tables[from].digest(now_ms);
+            for table in &mut tables {
+                table.merge(&told, now_ms).expect("an own digest is within the limits");
+                table.expire(now_ms);
+            }
+        }
+    }
+    for table in &tables {
+        assert_eq!(quarantined(table), [BAD]);
+    }
+}
