Quarantine: judge an end once others have told of it, and not by its place in a wave

Cause and change, each with a test that failed before: - An end counts 1.5 s after it happened; five ends of a part without a known answer count at once. - An end counts only against parts in a third of the ends within 300 ms of it: in a wave, rare parts are in flight at several engines by chance. - Ends that a quarantined part explains are kept and told with that part for ten seconds; others told them without it, so that they came back as evidence against the first part. - An instance that knows answers on a part does not follow a verdict of one that doesn't, but judges the merged evidence itself.

--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -19,6 +19,8 @@
     /// Parts of the attempts that broke before their answer was well begun, with their largest
     /// position in a prompt.
     pub parts: BTreeMap<u64, u8>,
+    /// Whether one of the parts is quarantined, so that the end says nothing of the others.
+    pub is_explained: bool,
 }
 
 /// The latest times at which answers began on parts. The parts that were added first are forgotten
@@ -53,7 +55,8 @@
     }
 }
 
-/// The ends that are not explained by a quarantined part.
+/// The ends of starts. Those that a quarantined part explains are kept, as other instances may tell them
+/// without that part.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamEnds {
     ends: BTreeMap<u64, UpstreamEnd>,
@@ -78,6 +81,7 @@
             service,
             ended_at_ms,
             parts: BTreeMap::new(),
+            is_explained: false,
         });
         end.ended_at_ms = end.ended_at_ms.min(ended_at_ms);
         let mut is_new = !is_known;
@@ -116,8 +120,24 @@
         }
     }
 
-    /// Removes the ends that a part explains.
+    /// Marks the ends that a quarantined part explains.
     pub fn explain(&mut self, part: u64) {
+        for end in self.ends.values_mut().filter(|end| end.parts.contains_key(&part)) {
+            end.is_explained = true;
+        }
+    }
+
+    /// Takes a part out of the ends, and counts those that no other quarantined part explains again.
+    pub fn exonerate(&mut self, part: u64, is_quarantined: impl Fn(u64) -> bool) {
+        for end in self.ends.values_mut() {
+            if end.parts.remove(&part).is_some() {
+                end.is_explained = end.parts.keys().any(|other| is_quarantined(*other));
+            }
+        }
+    }
+
+    /// Removes the ends under a part.
+    pub fn remove_part(&mut self, part: u64) {
         self.ends.retain(|_, end| !end.parts.contains_key(&part));
     }
 
@@ -140,29 +160,51 @@
 
     /// Returns the number of ends under a part.
     pub fn count(&self, part: u64) -> usize {
-        self.ends.values().filter(|end| end.parts.contains_key(&part)).count()
+        self.unexplained().filter(|end| end.parts.contains_key(&part)).count()
+    }
+
+    fn unexplained(&self) -> impl Iterator<Item = &UpstreamEnd> {
+        self.ends.values().filter(|end| !end.is_explained)
     }
 
     /// Returns the evidence against each part, from the ends until `until_ms`.
-    pub fn support_until(&self, until_ms: u64) -> BTreeMap<u64, Support> {
-        let mut supports: BTreeMap<u64, Support> = BTreeMap::new();
-        for end in self.ends.values().filter(|end| end.ended_at_ms <= until_ms) {
+    pub fn supports(&self, until_ms: u64) -> BTreeMap<u64, Support> {
+        let mut supports = BTreeMap::new();
+        for end in self.unexplained().filter(|end| end.ended_at_ms <= until_ms) {
             for (part, position) in &end.parts {
-                let support = supports.entry(*part).or_insert(Support {
-                    service: end.service,
-                    starts: 0,
-                    first_ms: end.ended_at_ms,
-                    last_ms: end.ended_at_ms,
-                    position: 0,
-                });
-                support.starts += 1;
-                support.first_ms = support.first_ms.min(end.ended_at_ms);
-                support.last_ms = support.last_ms.max(end.ended_at_ms);
-                support.position = support.position.max(*position);
+                let support = supports.get(part).copied();
+                supports.insert(*part, Support::add(support, end, *position));
             }
         }
         supports
     }
+
+    /// Returns the evidence against a part, from the ends until `until_ms`, without those around which,
+    /// within `common_cause_ms`, less than one of `divisor` was under the part.
+    pub fn specific_support(
+        &self,
+        part: u64,
+        until_ms: u64,
+        common_cause_ms: u64,
+        divisor: usize,
+    ) -> Option<Support> {
+        let is_specific = |end: &&UpstreamEnd| {
+            let (mut with_part, mut all) = (0, 0);
+            for other in self.unexplained() {
+                if other.ended_at_ms.abs_diff(end.ended_at_ms) <= common_cause_ms {
+                    all += 1;
+                    with_part += usize::from(other.parts.contains_key(&part));
+                }
+            }
+            with_part * divisor >= all
+        };
+        let ends = self.unexplained().filter(|end| end.ended_at_ms <= until_ms);
+        let ends = ends.filter(|end| end.parts.contains_key(&part)).filter(is_specific);
+        ends.fold(None, |support, end| {
+            let position = end.parts.get(&part).copied().unwrap_or_default();
+            Some(Support::add(support, end, position))
+        })
+    }
 }
 
 /// Evidence against a part.
@@ -181,6 +223,19 @@
 }
 
 impl Support {
+    fn add(support: Option<Self>, end: &UpstreamEnd, position: u8) -> Self {
+        let (first_ms, last_ms) = (end.ended_at_ms, end.ended_at_ms);
+        let service = end.service;
+        let known = support.unwrap_or(Self { service, starts: 0, first_ms, last_ms, position });
+        Self {
+            service,
+            starts: known.starts + 1,
+            first_ms: known.first_ms.min(first_ms),
+            last_ms: known.last_ms.max(last_ms),
+            position: known.position.max(position),
+        }
+    }
+
     /// Time between the first and the last end.
     pub fn span_ms(&self) -> u64 {
         self.last_ms - self.first_ms
--- a/crates/quarantine/src/options.rs
+++ b/crates/quarantine/src/options.rs
@@ -8,8 +8,14 @@
     /// Starts that have to end under a part on which answers have begun before, or whose ends need not
     /// be settled.
     pub min_starts_certain: usize,
-    /// Time after the end of a start until which an answer that clears a part may still be told.
+    /// Time from which the end of a start counts. Until then, other instances may still tell which other
+    /// attempts broke with it, and on which parts answers have begun since.
     pub settle_ms: u64,
+    /// Time before and after the end of a start in which other ends may have a common cause with it.
+    pub common_cause_ms: u64,
+    /// An end counts against a part only if the part is in at least one of this number of the ends that
+    /// may have a common cause.
+    pub common_cause_divisor: usize,
     /// Shortest time between the first and the last of these ends. Upstreams that end together may have
     /// a common cause.
     pub min_span_ms: u64,
@@ -29,7 +35,9 @@
         Self {
             min_starts: 3,
             min_starts_certain: 5,
-            settle_ms: 300,
+            settle_ms: 1_500,
+            common_cause_ms: 300,
+            common_cause_divisor: 3,
             min_span_ms: 200,
             evidence_ttl_ms: 600_000,
             alive_after_ms: 300,
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::digest::{self, EndDigest, MergeError, QuarantineDigest, QuarantinedDigest};
-use crate::evidence::{BegunParts, Support, UpstreamEnds};
+use crate::evidence::{BegunParts, Support, UpstreamEnd, UpstreamEnds};
 use crate::options::QuarantineOptions;
 
 /// Quarantined parts that are kept.
@@ -163,7 +163,7 @@
     /// Lifts the quarantine of a part. Ends before are no evidence against it.
     pub fn lift(&mut self, part: u64, now_ms: u64) -> bool {
         self.begun.record(part, now_ms);
-        self.ends.clear_part(part, now_ms);
+        self.ends.remove_part(part);
         insert_bounded(&mut self.lifted, part, now_ms);
         self.quarantined.remove(&part).is_some()
     }
@@ -209,14 +209,17 @@
             aged.truncate(digest::MAX_NOTICES);
             aged
         };
-        let open_ends = self.ends.newest().into_iter().filter(|(_, end)| !end.parts.is_empty());
-        let ends: Vec<_> = open_ends.take(digest::MAX_ENDS).collect();
+        let is_told = |end: &UpstreamEnd| {
+            !end.parts.is_empty() && (!end.is_explained || age_ms(end.ended_at_ms) < NOTICE_TTL_MS)
+        };
+        let ends = self.ends.newest().into_iter().filter(|(_, end)| is_told(end));
+        let ends: Vec<_> = ends.take(digest::MAX_ENDS).collect();
         let max_parts = digest::MAX_PARTS / ends.len().max(1);
         let ends = ends.into_iter().map(|(start, end)| EndDigest {
             service: end.service,
             start,
             age_ms: age_ms(end.ended_at_ms),
-            parts: self.most_suspected(&end.parts, max_parts),
+            parts: self.told_parts(end, max_parts),
         });
         let mut quarantined: Vec<_> = self.quarantined().collect();
         quarantined.sort_by_key(|(_, part)| std::cmp::Reverse(part.last_request_at_ms));
@@ -238,11 +241,15 @@
         }
     }
 
-    /// Returns the parts that fit into a digest: those under which most starts have ended, and of these
-    /// the ones late in their prompts, which the fewest requests share.
-    fn most_suspected(&self, parts: &BTreeMap<u64, u8>, max_parts: usize) -> Vec<(u64, u8)> {
-        let mut parts: Vec<(u64, u8)> =
-            parts.iter().map(|(part, position)| (*part, *position)).collect();
+    /// Returns the parts of an end that fit into a digest: the quarantined ones, which explain it, or those
+    /// under which most starts have ended, and of these the ones late in their prompts, which the fewest
+    /// requests share.
+    fn told_parts(&self, end: &UpstreamEnd, max_parts: usize) -> Vec<(u64, u8)> {
+        let parts = end.parts.iter().map(|(part, position)| (*part, *position));
+        let mut parts: Vec<(u64, u8)> = match end.is_explained {
+            true => parts.filter(|(part, _)| self.quarantined.contains_key(part)).collect(),
+            false => parts.collect(),
+        };
         if parts.len() > max_parts {
             let key = |(part, position): &(u64, u8)| (self.ends.count(*part), *position);
             parts.sort_by_cached_key(|part| std::cmp::Reverse(key(part)));
@@ -311,6 +318,8 @@
             |known: &QuarantinedPart| !known.is_pinned && begun_at_ms > known.since_ms;
         if self.quarantined.get(&part).is_some_and(is_disproved) {
             self.quarantined.remove(&part);
+            let quarantined = &self.quarantined;
+            self.ends.exonerate(part, |other| quarantined.contains_key(&other));
             insert_bounded(&mut self.cleared, part, begun_at_ms);
             changes.push(QuarantineChange::Lifted { part });
         }
@@ -335,12 +344,13 @@
         if is_lifted || is_idle {
             return;
         }
-        if !told.is_pinned
-            && let Some(begun_at_ms) = self.begun.latest_ms(told.part)
-            && begun_at_ms > since_ms
+        // The other instance may not know of answers on the part. Its evidence is merged, too.
+        if let Some(begun_at_ms) = self.begun.latest_ms(told.part)
+            && !told.is_pinned
         {
-            // Told to the instance that has quarantined the part.
-            insert_bounded(&mut self.cleared, told.part, begun_at_ms);
+            if begun_at_ms > since_ms {
+                insert_bounded(&mut self.cleared, told.part, begun_at_ms);
+            }
             return;
         }
         let quarantined = QuarantinedPart {
@@ -367,19 +377,20 @@
     /// Adds the parts that are still suspected to an end. An end under a quarantined part says nothing of
     /// the other parts.
     fn add_end(&mut self, service: u64, start: u64, ended_at_ms: u64, parts: &[(u64, u8)]) {
-        if parts.iter().any(|(part, _)| self.quarantined.contains_key(part)) {
-            self.ends.remove(start);
-            return;
-        }
         let mut suspected = Vec::with_capacity(parts.len());
         for (part, position) in parts {
-            match self.begun.latest_ms(*part).filter(|begun_at_ms| *begun_at_ms > ended_at_ms) {
+            let is_quarantined = self.quarantined.contains_key(part);
+            let begun_at_ms = self.begun.latest_ms(*part);
+            match begun_at_ms.filter(|begun_at_ms| !is_quarantined && *begun_at_ms > ended_at_ms) {
                 // Told again, as the instance that has recorded this end may not know.
                 Some(begun_at_ms) => insert_bounded(&mut self.cleared, *part, begun_at_ms),
                 None => suspected.push((*part, *position)),
             }
         }
         self.ends.add(service, start, ended_at_ms, &suspected);
+        for (part, _) in parts.iter().filter(|(part, _)| self.quarantined.contains_key(part)) {
+            self.ends.explain(*part);
+        }
     }
 
     fn clear_part(&mut self, part: u64, begun_at_ms: u64, now_ms: u64) {
@@ -420,27 +431,32 @@
             return None;
         }
         let options = &self.options;
-        let settled = self.ends.support_until(now_ms.saturating_sub(options.settle_ms));
-        let latest = self.ends.support_until(u64::MAX);
-        let is_founded = |support: &Support, min_starts: usize| {
-            support.starts >= min_starts && support.span_ms() >= options.min_span_ms
-        };
+        let latest = self.ends.supports(u64::MAX);
         let founded = latest.into_iter().filter_map(|(part, latest)| {
-            let settled = settled.get(&part);
+            if latest.starts < options.min_starts {
+                return None;
+            }
+            let support = |until_ms: u64, min_starts: usize| {
+                let (common_cause_ms, divisor) =
+                    (options.common_cause_ms, options.common_cause_divisor);
+                let support =
+                    self.ends.specific_support(part, until_ms, common_cause_ms, divisor)?;
+                let is_founded =
+                    support.starts >= min_starts && support.span_ms() >= options.min_span_ms;
+                is_founded.then_some(support)
+            };
+            let settled_ms = now_ms.saturating_sub(options.settle_ms);
             let founded = match self.begun.latest_ms(part) {
                 // Answers of the service that begin on other parts show that a part in most requests is
                 // not just one of many that its upstreams can't answer at the moment.
-                Some(_) => settled
-                    .filter(|settled| is_founded(settled, options.min_starts_certain))
-                    .filter(|settled| {
-                        let begun_at_ms = self.latest_begun_at_ms.get(&settled.service);
-                        begun_at_ms.is_some_and(|begun_at_ms| settled.first_ms < *begun_at_ms)
-                    }),
-                None => settled
-                    .filter(|settled| is_founded(settled, options.min_starts))
-                    .or(Some(&latest).filter(|all| is_founded(all, options.min_starts_certain))),
+                Some(_) => support(settled_ms, options.min_starts_certain).filter(|support| {
+                    let begun_at_ms = self.latest_begun_at_ms.get(&support.service);
+                    begun_at_ms.is_some_and(|begun_at_ms| support.first_ms < *begun_at_ms)
+                }),
+                None => support(settled_ms, options.min_starts)
+                    .or_else(|| support(u64::MAX, options.min_starts_certain)),
             };
-            founded.map(|support| (part, *support))
+            founded.map(|support| (part, support))
         });
         founded.max_by_key(|(part, support)| (support.position, support.starts, *part))
     }
