--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -162,7 +162,6 @@
 
     /// Lifts the quarantine of a part. Ends before are no evidence against it.
     pub fn lift(&mut self, part: u64, now_ms: u64) -> bool {
-        self.begun.record(part, now_ms);
         self.ends.remove_part(part);
         insert_bounded(&mut self.lifted, part, now_ms);
         self.quarantined.remove(&part).is_some()
@@ -379,6 +378,9 @@
     fn add_end(&mut self, service: u64, start: u64, ended_at_ms: u64, parts: &[(u64, u8)]) {
         let mut suspected = Vec::with_capacity(parts.len());
         for (part, position) in parts {
+            if self.lifted.get(part).is_some_and(|lifted_at_ms| *lifted_at_ms >= ended_at_ms) {
+                continue;
+            }
             let is_quarantined = self.quarantined.contains_key(part);
             let begun_at_ms = self.begun.latest_ms(*part);
             match begun_at_ms.filter(|begun_at_ms| !is_quarantined && *begun_at_ms > ended_at_ms) {
