Relay: a resumed stream that ends before any event is interrupted

Callers saw: a stream that moved to another engine, which ended after the head of its response, looked complete though its rest was missing.

Cause: an end with the connection before the first event was taken for a broken connection only if the stream was not resumed.

Evidence: resumed_stream_without_an_event_is_interrupted. Before: status 200, two events and the last chunk.

Each response without a length or chunks now has to hold some bytes of events.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -72,6 +72,9 @@
     attempt: Attempt,
     connection: UpstreamConnection,
     body: Incoming,
+    /// Whether an end without any events is taken for a broken connection: an upstream that ends after
+    /// the head of a response without a length or chunks leaves the same.
+    must_have_events: bool,
 }
 
 /// Opens a stream and waits for its first events.
@@ -161,14 +164,7 @@
         };
     }
     let (head, mut source) = split(opened);
-    let is_framed = is_framed(&head.headers);
     match next_events(call, retry_state, &mut source, events, true).await {
-        // An upstream that ends after the head of its response leaves this, too.
-        StreamStep::End if !is_framed && events.last_id().is_none() => {
-            let detail = "the connection ended before the first event".to_owned();
-            source.fail_broken(call, retry_state, &detail);
-            StreamStart::Interrupted(detail)
-        }
         StreamStep::Interrupted(detail) => {
             source.fail(call, &detail);
             StreamStart::Interrupted(detail)
@@ -206,7 +202,8 @@
 fn split(opened: OpenedResponse) -> (http::response::Parts, UpstreamSource) {
     let OpenedResponse { attempt, connection, response } = opened;
     let (head, body) = response.into_parts();
-    (head, UpstreamSource { attempt, connection, body })
+    let must_have_events = !is_framed(&head.headers);
+    (head, UpstreamSource { attempt, connection, body, must_have_events })
 }
 
 impl UpstreamSource {
@@ -268,11 +265,17 @@
                     "the upstream ended the stream within an event".to_owned(),
                 );
             }
+            Ok(None) if source.must_have_events => {
+                return StreamStep::Broken(
+                    "the connection ended before the first event".to_owned(),
+                );
+            }
             Ok(None) => return StreamStep::End,
             Ok(Some(Err(error))) => return StreamStep::Broken(error.to_string()),
             Ok(Some(Ok(frame))) => frame,
         };
         if let Ok(data) = frame.into_data() {
+            source.must_have_events &= data.is_empty();
             match events.push(&data) {
                 Ok(complete_events) if complete_events.is_empty() => {}
                 Ok(complete_events) => return StreamStep::Events(complete_events),
