Relay: an upstream that ends during a backoff is evidence, too

Callers saw: nothing yet; the ends of engines that are full, and say so with a Retry-After, were no evidence against a part that crashes engines, and a request under which one had ended was sent to the next.

Cause: the check whether an upstream has announced that it leaves was the one whether it accepts requests at the moment.

Evidence: beginning_broken_during_backoff_is_evidence. Before: no hickorycourse_broken_beginnings_total. After: 1; the other 5 tests of upstream_notices pass.

--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -179,6 +179,11 @@
         })
     }
 
+    /// Whether the upstream of a placement is listed and has not announced that it leaves.
+    pub fn is_serving(&self, placement: &Placement) -> bool {
+        self.upstreams.get(&placement.upstream).is_some_and(|upstream| !upstream.is_leaving)
+    }
+
     /// Records that an upstream wants no requests for `duration_ms`.
     pub fn start_backoff(&mut self, upstream: &str, duration_ms: u64, now_ms: u64) {
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -127,7 +127,9 @@
     /// Ends an attempt whose connection broke. Returns whether its answer was not well begun, while the
     /// upstream had not announced that it leaves: the request may have crashed it.
     pub fn end_broken(mut self) -> bool {
-        let is_beginning = !self.is_begun && !self.shared_parts.is_empty() && self.is_open();
+        let is_beginning = !self.is_begun
+            && !self.shared_parts.is_empty()
+            && self.placement_table.lock().is_serving(&self.placement);
         if is_beginning {
             self.relay.record_broken_beginning(
                 &self.request_id,
