--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! [`run`] simulates a [`LoadPattern`] with a seed: callers send requests, relays place and admit them
 //! with the same code as the relay process, engines prefill the prompts and decode the answers. The
-//! [`Report`] counts the outcomes by caller group.
+//! [`Report`] counts the outcomes by caller group. [`run_crashes`] simulates requests that crash engines,
+//! see [`CrashPattern`].
 
+mod crashes;
 mod engine;
 mod pattern;
 mod patterns;
@@ -17,6 +19,10 @@
     pub use crate::{LoadPattern, Policy, Report, find_pattern, list_patterns, run};
 }
 
+pub use crashes::{
+    CrashPattern, CrashPolicy, CrashReport, CrashingPart, Trouble, TroubleStart, Verdict,
+    find_crash_pattern, list_crash_patterns, run_crashes,
+};
 pub use pattern::{CallerGroup, Fault, LoadPattern, OrganisationCap, RetryBehaviour, Surge};
 pub use patterns::{find_pattern, list_patterns};
 pub use relay::Policy;
--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -1,7 +1,9 @@
 //! `hickorycourse-model`: simulates load patterns with the relay's policies and prints a table of outcomes.
 
 use bpaf::Bpaf;
-use hickorycourse_model::{LoadPattern, Policy, list_patterns, run};
+use hickorycourse_model::{
+    CrashPolicy, LoadPattern, Policy, list_crash_patterns, list_patterns, run, run_crashes,
+};
 
 /// Simulates load patterns with the chosen policies and with the baseline, and prints the outcomes.
 #[derive(Bpaf, Clone, Debug)]
@@ -13,9 +15,18 @@
     /// Number of seeds: each pattern is simulated with the seeds 1 to COUNT; 1 if left out
     #[bpaf(argument("COUNT"), fallback(1))]
     seeds: u64,
+    /// Simulate the patterns of crashing parts with this policy only; all if left out
+    #[bpaf(argument("NAME"))]
+    policy: Option<String>,
+    /// Print the verdicts of each run with crashing parts
+    verdicts: bool,
     /// Number of relays, instead of the pattern's
     #[bpaf(argument("COUNT"))]
     relays: Option<usize>,
+    /// Simulate the patterns of crashing parts, with alternative policies too
+    crashes: bool,
+    /// Simulate the patterns of crashing parts without crashing parts, with their other faults only
+    sound: bool,
     /// Number of engines, instead of the pattern's
     #[bpaf(argument("COUNT"))]
     engines: Option<usize>,
@@ -23,6 +34,9 @@
 
 fn main() -> eyre::Result<()> {
     let options = options().run();
+    if options.crashes || options.sound {
+        return print_crashes(&options);
+    }
     let chosen: Vec<LoadPattern> = list_patterns()
         .into_iter()
         .filter(|pattern| options.pattern.as_ref().is_none_or(|name| name == pattern.name))
@@ -49,3 +63,36 @@
     }
     Ok(())
 }
+
+/// Simulates the patterns of crashing parts with each policy.
+fn print_crashes(options: &Options) -> eyre::Result<()> {
+    let mut is_known = false;
+    for pattern in list_crash_patterns() {
+        if options.pattern.as_ref().is_some_and(|name| name != pattern.name) {
+            continue;
+        }
+        is_known = true;
+        let mut pattern = pattern.with_instances(options.relays.unwrap_or(6));
+        pattern.engines = options.engines.unwrap_or(pattern.engines);
+        if options.sound {
+            pattern = pattern.without_crashing_parts();
+        }
+        for (name, policy) in CrashPolicy::list() {
+            if options.policy.as_ref().is_some_and(|chosen| chosen != name) {
+                continue;
+            }
+            for seed in 1..=options.seeds {
+                let report = run_crashes(&pattern, policy, seed);
+                let title = format!("{} seed {seed} {name}", pattern.name);
+                println!("{}", report.format_line(&title));
+                for verdict in report.verdicts.iter().filter(|_| options.verdicts) {
+                    println!("  {verdict:?}");
+                }
+            }
+        }
+    }
+    match is_known {
+        true => Ok(()),
+        false => eyre::bail!("unknown pattern of crashing parts"),
+    }
+}
