Stand-ins: allow 30 s for a request's head

On a busy machine (four to six busy loops beside up to three copies of a test on eight cores, load average above 20) calls to stand-ins failed with "Error sending request: Disconnected" or a reset. The server of the stand-ins had the HTTP library's default, which closes a connection whose head has not been read within a second; threads of the stand-ins waited for a processor for up to the whole of a sample of 0.6 s.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -150,6 +150,7 @@
             .route("/stats", web::get().to(get_stats))
     })
     .workers(2)
+    .config(http::server_config())
     .listen(http::listen(address)?)?
     .run()
     .await
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -6,6 +6,9 @@
 use std::time::Duration;
 
 use futures_util::Stream;
+use ntex::SharedCfg;
+use ntex::http::HttpServiceConfig;
+use ntex::time::Seconds;
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::{HttpRequest, HttpResponse, types};
 use serde::Serialize;
@@ -25,6 +28,8 @@
 /// Streaming response body; an `Err` item closes the connection.
 pub type BodyStream = Pin<Box<dyn Stream<Item = Result<Bytes, io::Error>>>>;
 
+const HEAD_TIMEOUT: Seconds = Seconds(30);
+
 /// Binds a listener and prints its address, so that tests can use port 0.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let listener = TcpListener::bind(address)?;
@@ -32,6 +37,12 @@
     Ok(listener)
 }
 
+/// The configuration of a stand-in's server. The library's default closes a connection whose first
+/// request has not been read within a second, which happens on a busy machine.
+pub fn server_config() -> SharedCfg {
+    SharedCfg::new("standin").add(HttpServiceConfig::new().set_client_timeout(HEAD_TIMEOUT)).into()
+}
+
 /// Reads a whole request body; `None` if the connection fails first.
 pub async fn read_body(mut payload: types::Payload) -> Option<Vec<u8>> {
     let mut body = BytesMut::new();
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -127,6 +127,7 @@
             .route("/stats", web::get().to(get_stats))
     })
     .workers(1)
+    .config(http::server_config())
     .listen(http::listen(address)?)?
     .run()
     .await
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -58,6 +58,7 @@
             .default_service(web::route().to(execute_order))
     })
     .workers(1)
+    .config(http::server_config())
     .listen(http::listen(address)?)?
     .run()
     .await
