Entry: read responses without a length up to the end of their connection

Callers saw 200 with an empty body for a service's response that has neither a length nor chunks, also if its connection was reset, and the late body was returned as the response to the next request on that connection. An engine's whole stream of this kind was answered with 502.

Cause: ntex's HTTP client gives an HTTP/1.1 response without a length no body (RFC 9112, 6.3 lets it end with the connection) and returns the connection to its pool.

Change: the relay's connections move to the crate `hickorycourse_connections`, and `HttpUpstreams` uses them in place of ntex's client.

That `not_run` rests on the client's report of ECONNREFUSED is no longer so.

--- a/crates/relay/src/connections.rs
+++ b/crates/connections/src/lib.rs
@@ -6,6 +6,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,15 +42,18 @@
     /// The response did not start before the timeout.
     #[error("silent: {0}")]
     TimedOut(String),
-    /// The connection closed, or the response was invalid.
+    /// The connection closed before the response.
     #[error("broken: {0}")]
     Interrupted(String),
+    /// The response is not valid HTTP.
+    #[error("invalid: {0}")]
+    InvalidResponse(String),
 }
 
 /// Destination of a connection. An upstream that restarts under its id may have another address.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct PoolKey {
-    upstream: String,
+struct PoolKey<K> {
+    upstream: K,
     address: SocketAddr,
 }
 
@@ -65,16 +69,17 @@
 
 /// A connection to an upstream. Dropping it closes it.
 #[derive(Debug)]
-pub struct UpstreamConnection {
+pub struct UpstreamConnection<K = String> {
     sender: SendRequest<Full<Bytes>>,
     _task: ConnectionTask,
-    pool_key: PoolKey,
+    pool_key: PoolKey<K>,
+    is_reused: bool,
     idle_since_ms: u64,
     idle_timeout_ms: u64,
 }
 
-impl UpstreamConnection {
-    async fn open(pool_key: PoolKey) -> Result<Self, ExchangeError> {
+impl<K> UpstreamConnection<K> {
+    async fn open(pool_key: PoolKey<K>) -> Result<Self, ExchangeError> {
         let not_sent = |detail: String| ExchangeError::NotSent(detail);
         let stream = timeout(DIAL_TIMEOUT, TcpStream::connect(pool_key.address))
             .await
@@ -96,6 +101,7 @@
             sender,
             _task: ConnectionTask(task),
             pool_key,
+            is_reused: false,
             idle_since_ms: 0,
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
         })
@@ -117,9 +123,11 @@
             }
             Ok(Err(mut error)) => {
                 let is_unsent = error.take_message().is_some();
-                let detail = error.into_error().to_string();
+                let error = error.into_error();
+                let detail = error.to_string();
                 Err(match is_unsent {
                     true => ExchangeError::NotSent(detail),
+                    false if error.is_parse() => ExchangeError::InvalidResponse(detail),
                     false => ExchangeError::Interrupted(detail),
                 })
             }
@@ -129,6 +137,11 @@
         }
     }
 
+    /// Returns whether the connection comes from the pool, so that the upstream may have closed it.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     fn is_reusable(&self, max_idle_ms: u64, now_ms: u64) -> bool {
         let idle_ms = now_ms.saturating_sub(self.idle_since_ms);
         idle_ms < self.idle_timeout_ms.min(max_idle_ms)
@@ -147,13 +160,28 @@
     stated_s.map_or(DEFAULT_IDLE_TIMEOUT_MS, |seconds| seconds * 1_000 * IDLE_TIMEOUT_PERCENT / 100)
 }
 
-/// The idle connections of one thread, by upstream.
-#[derive(Clone, Debug, Default)]
-pub struct ConnectionPool {
-    idle: Rc<RefCell<HashMap<PoolKey, Vec<UpstreamConnection>>>>,
+/// Idle connections by destination; the most recently used is the last.
+type IdleConnections<K> = HashMap<PoolKey<K>, Vec<UpstreamConnection<K>>>;
+
+/// The idle connections of one thread. `K` identifies an upstream beside its address.
+#[derive(Debug)]
+pub struct ConnectionPool<K = String> {
+    idle: Rc<RefCell<IdleConnections<K>>>,
 }
 
-impl ConnectionPool {
+impl<K> Clone for ConnectionPool<K> {
+    fn clone(&self) -> Self {
+        Self { idle: Rc::clone(&self.idle) }
+    }
+}
+
+impl<K> Default for ConnectionPool<K> {
+    fn default() -> Self {
+        Self { idle: Rc::default() }
+    }
+}
+
+impl<K: Clone + Eq + Hash> ConnectionPool<K> {
     /// Returns the most recently used idle connection, or opens a new one. A connection that has been
     /// idle for `max_idle_ms` or longer is not used.
     ///
@@ -161,12 +189,12 @@
     /// No connection could be opened; nothing was sent.
     pub async fn checkout(
         &self,
-        upstream: &str,
+        upstream: K,
         address: SocketAddr,
         max_idle_ms: u64,
         now_ms: u64,
-    ) -> Result<UpstreamConnection, ExchangeError> {
-        let pool_key = PoolKey { upstream: upstream.to_owned(), address };
+    ) -> Result<UpstreamConnection<K>, ExchangeError> {
+        let pool_key = PoolKey { upstream, address };
         let pooled = self.idle.borrow_mut().get_mut(&pool_key).and_then(|connections| {
             connections.retain(|connection| connection.is_reusable(u64::MAX, now_ms));
             connections.pop_if(|connection| connection.is_reusable(max_idle_ms, now_ms))
@@ -177,11 +205,24 @@
         }
     }
 
+    /// Opens a connection without regard to idle ones.
+    ///
+    /// # Errors
+    /// No connection could be opened; nothing was sent.
+    pub async fn open(
+        &self,
+        upstream: K,
+        address: SocketAddr,
+    ) -> Result<UpstreamConnection<K>, ExchangeError> {
+        UpstreamConnection::open(PoolKey { upstream, address }).await
+    }
+
     /// Returns a connection to the pool after a complete response.
-    pub fn check_in(&self, mut connection: UpstreamConnection, now_ms: u64) {
+    pub fn check_in(&self, mut connection: UpstreamConnection<K>, now_ms: u64) {
         if connection.sender.is_closed() {
             return;
         }
+        connection.is_reused = true;
         connection.idle_since_ms = now_ms;
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(connection.pool_key.clone()).or_default();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use hickorycourse_connections::UpstreamConnection;
 use hickorycourse_placement::{AttemptOutcome, Placement};
 use http::Response;
 use hyper::body::Incoming;
@@ -10,7 +11,6 @@
 
 use crate::adapter::{BackoffRequest, ResponseMetadata};
 use crate::call::Call;
-use crate::connections::UpstreamConnection;
 use crate::quarantine::{hash_service, hash_upstream_start};
 use crate::state::{Relay, SharedPlacementTable};
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -16,8 +16,8 @@
 
 use crate::adapter::{ResponseMetadata, TokenCounts, UpstreamRequestMetadata};
 use crate::attempt::{Attempt, OpenedResponse};
-use crate::connections::{ConnectionPool, ExchangeError, UpstreamConnection};
 use crate::state::{Relay, SharedPlacementTable};
+use hickorycourse_connections::{ConnectionPool, ExchangeError, UpstreamConnection};
 
 /// Longest idle time of a pooled connection that is reused for a request that may run at most once.
 /// If the upstream closes the connection while the request is in transit, it is unknown whether the
@@ -261,7 +261,8 @@
         };
         let address = attempt.placement.address;
         let now_ms = relay.now_ms();
-        let dialled = self.connections.checkout(&upstream, address, max_idle_ms, now_ms).await;
+        let dialled =
+            self.connections.checkout(upstream.clone(), address, max_idle_ms, now_ms).await;
         let mut connection = match dialled {
             Ok(connection) => connection,
             Err(error) => {
@@ -303,7 +304,7 @@
                         retry_state.may_have_run = true;
                         Some(AttemptOutcome::Unresponsive)
                     }
-                    ExchangeError::Interrupted(_) => {
+                    ExchangeError::Interrupted(_) | ExchangeError::InvalidResponse(_) => {
                         retry_state.may_have_run = true;
                         None
                     }
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -21,11 +21,11 @@
 use crate::adapter::{RequestMetadata, TokenCounts};
 use crate::buffered_response;
 use crate::call::{Call, DEFAULT_RETRY_AFTER_MS, RetryState};
-use crate::connections::ConnectionPool;
 use crate::drain::{hold_until_flushed, is_closing, mark_closing};
 use crate::messages::{copy_headers, read_host, write_buffered, write_headers};
 use crate::state::{InFlightGuard, Relay};
 use crate::stream::{self, StreamResponse};
+use hickorycourse_connections::ConnectionPool;
 
 thread_local! {
     static CONNECTIONS: ConnectionPool = ConnectionPool::default();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,7 +16,6 @@
 mod buffered_response;
 mod call;
 mod caller;
-mod connections;
 mod datagrams;
 mod drain;
 mod duty_tasks;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -17,10 +17,10 @@
 use crate::attempt::{Attempt, OpenedResponse};
 use crate::buffered_response::{self, BufferedResponse, FetchError};
 use crate::call::{Call, RetryState};
-use crate::connections::UpstreamConnection;
 use crate::drain::hold_until_flushed;
 use crate::events::EventTracker;
 use crate::state::InFlightGuard;
+use hickorycourse_connections::UpstreamConnection;
 
 /// Idle timeout of a resumable stream, after which it moves to another upstream, as a multiple of
 /// the route's target for pauses between events; the response has missed that target by then.
--- a/crates/upstream/src/stream.rs
+++ b/crates/upstream/src/stream.rs
@@ -4,25 +4,42 @@
 
 use eventsource_stream::{EventStream, Eventsource};
 use futures_util::StreamExt;
+use hickorycourse_connections::UpstreamConnection;
 use hickorycourse_store::LocalFuture;
-use ntex::client::ClientResponse;
+use http_body_util::{BodyDataStream, BodyExt};
+use hyper::body::Incoming;
 use ntex::time::timeout;
 
 use crate::attempt::{AttemptError, AttemptErrorKind, TokenStream};
 use crate::chat::{Chunk, EngineEvent};
+use crate::http::{IdleConnections, OpenResponse};
 
 const END_MARKER: &str = "[DONE]";
 
 /// Reads the server-sent events of one attempt.
 pub(crate) struct HttpTokenStream {
-    events: EventStream<ClientResponse>,
+    events: EventStream<BodyDataStream<Incoming>>,
+    /// The connection that the events arrive on, until the body has ended.
+    connection: Option<UpstreamConnection<u64>>,
+    idle: IdleConnections,
     attempt_id: String,
     token_timeout_ms: u64,
 }
 
 impl HttpTokenStream {
-    pub(crate) fn new(response: ClientResponse, attempt_id: &str, token_timeout_ms: u64) -> Self {
-        Self { events: response.eventsource(), attempt_id: attempt_id.to_owned(), token_timeout_ms }
+    pub(crate) fn new(
+        open: OpenResponse,
+        idle: IdleConnections,
+        attempt_id: &str,
+        token_timeout_ms: u64,
+    ) -> Self {
+        Self {
+            events: open.response.into_body().into_data_stream().eventsource(),
+            connection: Some(open.connection),
+            idle,
+            attempt_id: attempt_id.to_owned(),
+            token_timeout_ms,
+        }
     }
 
     async fn read_event(&mut self) -> Result<EngineEvent, AttemptError> {
@@ -48,9 +65,14 @@
         Chunk::parse(&event.data, &self.attempt_id).map(EngineEvent::Chunk)
     }
 
-    /// Reads the remainder of the body, so that the connection returns to the pool.
+    /// Reads the remainder of the body and returns the connection to the pool, or closes it if
+    /// anything follows the end marker.
     async fn drain(&mut self) {
-        let _ = timeout(DRAIN_TIMEOUT, self.events.next()).await;
+        let rest = timeout(DRAIN_TIMEOUT, self.events.next()).await;
+        let connection = self.connection.take();
+        if let (Ok(None), Some(connection)) = (rest, connection) {
+            self.idle.check_in(connection);
+        }
     }
 }
 
