Quarantine: a service has to answer for a while before it blames a part

Callers saw: after a wave of crashes without any crashing part, a sound part of many requests was rejected with 422 from then on.

Cause: a part on which answers had begun before was quarantined after five ends once any answer of the service had begun since the first of them. In a wave that takes all upstreams, those are the answers in the midst of the wave, and none can begin on the part afterwards.

Evidence: popular_part_in_a_wave_of_crashes_not_quarantined. Before: [0xa] quarantined, [] expected. After: passes.

Four answers of the service now have to begin after the fifth end.

--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -9,6 +9,13 @@
 /// Parts whose latest begun answer is kept.
 const MAX_BEGUN_PARTS: usize = 4_096;
 
+/// Services whose answers are kept.
+const MAX_SERVICES: usize = 64;
+/// Answers that are kept for each service.
+const MAX_ANSWERS_PER_SERVICE: usize = 16;
+/// Shortest time between two of these.
+const MIN_ANSWER_INTERVAL_MS: u64 = 50;
+
 /// The end of one start of an upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct UpstreamEnd {
@@ -55,6 +62,35 @@
     }
 }
 
+/// The latest times at which answers of each service began on any parts.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceAnswers {
+    begun_at_ms: BTreeMap<u64, VecDeque<u64>>,
+}
+
+impl ServiceAnswers {
+    /// Records an answer.
+    pub fn record(&mut self, service: u64, begun_at_ms: u64) {
+        if self.begun_at_ms.len() >= MAX_SERVICES && !self.begun_at_ms.contains_key(&service) {
+            self.begun_at_ms.pop_first();
+        }
+        let times = self.begun_at_ms.entry(service).or_default();
+        if times.back().is_some_and(|latest_ms| begun_at_ms < latest_ms + MIN_ANSWER_INTERVAL_MS) {
+            return;
+        }
+        if times.len() >= MAX_ANSWERS_PER_SERVICE {
+            times.pop_front();
+        }
+        times.push_back(begun_at_ms);
+    }
+
+    /// Returns the number of known answers after `after_ms`.
+    pub fn count_after(&self, service: u64, after_ms: u64) -> usize {
+        let times = self.begun_at_ms.get(&service);
+        times.map_or(0, |times| times.iter().filter(|at_ms| **at_ms > after_ms).count())
+    }
+}
+
 /// The ends of starts. Those that a quarantined part explains are kept, as other instances may tell them
 /// without that part.
 #[derive(Clone, Debug, Default)]
@@ -167,6 +203,14 @@
         self.ends.values().filter(|end| !end.is_explained)
     }
 
+    /// Returns the time of the `n`-th end under a part, counted from 1.
+    pub fn nth_time_ms(&self, part: u64, n: usize) -> Option<u64> {
+        let ends = self.unexplained().filter(|end| end.parts.contains_key(&part));
+        let mut times_ms: Vec<u64> = ends.map(|end| end.ended_at_ms).collect();
+        times_ms.sort_unstable();
+        times_ms.get(n.checked_sub(1)?).copied()
+    }
+
     /// Returns the evidence against each part, from the ends until `until_ms`.
     pub fn supports(&self, until_ms: u64) -> BTreeMap<u64, Support> {
         let mut supports = BTreeMap::new();
--- a/crates/quarantine/src/options.rs
+++ b/crates/quarantine/src/options.rs
@@ -8,6 +8,9 @@
     /// Starts that have to end under a part on which answers have begun before, or whose ends need not
     /// be settled.
     pub min_starts_certain: usize,
+    /// Answers of the service on other parts that have to begin after these ends, if answers have begun
+    /// on the part before.
+    pub min_answers: usize,
     /// Time from which the end of a start counts. Until then, other instances may still tell which other
     /// attempts broke with it, and on which parts answers have begun since.
     pub settle_ms: u64,
@@ -35,6 +38,7 @@
         Self {
             min_starts: 3,
             min_starts_certain: 5,
+            min_answers: 4,
             settle_ms: 1_500,
             common_cause_ms: 300,
             common_cause_divisor: 3,
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::digest::{self, EndDigest, MergeError, QuarantineDigest, QuarantinedDigest};
-use crate::evidence::{BegunParts, Support, UpstreamEnd, UpstreamEnds};
+use crate::evidence::{BegunParts, ServiceAnswers, Support, UpstreamEnd, UpstreamEnds};
 use crate::options::QuarantineOptions;
 
 /// Quarantined parts that are kept.
@@ -54,8 +54,8 @@
     options: QuarantineOptions,
     ends: UpstreamEnds,
     begun: BegunParts,
-    /// Times of the latest answers that have begun on any parts, by service.
-    latest_begun_at_ms: BTreeMap<u64, u64>,
+    /// Times at which answers of each service have begun on any parts.
+    service_begun: ServiceAnswers,
     quarantined: BTreeMap<u64, QuarantinedPart>,
     /// Times at which parts were cleared that had been in an attempt at an end.
     cleared: BTreeMap<u64, u64>,
@@ -100,7 +100,7 @@
         begun_at_ms: u64,
         now_ms: u64,
     ) -> Vec<QuarantineChange> {
-        insert_bounded(&mut self.latest_begun_at_ms, service, begun_at_ms);
+        self.service_begun.record(service, begun_at_ms);
         let mut changes = Vec::new();
         for part in parts {
             if self.begun.record(*part, begun_at_ms) {
@@ -449,11 +449,14 @@
             };
             let settled_ms = now_ms.saturating_sub(options.settle_ms);
             let founded = match self.begun.latest_ms(part) {
-                // Answers of the service that begin on other parts show that a part in most requests is
-                // not just one of many that its upstreams can't answer at the moment.
+                // Answers of the service that go on to begin on other parts show that a part in most
+                // requests is not just one of many that its upstreams can't answer at the moment.
                 Some(_) => support(settled_ms, options.min_starts_certain).filter(|support| {
-                    let begun_at_ms = self.latest_begun_at_ms.get(&support.service);
-                    begun_at_ms.is_some_and(|begun_at_ms| support.first_ms < *begun_at_ms)
+                    let certain = self.ends.nth_time_ms(part, options.min_starts_certain);
+                    certain.is_some_and(|certain_ms| {
+                        let begun = &self.service_begun;
+                        begun.count_after(support.service, certain_ms) >= options.min_answers
+                    })
                 }),
                 None => support(settled_ms, options.min_starts)
                     .or_else(|| support(u64::MAX, options.min_starts_certain)),
