Relay: stop both servers at once; tell quarantined parts once in a reply

Cause, from a review: each server's stop waits 250 ms after its workers have ended, one after the other, in which the process no longer reads; and a reply of an aggregator repeated the quarantined parts and the evidence for each zone, about 6.5 KB each by estimate, although the digest of the own zone has them all. Change: the servers are stopped together; the other zones' copies are left out of the reply.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -12,6 +12,7 @@
 use hickorycourse_digest::{
     AGGREGATORS_PER_ZONE, MemberDigest, OwnDigests, ZoneAggregator, ZoneDigest, rank_aggregators,
 };
+use hickorycourse_quarantine::QuarantineDigest;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -436,7 +437,11 @@
             WantedReply::SumsWithUsage => {}
         }
         let mut zones = vec![self.sum_own_zone(now_ms)];
-        zones.extend(self.relay.exchange.lock().other_zones(now_ms));
+        let other_zones: Vec<ZoneDigest> = self.relay.exchange.lock().other_zones(now_ms).collect();
+        // The own digest has what the others tell of quarantined parts.
+        let without_quarantine =
+            |zone| ZoneDigest { quarantine: QuarantineDigest::default(), ..zone };
+        zones.extend(other_zones.into_iter().map(without_quarantine));
         if wanted == WantedReply::Sums {
             zones.iter_mut().for_each(|zone| zone.windows.clear());
         }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use eyre::WrapErr;
+use futures_util::future::join;
 use hickorycourse_store::KeyValue;
 use hickorycourse_telemetry::{EventLog, Meter};
 use ntex::http::{HttpServiceConfig, KeepAlive};
@@ -87,8 +88,7 @@
     let caller_server = start_caller_server(&relay)?;
     let management_server = start_management_server(&relay)?;
     drain::wait_until_drained(&relay).await;
-    caller_server.stop(true).await;
-    management_server.stop(true).await;
+    join(caller_server.stop(true), management_server.stop(true)).await;
     Ok(())
 }
 
