Model: cut the zone without crashing parts too

A cut that begins with the fifth crash never began in the replay without crashing parts, so that replay said nothing of cuts. It now begins after five seconds there.

--- a/crates/model/src/crashes/pattern.rs
+++ b/crates/model/src/crashes/pattern.rs
@@ -145,9 +145,16 @@
         Self { instances, engines: (instances * 3).div_ceil(5), ..self }
     }
 
-    /// Returns the pattern without crashing parts.
-    pub fn without_crashing_parts(self) -> Self {
-        Self { crashing_parts: Vec::new(), ..self }
+    /// Returns the pattern without crashing parts. What would begin with the fifth crash begins after five
+    /// seconds.
+    pub fn without_crashing_parts(mut self) -> Self {
+        self.crashing_parts.clear();
+        for trouble in &mut self.troubles {
+            if let Trouble::ZoneCut { start, .. } = trouble {
+                *start = TroubleStart::At { at_ms: 5_000 };
+            }
+        }
+        self
     }
 
     /// Number of zones over which instances and engines are spread.
