--- /dev/null
+++ b/crates/connections/src/pool.rs
@@ -0,0 +1,237 @@
+//! Pools of connections.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response, header};
+use hyper_util::rt::TokioIo;
+use ntex::time::timeout;
+use tokio::net::TcpStream;
+use tokio::task::{JoinHandle, spawn_local};
+
+/// Timeout for a new connection. Network latency is a few milliseconds; the retransmission of a
+/// lost SYN takes a second, so trying another upstream is faster.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Idle timeout of a connection if the upstream states none.
+const DEFAULT_IDLE_TIMEOUT_MS: u64 = 3_000;
+/// Part of the stated idle timeout for which a connection is reused, in percent, so that the
+/// upstream does not close the connection while a request is in transit.
+const IDLE_TIMEOUT_PERCENT: u64 = 60;
+/// Largest head of a response; one that never ends must not fill the memory.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Idle connections in the pool for each upstream.
+const MAX_IDLE_PER_UPSTREAM: usize = 64;
+
+/// Why an exchange failed.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum ExchangeError {
+    /// No part of the request was sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The response did not start before the timeout.
+    #[error("silent: {0}")]
+    TimedOut(String),
+    /// The connection closed before the response.
+    #[error("broken: {0}")]
+    Interrupted(String),
+    /// The response is not valid HTTP.
+    #[error("invalid: {0}")]
+    InvalidResponse(String),
+}
+
+/// Destination of a connection. An upstream that restarts under its id may have another address.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct PoolKey<K> {
+    upstream: K,
+    address: SocketAddr,
+}
+
+/// Aborts the task that drives a connection, which closes the connection.
+#[derive(Debug)]
+struct ConnectionTask(JoinHandle<()>);
+
+impl Drop for ConnectionTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A connection to an upstream. Dropping it closes it.
+#[derive(Debug)]
+pub struct UpstreamConnection<K = String> {
+    sender: SendRequest<Full<Bytes>>,
+    _task: ConnectionTask,
+    pool_key: PoolKey<K>,
+    is_reused: bool,
+    idle_since_ms: u64,
+    idle_timeout_ms: u64,
+}
+
+impl<K> UpstreamConnection<K> {
+    async fn open(pool_key: PoolKey<K>) -> Result<Self, ExchangeError> {
+        let not_sent = |detail: String| ExchangeError::NotSent(detail);
+        let stream = timeout(DIAL_TIMEOUT, TcpStream::connect(pool_key.address))
+            .await
+            .map_err(|()| {
+                not_sent(format!("no connection within {} ms", DIAL_TIMEOUT.as_millis()))
+            })?
+            .map_err(|error| not_sent(error.to_string()))?;
+        stream.set_nodelay(true).map_err(|error| not_sent(error.to_string()))?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_sent(error.to_string()))?;
+        let task = spawn_local(async move {
+            // The waiting sender receives the error too.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            _task: ConnectionTask(task),
+            pool_key,
+            is_reused: false,
+            idle_since_ms: 0,
+            idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
+        })
+    }
+
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    /// The connection must not be used again after any error.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        match timeout(limit, self.sender.try_send_request(request)).await {
+            Ok(Ok(response)) => {
+                self.idle_timeout_ms = read_idle_timeout_ms(&response);
+                Ok(response)
+            }
+            Ok(Err(mut error)) => {
+                let is_unsent = error.take_message().is_some();
+                let error = error.into_error();
+                let detail = error.to_string();
+                Err(match is_unsent {
+                    true => ExchangeError::NotSent(detail),
+                    false if error.is_parse() => ExchangeError::InvalidResponse(detail),
+                    false => ExchangeError::Interrupted(detail),
+                })
+            }
+            Err(()) => {
+                Err(ExchangeError::TimedOut(format!("no response within {} ms", limit.as_millis())))
+            }
+        }
+    }
+
+    /// Returns whether the connection comes from the pool, so that the upstream may have closed it.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    fn is_reusable(&self, max_idle_ms: u64, now_ms: u64) -> bool {
+        let idle_ms = now_ms.saturating_sub(self.idle_since_ms);
+        idle_ms < self.idle_timeout_ms.min(max_idle_ms)
+            && self.sender.is_ready()
+            && !self.sender.is_closed()
+    }
+}
+
+/// Returns the idle timeout from the response's `Keep-Alive: timeout=SECONDS`, less a margin.
+fn read_idle_timeout_ms(response: &Response<Incoming>) -> u64 {
+    let value = response.headers().get(header::HeaderName::from_static("keep-alive"));
+    let stated_s = value
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
+        .and_then(|seconds| seconds.trim().parse::<u64>().ok());
+    stated_s.map_or(DEFAULT_IDLE_TIMEOUT_MS, |seconds| seconds * 1_000 * IDLE_TIMEOUT_PERCENT / 100)
+}
+
+/// Idle connections by destination; the most recently used is the last.
+type IdleConnections<K> = HashMap<PoolKey<K>, Vec<UpstreamConnection<K>>>;
+
+/// The idle connections of one thread. `K` identifies an upstream beside its address.
+#[derive(Debug)]
+pub struct ConnectionPool<K = String> {
+    idle: Rc<RefCell<IdleConnections<K>>>,
+}
+
+impl<K> Clone for ConnectionPool<K> {
+    fn clone(&self) -> Self {
+        Self { idle: Rc::clone(&self.idle) }
+    }
+}
+
+impl<K> Default for ConnectionPool<K> {
+    fn default() -> Self {
+        Self { idle: Rc::default() }
+    }
+}
+
+impl<K: Clone + Eq + Hash> ConnectionPool<K> {
+    /// Returns the most recently used idle connection, or opens a new one. A connection that has been
+    /// idle for `max_idle_ms` or longer is not used.
+    ///
+    /// # Errors
+    /// No connection could be opened; nothing was sent.
+    pub async fn checkout(
+        &self,
+        upstream: K,
+        address: SocketAddr,
+        max_idle_ms: u64,
+        now_ms: u64,
+    ) -> Result<UpstreamConnection<K>, ExchangeError> {
+        let pool_key = PoolKey { upstream, address };
+        let pooled = self.idle.borrow_mut().get_mut(&pool_key).and_then(|connections| {
+            connections.retain(|connection| connection.is_reusable(u64::MAX, now_ms));
+            connections.pop_if(|connection| connection.is_reusable(max_idle_ms, now_ms))
+        });
+        match pooled {
+            Some(connection) => Ok(connection),
+            None => UpstreamConnection::open(pool_key).await,
+        }
+    }
+
+    /// Opens a connection without regard to idle ones.
+    ///
+    /// # Errors
+    /// No connection could be opened; nothing was sent.
+    pub async fn open(
+        &self,
+        upstream: K,
+        address: SocketAddr,
+    ) -> Result<UpstreamConnection<K>, ExchangeError> {
+        UpstreamConnection::open(PoolKey { upstream, address }).await
+    }
+
+    /// Returns a connection to the pool after a complete response.
+    pub fn check_in(&self, mut connection: UpstreamConnection<K>, now_ms: u64) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        connection.is_reused = true;
+        connection.idle_since_ms = now_ms;
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(connection.pool_key.clone()).or_default();
+        if connections.len() < MAX_IDLE_PER_UPSTREAM {
+            connections.push(connection);
+        }
+    }
+
+    /// Closes idle connections that have expired or that the upstream has closed.
+    pub fn evict_expired(&self, now_ms: u64) {
+        self.idle.borrow_mut().retain(|_, connections| {
+            connections.retain(|connection| connection.is_reusable(u64::MAX, now_ms));
+            !connections.is_empty()
+        });
+    }
+}
--- a/crates/upstream/src/http.rs
+++ b/crates/upstream/src/http.rs
@@ -1,17 +1,16 @@
 //! HTTP client for upstreams.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hickorycourse_clock::{Clock, SystemClock};
-use hickorycourse_connections::{ConnectionPool, ExchangeError, UpstreamConnection};
+use hickorycourse_connections::{ExchangeError, HttpClient, OpenResponse};
 use hickorycourse_store::LocalFuture;
 use http::header::{self, HeaderName, HeaderValue};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request};
 use ntex::http::HeaderMap;
 use ntex::time::timeout;
 use ntex::util::{Bytes, BytesMut};
@@ -45,43 +44,13 @@
 /// Timeout for a load report, and for the body of an error response.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
 const ERROR_BODY_LIMIT_BYTES: usize = 4_096;
-/// Interval at which idle connections are checked.
-const EVICTION_INTERVAL_MS: u64 = 1_000;
-
-/// The idle connections of one thread, by the generation and address of their upstream.
-#[derive(Clone, Default)]
-pub(crate) struct IdleConnections {
-    pool: ConnectionPool<u64>,
-    clock: SystemClock,
-}
-
-impl IdleConnections {
-    /// Keeps a connection for the next exchange after a response that was read to its end.
-    pub(crate) fn check_in(&self, connection: UpstreamConnection<u64>) {
-        self.pool.check_in(connection, self.clock.now_ms());
-    }
-}
-
-/// The head of a response, with the connection that its body arrives on. Dropping it closes the
-/// connection.
-pub(crate) struct OpenResponse {
-    pub(crate) connection: UpstreamConnection<u64>,
-    pub(crate) response: Response<Incoming>,
-}
-
-impl OpenResponse {
-    fn header(&self, name: &str) -> Option<&HeaderValue> {
-        self.response.headers().get(name)
-    }
-}
-
 /// HTTP client for upstreams, to be used by one thread. Each upstream has its own idle connections.
 #[derive(Default)]
 pub struct HttpUpstreams {
-    idle: IdleConnections,
+    /// Client whose connections are of a generation.
+    client: HttpClient<u64>,
     /// The latest generation of connections to each address.
     generations: RefCell<HashMap<SocketAddr, u64>>,
-    evicted_at_ms: Cell<u64>,
 }
 
 impl HttpUpstreams {
@@ -99,13 +68,6 @@
         *latest
     }
 
-    fn evict_expired(&self, now_ms: u64) {
-        if now_ms.saturating_sub(self.evicted_at_ms.get()) >= EVICTION_INTERVAL_MS {
-            self.evicted_at_ms.set(now_ms);
-            self.idle.pool.evict_expired(now_ms);
-        }
-    }
-
     /// Sends a request, on a new connection if `is_non_idempotent`, and waits for the head of its
     /// response.
     async fn send(
@@ -113,38 +75,18 @@
         upstream: UpstreamAddress,
         request: Request<Full<hyper::body::Bytes>>,
         is_non_idempotent: bool,
-        first_byte_timeout: Duration,
-    ) -> Result<OpenResponse, AttemptError> {
-        let exchange = async {
-            let pool = &self.idle.pool;
-            let generation = self.latest_generation(upstream);
-            if is_non_idempotent {
-                let connection = pool.open(generation, upstream.address).await?;
-                return send_on(connection, request, first_byte_timeout).await;
-            }
-            let now_ms = self.idle.clock.now_ms();
-            self.evict_expired(now_ms);
-            let connection = pool.checkout(generation, upstream.address, u64::MAX, now_ms).await?;
-            if !connection.is_reused() {
-                return send_on(connection, request, first_byte_timeout).await;
-            }
-            match send_on(connection, request.clone(), first_byte_timeout).await {
-                // The idle connection was closed before the request was sent.
-                Err(ExchangeError::NotSent(_)) => {
-                    let connection = pool.open(generation, upstream.address).await?;
-                    send_on(connection, request, first_byte_timeout).await
-                }
-                result => result,
-            }
+        limit: Duration,
+    ) -> Result<OpenResponse<u64>, AttemptError> {
+        let generation = self.latest_generation(upstream);
+        let (client, address) = (&self.client, upstream.address);
+        let result = match is_non_idempotent {
+            true => client.open_on_new_connection(generation, address, request, limit).await,
+            false => client.open(generation, address, request, limit).await,
         };
-        let result = timeout(first_byte_timeout, exchange).await.unwrap_or_else(|()| {
-            let detail = format!("no response within {} ms", first_byte_timeout.as_millis());
-            Err(ExchangeError::TimedOut(detail))
-        });
         result.map_err(classify_exchange_error)
     }
 
-    async fn post_chat(&self, call: &EngineCall<'_>) -> Result<OpenResponse, AttemptError> {
+    async fn post_chat(&self, call: &EngineCall<'_>) -> Result<OpenResponse<u64>, AttemptError> {
         let body = serde_json::to_vec(call.body).map_err(not_sent)?;
         let request = Request::post("/v1/chat/completions")
             .header(header::HOST, call.upstream.address.to_string())
@@ -159,7 +101,10 @@
     }
 
     /// Fails unless the status is a success, with the start of the body as detail.
-    async fn check_status(&self, open: OpenResponse) -> Result<OpenResponse, AttemptError> {
+    async fn check_status(
+        &self,
+        open: OpenResponse<u64>,
+    ) -> Result<OpenResponse<u64>, AttemptError> {
         let status = open.response.status().as_u16();
         if (200..300).contains(&status) {
             return Ok(open);
@@ -176,30 +121,17 @@
     /// Reads a complete body, after which the connection may serve the next exchange.
     async fn read_to_end(
         &self,
-        open: OpenResponse,
+        open: OpenResponse<u64>,
         part_timeout: Duration,
         limit_bytes: usize,
     ) -> Result<Bytes, AttemptError> {
         let OpenResponse { connection, response } = open;
         let body = read_body(response.into_body(), part_timeout, limit_bytes).await?;
-        self.idle.check_in(connection);
+        self.client.check_in(connection);
         Ok(body)
     }
 }
 
-async fn send_on(
-    mut connection: UpstreamConnection<u64>,
-    request: Request<Full<hyper::body::Bytes>>,
-    first_byte_timeout: Duration,
-) -> Result<OpenResponse, ExchangeError> {
-    let response = connection.send(request, first_byte_timeout).await?;
-    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
-        let detail = "the upstream switched protocols without being asked";
-        return Err(ExchangeError::InvalidResponse(detail.to_owned()));
-    }
-    Ok(OpenResponse { connection, response })
-}
-
 /// The error of a request that can't be sent as it is.
 fn not_sent(error: impl std::error::Error) -> AttemptError {
     AttemptError::new(AttemptErrorKind::NotConnected, error.to_string())
@@ -226,9 +158,13 @@
                 let detail = "the answer is no event stream";
                 return Err(AttemptError::new(AttemptErrorKind::InvalidResponse, detail));
             }
-            let idle = self.idle.clone();
-            let stream: Box<dyn TokenStream> =
-                Box::new(HttpTokenStream::new(open, idle, call.attempt_id, call.token_timeout_ms));
+            let client = self.client.clone();
+            let stream: Box<dyn TokenStream> = Box::new(HttpTokenStream::new(
+                open,
+                client,
+                call.attempt_id,
+                call.token_timeout_ms,
+            ));
             Ok(stream)
         })
     }
@@ -319,11 +255,6 @@
         let host = call.upstream.address.to_string();
         headers.insert(header::HOST, HeaderValue::try_from(host).map_err(not_sent)?);
     }
-    // hyper states no length for an empty body, without which some servers reject these methods.
-    let expects_body = matches!(call.method, "PATCH" | "POST" | "PUT");
-    if call.body.is_empty() && expects_body {
-        headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("0"));
-    }
     let attempt_id = HeaderValue::from_str(call.attempt_id).map_err(not_sent)?;
     headers.insert(HeaderName::from_static(REQUEST_ID_HEADER), attempt_id);
     if call.is_non_idempotent {
@@ -332,8 +263,8 @@
     Ok(request)
 }
 
-fn check_request_id(open: &OpenResponse, attempt_id: &str) -> Result<(), AttemptError> {
-    let Some(response_id) = open.header(REQUEST_ID_HEADER) else { return Ok(()) };
+fn check_request_id(open: &OpenResponse<u64>, attempt_id: &str) -> Result<(), AttemptError> {
+    let Some(response_id) = open.response.headers().get(REQUEST_ID_HEADER) else { return Ok(()) };
     if response_id.as_bytes() == attempt_id.as_bytes() {
         return Ok(());
     }
@@ -358,8 +289,9 @@
     copy
 }
 
-fn has_content_type(open: &OpenResponse, expected: &str) -> bool {
-    let value = open.header("content-type").and_then(|value| value.to_str().ok());
+fn has_content_type(open: &OpenResponse<u64>, expected: &str) -> bool {
+    let value =
+        open.response.headers().get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
     value.is_some_and(|value| value.starts_with(expected))
 }
 
--- a/crates/upstream/src/stream.rs
+++ b/crates/upstream/src/stream.rs
@@ -4,7 +4,7 @@
 
 use eventsource_stream::{EventStream, Eventsource};
 use futures_util::StreamExt;
-use hickorycourse_connections::UpstreamConnection;
+use hickorycourse_connections::{HttpClient, OpenResponse, UpstreamConnection};
 use hickorycourse_store::LocalFuture;
 use http_body_util::{BodyDataStream, BodyExt};
 use hyper::body::Incoming;
@@ -12,7 +12,6 @@
 
 use crate::attempt::{AttemptError, AttemptErrorKind, TokenStream};
 use crate::chat::{Chunk, EngineEvent};
-use crate::http::{IdleConnections, OpenResponse};
 
 const END_MARKER: &str = "[DONE]";
 
@@ -21,22 +20,22 @@
     events: EventStream<BodyDataStream<Incoming>>,
     /// The connection that the events arrive on, until the body has ended.
     connection: Option<UpstreamConnection<u64>>,
-    idle: IdleConnections,
+    client: HttpClient<u64>,
     attempt_id: String,
     token_timeout_ms: u64,
 }
 
 impl HttpTokenStream {
     pub(crate) fn new(
-        open: OpenResponse,
-        idle: IdleConnections,
+        open: OpenResponse<u64>,
+        client: HttpClient<u64>,
         attempt_id: &str,
         token_timeout_ms: u64,
     ) -> Self {
         Self {
             events: open.response.into_body().into_data_stream().eventsource(),
             connection: Some(open.connection),
-            idle,
+            client,
             attempt_id: attempt_id.to_owned(),
             token_timeout_ms,
         }
@@ -71,7 +70,7 @@
         let rest = timeout(DRAIN_TIMEOUT, self.events.next()).await;
         let connection = self.connection.take();
         if let (Ok(None), Some(connection)) = (rest, connection) {
-            self.idle.check_in(connection);
+            self.client.check_in(connection);
         }
     }
 }
