Entry, steward: read the platform's responses without a length to their end

A response of the key-value service's gateway, the instance list or the cloud API without a length was taken for empty, and its late bytes for the response to the next call, as settings, a claim or the instances that leave.

Change: `GatewayClient` and `FleetClient` use `HttpClient`. A call of the gateway that was not sent counts as refused, not only if the connection was.

--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -3,12 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ntex::client::{Client, ClientRequest};
-use ntex::time::{Millis, timeout};
+use hickorycourse_connections::{ExchangeError, HttpClient};
+use http::request::Builder;
+use http::{Request, header};
+use http_body_util::Full;
+use ntex::time::timeout;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::http_client::build_client;
 use crate::{LocalFuture, PlatformError};
 
 /// Lifecycle state of an instance in the platform's list.
@@ -67,7 +69,7 @@
 
 /// HTTP client of the platform's instance list, reclaim notices and cloud API.
 pub struct FleetClient {
-    client: Client,
+    client: HttpClient,
     address: SocketAddr,
     timeout_ms: u64,
 }
@@ -91,41 +93,42 @@
     /// Creates a client. Requests without a complete response within `timeout_ms` fail with
     /// [`PlatformError::Uncertain`].
     pub async fn new(address: SocketAddr, timeout_ms: u64) -> Self {
-        Self { client: build_client().await, address, timeout_ms }
+        Self { client: HttpClient::default(), address, timeout_ms }
     }
 
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformError> {
-        let request = self.client.get(format!("http://{}{path}", self.address));
-        self.send_request(request, None::<&()>).await
+        self.send_request(Request::get(path), None::<&()>).await
     }
 
     async fn send_request<T: DeserializeOwned, B: Serialize>(
         &self,
-        request: ClientRequest,
+        request: Builder,
         body: Option<&B>,
     ) -> Result<T, PlatformError> {
-        let request = request.timeout(Millis(self.timeout_ms as u32));
+        let refused = |error: String| PlatformError::Refused(error);
+        let mut request = request.header(header::HOST, self.address.to_string());
+        let mut bytes = Vec::new();
+        if let Some(body) = body {
+            request = request.header(header::CONTENT_TYPE, "application/json");
+            bytes = serde_json::to_vec(body).map_err(|error| refused(error.to_string()))?;
+        }
+        let request =
+            request.body(Full::from(bytes)).map_err(|error| refused(error.to_string()))?;
+        let limit = Duration::from_millis(self.timeout_ms);
+        let uncertain = |error: ExchangeError| PlatformError::Uncertain(error.to_string());
         let exchange = async {
-            let sent = match body {
-                Some(body) => request.send_json(body).await,
-                None => request.send().await,
-            };
-            let response = sent.map_err(|error| PlatformError::Uncertain(error.to_string()))?;
-            if !response.status().is_success() {
-                let status = response.status();
-                return Err(PlatformError::Refused(format!("status {status}")));
+            let open = self.client.open((), self.address, request, limit).await;
+            let open = open.map_err(uncertain)?;
+            if !open.response.status().is_success() {
+                return Err(refused(format!("status {}", open.response.status())));
             }
-            let bytes = response
-                .body()
-                .limit(MAX_RESPONSE_BYTES)
-                .await
-                .map_err(|error| PlatformError::Uncertain(error.to_string()))?;
-            serde_json::from_slice(&bytes)
+            let response = self.client.read_to_end(open, MAX_RESPONSE_BYTES).await;
+            serde_json::from_slice(response.map_err(uncertain)?.body())
                 .map_err(|error| PlatformError::InvalidResponse(error.to_string()))
         };
-        match timeout(Duration::from_millis(self.timeout_ms), exchange).await {
+        match timeout(limit, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(PlatformError::Uncertain("no response within the timeout".to_owned())),
+            Err(()) => Err(PlatformError::Uncertain("no response within the timeout".to_owned())),
         }
     }
 }
@@ -153,9 +156,8 @@
         request: &'a StartRequest,
     ) -> LocalFuture<'a, Result<String, PlatformError>> {
         Box::pin(async move {
-            let url = format!("http://{}/cloud/instances", self.address);
             let response: StartResponse =
-                self.send_request(self.client.post(url), Some(request)).await?;
+                self.send_request(Request::post("/cloud/instances"), Some(request)).await?;
             Ok(response.instance)
         })
     }
--- a/crates/store/src/gateway.rs
+++ b/crates/store/src/gateway.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::http_client::build_client;
-use futures_util::StreamExt;
-use ntex::client::{Client, ClientResponse};
-use ntex::time::{Millis, timeout};
+use hickorycourse_connections::{ExchangeError, HttpClient, OpenResponse};
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use ntex::time::timeout;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
@@ -19,7 +19,7 @@
 /// A client of the key-value service. After a call without a response, the next call goes to the
 /// next address.
 pub struct GatewayClient {
-    client: Client,
+    client: HttpClient,
     addresses: Vec<SocketAddr>,
     /// Index of the address for the next call.
     preferred: Cell<usize>,
@@ -35,24 +35,26 @@
     pub async fn new(addresses: &[SocketAddr], timeout_ms: u64) -> Self {
         assert!(!addresses.is_empty(), "at least one platform address is required");
         Self {
-            client: build_client().await,
+            client: HttpClient::default(),
             addresses: addresses.to_vec(),
             preferred: Cell::new(0),
             timeout_ms,
         }
     }
 
-    async fn send(&self, path: &str, body: &Value) -> Result<ClientResponse, PlatformError> {
+    async fn send(&self, path: &str, body: &Value) -> Result<OpenResponse, PlatformError> {
         let index = self.preferred.get() % self.addresses.len();
-        let url = format!("http://{}{path}", self.addresses[index]);
-        let request = self.client.post(url).timeout(Millis(self.timeout_ms as u32));
+        let address = self.addresses[index];
+        let request = Request::post(path)
+            .header(header::HOST, address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::from(body.to_string()))
+            .map_err(|error| PlatformError::Refused(error.to_string()))?;
         let limit = Duration::from_millis(self.timeout_ms);
-        let sent = timeout(limit, request.send_json(body)).await;
-        let error = match sent {
-            Ok(Ok(response)) if response.status().is_success() => return Ok(response),
-            Ok(Ok(response)) => return Err(classify_status(&response)),
-            Ok(Err(error)) => classify_client_error(&error),
-            Err(_) => PlatformError::Uncertain("no response within the timeout".to_owned()),
+        let error = match self.client.open((), address, request, limit).await {
+            Ok(open) if open.response.status().is_success() => return Ok(open),
+            Ok(open) => return Err(classify_status(open.response.status())),
+            Err(error) => classify_exchange_error(&error),
         };
         self.preferred.set((index + 1) % self.addresses.len());
         Err(error)
@@ -63,17 +65,17 @@
         path: &str,
         body: &Value,
     ) -> Result<T, PlatformError> {
-        let response = self.send(path, body).await?;
+        let open = self.send(path, body).await?;
         let limit = Duration::from_millis(self.timeout_ms);
-        let bytes = timeout(limit, response.body().limit(MAX_RESPONSE_BYTES))
+        let response = timeout(limit, self.client.read_to_end(open, MAX_RESPONSE_BYTES))
             .await
-            .map_err(|_| {
+            .map_err(|()| {
                 PlatformError::Uncertain(
                     "the response body was not complete within the timeout".to_owned(),
                 )
             })?
             .map_err(|error| PlatformError::Uncertain(error.to_string()))?;
-        serde_json::from_slice(&bytes)
+        serde_json::from_slice(response.body())
             .map_err(|error| PlatformError::InvalidResponse(error.to_string()))
     }
 }
@@ -81,8 +83,7 @@
 /// Size limit of a response; a list of all settings may contain many values of 1 MB.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
-fn classify_status(response: &ClientResponse) -> PlatformError {
-    let status = response.status();
+fn classify_status(status: StatusCode) -> PlatformError {
     match status.as_u16() {
         // The service returns these statuses before it executes the call.
         400..=499 | 503 => PlatformError::Refused(format!("status {status}")),
@@ -90,16 +91,9 @@
     }
 }
 
-fn classify_client_error(error: &ntex::client::error::ClientError) -> PlatformError {
-    use ntex::client::error::{ClientError, ConnectError};
+fn classify_exchange_error(error: &ExchangeError) -> PlatformError {
     match error {
-        // No request is sent on a refused connection. The same variant without a cause means that the
-        // connection was closed before the response.
-        ClientError::Connect(ConnectError::Disconnected(Some(io)))
-            if io.kind() == std::io::ErrorKind::ConnectionRefused =>
-        {
-            PlatformError::Refused(error.to_string())
-        }
+        ExchangeError::NotSent(_) => PlatformError::Refused(error.to_string()),
         _ => PlatformError::Uncertain(error.to_string()),
     }
 }
@@ -190,8 +184,8 @@
                 "key": wire::encode_base64(prefix.as_bytes()),
                 "range_end": wire::encode_base64(&wire::range_end(prefix)),
             }});
-            let response = self.send("/v3/watch", &body).await?;
-            let watch: Box<dyn Watch> = Box::new(GatewayWatch { response, buffer: Vec::new() });
+            let open = self.send("/v3/watch", &body).await?;
+            let watch: Box<dyn Watch> = Box::new(GatewayWatch { open, buffer: Vec::new() });
             Ok(watch)
         })
     }
@@ -202,7 +196,7 @@
 }
 
 struct GatewayWatch {
-    response: ClientResponse,
+    open: OpenResponse,
     buffer: Vec<u8>,
 }
 
@@ -220,8 +214,12 @@
                 if let Some(line) = self.next_line() {
                     return Some(parse_frame(&line));
                 }
-                match self.response.next().await {
-                    Some(Ok(bytes)) => self.buffer.extend_from_slice(&bytes),
+                match self.open.response.body_mut().frame().await {
+                    Some(Ok(frame)) => {
+                        if let Ok(bytes) = frame.into_data() {
+                            self.buffer.extend_from_slice(&bytes);
+                        }
+                    }
                     Some(Err(error)) => {
                         return Some(Err(PlatformError::Uncertain(error.to_string())));
                     }
