--- a/crates/upstream/tests/streams.rs
+++ b/crates/upstream/tests/streams.rs
@@ -130,6 +130,20 @@
     assert_eq!(stream.next().await.unwrap_err().kind, AttemptErrorKind::TimedOut);
 }
 
+#[ntex::test]
+async fn stream_endless_event_is_invalid() {
+    let upstream = RawUpstream::start(|stream, _| {
+        let head = format!("{HEAD}\r\n{}data: ", event("a"));
+        stream.write_all(head.as_bytes()).unwrap();
+        let block = "more of the event ".repeat(1_000);
+        while stream.write_all(block.as_bytes()).is_ok() {}
+        AfterResponse::Close
+    });
+    let (text, end) = read_stream(&HttpUpstreams::new(), &upstream).await;
+    assert_eq!((text.as_str(), end), ("a", Err(AttemptErrorKind::InvalidResponse)));
+    assert!(upstream.is_closed_soon(0).await);
+}
+
 #[ntex::test]
 async fn stream_dropped_closes_connection() {
     let response = chunked(&[event("a")], "");
