Quarantine: every verdict waits until its ends have settled

With 76 instances the model quarantined a sound part in a wave of crashes: it was in seven ends within 242 ms, and five ends counted at once.

A part on which answers have begun before is quarantined once two answers of the service have begun later than 300 ms after the fifth end, in place of four at any time after it: in small fleets whose engines a part begins to crash, the fourth came too late. A verdict is logged and told when it falls.

--- a/crates/quarantine/src/options.rs
+++ b/crates/quarantine/src/options.rs
@@ -5,11 +5,10 @@
 pub struct QuarantineOptions {
     /// Starts of upstreams that have to end under a part on which no answer is known to have begun.
     pub min_starts: usize,
-    /// Starts that have to end under a part on which answers have begun before, or whose ends need not
-    /// be settled.
+    /// Starts that have to end under a part on which answers have begun before.
     pub min_starts_certain: usize,
-    /// Answers of the service on other parts that have to begin after these ends, if answers have begun
-    /// on the part before.
+    /// Answers of the service on other parts that have to begin after these ends, later than
+    /// `common_cause_ms`, if answers have begun on the part before.
     pub min_answers: usize,
     /// Time from which the end of a start counts. Until then, other instances may still tell which other
     /// attempts broke with it, and on which parts answers have begun since.
@@ -38,7 +37,7 @@
         Self {
             min_starts: 3,
             min_starts_certain: 5,
-            min_answers: 4,
+            min_answers: 2,
             settle_ms: 1_500,
             common_cause_ms: 300,
             common_cause_divisor: 3,
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -455,11 +455,11 @@
                     let certain = self.ends.nth_time_ms(part, options.min_starts_certain);
                     certain.is_some_and(|certain_ms| {
                         let begun = &self.service_begun;
-                        begun.count_after(support.service, certain_ms) >= options.min_answers
+                        let after_ms = certain_ms + options.common_cause_ms;
+                        begun.count_after(support.service, after_ms) >= options.min_answers
                     })
                 }),
-                None => support(settled_ms, options.min_starts)
-                    .or_else(|| support(u64::MAX, options.min_starts_certain)),
+                None => support(settled_ms, options.min_starts),
             };
             founded.map(|support| (part, support))
         });
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -108,10 +108,14 @@
         }
     }
 
-    /// Forgets old evidence, and ends the quarantine of parts that no request has had for long.
+    /// Decides on settled evidence, forgets old evidence, and ends the quarantine of parts that no request has
+    /// had for long.
     pub fn expire_quarantine(&self) {
         let changes = self.quarantine.lock().expire(self.now_ms());
         self.log_quarantine_changes(&changes, "idle");
+        if !changes.is_empty() {
+            self.digest_requested.notify_one();
+        }
     }
 
     /// Quarantines a part at all instances until an operator lifts it. Returns false if too many parts
@@ -165,7 +169,7 @@
                 QuarantineChange::Found { part, starts, span_ms } => {
                     self.log.write("part_quarantined", || {
                         json!({
-                            "part": format_part(part), "source": source, "starts": starts,
+                            "part": format_part(part), "source": "evidence", "starts": starts,
                             "span_ms": span_ms,
                         })
                     });
