--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -363,7 +363,7 @@
         }
     }
 
-    /// Quarantines a part, and takes out the ends that it explains. Returns false if there are too many.
+    /// Quarantines a part, which explains the ends under it. Returns false if there are too many.
     fn insert(&mut self, part: u64, quarantined: QuarantinedPart) -> bool {
         if self.quarantined.len() >= MAX_QUARANTINED && !self.quarantined.contains_key(&part) {
             return false;
