Relay: permits for requests to upstreams that name a limit

Callers' operators saw upstreams in need get up to twice the requests that they take: 12 to 15 in four seconds at a limit of about one a second.

Cause: nothing read the limit, so each instance sent its usual share. The class of fault is wider: a bound for all instances together that each instance would have to keep by itself, at a rate below one request for each.

The limit of an upstream's start is known from the heads of its responses and told to all instances at once. For each such upstream one instance, chosen by rendezvous hashing, grants permits; the others claim one before they send. Choosing an upstream, taking its permit and occupying its slot happen under one lock, for first attempts, retries and resumed streams alike; a permit that is not used is left to the next request. Other upstreams take the load first. If only limited ones can serve a request in time and no permit is free, it is rejected at once, with a Retry-After at this instance's share of the permits. A limit that was named three seconds ago is tried again, also one of zero, at most once in four seconds.

--- a/crates/caps/tests/fleet.rs
+++ b/crates/caps/tests/fleet.rs
@@ -94,6 +94,8 @@
         committed_usage: Vec::new(),
         sequence: member.sequence,
         quarantine: Default::default(),
+        limits: Vec::new(),
+        is_stopping: false,
     }
 }
 
--- a/crates/digest/src/message.rs
+++ b/crates/digest/src/message.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 use hickorycourse_duties::WindowCounts;
+use hickorycourse_permits::LimitNotice;
 use hickorycourse_quarantine::QuarantineDigest;
 use serde::{Deserialize, Serialize};
 
@@ -53,6 +54,12 @@
     /// What it knows of parts of prompts that crash upstreams.
     #[serde(rename = "p", default, skip_serializing_if = "QuarantineDigest::is_empty")]
     pub quarantine: QuarantineDigest,
+    /// What it knows of the rate limits of upstreams.
+    #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitNotice>,
+    /// Whether it is stopping, and grants no permits any more.
+    #[serde(rename = "d", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_stopping: bool,
 }
 
 /// Load that one instance or zone has placed on the upstreams of a service.
@@ -132,6 +139,9 @@
     /// What the aggregator knows of parts of prompts that crash upstreams.
     #[serde(rename = "p", default, skip_serializing_if = "QuarantineDigest::is_empty")]
     pub quarantine: QuarantineDigest,
+    /// What the aggregator knows of the rate limits of upstreams.
+    #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitNotice>,
 }
 
 impl ZoneDigest {
@@ -155,6 +165,7 @@
             departures: Vec::new(),
             committed_usage: Vec::new(),
             quarantine: QuarantineDigest::default(),
+            limits: Vec::new(),
         }
     }
 }
--- a/crates/digest/tests/aggregation.rs
+++ b/crates/digest/tests/aggregation.rs
@@ -32,6 +32,8 @@
         committed_usage: Vec::new(),
         sequence,
         quarantine: Default::default(),
+        limits: Vec::new(),
+        is_stopping: false,
     }
 }
 
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -11,6 +11,7 @@
 use crate::health::AttemptOutcome;
 use crate::latency::LatencyEstimate;
 use crate::request::PlacementRequest;
+use crate::retry_schedule::RetrySchedule;
 use crate::token_rate::{RankedRates, TokenRateMeter};
 use crate::upstream::{LoadEstimate, Upstream, UpstreamLoad};
 
@@ -83,6 +84,8 @@
     pub has_free_slots: bool,
     /// Whether the request is a probe within a backoff that the upstream has requested.
     pub is_backoff_probe: bool,
+    /// End of the validity of the permit that the request has; `None` without one.
+    pub permit_until_ms: Option<u64>,
 }
 
 impl Placement {
@@ -110,9 +113,11 @@
     availability_zone: String,
     options: PlacementOptions,
     cost_rule: Box<dyn CostRule>,
-    upstreams: BTreeMap<String, Upstream>,
+    pub(crate) upstreams: BTreeMap<String, Upstream>,
     latency: LatencyEstimate,
     admission_rule: Box<dyn AdmissionRule>,
+    /// Permits that callers refused for want of one are told to come back for.
+    pub(crate) permit_schedule: RetrySchedule,
     /// Uncached prompt tokens of all requests that arrived, including refused ones.
     arrival_meter: TokenRateMeter,
     /// Uncached prompt tokens of requests that were sent.
@@ -145,6 +150,7 @@
             upstreams: BTreeMap::new(),
             latency: LatencyEstimate::new(&options),
             admission_rule,
+            permit_schedule: RetrySchedule::default(),
             arrival_meter: TokenRateMeter::default(),
             sent_meter: TokenRateMeter::default(),
             peer_demand: HashMap::new(),
@@ -170,12 +176,14 @@
         }
     }
 
-    /// Whether the upstream of a placement still accepts the request: it is listed, not draining, and
-    /// has not requested a backoff since the choice.
+    /// Whether the upstream of a placement still accepts the request: it is listed, not draining, and has
+    /// neither requested a backoff nor named a limit since the choice.
     pub fn is_open(&self, placement: &Placement, now_ms: u64) -> bool {
         self.upstreams.get(&placement.upstream).is_some_and(|upstream| {
             let is_backing_off = upstream.backoff.is_active(now_ms);
-            !upstream.is_leaving && (placement.is_backoff_probe || !is_backing_off)
+            let is_permitted = upstream.limit.is_none()
+                || placement.permit_until_ms.is_some_and(|until_ms| until_ms > now_ms);
+            !upstream.is_leaving && is_permitted && (placement.is_backoff_probe || !is_backing_off)
         })
     }
 
@@ -216,17 +224,8 @@
         let open = |(id, upstream): &(&String, &Upstream)| {
             upstream.accepts_requests(now_ms) && !request.excluded.contains(id)
         };
-        let usable = self.count_usable(now_ms) as f64;
-        let peers = self.peer_demand.values().map(|(_, instances)| instances).sum::<usize>();
-        let instances = (peers + 1) as f64;
-        let prefill_rate = self.available_prefill_rate(request.urgency, usable, now_ms);
-        let context = RequestContext {
-            request,
-            affinity_upstream: self.find_affinity_upstream(request, now_ms),
-            prefill_rate,
-            prefill_rate_per_instance: prefill_rate * usable / instances,
-            now_ms,
-        };
+        let instances = self.count_instances();
+        let context = self.request_context(request, now_ms);
         let choose = |is_candidate: &dyn Fn(&Upstream) -> bool| {
             let candidates = self.upstreams.iter().filter(open);
             let candidates = candidates.filter(|(_, upstream)| is_candidate(upstream));
@@ -240,7 +239,29 @@
         Some(self.build_placement(&chosen, &context))
     }
 
-    fn find_cheapest<'a>(
+    /// Instances that send requests to these upstreams.
+    pub(crate) fn count_instances(&self) -> f64 {
+        let peers = self.peer_demand.values().map(|(_, instances)| instances).sum::<usize>();
+        (peers + 1) as f64
+    }
+
+    pub(crate) fn request_context<'a>(
+        &'a self,
+        request: &'a PlacementRequest<'a>,
+        now_ms: u64,
+    ) -> RequestContext<'a> {
+        let usable = self.count_usable(now_ms) as f64;
+        let prefill_rate = self.available_prefill_rate(request.urgency, usable, now_ms);
+        RequestContext {
+            request,
+            affinity_upstream: self.find_affinity_upstream(request, now_ms),
+            prefill_rate,
+            prefill_rate_per_instance: prefill_rate * usable / self.count_instances(),
+            now_ms,
+        }
+    }
+
+    pub(crate) fn find_cheapest<'a>(
         &'a self,
         candidates: impl Iterator<Item = (&'a String, &'a Upstream)>,
         context: &RequestContext<'_>,
@@ -290,12 +311,12 @@
     }
 
     /// The upstream that all instances prefer for requests with the same shared part, by rendezvous
-    /// hashing (Thaler and Ravishankar, 1998).
+    /// hashing (Thaler and Ravishankar, 1998). One with a rate limit can't take them all.
     fn find_affinity_upstream(&self, request: &PlacementRequest<'_>, now_ms: u64) -> Option<&str> {
         let part = request.affinity_part()?;
         self.upstreams
             .iter()
-            .filter(|(_, upstream)| upstream.is_usable(now_ms))
+            .filter(|(_, upstream)| upstream.limit.is_none() && upstream.is_usable(now_ms))
             .max_by_key(|(id, _)| xxh3_64_with_seed(id.as_bytes(), part.hash))
             .map(|(id, _)| id.as_str())
     }
@@ -322,7 +343,7 @@
 
     /// Computes the cost of an upstream. Queued requests of all ranks count towards it, unlike in the
     /// forecast, as each request in the batch slows the token generation of the others.
-    fn evaluate<'a>(
+    pub(crate) fn evaluate<'a>(
         &self,
         id: &'a str,
         upstream: &'a Upstream,
@@ -352,7 +373,11 @@
     }
 
     /// Forecasts the latency of a request at the upstream that was chosen for it.
-    fn build_placement(&self, chosen: &Candidate<'_>, context: &RequestContext<'_>) -> Placement {
+    pub(crate) fn build_placement(
+        &self,
+        chosen: &Candidate<'_>,
+        context: &RequestContext<'_>,
+    ) -> Placement {
         let Candidate { load, uncached_tokens, cached_tokens, .. } = *chosen;
         let (running, slots) = (load.running as f64, chosen.upstream.slots as f64);
         let requests_before = load.answering as f64 + load.requests_ahead;
@@ -378,6 +403,7 @@
             requests_ahead: load.requests_ahead,
             has_free_slots: running < slots,
             is_backoff_probe: chosen.upstream.backoff.is_active(context.now_ms),
+            permit_until_ms: None,
         }
     }
 
@@ -553,20 +579,20 @@
 }
 
 /// A candidate upstream with its cost for one request.
-struct Candidate<'a> {
-    id: &'a str,
+pub(crate) struct Candidate<'a> {
+    pub(crate) id: &'a str,
     upstream: &'a Upstream,
     load: LoadEstimate,
     /// Prompt tokens that would miss its prefix cache.
     uncached_tokens: u64,
     /// Prompt tokens that are believed to be in its prefix cache.
     cached_tokens: u64,
-    cost: f64,
+    pub(crate) cost: f64,
 }
 
 /// A request with the values that are the same for all candidates.
 #[derive(Clone, Copy)]
-struct RequestContext<'a> {
+pub(crate) struct RequestContext<'a> {
     request: &'a PlacementRequest<'a>,
     /// The affinity upstream of its shared part; `None` if no part is shared.
     affinity_upstream: Option<&'a str>,
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -8,6 +8,7 @@
 
 use crate::backoff::Backoff;
 use crate::health::Health;
+use crate::limit::UpstreamLimit;
 use crate::pace::Pace;
 use crate::request::PlacementRequest;
 
@@ -84,6 +85,8 @@
     pub(crate) health: Health,
     pub(crate) backoff: Backoff,
     pub(crate) pace: Pace,
+    /// Its rate limit, if it has named one.
+    pub(crate) limit: Option<UpstreamLimit>,
     pub(crate) prefix_index: PrefixIndex,
 }
 
@@ -103,6 +106,7 @@
             health: Health::default(),
             backoff: Backoff::default(),
             pace: Pace::default(),
+            limit: None,
             prefix_index: PrefixIndex::new(PREFIX_INDEX_CAPACITY),
         };
         upstream.update(entry);
@@ -172,9 +176,14 @@
         load
     }
 
-    /// Whether it is neither draining nor ejected, has no probe in flight and has not requested a
-    /// backoff.
+    /// Whether it is neither draining nor ejected, has no probe in flight, has not requested a backoff, and
+    /// takes requests without a further permit.
     pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
+        self.is_sound(now_ms) && self.has_permit(now_ms)
+    }
+
+    /// As [`is_usable`](Self::is_usable), also without a permit.
+    pub(crate) fn is_sound(&self, now_ms: u64) -> bool {
         let has_probe_in_flight = self.health.is_probing() && self.running > 0;
         !self.is_leaving
             && !self.health.is_ejected(now_ms)
@@ -182,9 +191,19 @@
             && !self.backoff.is_active(now_ms)
     }
 
-    /// Whether a request may be sent to it at all: it is not draining, and within a backoff that it
-    /// has requested a probe is due.
+    /// Whether it has named no limit, or a permit is left.
+    pub(crate) fn has_permit(&self, now_ms: u64) -> bool {
+        self.limit.as_ref().is_none_or(|limit| limit.has_spare(now_ms))
+    }
+
+    /// Whether a request may be sent to it at all: it is not draining, has named no limit or a permit is
+    /// left, and within a backoff that it has requested a probe is due.
     pub(crate) fn accepts_requests(&self, now_ms: u64) -> bool {
+        self.has_permit(now_ms) && self.accepts_permitted(now_ms)
+    }
+
+    /// Whether a request with a permit may be sent to it.
+    pub(crate) fn accepts_permitted(&self, now_ms: u64) -> bool {
         !self.is_leaving && (!self.backoff.is_active(now_ms) || self.backoff.may_probe(now_ms))
     }
 
@@ -233,6 +252,7 @@
         self.health = Health::default();
         self.backoff = Backoff::default();
         self.pace = Pace::default();
+        self.limit = None;
         self.prefix_index.clear();
         self.report = None;
     }
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use hickorycourse_duties::CapacityOrder;
+use hickorycourse_permits::RateLimit;
 use hickorycourse_placement::PromptPart;
 use hickorycourse_routes::{RouteDocument, UpstreamEntry};
 use hickorycourse_store::LocalFuture;
@@ -73,6 +74,23 @@
     pub is_leaving: bool,
     /// Time for which the upstream wants no further requests; absent if not stated.
     pub backoff: Option<BackoffRequest>,
+    /// What the head says of the upstream's rate limit.
+    pub limit: NamedLimit,
+}
+
+/// What the head of a response says of the requests a second that its upstream takes from all instances
+/// together.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum NamedLimit {
+    /// The response comes from another upstream, or from what rejects requests before the upstream.
+    #[default]
+    Unknown,
+    /// There is no limit.
+    Unlimited,
+    /// There is a limit.
+    Limited(RateLimit),
+    /// A value that is no rate, for the log; it neither names nor ends a limit.
+    Invalid(String),
 }
 
 /// Time for which an upstream that has rejected a request wants no further ones.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
-use crate::adapter::{BackoffRequest, ResponseMetadata};
+use crate::adapter::{BackoffRequest, NamedLimit, ResponseMetadata};
 use crate::call::Call;
 use crate::quarantine::{hash_service, hash_upstream_start};
 use crate::state::{Relay, SharedPlacementTable};
@@ -31,27 +31,26 @@
     service_hash: u64,
     /// Identifies the start of the upstream that this attempt was sent to.
     upstream_start: u64,
+    /// Wall-clock time of that start; `None` if not reported.
+    upstream_started_at_ms: Option<u64>,
+    /// Time at which the request was sent; `None` before.
+    sent_at_ms: Option<u64>,
     first_byte_at_ms: Option<u64>,
     is_begun: bool,
     is_ended: bool,
 }
 
 impl Attempt {
-    /// Occupies a slot at the upstream of `placement`.
-    pub fn start(
-        call: &Call,
-        placement_table: SharedPlacementTable,
-        placement: Placement,
-        excluded: &[String],
-    ) -> Self {
-        let request = call.placement_request(excluded);
-        placement_table.lock().begin_attempt(&placement, &request, call.relay.now_ms());
+    /// Creates the attempt of a placement that occupies a slot already.
+    pub fn new(call: &Call, placement_table: SharedPlacementTable, placement: Placement) -> Self {
         let started_at_ms = call.relay.directory.lock().started_at_ms(&placement.upstream);
         Self {
             relay: Arc::clone(&call.relay),
             placement_table,
             service_hash: hash_service(&call.service),
             upstream_start: hash_upstream_start(&placement.upstream, started_at_ms),
+            upstream_started_at_ms: started_at_ms,
+            sent_at_ms: None,
             placement,
             request_id: call.request_id.clone(),
             shared_parts: Rc::clone(&call.shared_parts),
@@ -66,6 +65,16 @@
         self.placement_table.lock().is_open(&self.placement, self.relay.now_ms())
     }
 
+    /// Records that the request is sent now, which uses up its permit.
+    pub fn record_sent(&mut self) {
+        self.sent_at_ms = Some(self.relay.now_ms());
+    }
+
+    /// Records that the request was not sent after all.
+    pub fn record_not_sent(&mut self) {
+        self.sent_at_ms = None;
+    }
+
     /// Records what the upstream says of itself in the head of a response.
     pub fn record_metadata(&self, metadata: &ResponseMetadata) {
         let relay = &self.relay;
@@ -96,6 +105,13 @@
         }
     }
 
+    /// Records what the head of the response to this request says of the upstream's limit.
+    pub fn record_limit(&self, limit: &NamedLimit) {
+        let sent_at_ms = self.sent_at_ms.unwrap_or_else(|| self.relay.now_ms());
+        let upstream = &self.placement.upstream;
+        self.relay.record_limit(upstream, self.upstream_started_at_ms, sent_at_ms, limit);
+    }
+
     /// Records the arrival of the response's first byte; later calls have no effect.
     pub fn record_first_byte(&mut self) {
         if self.first_byte_at_ms.is_none() {
@@ -154,12 +170,18 @@
             if outcome == AttemptOutcome::Answered {
                 self.record_begun(self.first_byte_at_ms.unwrap_or(now_ms));
             }
-            self.placement_table.lock().end_attempt(
+            let mut placement_table = self.placement_table.lock();
+            placement_table.end_attempt(
                 &self.placement,
                 self.first_byte_at_ms.is_some(),
                 outcome,
                 now_ms,
             );
+            if let Some(valid_until_ms) = self.placement.permit_until_ms
+                && self.sent_at_ms.is_none()
+            {
+                placement_table.return_permit(&self.placement.upstream, valid_until_ms);
+            }
         }
     }
 }
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -96,6 +96,7 @@
             self.query_freshness_if_stale(&all, now_ms).await;
             relay.expire_upstreams();
             relay.expire_quarantine();
+            relay.expire_limits();
             let pause_ms = pause_ms.saturating_sub(relay.now_ms().saturating_sub(now_ms));
             let min_pause_ms = pause_ms / MAX_URGENT_DIGESTS_PER_PERIOD;
             sleep(Duration::from_millis(min_pause_ms)).await;
@@ -227,6 +228,8 @@
             committed_usage: self.committed_usage_for_digest(),
             sequence,
             quarantine: relay.quarantine.lock().digest(now_ms),
+            limits: relay.limits.lock().notices(),
+            is_stopping: relay.drain.is_stopping(),
         }
     }
 
@@ -275,8 +278,12 @@
                     self.send_all(&reply, &[source]).await;
                 }
             }
-            Message::View { nonce, .. } | Message::Fleet { nonce, .. } => {
-                self.deliver_reply(nonce, message);
+            Message::View { nonce, .. }
+            | Message::Fleet { nonce, .. }
+            | Message::Grant { nonce, .. } => self.deliver_reply(nonce, message),
+            Message::Claim { nonce, claim } => {
+                let reply = self.handle_claim(&claim);
+                self.send_all(&Message::Grant { nonce, reply }, &[source]).await;
             }
             Message::Report { nonce, wanted, digest } => {
                 self.handle_report(nonce, wanted, *digest, source).await;
@@ -311,10 +318,15 @@
         let relay = &self.relay;
         let name = &digest.instance;
         let zone = &digest.availability_zone;
-        relay.members.lock().record_digest(name, zone, digest.peer_address, now_ms);
+        {
+            let mut members = relay.members.lock();
+            members.record_digest(name, zone, digest.peer_address, now_ms);
+            members.record_stopping(name, digest.is_stopping);
+        }
         relay.wall_clock.lock().record_peer(name, digest.sender_wall_ms, now_ms);
         self.apply_notices(&digest.departures, &digest.committed_usage, digest.store_era);
         relay.merge_quarantine(&digest.quarantine, name);
+        relay.merge_limits(&digest.limits, name);
     }
 
     /// Applies what others have learned of upstreams and of the store.
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -123,6 +123,9 @@
         () if !relay.is_document_fresh(now_ms) => {
             HttpResponse::ServiceUnavailable().body("keys are not proven\n")
         }
+        () if relay.awaits_limits(now_ms) => {
+            HttpResponse::ServiceUnavailable().body("limits are not told\n")
+        }
         () if relay.is_isolated(now_ms) => HttpResponse::ServiceUnavailable().body("cut off\n"),
         () => HttpResponse::Ok().body("ready\n"),
     }
--- a/crates/relay/src/datagrams.rs
+++ b/crates/relay/src/datagrams.rs
@@ -1,6 +1,7 @@
 //! Datagrams between instances.
 
 use hickorycourse_digest::{MemberDigest, ZoneDigest};
+use hickorycourse_permits::LimitNotice;
 use hickorycourse_routes::{RouteDocument, UpstreamEntry};
 use serde::{Deserialize, Serialize};
 
@@ -75,4 +76,57 @@
     },
     /// Digest of an availability zone to the aggregators of the others.
     Zone(Box<ZoneDigest>),
+    /// Claim for a permit, to the instance that grants those of the upstream.
+    Claim {
+        /// Identifies the claim.
+        nonce: u64,
+        /// The claim.
+        claim: PermitClaim,
+    },
+    /// Reply to a claim.
+    Grant {
+        /// Identifies the claim.
+        nonce: u64,
+        /// The reply.
+        reply: PermitReply,
+    },
+}
+
+/// Claim for a permit to send a request to an upstream that has named a limit.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PermitClaim {
+    /// The limit, which the receiver may not know yet.
+    #[serde(rename = "h")]
+    pub limit: LimitNotice,
+    /// Rank; 0 is the most urgent.
+    #[serde(rename = "u")]
+    pub urgency: u8,
+    /// Hash of the organisation.
+    #[serde(rename = "o")]
+    pub organisation: u64,
+    /// Longest time that the request can wait for its permit.
+    #[serde(rename = "w")]
+    pub max_wait_ms: u64,
+}
+
+/// Reply to a [`PermitClaim`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PermitReply {
+    /// The request may be sent after this time.
+    #[serde(rename = "g")]
+    Granted {
+        /// Time until the permit is valid.
+        #[serde(rename = "w")]
+        wait_ms: u64,
+    },
+    /// No permit is free in time.
+    #[serde(rename = "d")]
+    Denied {
+        /// Time until the next permit is expected.
+        #[serde(rename = "a")]
+        available_in_ms: u64,
+    },
+    /// The receiver expects another instance to grant the permits of this upstream.
+    #[serde(rename = "n")]
+    NotIssuer,
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -386,6 +386,7 @@
         let now_ms = relay.now_ms();
         self.apply_notices(&zone.departures, &zone.committed_usage, zone.store_era);
         self.merge_zone_quarantine(&zone);
+        relay.merge_limits(&zone.limits, &zone.aggregator);
         let aggregators = self.own_aggregators(now_ms);
         if !aggregators.is_aggregator {
             let addresses: Vec<SocketAddr> =
@@ -414,6 +415,7 @@
         zone.sender_wall_ms = relay.wall_clock.lock().local_ms(now_ms);
         zone.version = relay.active_document.read().version();
         zone.quarantine = relay.quarantine.lock().digest(now_ms);
+        zone.limits = relay.limits.lock().notices();
         let mut exchange = relay.exchange.lock();
         zone.sequence = exchange.next_sequence();
         exchange.aggregator.sum_into(&mut zone, now_ms);
@@ -438,10 +440,13 @@
         }
         let mut zones = vec![self.sum_own_zone(now_ms)];
         let other_zones: Vec<ZoneDigest> = self.relay.exchange.lock().other_zones(now_ms).collect();
-        // The own digest has what the others tell of quarantined parts.
-        let without_quarantine =
-            |zone| ZoneDigest { quarantine: QuarantineDigest::default(), ..zone };
-        zones.extend(other_zones.into_iter().map(without_quarantine));
+        // The own digest has what the others tell of quarantined parts and limits.
+        let without_merged = |zone| ZoneDigest {
+            quarantine: QuarantineDigest::default(),
+            limits: Vec::new(),
+            ..zone
+        };
+        zones.extend(other_zones.into_iter().map(without_merged));
         if wanted == WantedReply::Sums {
             zones.iter_mut().for_each(|zone| zone.windows.clear());
         }
@@ -494,6 +499,7 @@
         apply_services(relay, &peer, &zone.services, instances, reported_at_ms);
         self.apply_notices(&zone.departures, &zone.committed_usage, zone.store_era);
         self.merge_zone_quarantine(&zone);
+        relay.merge_limits(&zone.limits, &zone.aggregator);
         if let Some(source) = source {
             self.query_newer_document(zone.version, source).await;
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod exchange;
 mod follow;
 mod freshness;
+mod limits;
 mod management;
 mod members;
 mod messages;
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -40,6 +40,7 @@
     missed_replies: u32,
     /// Time until which it is not expected to act for its availability zone.
     suspected_until_ms: u64,
+    is_stopping: bool,
 }
 
 impl Member {
@@ -51,6 +52,7 @@
             last_digest_at_ms: now_ms,
             missed_replies: 0,
             suspected_until_ms: 0,
+            is_stopping: false,
         }
     }
 
@@ -123,6 +125,32 @@
         addresses
     }
 
+    /// Records whether an instance is stopping, from its digest.
+    pub fn record_stopping(&mut self, instance: &str, is_stopping: bool) {
+        if let Some(member) = self.others.get_mut(instance) {
+            member.is_stopping = is_stopping;
+        }
+    }
+
+    /// Returns the names of the instances that are expected to grant permits. With `silence_ms`, those of
+    /// which nothing was heard for that time are left out: in the availability zone `zone`, or in all.
+    pub fn issuer_candidates<'a>(
+        &'a self,
+        zone: Option<&'a str>,
+        silence_ms: u64,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a str> {
+        let expected = self.others.iter().filter(move |(_, member)| {
+            let is_judged = zone.is_none_or(|zone| zone == member.availability_zone);
+            let is_silent = now_ms.saturating_sub(member.last_digest_at_ms) > silence_ms;
+            member.is_active(now_ms)
+                && !member.is_stopping
+                && member.suspected_until_ms <= now_ms
+                && !(is_judged && is_silent)
+        });
+        expected.map(|(name, _)| name.as_str())
+    }
+
     /// Records that another instance has heard of an instance at `at_ms`; has no effect on an unknown
     /// one.
     pub fn record_heard(&mut self, instance: &str, at_ms: u64) {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -72,6 +72,7 @@
         .wrap_err_with(|| format!("cannot bind the peer address {}", settings.peer_address))?;
     rt::spawn(Arc::clone(&broadcast).listen());
     rt::spawn(Arc::clone(&broadcast).broadcast_digests());
+    rt::spawn(Arc::clone(&broadcast).send_claims(broadcast.open_claims()));
     rt::spawn(store_watch::watch_store(
         Arc::clone(&relay),
         Rc::clone(&adapter.key_value),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -4,14 +4,15 @@
 mod store;
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use hickorycourse_caps::{RetryBudgetShare, SharedCap};
 use hickorycourse_clock::{Clock, SystemClock};
 use hickorycourse_duties::{
     DutyLease, FleetUsage, LeaseOptions, UsageWindows, WallClockEstimator, WindowCounts,
 };
+use hickorycourse_permits::{LimitTable, PermitIssuer};
 use hickorycourse_placement::{
     AdmissionRule, AdmitAll, CostRule, ExpectedWait, LeastRequests, PlacementOptions,
     PlacementTable, TargetAdmission,
@@ -24,12 +25,13 @@
 use hickorycourse_telemetry::{EventLog, Meter};
 use parking_lot::{Mutex, RwLock};
 use serde_json::json;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 
 use self::store::StoreHealth;
 use crate::adapter::Protocol;
 use crate::drain::{DrainState, DrainTimings};
 use crate::exchange::ExchangeState;
+use crate::limits::RemoteClaim;
 use crate::members::MemberTable;
 use crate::quarantine_record::StoredQuarantine;
 use crate::settings::{AdmissionPolicy, PlacementPolicy, RelaySettings};
@@ -90,6 +92,14 @@
     pub quarantine: Mutex<PartQuarantine>,
     /// The record of the quarantined parts in the store.
     pub stored_quarantine: Mutex<StoredQuarantine>,
+    /// Rate limits that upstreams have named.
+    pub limits: Mutex<LimitTable>,
+    /// Whether another instance has told which limits it knows.
+    pub are_limits_told: AtomicBool,
+    /// Permits that this instance grants to all.
+    pub permit_issuer: Mutex<PermitIssuer>,
+    /// Queue of claims for permits that other instances grant.
+    pub remote_claims: OnceLock<mpsc::Sender<RemoteClaim>>,
     /// Usage counts of all instances.
     pub fleet_usage: Mutex<FleetUsage>,
     placement_tables: RwLock<BTreeMap<String, SharedPlacementTable>>,
@@ -130,6 +140,10 @@
             committed_usage: Mutex::default(),
             quarantine: Mutex::new(PartQuarantine::new(QuarantineOptions::default())),
             stored_quarantine: Mutex::default(),
+            limits: Mutex::default(),
+            are_limits_told: AtomicBool::new(false),
+            permit_issuer: Mutex::default(),
+            remote_claims: OnceLock::new(),
             fleet_usage: Mutex::default(),
             placement_tables: RwLock::default(),
             caps: Mutex::default(),
@@ -265,9 +279,11 @@
                 for placement_table in self.placement_tables.read().values() {
                     placement_table.lock().reset_upstream(id);
                 }
+                self.record_limit_restart(id);
             }
         }
         self.refresh_placement_tables();
+        self.apply_limits();
     }
 
     fn refresh_placement_tables(&self) {
--- a/crates/routes/src/directory.rs
+++ b/crates/routes/src/directory.rs
@@ -298,6 +298,11 @@
         self.upstreams.get(id)?.entry.started_at_ms
     }
 
+    /// Returns whether this start of an upstream is listed.
+    pub fn lists_start(&self, id: &str, started_at_ms: Option<u64>) -> bool {
+        self.upstreams.get(id).is_some_and(|listed| listed.entry.started_at_ms == started_at_ms)
+    }
+
     /// Returns all entries, including those in their grace period.
     pub fn entries(&self) -> impl Iterator<Item = &UpstreamEntry> {
         self.upstreams.values().map(|listed| &listed.entry)
--- a/crates/testkit/src/bin/measure/relay_cores.rs
+++ b/crates/testkit/src/bin/measure/relay_cores.rs
@@ -151,6 +151,8 @@
         committed_usage: Vec::new(),
         sequence,
         quarantine: Default::default(),
+        limits: Vec::new(),
+        is_stopping: false,
     })
 }
 
