--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -3,10 +3,11 @@
 //! [`run`] simulates a [`LoadPattern`] with a seed: callers send requests, relays place and admit them
 //! with the same code as the relay process, engines prefill the prompts and decode the answers. The
 //! [`Report`] counts the outcomes by caller group. [`run_crashes`] simulates requests that crash engines,
-//! see [`CrashPattern`].
+//! see [`CrashPattern`], and [`run_limits`] upstreams that name rate limits, see [`LimitPattern`].
 
 mod crashes;
 mod engine;
+mod limits;
 mod pattern;
 mod patterns;
 mod relay;
@@ -23,6 +24,7 @@
     CrashPattern, CrashPolicy, CrashReport, CrashingPart, Trouble, TroubleStart, Verdict,
     find_crash_pattern, list_crash_patterns, run_crashes,
 };
+pub use limits::{LimitPattern, LimitPolicy, LimitReport, LimitTrouble, run_limits};
 pub use pattern::{CallerGroup, Fault, LoadPattern, OrganisationCap, RetryBehaviour, Surge};
 pub use patterns::{find_pattern, list_patterns};
 pub use relay::Policy;
--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -2,7 +2,8 @@
 
 use bpaf::Bpaf;
 use hickorycourse_model::{
-    CrashPolicy, LoadPattern, Policy, list_crash_patterns, list_patterns, run, run_crashes,
+    CrashPolicy, LimitPattern, LimitPolicy, LimitTrouble, LoadPattern, Policy, list_crash_patterns,
+    list_patterns, run, run_crashes, run_limits,
 };
 
 /// Simulates load patterns with the chosen policies and with the baseline, and prints the outcomes.
@@ -27,6 +28,11 @@
     crashes: bool,
     /// Simulate the patterns of crashing parts without crashing parts, with their other faults only
     sound: bool,
+    /// Simulate upstreams that name a rate limit, with alternative policies too
+    limits: bool,
+    /// Requests a second that a limited upstream takes; several limits if left out
+    #[bpaf(argument("RATE"))]
+    rate: Option<f64>,
     /// Number of engines, instead of the pattern's
     #[bpaf(argument("COUNT"))]
     engines: Option<usize>,
@@ -34,6 +40,9 @@
 
 fn main() -> eyre::Result<()> {
     let options = options().run();
+    if options.limits {
+        return print_limits(&options);
+    }
     if options.crashes || options.sound {
         return print_crashes(&options);
     }
@@ -64,6 +73,39 @@
     Ok(())
 }
 
+/// Simulates upstreams that name a rate limit, under each trouble and with each policy.
+fn print_limits(options: &Options) -> eyre::Result<()> {
+    let rates = options.rate.map_or_else(|| vec![0.2, 1.0, 5.0, 50.0], |rate| vec![rate]);
+    for (trouble_name, trouble) in LimitTrouble::list() {
+        if options.pattern.as_ref().is_some_and(|name| name != trouble_name) {
+            continue;
+        }
+        for per_second in &rates {
+            let instances = options.relays.unwrap_or(6);
+            let pattern = LimitPattern {
+                instances,
+                upstreams: options.engines.unwrap_or(4),
+                per_second: *per_second,
+                demand: 3.0,
+                trouble,
+            };
+            for (name, policy) in LimitPolicy::list() {
+                if options.policy.as_ref().is_some_and(|chosen| chosen != name) {
+                    continue;
+                }
+                for seed in 1..=options.seeds {
+                    let report = run_limits(&pattern, policy, seed)
+                        .ok_or_else(|| eyre::eyre!("the rate is invalid"))?;
+                    let title =
+                        format!("{trouble_name} {instances} at {per_second} {name} seed {seed}");
+                    println!("{}", report.format_line(&title));
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Simulates the patterns of crashing parts with each policy.
 fn print_crashes(options: &Options) -> eyre::Result<()> {
     let mut is_known = false;
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -5,6 +5,7 @@
 //! request to a limited upstream needs a *permit* before it is sent. One instance for each upstream, the
 //! *issuer*, grants them.
 
+mod claim_pause;
 mod issuer;
 mod issuer_choice;
 mod limit_table;
@@ -15,6 +16,7 @@
     pub use crate::{Claim, Grant, LimitTable, PermitIssuer, RateLimit};
 }
 
+pub use claim_pause::claim_pause_ms;
 pub use issuer::{Claim, Grant, HANDOVER_MS, PermitIssuer};
 pub use issuer_choice::choose_issuer;
 pub use limit_table::{KnownLimit, LimitChange, LimitNotice, LimitTable, MAX_NOTICES, NoticeError};
--- a/crates/permits/tests/issuer.rs
+++ b/crates/permits/tests/issuer.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use hickorycourse_permits::{Claim, Grant, HANDOVER_MS, PermitIssuer, RateLimit, choose_issuer};
+use hickorycourse_permits::{
+    Claim, Grant, HANDOVER_MS, PermitIssuer, RateLimit, choose_issuer, claim_pause_ms,
+};
 use proptest::prelude::*;
 
 const WINDOW_MS: u64 = 4_000;
@@ -150,3 +152,12 @@
         prop_assert!(most_in_window(&granted) as f64 <= 6.0 * per_second + 5.0);
     }
 }
+
+#[test]
+fn claim_pause_bounds_claims_of_large_fleet() {
+    // 300 instances, at most four claims for each of 10 permits a second.
+    assert!(claim_pause_ms(limit(10.0), 300, 150, 150) >= 1_000);
+    assert!(claim_pause_ms(limit(50.0), 6, 150, 150) <= 100);
+    // A permit that is far away is not claimed before it can be waited for.
+    assert_eq!(claim_pause_ms(limit(50.0), 6, 5_000, 150), 4_850);
+}
--- a/crates/placement/src/limit.rs
+++ b/crates/placement/src/limit.rs
@@ -18,6 +18,8 @@
     pub(crate) said_at_ms: u64,
     /// Time before which no permit is expected.
     no_permit_until_ms: u64,
+    /// Time before which no permit is claimed.
+    no_claim_until_ms: u64,
     /// Ends of the validity of permits that were not used.
     spare_until_ms: Vec<u64>,
 }
@@ -27,17 +29,25 @@
     pub(crate) fn update(&mut self, per_second: f64, said_at_ms: u64) {
         if self.per_second != per_second {
             self.no_permit_until_ms = 0;
+            self.no_claim_until_ms = 0;
         }
         self.per_second = per_second;
         self.said_at_ms = said_at_ms;
     }
 
-    /// Records that no permit is expected for this time.
-    pub(crate) fn record_denied(&mut self, available_in_ms: u64, now_ms: u64) {
+    /// Records that a permit was denied: none is expected for `available_in_ms`, and the next one is claimed
+    /// after `pause_ms`.
+    pub(crate) fn record_denied(&mut self, available_in_ms: u64, pause_ms: u64, now_ms: u64) {
         self.no_permit_until_ms = now_ms + available_in_ms;
+        self.no_claim_until_ms = now_ms + pause_ms;
     }
 
-    /// Returns the time until a permit may be claimed.
+    /// Returns whether a permit may be claimed.
+    pub(crate) fn may_claim(&self, now_ms: u64) -> bool {
+        now_ms >= self.no_claim_until_ms
+    }
+
+    /// Returns the time until a permit is expected.
     pub(crate) fn wait_ms(&self, now_ms: u64) -> u64 {
         self.no_permit_until_ms.saturating_sub(now_ms)
     }
--- a/crates/placement/src/permits.rs
+++ b/crates/placement/src/permits.rs
@@ -27,11 +27,18 @@
         }
     }
 
-    /// Records that no permit of an upstream is expected for this time.
-    pub fn record_permit_denied(&mut self, upstream: &str, available_in_ms: u64, now_ms: u64) {
+    /// Records that a permit of an upstream was denied: none is expected for `available_in_ms`, and the next
+    /// one is claimed after `pause_ms`.
+    pub fn record_permit_denied(
+        &mut self,
+        upstream: &str,
+        available_in_ms: u64,
+        pause_ms: u64,
+        now_ms: u64,
+    ) {
         let limit = self.upstreams.get_mut(upstream).and_then(|upstream| upstream.limit.as_mut());
         if let Some(limit) = limit {
-            limit.record_denied(available_in_ms, now_ms);
+            limit.record_denied(available_in_ms, pause_ms, now_ms);
         }
     }
 
@@ -53,15 +60,14 @@
         }
     }
 
-    /// Returns the limited upstream at which a permit is expected first, if within `max_wait_ms`; of several,
-    /// the one with the lowest cost.
+    /// Returns the limited upstream at which a permit may be claimed and is expected first; of several, the
+    /// one with the lowest cost.
     pub fn find_limited(
         &self,
         request: &PlacementRequest<'_>,
-        max_wait_ms: u64,
         now_ms: u64,
     ) -> Option<LimitedUpstream> {
-        self.find_claimable(request, max_wait_ms, now_ms, false)
+        self.find_claimable(request, now_ms, false)
     }
 
     /// Returns a limited upstream whose limit was named long ago, and may have changed.
@@ -70,20 +76,19 @@
         request: &PlacementRequest<'_>,
         now_ms: u64,
     ) -> Option<LimitedUpstream> {
-        self.find_claimable(request, 0, now_ms, true)
+        self.find_claimable(request, now_ms, true)
     }
 
     fn find_claimable(
         &self,
         request: &PlacementRequest<'_>,
-        max_wait_ms: u64,
         now_ms: u64,
         is_stale: bool,
     ) -> Option<LimitedUpstream> {
         let limited = self.upstreams.iter().filter_map(|(id, upstream)| {
             let limit = upstream.limit.as_ref()?;
             let wait_ms = limit.wait_ms(now_ms);
-            let is_claimable = wait_ms <= max_wait_ms
+            let is_claimable = limit.may_claim(now_ms)
                 && upstream.is_sound(now_ms)
                 && (!is_stale || limit.is_stale(now_ms))
                 && !request.excluded.contains(id);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -269,7 +269,7 @@
                 let chosen = placements.choose(&request, now_ms);
                 let wait_left_ms = self.route.target_ms.saturating_sub(waited_ms);
                 if may_claim
-                    && let Some(limited) = placements.find_limited(&request, wait_left_ms, now_ms)
+                    && let Some(limited) = placements.find_limited(&request, now_ms)
                     && self.is_limited_better(&placements, chosen.as_ref(), &limited, now_ms)
                 {
                     let max_wait_ms = wait_left_ms.saturating_sub(limited.first_byte_ms);
@@ -341,7 +341,8 @@
         now_ms: u64,
     ) {
         let Some(stale) = placements.find_stale_limit(request, now_ms) else { return };
-        placements.record_permit_denied(&stale.upstream, STALE_CLAIM_INTERVAL_MS, now_ms);
+        let pause_ms = STALE_CLAIM_INTERVAL_MS;
+        placements.record_permit_denied(&stale.upstream, pause_ms, pause_ms, now_ms);
         let (relay, service) = (Arc::clone(&self.relay), self.service.clone());
         let claim = self.permit_claim(0);
         rt::spawn(async move {
@@ -381,10 +382,10 @@
                 "max_wait_ms": max_wait_ms, "available_in_ms": available_in_ms,
             })
         });
-        // Bounds the claims that the issuer gets from a large fleet.
-        let available_in_ms = available_in_ms.max(relay.members.lock().count(now_ms) as u64);
+        let pause_ms = relay.claim_pause_ms(&upstream, available_in_ms, max_wait_ms);
         if let Some(placement_table) = relay.placement_table(&self.service) {
-            placement_table.lock().record_permit_denied(&upstream, available_in_ms, now_ms);
+            let mut placements = placement_table.lock();
+            placements.record_permit_denied(&upstream, available_in_ms, pause_ms, now_ms);
         }
         None
     }
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use hickorycourse_permits::{
-    Claim, Grant, LimitChange, LimitNotice, NoticeError, RateLimit, choose_issuer,
+    Claim, Grant, LimitChange, LimitNotice, NoticeError, RateLimit, choose_issuer, claim_pause_ms,
 };
 use ntex::rt;
 use serde_json::json;
@@ -232,6 +232,15 @@
         reply
     }
 
+    /// Returns the time until the next claim of a permit that was denied.
+    pub fn claim_pause_ms(&self, upstream: &str, available_in_ms: u64, max_wait_ms: u64) -> u64 {
+        let known = self.limits.lock().get(upstream).and_then(|known| known.limit);
+        let instances = self.members.lock().count(self.now_ms());
+        known.map_or(available_in_ms, |limit| {
+            claim_pause_ms(limit, instances, available_in_ms, max_wait_ms)
+        })
+    }
+
     async fn claim_remotely(
         &self,
         issuer: String,
