--- a/crates/codes/src/code.rs
+++ b/crates/codes/src/code.rs
@@ -58,7 +58,7 @@
     InvalidHeader = 1011, 400, NotRun, "A header has a value that is not allowed.";
     BrokenBody = 1012, 400, NotRun, "The body broke off before its end.";
     InvalidHost = 1013, 400, NotRun, "The request names no host, or more than one.";
-    PartQuarantined = 1014, 422, NotRun, "A part of the prompt crashes the engines that answer it.";
+    PartQuarantined = 1014, 422, NotRun, "The request, or a part of its prompt, crashes the upstreams that run it.";
     QueueFull = 2001, 429, NotRun, "The queue for this rank is full.";
     TargetMissed = 2002, 429, NotRun, "The target of this rank can't be met now.";
     Draining = 2003, 503, NotRun, "This instance is leaving and takes no new work.";
--- a/crates/ctl/src/quarantine.rs
+++ b/crates/ctl/src/quarantine.rs
@@ -7,8 +7,8 @@
 use crate::client::OperatorClient;
 use crate::output::{CommandError, print_table};
 
-/// List, lift and pin quarantined parts of prompts. Requests with such a part are rejected with 1014, as
-/// engines crash on it. Set `--address` to the ready address of any relay; the others are told. Relays
+/// List, lift and pin quarantined parts of prompts and whole requests. Requests with such a part, and such
+/// requests, are rejected with 1014, as upstreams crash on them. Set `--address` to the ready address of any relay; the others are told. Relays
 /// accept `lift` and `pin` only from their own host.
 #[derive(Bpaf, Clone, Debug)]
 pub enum QuarantineCommand {
@@ -42,6 +42,8 @@
 #[derive(Deserialize)]
 struct QuarantinedPart {
     part: String,
+    #[serde(default)]
+    is_request: bool,
     starts: u64,
     is_pinned: bool,
     age_ms: u64,
@@ -87,6 +89,7 @@
         .map(|part| {
             vec![
                 part.part.clone(),
+                if part.is_request { "request" } else { "part" }.to_owned(),
                 part.starts.to_string(),
                 part.is_pinned.to_string(),
                 (part.age_ms / MILLISECONDS_PER_SECOND).to_string(),
@@ -94,5 +97,9 @@
             ]
         })
         .collect();
-    print_table(&["PART", "ENDED_STARTS", "PINNED", "AGE_S", "LAST_REQUEST_S"], &rows, false);
+    print_table(
+        &["PART", "KIND", "ENDED_STARTS", "PINNED", "AGE_S", "LAST_REQUEST_S"],
+        &rows,
+        false,
+    );
 }
--- a/crates/ctl/tests/quarantine.rs
+++ b/crates/ctl/tests/quarantine.rs
@@ -11,7 +11,7 @@
 use hickorycourse_testkit::process::binary_dir;
 
 const LIST: &str = r#"{"parts":[
-    {"part":"bad","starts":3,"is_pinned":false,"age_ms":61500,"last_request_age_ms":1900},
+    {"part":"bad","is_request":true,"starts":3,"is_pinned":false,"age_ms":61500,"last_request_age_ms":1900},
     {"part":"f00d0000","starts":0,"is_pinned":true,"age_ms":5000,"last_request_age_ms":5000}]}"#;
 
 /// Stand-in that responds with a status and a body, and records requests.
@@ -78,9 +78,9 @@
     let table = relay.run(&["list"]);
     assert_eq!(table.status.code(), Some(0), "{}", stderr(&table));
     let expected = "\
-PART      ENDED_STARTS  PINNED  AGE_S  LAST_REQUEST_S
-bad       3             false   61     1
-f00d0000  0             true    5      5
+PART      KIND     ENDED_STARTS  PINNED  AGE_S  LAST_REQUEST_S
+bad       request  3             false   61     1
+f00d0000  part     0             true    5      5
 ";
     assert_eq!(stdout(&table), expected);
     let printed = stdout(&relay.run(&["list", "--json"]));
--- a/crates/model/src/crashes/fleet.rs
+++ b/crates/model/src/crashes/fleet.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use hickorycourse_quarantine::{PartQuarantine, QuarantineDigest, QuarantineOptions};
+use hickorycourse_quarantine::{PartQuarantine, QuarantineDigest, QuarantineOptions, RequestItems};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::workload::Prompt;
 
@@ -70,6 +71,8 @@
 pub struct Request {
     /// Index of the instance.
     pub instance: usize,
+    /// Number of the request, which no other has.
+    pub number: u64,
     /// Its prompt.
     pub prompt: Prompt,
     /// Time of its arrival.
@@ -92,8 +95,9 @@
 
 impl Request {
     /// Creates a request that has not been sent.
-    pub fn new(instance: usize, prompt: Prompt, arrived_at_ms: u64) -> Self {
+    pub fn new(number: u64, instance: usize, prompt: Prompt, arrived_at_ms: u64) -> Self {
         Self {
+            number,
             instance,
             prompt,
             arrived_at_ms,
@@ -106,4 +110,14 @@
             is_first_attempt_begun: false,
         }
     }
+
+    /// Hash of the whole request.
+    pub fn request_hash(&self) -> u64 {
+        self.prompt.request.unwrap_or_else(|| xxh3_64(&self.number.to_le_bytes()))
+    }
+
+    /// What the quarantine looks at.
+    pub fn items(&self) -> RequestItems<'_> {
+        RequestItems { request: Some(self.request_hash()), parts: &self.prompt.parts }
+    }
 }
--- a/crates/model/src/crashes/pattern.rs
+++ b/crates/model/src/crashes/pattern.rs
@@ -42,7 +42,7 @@
     }
 }
 
-/// Requests with a part on which engines crash as they begin to write.
+/// Requests with a part on which engines crash as they begin to write, or the same request again and again.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CrashingPart {
     /// Mean arrival rate of requests with the part, at all instances together.
@@ -51,6 +51,8 @@
     pub crashes_from_ms: u64,
     /// Whether a part of sound requests follows it in the prompt.
     pub is_followed: bool,
+    /// Whether it is one plain request without a prompt, which comes again and again.
+    pub is_request: bool,
 }
 
 /// When a trouble begins.
@@ -61,7 +63,7 @@
         /// The time.
         at_ms: u64,
     },
-    /// When a crashing part has ended its fifth engine.
+    /// When a crashing part has ended its fifth engine, or a request its third.
     FifthCrash,
 }
 
@@ -133,6 +135,8 @@
     pub requests_per_engine_s: f64,
     /// Fraction of the sound requests with the first part of the crashing ones that share one more part.
     pub popular_share: f64,
+    /// Fraction of the sound requests that are polls: a few plain requests that come again and again.
+    pub poll_share: f64,
     /// The crashing parts.
     pub crashing_parts: Vec<CrashingPart>,
     /// The other faults.
--- a/crates/model/src/crashes/patterns.rs
+++ b/crates/model/src/crashes/patterns.rs
@@ -3,7 +3,8 @@
 use super::pattern::{CrashPattern, CrashingPart, Trouble, TroubleStart};
 
 const STEADY: CrashingPart =
-    CrashingPart { requests_per_s: 3.0, crashes_from_ms: 0, is_followed: false };
+    CrashingPart { requests_per_s: 3.0, crashes_from_ms: 0, is_followed: false, is_request: false };
+const REQUEST: CrashingPart = CrashingPart { is_request: true, ..STEADY };
 const FREQUENT: CrashingPart = CrashingPart { requests_per_s: 30.0, ..STEADY };
 
 fn pattern(name: &'static str, crashing_parts: &[CrashingPart]) -> CrashPattern {
@@ -14,6 +15,7 @@
         duration_ms: 22_000,
         requests_per_engine_s: 8.0,
         popular_share: 0.0,
+        poll_share: 0.0,
         crashing_parts: crashing_parts.to_vec(),
         troubles: Vec::new(),
     }
@@ -29,6 +31,7 @@
         .into_iter()
         .chain([small_waves(), large_waves(), spread_waves(), rolling_restart()])
         .chain([faulty_engines(), connection_resets(), zone_cut(), instance_restart()])
+        .chain(list_request_patterns())
         .collect()
 }
 
@@ -130,3 +133,41 @@
         ..pattern("instance-restart", &[FREQUENT])
     }
 }
+
+fn polled(name: &'static str, parts: &[CrashingPart], troubles: &[Trouble]) -> CrashPattern {
+    CrashPattern { poll_share: 0.5, troubles: troubles.to_vec(), ..pattern(name, parts) }
+}
+
+/// Lists the patterns with plain requests that come again and again, one of which crashes engines. Half of
+/// the sound requests are polls, which come again and again, too.
+fn list_request_patterns() -> Vec<CrashPattern> {
+    let rare = CrashingPart { requests_per_s: 0.3, ..REQUEST };
+    let frequent = CrashingPart { requests_per_s: 30.0, ..REQUEST };
+    let later = CrashingPart { crashes_from_ms: 8_000, ..REQUEST };
+    let other = CrashingPart { requests_per_s: 1.5, ..REQUEST };
+    let cut = Trouble::ZoneCut { start: TroubleStart::FifthCrash, duration_ms: 5_000 };
+    let restarts = [9_000, 15_000].map(|at_ms| Trouble::InstanceRestart { at_ms });
+    let rolling = Trouble::RollingRestart { from_ms: 1_500, interval_ms: 1_000 };
+    let all_at_once = Trouble::CrashWaves {
+        from_ms: 4_000,
+        interval_ms: 5_000,
+        waves: 2,
+        engine_share: 1.0,
+        spread_ms: 100,
+    };
+    vec![
+        polled("request", &[REQUEST], &[]),
+        CrashPattern { duration_ms: 42_000, ..polled("request-rare", &[rare], &[]) },
+        polled("request-frequent", &[frequent], &[]),
+        polled("request-later", &[later], &[]),
+        polled("request-two", &[REQUEST, other], &[]),
+        polled("request-beside-part", &[REQUEST, STEADY], &[]),
+        polled("request-small-waves", &[REQUEST], &[waves(0.15, 5)]),
+        polled("request-large-waves", &[REQUEST], &[waves(0.6, 5)]),
+        polled("request-spread-waves", &[REQUEST], &[waves(0.6, 600)]),
+        polled("request-all-at-once", &[REQUEST], &[all_at_once]),
+        polled("request-rolling-restart", &[REQUEST], &[rolling]),
+        polled("request-zone-cut", &[REQUEST], &[cut]),
+        polled("request-instance-restart", &[REQUEST], &restarts),
+    ]
+}
--- a/crates/model/src/crashes/report.rs
+++ b/crates/model/src/crashes/report.rs
@@ -15,6 +15,8 @@
     pub span_ms: u64,
     /// Whether engines crash on the part.
     pub is_right: bool,
+    /// Whether it is a poll.
+    pub is_poll: bool,
 }
 
 /// Result of a simulation of crashing parts.
@@ -40,6 +42,8 @@
     pub begun_sibling_requests: u64,
     /// Sound requests that were rejected because of a quarantined part.
     pub rejected_sound_requests: u64,
+    /// Sound requests that were rejected for a while, until evidence against them settled.
+    pub held_sound_requests: u64,
 }
 
 impl CrashReport {
@@ -64,13 +68,14 @@
         let first_verdict = self.verdicts.iter().find(|verdict| verdict.is_right);
         let first_verdict = first_verdict.map_or_else(|| "-".to_owned(), |v| v.at_ms.to_string());
         format!(
-            "{title:<44} late {:>5}  ended by part {:>5}  ended {:>5}  begun {:>5.1}%  rejected sound {:>5}  \
+            "{title:<44} late {:>5}  ended by part {:>5}  ended {:>5}  begun {:>5.1}%  rejected sound {:>5}  held sound {:>4}  \
              false verdicts {:>3}  first verdict {first_verdict} ms",
             self.max_late_attempts(),
             self.ended_by_part.iter().sum::<u64>(),
             self.ended_engines,
             100.0 * self.begun_sibling_ratio(),
             self.rejected_sound_requests,
+            self.held_sound_requests,
             self.false_verdicts().count(),
         )
     }
--- a/crates/model/src/crashes/simulation.rs
+++ b/crates/model/src/crashes/simulation.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use hickorycourse_quarantine::QuarantineChange;
+use hickorycourse_quarantine::{QuarantineChange, SuspectAdmission};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -32,6 +32,8 @@
 const RECORD_INTERVAL_MS: u64 = 1_000;
 /// Ends of engines under a part, after which few further ones are allowed.
 const ALLOWED_ENDS: u64 = 5;
+/// As [`ALLOWED_ENDS`], under one request.
+const ALLOWED_REQUEST_ENDS: u64 = 3;
 
 /// Something that happens at a point in time.
 pub enum Event {
@@ -183,8 +185,8 @@
             }
             Event::CrashingArrival { part } => {
                 if self.is_running() {
-                    let is_followed = self.pattern.crashing_parts[part].is_followed;
-                    let prompt = self.workload.sample_crashing(part, is_followed, &mut self.rng);
+                    let crashing = &self.pattern.crashing_parts[part];
+                    let prompt = self.workload.sample_crashing(part, crashing, &mut self.rng);
                     self.handle_arrival(prompt);
                     self.schedule_next_crashing(part, 0);
                 }
@@ -233,7 +235,8 @@
         if prompt.crashing_part.is_none() {
             self.report.requests += 1;
         }
-        self.requests.push(Request::new(instance, prompt, self.now_ms));
+        let number = self.requests.len() as u64;
+        self.requests.push(Request::new(number, instance, prompt, self.now_ms));
         self.send(self.requests.len() - 1);
     }
 
@@ -244,10 +247,21 @@
         let (index, is_sound) = (state.instance, state.prompt.crashing_part.is_none());
         if self.policy.quarantine.is_some() {
             let instance = &mut self.instances[index];
-            if instance.quarantine.check(&state.prompt.parts, now_ms).is_some() {
+            if instance.quarantine.check(state.items(), now_ms).is_some() {
                 self.report.rejected_sound_requests += u64::from(is_sound);
                 return;
             }
+            let hash = state.request_hash();
+            let is_prober = hash % self.pattern.instances as u64 == index as u64;
+            let is_first = state.attempt == 0;
+            let admission = match is_first {
+                true => instance.quarantine.admit(hash, is_prober, now_ms),
+                false => SuspectAdmission::Send,
+            };
+            if admission != SuspectAdmission::Send {
+                self.report.held_sound_requests += u64::from(is_sound);
+                return;
+            }
             if self.policy.limits_suspected && self.is_suspect_in_flight(request) {
                 return;
             }
@@ -348,8 +362,8 @@
         if self.policy.clears_parts {
             let begun_at_ms = state.first_byte_at_ms.unwrap_or(self.now_ms);
             let quarantine = &mut self.instances[state.instance].quarantine;
-            let parts = &state.prompt.parts;
-            let changes = quarantine.record_begun(SERVICE, parts, begun_at_ms, self.now_ms);
+            let items = state.items();
+            let changes = quarantine.record_begun(SERVICE, items, begun_at_ms, self.now_ms);
             let index = state.instance;
             self.record_verdicts(index, &changes);
         }
@@ -371,24 +385,22 @@
         self.release(request);
         let state = &mut self.requests[request];
         let instance = &mut self.instances[state.instance];
-        if !state.is_begun {
-            state.broken_beginnings += 1;
-            if self.policy.quarantine.is_some() {
-                let changes = instance.quarantine.record_broken_beginning(
-                    SERVICE,
-                    state.start,
-                    &state.prompt.parts,
-                    self.now_ms,
-                );
-                let index = state.instance;
-                self.record_verdicts(index, &changes);
-            }
+        state.broken_beginnings += u32::from(!state.is_begun);
+        if self.policy.quarantine.is_some() && !state.is_begun {
+            let changes = instance.quarantine.record_broken_beginning(
+                SERVICE,
+                state.start,
+                state.items(),
+                self.now_ms,
+            );
+            let index = state.instance;
+            self.record_verdicts(index, &changes);
         }
         let state = &self.requests[request];
         let quarantine = &self.instances[state.instance].quarantine;
         let may_repeat = match (self.policy.quarantine, state.broken_beginnings) {
             (None, _) | (_, 0) => true,
-            (_, 1) => !quarantine.is_suspected(&state.prompt.parts),
+            (_, 1) => !quarantine.is_suspected(state.items()),
             _ => false,
         };
         if may_repeat && state.attempt < MAX_ATTEMPTS {
@@ -408,7 +420,11 @@
         self.schedule_in(ENGINE_RESTART_MS, Event::EngineReturn { engine });
         let Some(part) = part else { return };
         self.report.ended_by_part[part] += 1;
-        if self.report.ended_by_part[part] == ALLOWED_ENDS {
+        let allowed_ends = match self.pattern.crashing_parts[part].is_request {
+            true => ALLOWED_REQUEST_ENDS,
+            false => ALLOWED_ENDS,
+        };
+        if self.report.ended_by_part[part] == allowed_ends {
             self.report.fifth_end_ms[part] = Some(self.now_ms);
             for index in 0..self.pattern.troubles.len() {
                 self.schedule_trouble(index, Some(TroubleStart::FifthCrash));
@@ -438,7 +454,9 @@
             let index = self.workload.crashing_parts.iter().position(|known| *known == part);
             let is_right = index.is_some_and(|index| self.is_crashing(index));
             let at_ms = self.now_ms;
-            self.report.verdicts.push(Verdict { at_ms, instance, part, starts, span_ms, is_right });
+            let is_poll = self.workload.polls.contains(&part);
+            let verdict = Verdict { at_ms, instance, part, starts, span_ms, is_right, is_poll };
+            self.report.verdicts.push(verdict);
         }
     }
 
--- a/crates/model/src/crashes/workload.rs
+++ b/crates/model/src/crashes/workload.rs
@@ -3,13 +3,23 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use super::pattern::CrashPattern;
+use xxhash_rust::xxh3::xxh3_64;
 
-/// The parts of a prompt without the last one, which is the request's own.
+use super::pattern::{CrashPattern, CrashingPart};
+
+/// Sound requests that come again and again.
+const POLLS: u8 = 12;
+/// Distinguishes the hashes of polls from others.
+const POLL_SEED: u8 = 100;
+
+/// A request as the quarantine sees it: the parts of its prompt without the last one, which is its own, and
+/// the whole.
 #[derive(Clone, Debug)]
 pub struct Prompt {
     /// Hashes of the parts in order.
     pub parts: Vec<u64>,
+    /// Hash of the whole request; `None` if it never comes again.
+    pub request: Option<u64>,
     /// Index of the crashing part in the prompt.
     pub crashing_part: Option<usize>,
     /// Whether it has the first part of the prompts with crashing parts.
@@ -33,6 +43,9 @@
     pub crashing_parts: Vec<u64>,
     popular_part: u64,
     popular_share: f64,
+    /// Sound requests that come again and again.
+    pub polls: Vec<u64>,
+    poll_share: f64,
 }
 
 impl Workload {
@@ -60,6 +73,8 @@
             crashing_parts: pattern.crashing_parts.iter().map(|_| rng.random()).collect(),
             popular_part: rng.random(),
             popular_share: pattern.popular_share,
+            polls: (0..POLLS).map(|number| xxh3_64(&[POLL_SEED + number])).collect(),
+            poll_share: pattern.poll_share,
         }
     }
 
@@ -72,21 +87,35 @@
 
     /// Draws the prompt of a sound request.
     pub fn sample_sound(&self, rng: &mut ChaCha8Rng) -> Prompt {
+        if self.poll_share > 0.0 && rng.random_bool(self.poll_share) {
+            let poll = self.polls[rng.random_range(0..self.polls.len())];
+            let parts = Vec::new();
+            return Prompt { parts, request: Some(poll), crashing_part: None, is_sibling: true };
+        }
         let class = rng.random_range(0..self.classes.len());
         let is_sibling = class == self.crashing_class;
         let is_popular = is_sibling && rng.random_bool(self.popular_share);
         let subject = if is_popular { self.popular_part } else { self.sample_subject(class, rng) };
         let parts = vec![self.classes[class].first_part, subject];
-        Prompt { parts, crashing_part: None, is_sibling }
+        Prompt { parts, request: None, crashing_part: None, is_sibling }
     }
 
     /// Draws a prompt with a crashing part.
-    pub fn sample_crashing(&self, part: usize, is_followed: bool, rng: &mut ChaCha8Rng) -> Prompt {
+    pub fn sample_crashing(
+        &self,
+        part: usize,
+        crashing: &CrashingPart,
+        rng: &mut ChaCha8Rng,
+    ) -> Prompt {
+        if crashing.is_request {
+            let (parts, request) = (Vec::new(), Some(self.crashing_parts[part]));
+            return Prompt { parts, request, crashing_part: Some(part), is_sibling: false };
+        }
         let class = self.crashing_class;
         let mut parts = vec![self.classes[class].first_part, self.crashing_parts[part]];
-        if is_followed {
+        if crashing.is_followed {
             parts.push(self.sample_subject(class, rng));
         }
-        Prompt { parts, crashing_part: Some(part), is_sibling: false }
+        Prompt { parts, request: None, crashing_part: Some(part), is_sibling: false }
     }
 }
--- a/crates/model/tests/crashes.rs
+++ b/crates/model/tests/crashes.rs
@@ -205,3 +205,42 @@
     let reports = [0, 1].map(|_| run_crashes(&pattern, CrashPolicy::chosen(), 7));
     assert_eq!(reports[0], reports[1]);
 }
+
+#[test]
+fn run_crashes_one_request_bounded() {
+    check("request", 6, SMALL_FLEET_SEEDS);
+    check("request", 76, 1);
+}
+
+#[test]
+fn run_crashes_two_requests_bounded() {
+    check("request-two", 6, SMALL_FLEET_SEEDS);
+    check("request-two", 76, 1);
+}
+
+#[test]
+fn run_crashes_request_beside_part_bounded() {
+    check("request-beside-part", 6, SMALL_FLEET_SEEDS);
+    check("request-beside-part", 76, 1);
+}
+
+#[test]
+fn run_crashes_request_in_waves_bounded() {
+    for name in ["request-small-waves", "request-spread-waves", "request-all-at-once"] {
+        check(name, 6, SMALL_FLEET_SEEDS);
+    }
+    check("request-large-waves", 76, 1);
+}
+
+#[test]
+fn run_crashes_request_answered_before_bounded() {
+    check("request-later", 6, SMALL_FLEET_SEEDS);
+    check("request-later", 76, 1);
+}
+
+#[test]
+fn run_crashes_polls_in_waves_alone_no_verdict() {
+    for name in ["request-large-waves", "request-spread-waves", "request-all-at-once"] {
+        check_sound(name, 6, SMALL_FLEET_SEEDS);
+    }
+}
--- a/crates/quarantine/src/digest.rs
+++ b/crates/quarantine/src/digest.rs
@@ -54,6 +54,12 @@
     /// Whether an operator keeps it.
     #[serde(rename = "k", default)]
     pub is_pinned: bool,
+    /// Whether it is a whole request.
+    #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_request: bool,
+    /// Whether it was found although answers had begun on it before.
+    #[serde(rename = "h", default, skip_serializing_if = "std::ops::Not::not")]
+    pub had_answers: bool,
 }
 
 /// State of a [`PartQuarantine`](crate::PartQuarantine) for other instances.
@@ -65,6 +71,13 @@
     /// Parts on which answers have begun after an end under them.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub cleared: Vec<AgedPart>,
+    /// Items under several ends on which answers have begun at any time. An instance that has not seen these
+    /// answers would take the items for new.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub begun: Vec<AgedPart>,
+    /// Services of these ends, with the ages of their latest answers.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub answers: Vec<AgedPart>,
     /// Starts that went on after an attempt had broken.
     #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
     pub alive: Vec<AgedStart>,
@@ -96,6 +109,7 @@
     /// Adds `age_ms` to all ages, for a digest that was under way or stored for that time.
     pub fn add_age(&mut self, age_ms: u64) {
         let aged = self.cleared.iter_mut().chain(&mut self.alive).chain(&mut self.lifted);
+        let aged = aged.chain(&mut self.begun).chain(&mut self.answers);
         let ages = aged.map(|(_, age_ms)| age_ms);
         let ages = ages.chain(self.ends.iter_mut().map(|end| &mut end.age_ms));
         for known in ages {
@@ -131,7 +145,9 @@
         let is_short = self.ends.len() <= MAX_ENDS
             && self.ends.iter().map(|end| end.parts.len()).sum::<usize>() <= MAX_PARTS
             && self.quarantined.len() <= MAX_QUARANTINED
-            && [&self.cleared, &self.alive, &self.lifted].iter().all(|l| l.len() <= MAX_NOTICES);
+            && [&self.cleared, &self.alive, &self.lifted, &self.begun, &self.answers]
+                .iter()
+                .all(|list| list.len() <= MAX_NOTICES);
         if !is_short {
             return Err(MergeError::TooLong);
         }
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -1,6 +1,8 @@
 //! Ends of starts of upstreams, and the parts on which answers have begun.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use crate::items::REQUEST_POSITION;
 
 /// Ends that are kept.
 pub const MAX_ENDS: usize = 64;
@@ -12,7 +14,7 @@
 /// Services whose answers are kept.
 const MAX_SERVICES: usize = 64;
 /// Answers that are kept for each service.
-const MAX_ANSWERS_PER_SERVICE: usize = 16;
+const MAX_ANSWERS_PER_SERVICE: usize = 256;
 /// Shortest time between two of these.
 const MIN_ANSWER_INTERVAL_MS: u64 = 50;
 
@@ -84,6 +86,13 @@
         times.push_back(begun_at_ms);
     }
 
+    /// Returns the number of known answers between two times.
+    pub fn count_between(&self, service: u64, after_ms: u64, before_ms: u64) -> usize {
+        let times = self.begun_at_ms.get(&service);
+        let in_between = |at_ms: &&u64| **at_ms > after_ms && **at_ms < before_ms;
+        times.map_or(0, |times| times.iter().filter(in_between).count())
+    }
+
     /// Returns the number of known answers after `after_ms`.
     pub fn count_after(&self, service: u64, after_ms: u64) -> usize {
         let times = self.begun_at_ms.get(&service);
@@ -203,6 +212,39 @@
         self.ends.values().filter(|end| !end.is_explained)
     }
 
+    /// Returns the evidence against a part, from all ends.
+    pub fn support(&self, part: u64) -> Option<Support> {
+        let ends = self.unexplained();
+        ends.fold(None, |support, end| match end.parts.get(&part) {
+            Some(position) => Some(Support::add(support, end, *position)),
+            None => support,
+        })
+    }
+
+    /// Returns the services of the ends that no quarantined part explains.
+    pub fn services(&self) -> BTreeSet<u64> {
+        self.unexplained().map(|end| end.service).collect()
+    }
+
+    /// Returns whether an item under any end is a whole request.
+    pub fn is_request(&self, item: u64) -> bool {
+        self.ends.values().any(|end| end.parts.get(&item) == Some(&REQUEST_POSITION))
+    }
+
+    /// Returns the other whole requests that are in all ends under a request.
+    pub fn requests_beside(&self, request: u64) -> Vec<u64> {
+        let mut ends = self.unexplained().filter(|end| end.parts.contains_key(&request));
+        let Some(first) = ends.next() else { return Vec::new() };
+        let is_request =
+            |(item, position): &(&u64, &u8)| **item != request && **position == REQUEST_POSITION;
+        let mut beside: Vec<u64> =
+            first.parts.iter().filter(is_request).map(|(item, _)| *item).collect();
+        for end in ends {
+            beside.retain(|item| end.parts.contains_key(item));
+        }
+        beside
+    }
+
     /// Returns the time of the `n`-th end under a part, counted from 1.
     pub fn nth_time_ms(&self, part: u64, n: usize) -> Option<u64> {
         let ends = self.unexplained().filter(|end| end.parts.contains_key(&part));
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -16,14 +16,18 @@
 
 mod digest;
 mod evidence;
+mod items;
 mod options;
 mod table;
 
 /// Types that most users of this crate need.
 pub mod prelude {
-    pub use crate::{PartQuarantine, QuarantineChange, QuarantineDigest, QuarantineOptions};
+    pub use crate::{
+        PartQuarantine, QuarantineChange, QuarantineDigest, QuarantineOptions, RequestItems,
+    };
 }
 
 pub use digest::{AgedPart, AgedStart, EndDigest, MergeError, QuarantineDigest, QuarantinedDigest};
+pub use items::{REQUEST_POSITION, RequestItems};
 pub use options::QuarantineOptions;
-pub use table::{PartQuarantine, QuarantineChange, QuarantinedPart};
+pub use table::{PartQuarantine, QuarantineChange, QuarantinedPart, SuspectAdmission};
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -4,10 +4,15 @@
 
 use crate::digest::{self, EndDigest, MergeError, QuarantineDigest, QuarantinedDigest};
 use crate::evidence::{BegunParts, ServiceAnswers, Support, UpstreamEnd, UpstreamEnds};
+use crate::items::{REQUEST_POSITION, RequestItems};
 use crate::options::QuarantineOptions;
 
 /// Quarantined parts that are kept.
 const MAX_QUARANTINED: usize = 256;
+/// Time that stands for an answer that another instance has seen at some time.
+const TOLD_BEGUN_MS: u64 = 1;
+/// Time between two tries of a suspected request.
+const PROBE_INTERVAL_MS: u64 = 1_000;
 /// Time for which other instances are told that a part was cleared or a start is alive.
 const NOTICE_TTL_MS: u64 = 10_000;
 
@@ -22,6 +27,10 @@
     pub starts: u64,
     /// Whether an operator keeps it.
     pub is_pinned: bool,
+    /// Whether it is a whole request, rather than a part of a prompt.
+    pub is_request: bool,
+    /// Whether it was found although answers had begun on it before.
+    pub had_answers: bool,
 }
 
 /// A change, for the log.
@@ -48,20 +57,38 @@
     },
 }
 
+/// Whether a request that upstreams have ended under may be sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SuspectAdmission {
+    /// It may.
+    Send,
+    /// The caller may try again later.
+    Hold {
+        /// Time after which more is known.
+        hold_ms: u64,
+    },
+}
+
 /// Evidence against parts of prompts, and the quarantined parts. All state is bounded.
 #[derive(Clone, Debug, Default)]
 pub struct PartQuarantine {
     options: QuarantineOptions,
     ends: UpstreamEnds,
     begun: BegunParts,
+    /// Whole requests on which answers have begun; kept apart, as there are many that never come again.
+    begun_requests: BegunParts,
     /// Times at which answers of each service have begun on any parts.
     service_begun: ServiceAnswers,
+    /// Times of the latest answers of each service that this instance has seen itself.
+    own_answers: BTreeMap<u64, u64>,
     quarantined: BTreeMap<u64, QuarantinedPart>,
     /// Times at which parts were cleared that had been in an attempt at an end.
     cleared: BTreeMap<u64, u64>,
     /// Times at which starts were found alive after an attempt had broken.
     alive: BTreeMap<u64, u64>,
     lifted: BTreeMap<u64, u64>,
+    /// Times at which suspected requests were last tried.
+    probed: BTreeMap<u64, u64>,
 }
 
 impl PartQuarantine {
@@ -70,47 +97,61 @@
         Self { options, ..Self::default() }
     }
 
-    /// Records that an attempt broke at a start of an upstream of a service before its answer was well
-    /// begun. `parts` are the parts of its prompt in order, without the last one.
-    pub fn record_broken_beginning(
+    /// Records that an attempt broke at a start of an upstream of a service. `items` are those that may have
+    /// caused it: the parts of its prompt only before its answer was well begun.
+    pub fn record_broken_beginning<'a>(
         &mut self,
         service: u64,
         start: u64,
-        parts: &[u64],
+        items: impl Into<RequestItems<'a>>,
         now_ms: u64,
     ) -> Vec<QuarantineChange> {
         if self.is_alive_since(start, now_ms) {
             return Vec::new();
         }
-        let parts: Vec<(u64, u8)> = parts
-            .iter()
-            .enumerate()
-            .map(|(position, part)| (*part, u8::try_from(position).unwrap_or(u8::MAX)))
-            .collect();
-        self.add_end(service, start, now_ms, &parts);
+        let items: Vec<(u64, u8)> = items.into().iter().collect();
+        self.add_end(service, start, now_ms, &items);
         self.decide(now_ms)
     }
 
-    /// Records that an answer of a service on these parts is well begun or complete. `begun_at_ms` is the
+    /// Records that an answer of a service on these items is well begun or complete. `begun_at_ms` is the
     /// time of its first bytes.
-    pub fn record_begun(
+    pub fn record_begun<'a>(
         &mut self,
         service: u64,
-        parts: &[u64],
+        items: impl Into<RequestItems<'a>>,
         begun_at_ms: u64,
         now_ms: u64,
     ) -> Vec<QuarantineChange> {
         self.service_begun.record(service, begun_at_ms);
+        insert_bounded(&mut self.own_answers, service, begun_at_ms);
         let mut changes = Vec::new();
-        for part in parts {
-            if self.begun.record(*part, begun_at_ms) {
-                self.clear_part(*part, begun_at_ms, now_ms);
-                self.lift_disproved(*part, begun_at_ms, &mut changes);
+        for (item, position) in items.into().iter() {
+            let begun = match position {
+                REQUEST_POSITION => &mut self.begun_requests,
+                _ => &mut self.begun,
+            };
+            if begun.record(item, begun_at_ms) {
+                self.clear_part(item, begun_at_ms, now_ms);
+                self.lift_disproved(item, begun_at_ms, &mut changes);
             }
         }
         changes
     }
 
+    /// Returns the table with the answers on an item.
+    fn begun_table(&mut self, item: u64) -> &mut BegunParts {
+        match self.ends.is_request(item) {
+            true => &mut self.begun_requests,
+            false => &mut self.begun,
+        }
+    }
+
+    /// Returns the time of the latest answer on an item.
+    fn latest_begun_ms(&self, item: u64) -> Option<u64> {
+        self.begun.latest_ms(item).max(self.begun_requests.latest_ms(item))
+    }
+
     /// Records progress of an answer at a start of an upstream.
     pub fn record_progress(&mut self, start: u64, now_ms: u64) {
         let Some(end) = self.ends.get(start) else { return };
@@ -127,19 +168,41 @@
         !self.ends.is_empty()
     }
 
-    /// Returns the first quarantined part of a request, and notes that it was asked for. `parts` are the
-    /// parts of its prompt, without the last one.
-    pub fn check(&mut self, parts: &[u64], now_ms: u64) -> Option<u64> {
-        let part = parts.iter().copied().find(|part| self.quarantined.contains_key(part))?;
-        if let Some(quarantined) = self.quarantined.get_mut(&part) {
+    /// Returns the first quarantined item of a request, and notes that it was asked for.
+    pub fn check<'a>(&mut self, items: impl Into<RequestItems<'a>>, now_ms: u64) -> Option<u64> {
+        let mut items = items.into().iter().map(|(item, _)| item);
+        let item = items.find(|item| self.quarantined.contains_key(item))?;
+        if let Some(quarantined) = self.quarantined.get_mut(&item) {
             quarantined.last_request_at_ms = now_ms;
         }
-        Some(part)
+        Some(item)
     }
 
-    /// Returns whether one of the parts is quarantined, or more than one start has ended under it.
-    pub fn is_suspected(&self, parts: &[u64]) -> bool {
-        parts.iter().any(|part| self.quarantined.contains_key(part) || self.ends.count(*part) > 1)
+    /// Returns whether one of the items is quarantined, or more than one start has ended under it.
+    pub fn is_suspected<'a>(&self, items: impl Into<RequestItems<'a>>) -> bool {
+        let mut items = items.into().iter().map(|(item, _)| item);
+        items.any(|item| self.quarantined.contains_key(&item) || self.ends.count(item) > 1)
+    }
+
+    /// Decides whether a whole request may be sent although starts have ended under it. As many as a
+    /// quarantine takes make it a suspect until the evidence is decided or an answer clears it: then one
+    /// instance tries it now and then, `is_prober`, as all upstreams might be lost to it together again.
+    pub fn admit(&mut self, request: u64, is_prober: bool, now_ms: u64) -> SuspectAdmission {
+        let Some(support) = self.ends.support(request) else { return SuspectAdmission::Send };
+        if support.starts < self.options.min_starts {
+            return SuspectAdmission::Send;
+        }
+        let settled_at_ms = support.last_ms + self.options.settle_ms;
+        if self.latest_begun_ms(request).is_none() && now_ms < settled_at_ms {
+            return SuspectAdmission::Hold { hold_ms: settled_at_ms - now_ms };
+        }
+        let probed_at_ms = self.probed.get(&request).copied();
+        let is_due = probed_at_ms.is_none_or(|at_ms| now_ms >= at_ms + PROBE_INTERVAL_MS);
+        if is_prober && is_due {
+            insert_bounded(&mut self.probed, request, now_ms);
+            return SuspectAdmission::Send;
+        }
+        SuspectAdmission::Hold { hold_ms: PROBE_INTERVAL_MS }
     }
 
     /// Quarantines a part until an operator lifts it. Returns false if too many parts are quarantined.
@@ -150,6 +213,8 @@
             last_request_at_ms: now_ms,
             starts: 0,
             is_pinned: true,
+            is_request: false,
+            had_answers: false,
         });
         // A pin is later than a lift that other instances may still tell.
         let is_kept =
@@ -226,6 +291,8 @@
         QuarantineDigest {
             ends: ends.collect(),
             cleared: aged(&self.cleared),
+            begun: self.told_begun(now_ms),
+            answers: self.told_answers(now_ms),
             alive: aged(&self.alive),
             quarantined: quarantined
                 .map(|(part, quarantined)| QuarantinedDigest {
@@ -234,12 +301,39 @@
                     last_request_age_ms: age_ms(quarantined.last_request_at_ms),
                     starts: quarantined.starts,
                     is_pinned: quarantined.is_pinned,
+                    is_request: quarantined.is_request,
+                    had_answers: quarantined.had_answers,
                 })
                 .collect(),
             lifted: aged(&self.lifted),
         }
     }
 
+    /// Returns the services with ends, and the ages of the latest answers that this instance has seen.
+    fn told_answers(&self, now_ms: u64) -> Vec<(u64, u64)> {
+        let services = self.ends.services().into_iter().take(digest::MAX_NOTICES);
+        let told = services.filter_map(|service| {
+            let begun_at_ms = self.own_answers.get(&service)?;
+            Some((service, now_ms.saturating_sub(*begun_at_ms)))
+        });
+        told.collect()
+    }
+
+    /// Returns the items under several ends on which answers have begun, with their ages.
+    fn told_begun(&self, now_ms: u64) -> Vec<(u64, u64)> {
+        let supports = self.ends.supports(u64::MAX);
+        let suspected = supports.into_iter().filter(|(_, support)| support.starts > 1);
+        let mut begun: Vec<(u64, u64, usize)> = suspected
+            .filter_map(|(item, support)| {
+                let begun_at_ms = self.latest_begun_ms(item)?;
+                Some((item, now_ms.saturating_sub(begun_at_ms), support.starts))
+            })
+            .collect();
+        begun.sort_by_key(|(.., starts)| std::cmp::Reverse(*starts));
+        begun.truncate(digest::MAX_NOTICES);
+        begun.into_iter().map(|(item, age_ms, _)| (item, age_ms)).collect()
+    }
+
     /// Returns the parts of an end that fit into a digest: the quarantined ones, which explain it, or those
     /// under which most starts have ended, and of these the ones late in their prompts, which the fewest
     /// requests share.
@@ -275,12 +369,20 @@
         for quarantined in &digest.quarantined {
             self.merge_quarantined(quarantined, now_ms, &mut changes);
         }
+        for (item, _) in &digest.begun {
+            // Only whether there was an answer is told: as the age is passed on, it would shrink by each
+            // delay.
+            self.begun_table(*item).record(*item, TOLD_BEGUN_MS);
+        }
         for (part, age_ms) in &digest.cleared {
-            if self.begun.record(*part, at_ms(*age_ms)) {
+            if self.begun_table(*part).record(*part, at_ms(*age_ms)) {
                 self.clear_part(*part, at_ms(*age_ms), now_ms);
                 self.lift_disproved(*part, at_ms(*age_ms), &mut changes);
             }
         }
+        for (service, age_ms) in &digest.answers {
+            self.service_begun.record(*service, at_ms(*age_ms));
+        }
         for (start, age_ms) in &digest.alive {
             if *age_ms < NOTICE_TTL_MS {
                 self.ends.remove_until(*start, at_ms(*age_ms));
@@ -336,6 +438,8 @@
             known.last_request_at_ms = known.last_request_at_ms.max(last_request_at_ms);
             known.starts = known.starts.max(told.starts);
             known.is_pinned |= told.is_pinned;
+            known.is_request |= told.is_request;
+            known.had_answers |= told.had_answers;
             return;
         }
         let is_lifted = self.lifted.get(&told.part).is_some_and(|at_ms| *at_ms >= since_ms);
@@ -344,19 +448,25 @@
             return;
         }
         // The other instance may not know of answers on the part. Its evidence is merged, too.
-        if let Some(begun_at_ms) = self.begun.latest_ms(told.part)
+        if let Some(begun_at_ms) = self.latest_begun_ms(told.part)
             && !told.is_pinned
         {
             if begun_at_ms > since_ms {
                 insert_bounded(&mut self.cleared, told.part, begun_at_ms);
+                return;
+            }
+            // A verdict on a whole request takes the answers on it into account.
+            if !(told.is_request && told.had_answers) {
+                return;
             }
-            return;
         }
         let quarantined = QuarantinedPart {
             since_ms,
             last_request_at_ms,
             starts: told.starts,
             is_pinned: told.is_pinned,
+            is_request: told.is_request,
+            had_answers: told.had_answers,
         };
         if self.insert(told.part, quarantined) {
             changes.push(QuarantineChange::Told { part: told.part });
@@ -382,7 +492,7 @@
                 continue;
             }
             let is_quarantined = self.quarantined.contains_key(part);
-            let begun_at_ms = self.begun.latest_ms(*part);
+            let begun_at_ms = self.latest_begun_ms(*part);
             match begun_at_ms.filter(|begun_at_ms| !is_quarantined && *begun_at_ms > ended_at_ms) {
                 // Told again, as the instance that has recorded this end may not know.
                 Some(begun_at_ms) => insert_bounded(&mut self.cleared, *part, begun_at_ms),
@@ -418,6 +528,8 @@
                 last_request_at_ms: now_ms,
                 starts: support.starts as u64,
                 is_pinned: false,
+                is_request: support.position == REQUEST_POSITION,
+                had_answers: self.latest_begun_ms(part).is_some(),
             };
             if !self.insert(part, quarantined) {
                 break;
@@ -448,7 +560,10 @@
                 is_founded.then_some(support)
             };
             let settled_ms = now_ms.saturating_sub(options.settle_ms);
-            let founded = match self.begun.latest_ms(part) {
+            if latest.position == REQUEST_POSITION {
+                return self.judge_request(part, &latest, settled_ms).map(|s| (part, s));
+            }
+            let founded = match self.latest_begun_ms(part) {
                 // Answers of the service that go on to begin on other parts show that a part in most
                 // requests is not just one of many that its upstreams can't answer at the moment.
                 Some(_) => support(settled_ms, options.min_starts_certain).filter(|support| {
@@ -465,6 +580,41 @@
         });
         founded.max_by_key(|(part, support)| (support.position, support.starts, *part))
     }
+
+    /// Returns the evidence against a whole request if it is sufficient.
+    fn judge_request(&self, request: u64, latest: &Support, settled_ms: u64) -> Option<Support> {
+        let options = &self.options;
+        let support = self.ends.specific_support(
+            request,
+            settled_ms,
+            options.common_cause_ms,
+            options.common_cause_divisor,
+        )?;
+        if support.starts < options.min_starts || self.is_ambiguous(request) {
+            return None;
+        }
+        let is_blamed = match self.latest_begun_ms(request) {
+            // The latest end need not have settled: it only shows that the others are no single event.
+            None => latest.span_ms() >= options.min_span_ms,
+            // When all upstreams of a service end at once, nothing clears the requests that come again
+            // and again. Answers on others between the ends show that there was more than one cause.
+            Some(_) => {
+                let after_ms = support.first_ms + options.common_cause_ms;
+                let answers =
+                    self.service_begun.count_between(support.service, after_ms, support.last_ms);
+                support.span_ms() >= options.min_span_ms && answers >= options.min_answers
+            }
+        };
+        is_blamed.then_some(support)
+    }
+
+    /// Returns whether another request explains the ends under this one as well. One on which answers have
+    /// begun before explains them less well.
+    fn is_ambiguous(&self, request: u64) -> bool {
+        let has_answers = |item: u64| self.latest_begun_ms(item).is_some();
+        let mut others = self.ends.requests_beside(request).into_iter();
+        others.any(|other| !has_answers(other) || has_answers(request))
+    }
 }
 
 /// Adds a time, or moves it forward; the oldest ones make room.
--- a/crates/quarantine/tests/merge.rs
+++ b/crates/quarantine/tests/merge.rs
@@ -33,6 +33,8 @@
             last_request_age_ms,
             starts,
             is_pinned,
+            is_request: false,
+            had_answers: false,
         },
     );
     let aged = |key: BoxedStrategy<u64>| vec((key, age_ms()), 0..=max_length / 2);
@@ -46,6 +48,8 @@
         .prop_map(|(ends, cleared, alive, quarantined, lifted)| QuarantineDigest {
             ends,
             cleared,
+            begun: Vec::new(),
+            answers: Vec::new(),
             alive,
             quarantined,
             lifted,
@@ -212,6 +216,8 @@
         last_request_age_ms,
         starts: 3,
         is_pinned,
+        is_request: false,
+        had_answers: false,
     };
     let digest = |parts: &[QuarantinedDigest]| QuarantineDigest {
         quarantined: parts.to_vec(),
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -269,6 +269,8 @@
         last_request_age_ms: 0,
         starts,
         is_pinned: false,
+        is_request: false,
+        had_answers: false,
     };
     let cases = [
         (QuarantineDigest { ends: vec![end(257)], ..Default::default() }, MergeError::TooLong),
@@ -304,6 +306,8 @@
             parts: vec![(BAD, 255)],
         }],
         cleared: vec![(BAD, u64::MAX)],
+        begun: Vec::new(),
+        answers: Vec::new(),
         alive: vec![(1, u64::MAX)],
         lifted: vec![(BAD, u64::MAX)],
         quarantined: vec![QuarantinedDigest {
@@ -312,6 +316,8 @@
             last_request_age_ms: u64::MAX,
             starts: u64::MAX,
             is_pinned: false,
+            is_request: false,
+            had_answers: false,
         }],
     };
     let mut aged = digest.clone();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -5,6 +5,7 @@
 
 use hickorycourse_connections::UpstreamConnection;
 use hickorycourse_placement::{AttemptOutcome, Placement};
+use hickorycourse_quarantine::RequestItems;
 use http::Response;
 use hyper::body::Incoming;
 use serde_json::json;
@@ -25,6 +26,8 @@
     /// The selected upstream and the forecast for it.
     pub placement: Placement,
     request_id: String,
+    /// Identifies the request whenever it is sent.
+    request_hash: u64,
     /// Parts of the prompt without the last one.
     shared_parts: Rc<[u64]>,
     /// Identifies the service.
@@ -53,6 +56,7 @@
             sent_at_ms: None,
             placement,
             request_id: call.request_id.clone(),
+            request_hash: call.request_hash,
             shared_parts: Rc::clone(&call.shared_parts),
             first_byte_at_ms: None,
             is_begun: false,
@@ -123,9 +127,6 @@
 
     /// Records that more of the response has arrived.
     pub fn record_progress(&mut self) {
-        if self.shared_parts.is_empty() {
-            return;
-        }
         let now_ms = self.relay.now_ms();
         let begun_at_ms = self.first_byte_at_ms.unwrap_or(now_ms);
         if now_ms >= begun_at_ms + BEGINNING_MS {
@@ -136,23 +137,35 @@
 
     fn record_begun(&mut self, begun_at_ms: u64) {
         if !std::mem::replace(&mut self.is_begun, true) {
-            self.relay.record_begun_answer(self.service_hash, &self.shared_parts, begun_at_ms);
+            let items = self.items();
+            self.relay.record_begun_answer(self.service_hash, items, begun_at_ms);
         }
     }
 
+    fn items(&self) -> RequestItems<'_> {
+        RequestItems { request: Some(self.request_hash), parts: &self.shared_parts }
+    }
+
+    /// Records a complete error response: the request has not crashed the upstream.
+    pub fn record_error_response(&self) {
+        let begun_at_ms = self.first_byte_at_ms.unwrap_or_else(|| self.relay.now_ms());
+        let items = RequestItems { request: Some(self.request_hash), parts: &[] };
+        self.relay.record_begun_answer(self.service_hash, items, begun_at_ms);
+        self.relay.record_upstream_progress(self.upstream_start);
+    }
+
     /// Ends an attempt whose connection broke. Returns whether its answer was not well begun, while the
     /// upstream had not announced that it leaves: the request may have crashed it.
     pub fn end_broken(mut self) -> bool {
-        let is_beginning = !self.is_begun
-            && !self.shared_parts.is_empty()
-            && self.placement_table.lock().is_serving(&self.placement);
+        let is_beginning =
+            !self.is_begun && self.placement_table.lock().is_serving(&self.placement);
         if is_beginning {
             self.relay.record_broken_beginning(
                 &self.request_id,
                 self.service_hash,
                 &self.placement.upstream,
                 self.upstream_start,
-                &self.shared_parts,
+                self.items(),
             );
         }
         self.record_end(AttemptOutcome::Failed);
@@ -169,6 +182,7 @@
             let now_ms = self.relay.now_ms();
             if outcome == AttemptOutcome::Answered {
                 self.record_begun(self.first_byte_at_ms.unwrap_or(now_ms));
+                self.relay.record_upstream_progress(self.upstream_start);
             }
             let mut placement_table = self.placement_table.lock();
             placement_table.end_attempt(
--- a/crates/relay/src/buffered_response.rs
+++ b/crates/relay/src/buffered_response.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Bytes, Incoming};
 use ntex::time::timeout;
 
-use crate::attempt::OpenedResponse;
+use crate::attempt::{Attempt, OpenedResponse};
 use crate::call::{Call, RetryState};
 
 /// Largest response body that is accepted.
@@ -108,7 +108,7 @@
     attempt.record_first_byte();
     let (head, body) = response.into_parts();
     let limit = Duration::from_millis(call.remaining_ms().max(1));
-    let body = match timeout(limit, read_body(body)).await {
+    let body = match timeout(limit, read_body(&mut attempt, body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::Broken(detail))) => {
             retry_state.record_broken(attempt);
@@ -133,6 +133,7 @@
     };
     call.connections.check_in(connection, call.relay.now_ms());
     if head.status.is_server_error() {
+        attempt.record_error_response();
         attempt.end(AttemptOutcome::Failed);
         return Err(FetchError::ServerError(buffered));
     }
@@ -149,12 +150,13 @@
     TooLarge { bytes: usize },
 }
 
-async fn read_body(mut body: Incoming) -> Result<Bytes, BodyError> {
+async fn read_body(attempt: &mut Attempt, mut body: Incoming) -> Result<Bytes, BodyError> {
     let mut bytes = Vec::new();
     let mut reservation = BufferReservation::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| BodyError::Broken(error.to_string()))?;
         let Ok(data) = frame.into_data() else { continue };
+        attempt.record_progress();
         if !reservation.grow(data.len()) {
             return Err(BodyError::TooLarge { bytes: reservation.bytes });
         }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -11,6 +11,7 @@
     Admission, AttemptOutcome, LimitedUpstream, Placement, PlacementRequest, PlacementTable,
     PromptPart,
 };
+use hickorycourse_quarantine::RequestItems;
 use hickorycourse_routes::{Access, Route};
 use http::{HeaderMap, Method, Request, Response};
 use http_body_util::Full;
@@ -81,6 +82,9 @@
     pub parts: Vec<PromptPart>,
     /// Hashes of the parts without the last one, which only this request has.
     pub shared_parts: Rc<[u64]>,
+    /// Identifies the request whenever the caller sends it: its host, method, path and query, caller, prompt
+    /// and body.
+    pub request_hash: u64,
     /// Token counts; 0 if not stated.
     pub tokens: TokenCounts,
     /// Time of arrival.
@@ -149,6 +153,11 @@
         }
     }
 
+    /// Returns what is looked at when an upstream ends under this call.
+    pub fn items(&self) -> RequestItems<'_> {
+        RequestItems { request: Some(self.request_hash), parts: &self.shared_parts }
+    }
+
     /// Milliseconds until the deadline.
     pub fn remaining_ms(&self) -> u64 {
         self.deadline_at_ms.saturating_sub(self.relay.now_ms())
@@ -161,12 +170,12 @@
             && (self.route.repeat.allows_reexecution() || !retry_state.may_have_run)
     }
 
-    /// Returns whether the request may be sent again although upstreams have ended under it: once, and
-    /// not while one of its parts is suspected of that.
+    /// Returns whether the request may be sent again although upstreams have ended under it: once, and not
+    /// while it or one of its parts is suspected of that.
     fn may_repeat_beginning(&self, retry_state: &RetryState) -> bool {
         match retry_state.broken_beginnings {
             0 => true,
-            1 => !self.relay.quarantine.lock().is_suspected(&self.shared_parts),
+            1 => !self.relay.quarantine.lock().is_suspected(self.items()),
             _ => false,
         }
     }
@@ -212,11 +221,9 @@
         let Some(table) = relay.route_table() else {
             return Err(refuse(ErrorCode::SettingsMissing));
         };
-        relay.check_quarantine(&self.shared_parts).map_err(|problem| {
-            match retry_state.may_have_run {
-                true => self.failure_problem(retry_state),
-                false => problem,
-            }
+        relay.check_quarantine(self.items()).map_err(|problem| match retry_state.may_have_run {
+            true => self.failure_problem(retry_state),
+            false => problem,
         })?;
         if self.organisation.is_none() {
             return Ok(());
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -8,6 +8,7 @@
 
 use hickorycourse_body::read_body;
 use hickorycourse_codes::{ErrorCode, Problem};
+use hickorycourse_quarantine::RequestItems;
 use hickorycourse_routes::{Access, CapUnit, Organisation, Route, RouteTable, UsageCap};
 use http::{HeaderMap, Method};
 use hyper::body::Bytes;
@@ -17,6 +18,7 @@
 use ntex::web::types::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
 use serde_json::json;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::adapter::{RequestMetadata, TokenCounts};
 use crate::buffered_response;
@@ -187,13 +189,22 @@
     let service = RouteTable::choose_service(route, &outcome.request_id)
         .ok_or_else(|| retryable_problem(ErrorCode::NoUpstream))?;
     outcome.service = Some(service.to_owned());
-    relay.check_quarantine(&received.shared_parts)?;
+    let request_hash = hash_request(
+        request,
+        &received,
+        organisation.map(|organisation| organisation.name.as_str()),
+    );
+    let items = RequestItems { request: Some(request_hash), parts: &received.shared_parts };
+    relay.check_quarantine(items)?;
+    relay.admit_suspect(&outcome.request_id, request_hash)?;
     if let Some((name, cap)) = organisation.and_then(|o| Some((&o.name, o.cap.as_ref()?))) {
         outcome.cap = Some(acquire_cap(relay, name, cap, received.metadata.tokens, route.urgency)?);
     }
     relay.record_request(service);
     let last_event_id = received.metadata.last_event_id;
-    let call = make_call(relay, request, received, route, organisation, service, arrived_at_ms)?;
+    let mut call =
+        make_call(relay, request, received, route, organisation, service, arrived_at_ms)?;
+    call.request_hash = request_hash;
     match route.repeat.is_stream() {
         true => {
             let connection = request.io().cloned();
@@ -268,11 +279,36 @@
         is_run_counted: Cell::new(false),
         parts: metadata.parts,
         shared_parts: received.shared_parts,
+        request_hash: 0,
         route: route.clone(),
         headers: received.headers,
     })
 }
 
+/// Returns the hash that identifies a request at all instances, whenever it is sent. What only one attempt of
+/// the caller has, such as its id and its deadline, does not count.
+fn hash_request(
+    request: &HttpRequest,
+    received: &ReceivedRequest,
+    organisation: Option<&str>,
+) -> u64 {
+    let mut hasher = Xxh3::new();
+    let mut add = |bytes: &[u8]| {
+        hasher.update(&(bytes.len() as u64).to_le_bytes());
+        hasher.update(bytes);
+    };
+    let target = request.uri().path_and_query();
+    add(request.method().as_str().as_bytes());
+    add(received.host.as_bytes());
+    add(target.map_or("/", |target| target.as_str()).as_bytes());
+    add(organisation.unwrap_or_default().as_bytes());
+    for part in &received.metadata.parts {
+        add(&part.hash.to_le_bytes());
+    }
+    add(&received.body);
+    hasher.digest()
+}
+
 fn deadline_at_ms(arrived_at_ms: u64, route: &Route, metadata: &RequestMetadata) -> u64 {
     arrived_at_ms + route.timeout_ms.min(metadata.deadline_ms.unwrap_or(u64::MAX))
 }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,12 +1,19 @@
-//! Use of the quarantine of parts of prompts: what attempts observe, and what other instances tell.
+//! Use of the quarantine of requests and parts of prompts: what attempts observe, and what other instances
+//! tell.
 
 use hickorycourse_codes::{ErrorCode, Problem};
-use hickorycourse_quarantine::{QuarantineChange, QuarantineDigest};
+use hickorycourse_permits::choose_issuer;
+use hickorycourse_quarantine::{
+    QuarantineChange, QuarantineDigest, RequestItems, SuspectAdmission,
+};
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::state::Relay;
 
+/// Time without a sign of an instance after which it is not expected to try suspected requests.
+const PROBER_SILENCE_MS: u64 = 2_500;
+
 /// Returns the hash that identifies a start of an upstream at all instances.
 pub fn hash_upstream_start(upstream: &str, started_at_ms: Option<u64>) -> u64 {
     xxh3_64_with_seed(upstream.as_bytes(), started_at_ms.unwrap_or_default())
@@ -22,23 +29,57 @@
 }
 
 impl Relay {
-    /// Checks the parts of a prompt, without the last one, against the quarantine.
+    /// Checks a request against the quarantine.
     ///
     /// # Errors
-    /// The problem for the response to the caller if a part is quarantined.
-    pub fn check_quarantine(&self, parts: &[u64]) -> Result<(), Problem> {
-        if parts.is_empty() {
-            return Ok(());
-        }
-        let Some(part) = self.quarantine.lock().check(parts, self.now_ms()) else { return Ok(()) };
+    /// The problem for the response to the caller if the request or a part of its prompt is quarantined.
+    pub fn check_quarantine(&self, items: RequestItems<'_>) -> Result<(), Problem> {
+        let Some(item) = self.quarantine.lock().check(items, self.now_ms()) else { return Ok(()) };
         metrics::counter!("hickorycourse_quarantine_refusals_total").increment(1);
-        let detail = format!(
-            "Part {} of the prompt crashes the engines that answer it. The request was not sent.",
-            format_part(part)
-        );
+        let name = format_part(item);
+        let detail = match items.request == Some(item) {
+            true => {
+                format!("Request {name} crashes the upstreams that run it. It was not sent again.")
+            }
+            false => format!(
+                "Part {name} of the prompt crashes the engines that answer it. The request was not \
+                 sent."
+            ),
+        };
         Err(Problem::new(ErrorCode::PartQuarantined).with_detail(detail))
     }
 
+    /// Holds a request back that upstreams have ended under, until an answer clears it or it is
+    /// quarantined; now and then one instance tries it.
+    ///
+    /// # Errors
+    /// The problem for the response to the caller if the request is held back.
+    pub fn admit_suspect(&self, request_id: &str, request: u64) -> Result<(), Problem> {
+        let now_ms = self.now_ms();
+        let items = RequestItems { request: Some(request), parts: &[] };
+        let mut quarantine = self.quarantine.lock();
+        if !quarantine.is_suspected(items) {
+            return Ok(());
+        }
+        let admission = quarantine.admit(request, self.is_prober(request), now_ms);
+        drop(quarantine);
+        let SuspectAdmission::Hold { hold_ms } = admission else { return Ok(()) };
+        self.log.write("request_held", || {
+            let item = format_part(request);
+            json!({ "request": request_id, "item": item, "hold_ms": hold_ms })
+        });
+        Err(Problem::new(ErrorCode::NoUpstream).with_retry_after_ms(hold_ms))
+    }
+
+    /// Returns whether this instance is the one that tries a suspected request.
+    fn is_prober(&self, request: u64) -> bool {
+        let own = self.settings.instance.as_str();
+        let members = self.members.lock();
+        let others = members.issuer_candidates(None, PROBER_SILENCE_MS, self.now_ms());
+        let name = format_part(request);
+        choose_issuer(&name, None, std::iter::once(own).chain(others)) == Some(own)
+    }
+
     /// Records that an attempt broke before its answer was well begun.
     pub fn record_broken_beginning(
         &self,
@@ -46,31 +87,26 @@
         service: u64,
         upstream: &str,
         upstream_start: u64,
-        parts: &[u64],
+        items: RequestItems<'_>,
     ) {
-        if parts.is_empty() {
-            return;
-        }
         metrics::counter!("hickorycourse_broken_beginnings_total").increment(1);
         self.log.write("beginning_broken", || {
-            let parts: Vec<String> = parts.iter().copied().map(format_part).collect();
-            json!({ "request": request, "upstream": upstream, "parts": parts })
+            let parts: Vec<String> = items.parts.iter().copied().map(format_part).collect();
+            let item = items.request.map(format_part);
+            json!({ "request": request, "upstream": upstream, "item": item, "parts": parts })
         });
         let now_ms = self.now_ms();
         let mut quarantine = self.quarantine.lock();
-        let changes = quarantine.record_broken_beginning(service, upstream_start, parts, now_ms);
+        let changes = quarantine.record_broken_beginning(service, upstream_start, items, now_ms);
         drop(quarantine);
         self.log_quarantine_changes(&changes, "evidence");
         self.digest_requested.notify_one();
     }
 
     /// Records that an answer is well begun or complete.
-    pub fn record_begun_answer(&self, service: u64, parts: &[u64], begun_at_ms: u64) {
-        if parts.is_empty() {
-            return;
-        }
+    pub fn record_begun_answer(&self, service: u64, items: RequestItems<'_>, begun_at_ms: u64) {
         let now_ms = self.now_ms();
-        let changes = self.quarantine.lock().record_begun(service, parts, begun_at_ms, now_ms);
+        let changes = self.quarantine.lock().record_begun(service, items, begun_at_ms, now_ms);
         self.log_quarantine_changes(&changes, "answer");
         if !changes.is_empty() {
             self.digest_requested.notify_one();
@@ -150,7 +186,8 @@
             .quarantined()
             .map(|(part, quarantined)| {
                 json!({
-                    "part": format_part(part), "starts": quarantined.starts,
+                    "part": format_part(part), "is_request": quarantined.is_request,
+                    "starts": quarantined.starts,
                     "is_pinned": quarantined.is_pinned,
                     "age_ms": now_ms.saturating_sub(quarantined.since_ms),
                     "last_request_age_ms": now_ms.saturating_sub(quarantined.last_request_at_ms),
