--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -18,6 +18,9 @@
 /// Shortest time between two of these.
 const MIN_ANSWER_INTERVAL_MS: u64 = 50;
 
+/// Longest gap between ends of the same event, such as the loss of a host.
+const MAX_EVENT_GAP_MS: u64 = 150;
+
 /// The end of one start of an upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct UpstreamEnd {
@@ -286,10 +289,15 @@
         };
         let ends = self.unexplained().filter(|end| end.ended_at_ms <= until_ms);
         let ends = ends.filter(|end| end.parts.contains_key(&part)).filter(is_specific);
-        ends.fold(None, |support, end| {
+        let mut times_ms = Vec::new();
+        let support = ends.fold(None, |support, end| {
             let position = end.parts.get(&part).copied().unwrap_or_default();
+            times_ms.push(end.ended_at_ms);
             Some(Support::add(support, end, position))
-        })
+        })?;
+        times_ms.sort_unstable();
+        let later = times_ms.windows(2).filter(|pair| pair[1] - pair[0] > MAX_EVENT_GAP_MS);
+        Some(Support { events: 1 + later.count(), ..support })
     }
 }
 
@@ -300,6 +308,8 @@
     pub service: u64,
     /// Starts that ended under the part.
     pub starts: usize,
+    /// Groups of ends with longer gaps between them than within them; 1 if not counted.
+    pub events: usize,
     /// Time of the first of these ends.
     pub first_ms: u64,
     /// Time of the last of these ends.
@@ -312,10 +322,12 @@
     fn add(support: Option<Self>, end: &UpstreamEnd, position: u8) -> Self {
         let (first_ms, last_ms) = (end.ended_at_ms, end.ended_at_ms);
         let service = end.service;
-        let known = support.unwrap_or(Self { service, starts: 0, first_ms, last_ms, position });
+        let known =
+            support.unwrap_or(Self { service, starts: 0, events: 1, first_ms, last_ms, position });
         Self {
             service,
             starts: known.starts + 1,
+            events: 1,
             first_ms: known.first_ms.min(first_ms),
             last_ms: known.last_ms.max(last_ms),
             position: known.position.max(position),
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,10 +1,13 @@
-//! Quarantine of parts of prompts that crash language-model engines.
+//! Quarantine of requests, and of parts of prompts, that crash upstreams.
 //!
 //! Load pattern: a few requests a second have a part in their prompts on which each engine crashes as it
 //! begins to write, whatever else the prompt holds. They arrive at any instance, and their other parts,
 //! keys and routes are those of requests that engines serve well. Ejecting the engine that crashed sends
 //! the next such request to another one.
 //!
+//! Or one request, with a prompt or without, comes again and again and crashes each upstream that runs it.
+//! Both are *items* ([`RequestItems`]); below, a part stands for either.
+//!
 //! Free of I/O: the current time is an argument. Each instance records in its [`PartQuarantine`] which
 //! parts its attempts had that broke before their answer was well begun, for each start of an upstream
 //! that ended, and the parts on which answers have begun. A part is quarantined once it was in such
--- a/crates/quarantine/src/options.rs
+++ b/crates/quarantine/src/options.rs
@@ -7,6 +7,9 @@
     pub min_starts: usize,
     /// Starts that have to end under a part on which answers have begun before.
     pub min_starts_certain: usize,
+    /// Events, which are groups of ends close together, that have to lie under a part on which answers have
+    /// begun before.
+    pub min_events: usize,
     /// Answers of the service on other parts that have to begin after these ends, later than
     /// `common_cause_ms`, if answers have begun on the part before.
     pub min_answers: usize,
@@ -37,6 +40,7 @@
         Self {
             min_starts: 3,
             min_starts_certain: 5,
+            min_events: 3,
             min_answers: 2,
             settle_ms: 1_500,
             common_cause_ms: 300,
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -567,12 +567,14 @@
                 // Answers of the service that go on to begin on other parts show that a part in most
                 // requests is not just one of many that its upstreams can't answer at the moment.
                 Some(_) => support(settled_ms, options.min_starts_certain).filter(|support| {
+                    let is_repeated = support.events >= options.min_events;
                     let certain = self.ends.nth_time_ms(part, options.min_starts_certain);
-                    certain.is_some_and(|certain_ms| {
-                        let begun = &self.service_begun;
-                        let after_ms = certain_ms + options.common_cause_ms;
-                        begun.count_after(support.service, after_ms) >= options.min_answers
-                    })
+                    is_repeated
+                        && certain.is_some_and(|certain_ms| {
+                            let begun = &self.service_begun;
+                            let after_ms = certain_ms + options.common_cause_ms;
+                            begun.count_after(support.service, after_ms) >= options.min_answers
+                        })
                 }),
                 None => support(settled_ms, options.min_starts),
             };
@@ -602,7 +604,7 @@
                 let after_ms = support.first_ms + options.common_cause_ms;
                 let answers =
                     self.service_begun.count_between(support.service, after_ms, support.last_ms);
-                support.span_ms() >= options.min_span_ms && answers >= options.min_answers
+                support.events >= options.min_events && answers >= options.min_answers
             }
         };
         is_blamed.then_some(support)
