Planner: an upstream with a rate limit adds no capacity

An upstream that has named a limit was counted as ready like any other, although it serves next to nothing, so no replacement was ordered. Each one now adds to the demand of its service. Found by reading while looking where else the limit matters; `choose_all_limited_returns_none` checks the count.

--- a/crates/placement/src/permits.rs
+++ b/crates/placement/src/permits.rs
@@ -127,6 +127,12 @@
         Some(Placement { permit_until_ms: Some(permit_until_ms), ..placement })
     }
 
+    /// Number of upstreams with a limit, which take few requests.
+    pub fn count_limited(&self) -> usize {
+        let limited = self.upstreams.values().filter(|upstream| upstream.limit.is_some());
+        limited.filter(|upstream| !upstream.is_leaving).count()
+    }
+
     /// Returns whether the upstream of a placement is neither ejected nor probed.
     pub fn is_placed_soundly(&self, placement: &Placement, now_ms: u64) -> bool {
         let upstream = self.upstreams.get(&placement.upstream);
--- a/crates/placement/tests/permits.rs
+++ b/crates/placement/tests/permits.rs
@@ -44,6 +44,7 @@
     table.set_limit("i-1", Some((1.0, 0)));
     assert_eq!(chosen(&table, 0), None);
     assert!(table.find_limited(&REQUEST, 0).is_some());
+    assert_eq!(table.count_limited(), 2);
 }
 
 #[test]
--- a/crates/relay/src/planning.rs
+++ b/crates/relay/src/planning.rs
@@ -20,7 +20,9 @@
     let by_slots = placement_table.count_answering(now_ms) as f64 / slots;
     let prefill_tokens_per_ms = placement_table.prefill_tokens_per_ms() * policy.reading_fill;
     let by_prefill = placement_table.demand_tokens_per_ms(now_ms) / prefill_tokens_per_ms;
-    CapacityDemand { busy_upstreams: Some(by_slots.max(by_prefill)) }
+    // Upstreams with a rate limit are counted as ready and serve next to nothing.
+    let limited = placement_table.count_limited() as f64;
+    CapacityDemand { busy_upstreams: Some(by_slots.max(by_prefill) + limited) }
 }
 
 /// Returns the estimates that the demand is computed with, for the log.
