Quarantine: try a suspected request wherever it comes

A suspected request was tried by one instance of the fleet only. Found by reading.

The instance that has the request now claims a permit for it, one a second for all instances together, from the same issuers as for limited upstreams. An answer to a suspect is told at once.

--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -11,8 +11,6 @@
 const MAX_QUARANTINED: usize = 256;
 /// Time that stands for an answer that another instance has seen at some time.
 const TOLD_BEGUN_MS: u64 = 1;
-/// Time between two tries of a suspected request.
-const PROBE_INTERVAL_MS: u64 = 1_000;
 /// Time for which other instances are told that a part was cleared or a start is alive.
 const NOTICE_TTL_MS: u64 = 10_000;
 
@@ -62,6 +60,8 @@
 pub enum SuspectAdmission {
     /// It may.
     Send,
+    /// It may, if no other instance sends it at the same time.
+    Probe,
     /// The caller may try again later.
     Hold {
         /// Time after which more is known.
@@ -87,8 +87,6 @@
     /// Times at which starts were found alive after an attempt had broken.
     alive: BTreeMap<u64, u64>,
     lifted: BTreeMap<u64, u64>,
-    /// Times at which suspected requests were last tried.
-    probed: BTreeMap<u64, u64>,
 }
 
 impl PartQuarantine {
@@ -185,24 +183,20 @@
     }
 
     /// Decides whether a whole request may be sent although starts have ended under it. As many as a
-    /// quarantine takes make it a suspect until the evidence is decided or an answer clears it: then one
-    /// instance tries it now and then, `is_prober`, as all upstreams might be lost to it together again.
-    pub fn admit(&mut self, request: u64, is_prober: bool, now_ms: u64) -> SuspectAdmission {
+    /// quarantine takes make it a suspect until the evidence is decided or an answer clears it: all upstreams
+    /// might be lost to it together again.
+    pub fn admit(&self, request: u64, now_ms: u64) -> SuspectAdmission {
         let Some(support) = self.ends.support(request) else { return SuspectAdmission::Send };
         if support.starts < self.options.min_starts {
             return SuspectAdmission::Send;
         }
         let settled_at_ms = support.last_ms + self.options.settle_ms;
-        if self.latest_begun_ms(request).is_none() && now_ms < settled_at_ms {
-            return SuspectAdmission::Hold { hold_ms: settled_at_ms - now_ms };
-        }
-        let probed_at_ms = self.probed.get(&request).copied();
-        let is_due = probed_at_ms.is_none_or(|at_ms| now_ms >= at_ms + PROBE_INTERVAL_MS);
-        if is_prober && is_due {
-            insert_bounded(&mut self.probed, request, now_ms);
-            return SuspectAdmission::Send;
+        match self.latest_begun_ms(request) {
+            None if now_ms < settled_at_ms => {
+                SuspectAdmission::Hold { hold_ms: settled_at_ms - now_ms }
+            }
+            _ => SuspectAdmission::Probe,
         }
-        SuspectAdmission::Hold { hold_ms: PROBE_INTERVAL_MS }
     }
 
     /// Quarantines a part until an operator lifts it. Returns false if too many parts are quarantined.
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -196,7 +196,7 @@
     );
     let items = RequestItems { request: Some(request_hash), parts: &received.shared_parts };
     relay.check_quarantine(items)?;
-    relay.admit_suspect(&outcome.request_id, request_hash)?;
+    relay.admit_suspect(&outcome.request_id, request_hash).await?;
     if let Some((name, cap)) = organisation.and_then(|o| Some((&o.name, o.cap.as_ref()?))) {
         outcome.cap = Some(acquire_cap(relay, name, cap, received.metadata.tokens, route.urgency)?);
     }
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -24,6 +24,10 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time until the next claim after one without a reply.
 const UNANSWERED_CLAIM_MS: u64 = 250;
+/// Rate at which all instances together try a suspected request.
+const PROBES_PER_SECOND: f64 = 1.0;
+/// Prefix of the names under which permits for suspected requests are claimed; no upstream has it.
+const PROBE_PREFIX: &str = "request/";
 /// Claims that wait to be sent.
 const MAX_QUEUED_CLAIMS: usize = 256;
 /// Time after the start of the process for which it waits to be told the limits that others know.
@@ -210,12 +214,37 @@
         let Some((known, limit)) = known.and_then(|known| Some((known, known.limit?))) else {
             return PermitReply::Granted { wait_ms: 0 };
         };
-        let reply = match self.find_issuer(upstream, known.started_at_ms) {
+        self.claim_from_issuer(LimitNotice::new(upstream, &known), limit, claim).await
+    }
+
+    /// Claims a permit to try a suspected request.
+    pub async fn claim_probe(&self, item: &str) -> PermitReply {
+        let Some(limit) = RateLimit::new(PROBES_PER_SECOND) else {
+            return PermitReply::NotIssuer;
+        };
+        let notice = LimitNotice {
+            upstream: format!("{PROBE_PREFIX}{item}"),
+            started_at_ms: None,
+            per_second: Some(PROBES_PER_SECOND),
+            said_at_ms: self.wall_ms(),
+        };
+        let claim = Claim { urgency: 0, organisation: 0, max_wait_ms: 0 };
+        self.claim_from_issuer(notice, limit, claim).await
+    }
+
+    async fn claim_from_issuer(
+        &self,
+        notice: LimitNotice,
+        limit: RateLimit,
+        claim: Claim,
+    ) -> PermitReply {
+        let started_at_ms = notice.started_at_ms;
+        let reply = match self.find_issuer(&notice.upstream, started_at_ms) {
             Issuer::Unknown => PermitReply::NotIssuer,
-            Issuer::Own => self.grant(upstream, known.started_at_ms, limit, &claim),
+            Issuer::Own => self.grant(&notice.upstream, started_at_ms, limit, &claim),
             Issuer::Other { name, address } => {
                 let claim = PermitClaim {
-                    limit: LimitNotice::new(upstream, &known),
+                    limit: notice,
                     urgency: claim.urgency,
                     organisation: claim.organisation,
                     max_wait_ms: claim.max_wait_ms,
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -2,17 +2,17 @@
 //! tell.
 
 use hickorycourse_codes::{ErrorCode, Problem};
-use hickorycourse_permits::choose_issuer;
 use hickorycourse_quarantine::{
     QuarantineChange, QuarantineDigest, RequestItems, SuspectAdmission,
 };
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::datagrams::PermitReply;
 use crate::state::Relay;
 
-/// Time without a sign of an instance after which it is not expected to try suspected requests.
-const PROBER_SILENCE_MS: u64 = 2_500;
+/// Time until a suspected request may be tried again if nothing better is known.
+const PROBE_INTERVAL_MS: u64 = 1_000;
 
 /// Returns the hash that identifies a start of an upstream at all instances.
 pub fn hash_upstream_start(upstream: &str, started_at_ms: Option<u64>) -> u64 {
@@ -50,20 +50,21 @@
     }
 
     /// Holds a request back that upstreams have ended under, until an answer clears it or it is
-    /// quarantined; now and then one instance tries it.
+    /// quarantined; now and then one attempt of all instances tries it.
     ///
     /// # Errors
     /// The problem for the response to the caller if the request is held back.
-    pub fn admit_suspect(&self, request_id: &str, request: u64) -> Result<(), Problem> {
-        let now_ms = self.now_ms();
-        let items = RequestItems { request: Some(request), parts: &[] };
-        let mut quarantine = self.quarantine.lock();
-        if !quarantine.is_suspected(items) {
-            return Ok(());
-        }
-        let admission = quarantine.admit(request, self.is_prober(request), now_ms);
-        drop(quarantine);
-        let SuspectAdmission::Hold { hold_ms } = admission else { return Ok(()) };
+    pub async fn admit_suspect(&self, request_id: &str, request: u64) -> Result<(), Problem> {
+        let admission = self.quarantine.lock().admit(request, self.now_ms());
+        let hold_ms = match admission {
+            SuspectAdmission::Send => return Ok(()),
+            SuspectAdmission::Hold { hold_ms } => hold_ms,
+            SuspectAdmission::Probe => match self.claim_probe(&format_part(request)).await {
+                PermitReply::Granted { .. } => return Ok(()),
+                PermitReply::Denied { available_in_ms } => available_in_ms,
+                PermitReply::NotIssuer => PROBE_INTERVAL_MS,
+            },
+        };
         self.log.write("request_held", || {
             let item = format_part(request);
             json!({ "request": request_id, "item": item, "hold_ms": hold_ms })
@@ -71,15 +72,6 @@
         Err(Problem::new(ErrorCode::NoUpstream).with_retry_after_ms(hold_ms))
     }
 
-    /// Returns whether this instance is the one that tries a suspected request.
-    fn is_prober(&self, request: u64) -> bool {
-        let own = self.settings.instance.as_str();
-        let members = self.members.lock();
-        let others = members.issuer_candidates(None, PROBER_SILENCE_MS, self.now_ms());
-        let name = format_part(request);
-        choose_issuer(&name, None, std::iter::once(own).chain(others)) == Some(own)
-    }
-
     /// Records that an attempt broke before its answer was well begun.
     pub fn record_broken_beginning(
         &self,
@@ -106,9 +98,13 @@
     /// Records that an answer is well begun or complete.
     pub fn record_begun_answer(&self, service: u64, items: RequestItems<'_>, begun_at_ms: u64) {
         let now_ms = self.now_ms();
-        let changes = self.quarantine.lock().record_begun(service, items, begun_at_ms, now_ms);
+        let mut quarantine = self.quarantine.lock();
+        let was_suspected = quarantine.is_suspected(items);
+        let changes = quarantine.record_begun(service, items, begun_at_ms, now_ms);
+        drop(quarantine);
         self.log_quarantine_changes(&changes, "answer");
-        if !changes.is_empty() {
+        // Other instances hold a suspected request back until they know of the answer.
+        if was_suspected || !changes.is_empty() {
             self.digest_requested.notify_one();
         }
     }
