Placement: a permit of a request that is refused after all is left

A request that had been granted a permit and was then refused, by the retry budget or by admission, lost it, so that a limited upstream got fewer requests than it takes. The permit is left to the next request. Found by reading; no run showed it.

--- a/crates/placement/src/permits.rs
+++ b/crates/placement/src/permits.rs
@@ -50,6 +50,13 @@
         }
     }
 
+    /// Keeps the permit of a placement that is not used for another request.
+    pub fn return_unused_permit(&mut self, placement: &Placement) {
+        if let Some(valid_until_ms) = placement.permit_until_ms {
+            self.return_permit(&placement.upstream, valid_until_ms);
+        }
+    }
+
     /// Takes a permit that was left for a placement at a limited upstream, unless it has one.
     pub fn take_permit(&mut self, placement: &mut Placement, now_ms: u64) {
         let upstream = self.upstreams.get_mut(&placement.upstream);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -296,12 +296,14 @@
         placements.record_arrival(&placement, now_ms);
         if retry_state.sent_attempts > 0 {
             if !relay.try_acquire_retry(&self.service) {
+                placements.return_unused_permit(&placement);
                 return Err(self.failure_problem(retry_state));
             }
         } else {
             let forecast =
                 placement.forecast(waited_ms, self.route.target_ms, self.route.patience_ms());
             if let Admission::Refuse { retry_after_ms } = placements.admit(&forecast, now_ms) {
+                placements.return_unused_permit(&placement);
                 drop(placements);
                 relay.log.write("refused", || {
                     json!({
