--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod management;
 mod members;
 mod messages;
+mod placing;
 mod planning;
 mod quarantine;
 mod quarantine_record;
