Caps: log reports whose source has changed

The first report of another aggregator or start is a baseline, so what it holds more than the former one is not deducted.

--- a/crates/caps/src/shared_cap.rs
+++ b/crates/caps/src/shared_cap.rs
@@ -341,7 +341,7 @@
     /// Applies a report of a peer. `boot` identifies the start of the peer's process, at which its
     /// counters start from zero.
     pub fn apply_report(&mut self, peer: &str, boot: u64, totals: CapTotals, now_ms: u64) {
-        self.apply_group_report(peer, boot, totals, 1, now_ms);
+        let _ = self.apply_group_report(peer, boot, totals, 1, now_ms);
     }
 
     /// Forgets what peers have reported, when they report in other groups from now on. Their share of
@@ -351,7 +351,8 @@
     }
 
     /// Applies a report with the sums of `instances` peers, made at `now_ms`. `boot` identifies the start
-    /// of the process that sums them. A report that is not newer than the last one is ignored.
+    /// of the process that sums them. A report that is not newer than the last one is ignored. Returns the
+    /// difference to the former sum if this is the first one of another process, which is not deducted.
     pub fn apply_group_report(
         &mut self,
         peer: &str,
@@ -359,8 +360,9 @@
         totals: CapTotals,
         instances: usize,
         now_ms: u64,
-    ) {
-        let known = self.peers.get(peer).copied().filter(|known| known.boot == boot);
+    ) -> Option<f64> {
+        let former = self.peers.get(peer).copied();
+        let known = former.filter(|known| known.boot == boot);
         let Some(known) = known else {
             let new_peer = PeerUsage {
                 boot,
@@ -372,12 +374,12 @@
                 extrapolated: 0.0,
             };
             self.peers.insert(peer.to_owned(), new_peer);
-            return;
+            return former.map(|former| totals.used - former.totals.used);
         };
         // A report that is repeated must not replace the usage that was extrapolated since.
         let is_repeated = now_ms == known.reported_at_ms && totals == known.totals;
         if now_ms < known.reported_at_ms || is_repeated {
-            return;
+            return None;
         }
         // Where requests are rarer than reports, the level has to be brought up to date first: otherwise
         // the use in this report would be extrapolated once more at the next request.
@@ -404,6 +406,7 @@
             extrapolated: 0.0,
         };
         self.peers.insert(peer.to_owned(), updated);
+        None
     }
 
     /// Refills the bucket for the time since the last call and deducts the extrapolated usage of peers.
--- a/crates/relay/src/state/limits.rs
+++ b/crates/relay/src/state/limits.rs
@@ -110,11 +110,25 @@
         reported_at_ms: u64,
     ) {
         let mut caps = self.caps.lock();
+        let mut most_skipped: Option<(&str, f64)> = None;
         for (organisation, totals) in totals {
-            if let Some(shared) = caps.get_mut(organisation) {
-                shared.apply_group_report(peer, boot, totals, instances, reported_at_ms);
+            let Some(shared) = caps.get_mut(organisation) else { continue };
+            let skipped = shared.apply_group_report(peer, boot, totals, instances, reported_at_ms);
+            if let Some(skipped) = skipped
+                && most_skipped.is_none_or(|(_, most)| skipped.abs() > most.abs())
+            {
+                most_skipped = Some((organisation, skipped));
             }
         }
+        drop(caps);
+        if let Some((organisation, skipped)) = most_skipped {
+            self.log.write("cap_source_changed", || {
+                json!({
+                    "source": peer, "boot": boot, "instances": instances,
+                    "most_skipped": { "organisation": organisation, "units": skipped },
+                })
+            });
+        }
     }
 
     /// Forgets what other instances have reported of their load and use, when they report in other
