--- a/crates/caps/tests/fleet.rs
+++ b/crates/caps/tests/fleet.rs
@@ -31,6 +31,42 @@
     is_cut: fn(usize, u64) -> bool,
     /// Time at which half of the instances restart; 0 for never.
     restart_at_ms: u64,
+    /// When the aggregators of the zones are replaced.
+    replacement: Replacement,
+    successor: Successor,
+    /// Every so many instances get requests; the others are idle.
+    busy_stride: fn(u64) -> (usize, usize),
+}
+
+/// What replaces an aggregator.
+#[derive(Clone, Copy, PartialEq)]
+enum Successor {
+    /// The second aggregator of the zone, to which all members have reported, too.
+    Standby,
+    /// An instance to which no member has reported yet.
+    Restarted,
+}
+
+/// When aggregators are replaced.
+#[derive(Clone, Copy)]
+enum Replacement {
+    Never,
+    /// One zone after the other; each zone's after this time.
+    InTurn(u64),
+    /// Those of all zones in one step, each time after this time.
+    Together(u64),
+}
+
+impl Replacement {
+    /// Returns whether the aggregator of a zone is replaced at a time.
+    fn is_due(self, zone: usize, zones: usize, now_ms: u64) -> bool {
+        let (period_ms, phase_ms) = match self {
+            Self::Never => return false,
+            Self::InTurn(period_ms) => (period_ms, period_ms * zone as u64 / zones as u64),
+            Self::Together(period_ms) => (period_ms, 0),
+        };
+        now_ms % period_ms == phase_ms / STEP_MS * STEP_MS
+    }
 }
 
 impl Default for Pattern {
@@ -43,6 +79,9 @@
             rate: |_| RATE,
             is_cut: |_, _| false,
             restart_at_ms: 0,
+            replacement: Replacement::Never,
+            successor: Successor::Standby,
+            busy_stride: |_| (1, 0),
         }
     }
 }
@@ -57,6 +96,8 @@
 
 struct Zone {
     aggregator: ZoneAggregator,
+    /// Identifier of the aggregator's start.
+    boot: u64,
     /// Sums that are returned to members, with the time at which they were made.
     sums: Option<(ZoneDigest, u64)>,
     /// Digests received from the other zones, with the time of their arrival.
@@ -127,6 +168,7 @@
     let mut zones: Vec<Zone> = (0..pattern.zones)
         .map(|_| Zone {
             aggregator: ZoneAggregator::default(),
+            boot: 1,
             sums: None,
             others: BTreeMap::new(),
         })
@@ -142,10 +184,24 @@
         for member in &mut members {
             member.cap.set_limits(limits(rate));
         }
+        for (number, zone) in zones.iter_mut().enumerate() {
+            if pattern.replacement.is_due(number, pattern.zones, now_ms) {
+                if pattern.successor == Successor::Restarted {
+                    zone.aggregator = ZoneAggregator::default();
+                }
+                zone.boot += 1;
+                zone.sums = None;
+            }
+        }
         let mut units = 0.0;
+        let (stride, first) = (pattern.busy_stride)(now_ms);
+        let busy = (first..instances).step_by(stride).count();
         for (number, member) in members.iter_mut().enumerate() {
+            if number % stride != first {
+                continue;
+            }
             // Requests of an instance are seconds apart; the fraction spreads them over the fleet.
-            let share = (pattern.demand)(now_ms) / instances as f64;
+            let share = (pattern.demand)(now_ms) / busy as f64;
             if member.demand == 0.0 {
                 member.demand = (number as f64 * 0.618).fract() * UNITS_PER_REQUEST;
             }
@@ -200,7 +256,7 @@
     if let Some(sums) = zone.sums.as_ref().filter(|(_, at_ms)| now_ms - at_ms < SUMS_TTL_MS) {
         return sums.clone();
     }
-    let mut digest = ZoneDigest::new(&format!("zone-{number}"), "aggregator", 1);
+    let mut digest = ZoneDigest::new(&format!("zone-{number}"), "aggregator", zone.boot);
     zone.aggregator.sum_into(&mut digest, now_ms);
     zone.sums = Some((digest.clone(), now_ms));
     (digest, now_ms)
@@ -293,3 +349,76 @@
         assert!(most <= 1.0, "{instances} instances: {most}");
     }
 }
+
+const REPLACED_SIZES: [(usize, usize); 3] = [(76, 6), (295, 6), (1_100, 9)];
+
+fn assert_cap_is_kept(pattern: &Pattern) -> Vec<f64> {
+    let granted = play(pattern);
+    let instances = pattern.instances;
+    let most = worst(&windows(&granted, 0, RATE));
+    println!("{instances} instances: worst window {most:.3}");
+    assert!(most <= 1.0, "{instances} instances: {most}");
+    granted
+}
+
+fn assert_cap_is_kept_and_used(pattern: &Pattern) {
+    let granted = assert_cap_is_kept(pattern);
+    let used = use_of_rate(&granted, 10_000, RATE);
+    println!("{} instances use {used:.3}", pattern.instances);
+    assert!(used >= 0.9, "{} instances use {used} of the rate", pattern.instances);
+}
+
+// Load pattern: a flood from the first second on, while the instances that report for the zones change.
+#[test]
+fn use_reported_by_successive_aggregators_is_not_forgotten() {
+    for (instances, zones) in REPLACED_SIZES {
+        for replacement in [Replacement::InTurn(1_000), Replacement::Together(1_000)] {
+            let pattern = Pattern { instances, zones, replacement, ..Pattern::default() };
+            assert_cap_is_kept_and_used(&pattern);
+        }
+    }
+}
+
+// Load pattern: the same with aggregators that have just started and learn of each member anew.
+#[test]
+fn use_reported_by_restarted_aggregators_is_not_counted_twice() {
+    for (instances, zones) in REPLACED_SIZES {
+        for replacement in [Replacement::InTurn(3_000), Replacement::Together(3_000)] {
+            let successor = Successor::Restarted;
+            let pattern =
+                Pattern { instances, zones, replacement, successor, ..Pattern::default() };
+            assert_cap_is_kept_and_used(&pattern);
+        }
+    }
+}
+
+// Load pattern: aggregators change at the moment at which a full bucket meets the flood.
+#[test]
+fn use_reported_by_successive_aggregators_is_not_forgotten_after_idle() {
+    for (instances, zones) in REPLACED_SIZES {
+        let demand = |now_ms| if now_ms < 10_000 { 0.0 } else { 6.0 * RATE };
+        let replacement = Replacement::Together(1_000);
+        let pattern = Pattern { instances, zones, demand, replacement, ..Pattern::default() };
+        assert_cap_is_kept(&pattern);
+    }
+}
+
+// Load pattern: aggregators change while a zone is cut off.
+#[test]
+fn use_reported_by_successive_aggregators_is_not_forgotten_in_cut() {
+    for (instances, zones) in REPLACED_SIZES {
+        let is_cut = |zone, now_ms| zone == 0 && (8_000..20_000).contains(&now_ms);
+        let replacement = Replacement::InTurn(1_000);
+        let pattern = Pattern { instances, zones, is_cut, replacement, ..Pattern::default() };
+        assert_cap_is_kept(&pattern);
+    }
+}
+
+// Load pattern: an organisation calls a seventh of the instances, others every three seconds.
+#[test]
+fn flood_that_wanders_stays_within_cap() {
+    for (instances, zones) in REPLACED_SIZES {
+        let busy_stride = |now_ms| (7, (now_ms / 3_000 % 7) as usize);
+        assert_cap_is_kept(&Pattern { instances, zones, busy_stride, ..Pattern::default() });
+    }
+}
