Caps: report use in grow-only counters by epoch

Callers saw one organisation served beyond its cap while others shared what was left; levels of one bucket differed by millions of units between instances.

Cause: use was reported as sums since the start of whoever sums, and applied as differences. The first report of another source was a baseline, so what had been used since the last report of the former source was never deducted. Members ask the other aggregator of their zone every tenth time, so this happened on every instance each four seconds, without any restart. With an aggregator that has just started the opposite happened: lifetime totals of members counted as present use, and the cap was refused.

An epoch is a label; counters only grow, sums of any aggregator are lower bounds of the same value and merge by their maximum, so a change of the reporting instance, repetition and reordering have no effect. What a zone or its members have reported stays known when members switch between reports to all and aggregators. Refunded units stay counted and are used first. After a silence, extrapolated use is replaced only as far as it is reported.

The aggregator keeps the use of silent members for as long as others may not have heard of it instead of for ever: receivers keep it.

--- a/crates/caps/src/shared_cap.rs
+++ b/crates/caps/src/shared_cap.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use crate::decaying_sum::DecayingSum;
+use crate::epoch_counter::{CapTotals, EpochCounter, EpochUsage, epoch_at};
 
 /// Fraction of a full bucket that each rank reserves for the next more urgent one, so that the urgent
 /// requests of an organisation over its cap take precedence.
@@ -35,13 +36,33 @@
     pub report_interval_ms: u64,
 }
 
-/// Counters of one cap since the start of a process, broadcast to the peers.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct CapTotals {
-    /// Units used.
-    pub used: f64,
-    /// Units requested, including refused ones.
-    pub requested: f64,
+/// What a replica knows of the usage in the present epoch and the one before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReportSummary {
+    /// Units used by this instance.
+    pub own_used: u64,
+    /// Units used by the peers, as far as it is known.
+    pub peers_used: u64,
+    /// Peers, or zones, that report.
+    pub sources: usize,
+    /// Age of the oldest of their latest reports.
+    pub oldest_age_ms: u64,
+}
+
+/// Usage that peers have reported.
+#[derive(Clone, Copy, Debug)]
+pub struct UsageReport<'a> {
+    /// Availability zone of the peers.
+    pub availability_zone: &'a str,
+    /// The peer that reports, with the identifier of its start; `None` for the sum of the peers in the
+    /// zone.
+    pub peer: Option<(&'a str, u64)>,
+    /// Number of peers whose usage the report contains.
+    pub instances: usize,
+    /// Their usage in recent epochs.
+    pub usage: &'a [EpochUsage],
+    /// Time at which the report was made.
+    pub reported_at_ms: u64,
 }
 
 /// Number of report intervals without a report after which a peer is stale.
@@ -75,6 +96,13 @@
 const MIN_RETRY_AFTER_MS: u64 = 150;
 /// Fraction of a full bucket that, once used since the last broadcast, triggers an early one.
 const EARLY_BROADCAST_FRACTION: f64 = 0.03;
+/// Time after the creation of a replica in which the first report of each source may contain usage from
+/// before.
+const FIRST_REPORTS_MS: u64 = 5_000;
+/// Time for which refunded units are not reported again when they are used.
+const REFUND_VALIDITY_MS: u64 = 1_000;
+/// Interval between removals of expired entries.
+const EXPIRY_INTERVAL_MS: u64 = 1_000;
 
 impl CapLimits {
     /// Creates limits whose usage in any window of `window_ms` may exceed rate and burst by the fraction
@@ -108,14 +136,11 @@
     }
 }
 
+/// Estimates from the reports of one source: a peer, or the peers of an availability zone together.
 #[derive(Clone, Copy, Debug)]
-struct PeerUsage {
-    /// Identifier of the peer's process start.
-    boot: u64,
+struct ReportedRates {
     /// Instances whose usage the reports contain.
     instances: usize,
-    /// Last reported counters since the peer's start.
-    totals: CapTotals,
     /// Used units per second, averaged over the last reports.
     used_rate: f64,
     /// Requested units per second, averaged over the last reports.
@@ -126,6 +151,68 @@
     extrapolated: f64,
 }
 
+/// What is known of the peers in one availability zone.
+#[derive(Clone, Debug, Default)]
+struct ZoneUsage {
+    /// Their usage that has been applied to the level.
+    counted: EpochCounter,
+    /// Usage of those that report for themselves, by name and start.
+    starts: HashMap<(String, u64), EpochCounter>,
+    /// Estimates by peer; `None` for all peers of the zone.
+    rates: HashMap<Option<String>, ReportedRates>,
+}
+
+impl ZoneUsage {
+    /// Records a report; returns the usage that was not known before. Each report is a lower bound of
+    /// what the zone has used, whoever made it, so the highest bound of each epoch is kept.
+    fn record(&mut self, report: &UsageReport<'_>, now_ms: u64) -> CapTotals {
+        let mut growth = CapTotals::default();
+        for (epoch, used, refused) in report.usage {
+            let reported = CapTotals { used: *used, refused: *refused };
+            let bound = match report.peer {
+                None => reported,
+                Some((name, boot)) => {
+                    let start = self.starts.entry((name.to_owned(), boot)).or_default();
+                    start.raise(*epoch, reported, now_ms);
+                    let starts = self.starts.values().map(|start| start.totals(*epoch));
+                    starts.fold(CapTotals::default(), |sum, totals| CapTotals {
+                        used: sum.used.saturating_add(totals.used),
+                        refused: sum.refused.saturating_add(totals.refused),
+                    })
+                }
+            };
+            let grown = self.counted.raise(*epoch, bound, now_ms);
+            growth.used = growth.used.saturating_add(grown.used);
+            growth.refused = growth.refused.saturating_add(grown.refused);
+        }
+        growth
+    }
+
+    /// Returns whether the source of a report has been heard before.
+    fn is_known(&self, report: &UsageReport<'_>) -> bool {
+        match report.peer {
+            None => !self.counted.is_empty() || self.rates.contains_key(&None),
+            Some((name, boot)) => {
+                self.rates.contains_key(&Some(name.to_owned()))
+                    || self.starts.contains_key(&(name.to_owned(), boot))
+            }
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.rates.is_empty() && self.starts.is_empty() && self.counted.is_empty()
+    }
+
+    fn expire(&mut self, now_ms: u64) {
+        self.counted.expire(now_ms);
+        self.starts.values_mut().for_each(|start| start.expire(now_ms));
+        let rates = &self.rates;
+        self.starts.retain(|(name, _), start| {
+            !start.is_empty() || rates.contains_key(&Some(name.clone()))
+        });
+    }
+}
+
 /// This instance's replica of a token bucket shared by all instances. The level can go below zero by
 /// usage that peers report late; it has to refill before units are granted again.
 #[derive(Clone, Debug)]
@@ -135,7 +222,16 @@
     updated_at_ms: u64,
     /// Number of instances at the last request.
     instances: usize,
-    own: CapTotals,
+    created_at_ms: u64,
+    expired_at_ms: u64,
+    /// The present epoch.
+    epoch: u16,
+    /// Units used and refused by this instance in each epoch.
+    own: EpochCounter,
+    /// Units used by this instance since its start, with those that were refunded and not used again.
+    own_used: f64,
+    /// Refunded units, which stay counted until they are used again, with the time until which they may be.
+    refunded: (f64, u64),
     /// Units requested from this instance.
     requested: DecayingSum,
     /// Number of requests to this instance, over the short term.
@@ -151,7 +247,8 @@
     credit_phase: Option<f64>,
     /// Units that this instance had used at its last broadcast.
     broadcast_used: f64,
-    peers: HashMap<String, PeerUsage>,
+    /// The peers by availability zone.
+    zones: HashMap<String, ZoneUsage>,
 }
 
 impl SharedCap {
@@ -163,7 +260,12 @@
             level,
             updated_at_ms: now_ms,
             instances,
-            own: CapTotals::default(),
+            created_at_ms: now_ms,
+            expired_at_ms: now_ms,
+            epoch: 0,
+            own: EpochCounter::default(),
+            own_used: 0.0,
+            refunded: (0.0, 0),
             requested: DecayingSum::new(RATE_TIME_CONSTANT_MS),
             short_term_requests: DecayingSum::new(SHORT_TERM_TIME_CONSTANT_MS),
             long_term_requests: DecayingSum::new(LONG_TERM_TIME_CONSTANT_MS),
@@ -171,7 +273,7 @@
             admission_credit: 0.0,
             credit_phase: None,
             broadcast_used: 0.0,
-            peers: HashMap::new(),
+            zones: HashMap::new(),
         }
     }
 
@@ -188,6 +290,11 @@
         self.level = self.level.min(limits.capacity());
     }
 
+    /// Sets the wall-clock time, which labels the usage from now on. It need not be exact, nor rise.
+    pub fn set_wall_time(&mut self, wall_ms: u64) {
+        self.epoch = epoch_at(wall_ms);
+    }
+
     /// Acquires units if the cap has them. Large requests leave a reserve in the bucket for more urgent
     /// ranks. `urgency` is the rank, 0 being the most urgent.
     ///
@@ -221,6 +328,8 @@
             false => self.level >= (units + reserve).min(capacity),
         };
         if !is_granted {
+            let refused = CapTotals { used: 0, refused: units.ceil() as u64 };
+            self.own.add(self.epoch, refused, now_ms);
             let needed_units = (units + reserve).min(capacity);
             let (missing_units, least_ms) = match self.is_shedding {
                 true => ((needed_units - self.level).max(units), MIN_RETRY_AFTER_MS),
@@ -230,10 +339,20 @@
             return Err(missing_ms.max(least_ms));
         }
         self.level -= units;
-        self.own.used += units;
+        self.count_used(units, now_ms);
         Ok(())
     }
 
+    /// Counts used units that are to be reported. Refunded units have been reported before.
+    fn count_used(&mut self, units: f64, now_ms: u64) {
+        let (refunded, valid_until_ms) = self.refunded;
+        let reported = if now_ms < valid_until_ms { refunded.min(units) } else { 0.0 };
+        self.refunded.0 = if now_ms < valid_until_ms { refunded - reported } else { 0.0 };
+        let used = units - reported;
+        self.own_used += used;
+        self.own.add(self.epoch, CapTotals { used: used.ceil() as u64, refused: 0 }, now_ms);
+    }
+
     fn must_shed(&self, demand: f64, rate: f64) -> bool {
         let (begin, end) = SHEDDING_DEMAND_THRESHOLDS;
         match self.is_shedding {
@@ -268,7 +387,6 @@
     }
 
     fn record_demand(&mut self, units: f64, now_ms: u64) {
-        self.own.requested += units;
         self.requested.add(units, now_ms);
         self.short_term_requests.add(1.0, now_ms);
         self.long_term_requests.add(1.0, now_ms);
@@ -276,16 +394,15 @@
 
     /// Estimated units per second requested from this instance and the peers that report.
     fn estimate_demand(&self, now_ms: u64) -> f64 {
-        let fresh = self.peers.values().filter(|peer| !self.is_stale(peer, now_ms));
-        let peers = fresh.map(|peer| peer.requested_rate).sum::<f64>();
+        let peers = self.fresh_rates(now_ms).map(|rates| rates.requested_rate).sum::<f64>();
         self.requested.per_second(now_ms) + peers * self.estimate_demand_growth(now_ms)
     }
 
     /// Units per second that are left for this instance and the peers that report; the others keep their
     /// share.
     fn available_rate(&self, instances: usize, now_ms: u64) -> f64 {
-        let fresh = self.peers.values().filter(|peer| !self.is_stale(peer, now_ms));
-        let reporting = 1 + fresh.map(|peer| peer.instances).sum::<usize>();
+        let fresh = self.fresh_rates(now_ms);
+        let reporting = 1 + fresh.map(|rates| rates.instances).sum::<usize>();
         let all = instances.max(reporting).max(1);
         self.limits.per_second * reporting as f64 / all as f64
     }
@@ -302,14 +419,19 @@
         }
     }
 
-    fn is_stale(&self, peer: &PeerUsage, now_ms: u64) -> bool {
-        now_ms.saturating_sub(peer.reported_at_ms) > self.limits.stale_after_ms()
+    fn fresh_rates(&self, now_ms: u64) -> impl Iterator<Item = &ReportedRates> {
+        let rates = self.zones.values().flat_map(|zone| zone.rates.values());
+        let stale_after_ms = self.limits.stale_after_ms();
+        rates.filter(move |rates| !rates.is_stale(stale_after_ms, now_ms))
     }
 
-    /// Refunds units that were acquired for a request that did not run.
-    pub fn refund(&mut self, units: f64) {
+    /// Refunds units that were acquired for a request that did not run. Peers may know of their use
+    /// already, so counters do not fall; the units are not reported when they are used again soon.
+    pub fn refund(&mut self, units: f64, now_ms: u64) {
         self.level = (self.level + units).min(self.limits.capacity());
-        self.own.used -= units;
+        let (refunded, valid_until_ms) = self.refunded;
+        let still_valid = if now_ms < valid_until_ms { refunded } else { 0.0 };
+        self.refunded = (still_valid + units, now_ms + REFUND_VALIDITY_MS);
     }
 
     /// Whether the last request was decided by shedding rather than by the level.
@@ -324,89 +446,66 @@
 
     /// Units used by this process since its start, less refunds.
     pub fn own_used(&self) -> f64 {
-        self.own.used
+        self.own_used - self.refunded.0
     }
 
-    /// Whether enough units were used since the last broadcast to require one before its regular time.
-    pub fn is_early_broadcast_due(&self) -> bool {
-        self.own.used - self.broadcast_used > self.limits.capacity() * EARLY_BROADCAST_FRACTION
+    /// What peers have reported, for the log.
+    pub fn reports(&self, now_ms: u64) -> ReportSummary {
+        let epochs = [self.epoch.wrapping_sub(1), self.epoch];
+        let rates = self.zones.values().flat_map(|zone| zone.rates.values());
+        ReportSummary {
+            own_used: epochs.map(|epoch| self.own.totals(epoch).used).iter().sum(),
+            peers_used: epochs.map(|epoch| self.peers_used(epoch)).iter().sum(),
+            sources: rates.clone().count(),
+            oldest_age_ms: rates
+                .map(|rates| now_ms.saturating_sub(rates.reported_at_ms))
+                .max()
+                .unwrap_or_default(),
+        }
     }
 
-    /// Returns the counters to broadcast, and marks them as broadcast.
-    pub fn broadcast_totals(&mut self) -> CapTotals {
-        self.broadcast_used = self.own.used;
-        self.own
+    /// Units used by the peers in one epoch, as far as it is known.
+    pub fn peers_used(&self, epoch: u16) -> u64 {
+        self.zones.values().map(|zone| zone.counted.totals(epoch).used).sum()
     }
 
-    /// Applies a report of a peer. `boot` identifies the start of the peer's process, at which its
-    /// counters start from zero.
-    pub fn apply_report(&mut self, peer: &str, boot: u64, totals: CapTotals, now_ms: u64) {
-        let _ = self.apply_group_report(peer, boot, totals, 1, now_ms);
+    /// Whether enough units were used since the last broadcast to require one before its regular time.
+    pub fn is_early_broadcast_due(&self) -> bool {
+        self.own_used - self.broadcast_used > self.limits.capacity() * EARLY_BROADCAST_FRACTION
     }
 
-    /// Forgets what peers have reported, when they report in other groups from now on. Their share of
-    /// the rate is reserved until they do.
-    pub fn clear_peers(&mut self) {
-        self.peers.clear();
+    /// Returns the usage to broadcast, and marks it as broadcast.
+    pub fn broadcast_usage(&mut self, now_ms: u64) -> Vec<EpochUsage> {
+        self.broadcast_used = self.own_used;
+        self.own.expire(now_ms);
+        self.own.recent(now_ms)
     }
 
-    /// Applies a report with the sums of `instances` peers, made at `now_ms`. `boot` identifies the start
-    /// of the process that sums them. A report that is not newer than the last one is ignored. Returns the
-    /// difference to the former sum if this is the first one of another process, which is not deducted.
-    pub fn apply_group_report(
-        &mut self,
-        peer: &str,
-        boot: u64,
-        totals: CapTotals,
-        instances: usize,
-        now_ms: u64,
-    ) -> Option<f64> {
-        let former = self.peers.get(peer).copied();
-        let known = former.filter(|known| known.boot == boot);
-        let Some(known) = known else {
-            let new_peer = PeerUsage {
-                boot,
-                instances,
-                totals,
-                used_rate: 0.0,
-                requested_rate: 0.0,
-                reported_at_ms: now_ms,
-                extrapolated: 0.0,
-            };
-            self.peers.insert(peer.to_owned(), new_peer);
-            return former.map(|former| totals.used - former.totals.used);
-        };
-        // A report that is repeated must not replace the usage that was extrapolated since.
-        let is_repeated = now_ms == known.reported_at_ms && totals == known.totals;
-        if now_ms < known.reported_at_ms || is_repeated {
-            return None;
-        }
+    /// Forgets the rates that peers have reported, when they report in other groups from now on. Their
+    /// share of the rate is reserved until they do; what they have used stays known.
+    pub fn clear_rates(&mut self) {
+        self.zones.values_mut().for_each(|zone| zone.rates.clear());
+    }
+
+    /// Applies a report of peers. Reports may arrive repeatedly and in any order.
+    pub fn apply_report(&mut self, report: &UsageReport<'_>, now_ms: u64) {
         // Where requests are rarer than reports, the level has to be brought up to date first: otherwise
         // the use in this report would be extrapolated once more at the next request.
         if now_ms.saturating_sub(self.updated_at_ms) > self.limits.report_interval_ms {
             self.refill(now_ms);
         }
-        let known = self.peers.get(peer).copied().unwrap_or(known);
-        let used = (totals.used - known.totals.used).max(0.0);
-        let requested = (totals.requested - known.totals.requested).max(0.0);
-        let elapsed_ms = now_ms.saturating_sub(known.reported_at_ms).max(1) as f64;
-        let weight = 1.0 - (-elapsed_ms / RATE_TIME_CONSTANT_MS).exp();
-        let average = |rate: f64, units: f64| rate + (units / elapsed_ms * 1_000.0 - rate) * weight;
-        self.level = (self.level + known.extrapolated - used).min(self.limits.capacity());
-        let updated = PeerUsage {
-            boot,
-            instances,
-            totals: CapTotals {
-                used: totals.used.max(known.totals.used),
-                requested: totals.requested.max(known.totals.requested),
-            },
-            used_rate: average(known.used_rate, used),
-            requested_rate: average(known.requested_rate, requested),
-            reported_at_ms: now_ms,
-            extrapolated: 0.0,
-        };
-        self.peers.insert(peer.to_owned(), updated);
-        None
+        let is_young = now_ms.saturating_sub(self.created_at_ms) < FIRST_REPORTS_MS;
+        let stale_after_ms = self.limits.stale_after_ms();
+        let zone = self.zones.entry(report.availability_zone.to_owned()).or_default();
+        let is_baseline = is_young && !zone.is_known(report);
+        let mut growth = zone.record(report, now_ms);
+        if is_baseline {
+            growth = CapTotals::default();
+        }
+        let source = report.peer.map(|(name, _)| name.to_owned());
+        let rates = zone.rates.entry(source).or_insert_with(|| ReportedRates::new(report));
+        let covered = rates.apply(report, growth, stale_after_ms);
+        self.level = (self.level + covered - growth.used as f64).min(self.limits.capacity());
     }
 
     /// Refills the bucket for the time since the last call and deducts the extrapolated usage of peers.
@@ -416,20 +515,22 @@
         self.updated_at_ms = self.updated_at_ms.max(now_ms);
         let share = self.limits.per_second / instances.max(1) as f64;
         self.level += self.limits.per_second * elapsed_s;
-        self.peers.retain(|_, peer| now_ms.saturating_sub(peer.reported_at_ms) < PEER_EXPIRY_MS);
+        if now_ms.saturating_sub(self.expired_at_ms) >= EXPIRY_INTERVAL_MS {
+            self.expire(now_ms);
+        }
         let (mut fresh_instances, mut known_instances) = (0, 0);
         let growth = self.estimate_demand_growth(now_ms);
-        for peer in self.peers.values_mut() {
-            let is_stale =
-                now_ms.saturating_sub(peer.reported_at_ms) > self.limits.stale_after_ms();
+        let stale_after_ms = self.limits.stale_after_ms();
+        for rates in self.zones.values_mut().flat_map(|zone| zone.rates.values_mut()) {
+            let is_stale = rates.is_stale(stale_after_ms, now_ms);
             let rate = match is_stale {
-                true => share * peer.instances as f64,
-                false => peer.used_rate * growth,
+                true => share * rates.instances as f64,
+                false => rates.used_rate * growth,
             };
-            known_instances += peer.instances;
-            fresh_instances += if is_stale { 0 } else { peer.instances };
+            known_instances += rates.instances;
+            fresh_instances += if is_stale { 0 } else { rates.instances };
             let extrapolated = rate * elapsed_s;
-            peer.extrapolated += extrapolated;
+            rates.extrapolated += extrapolated;
             self.level -= extrapolated;
         }
         // Instances that have never reported are counted with their share of the rate.
@@ -437,4 +538,56 @@
         self.level -= share * unreported as f64 * elapsed_s;
         self.level = self.level.min(self.limits.capacity());
     }
+
+    fn expire(&mut self, now_ms: u64) {
+        self.expired_at_ms = now_ms;
+        for zone in self.zones.values_mut() {
+            zone.rates
+                .retain(|_, rates| now_ms.saturating_sub(rates.reported_at_ms) < PEER_EXPIRY_MS);
+            zone.expire(now_ms);
+        }
+        self.zones.retain(|_, zone| !zone.is_empty());
+    }
+}
+
+impl ReportedRates {
+    fn new(report: &UsageReport<'_>) -> Self {
+        Self {
+            instances: report.instances,
+            used_rate: 0.0,
+            requested_rate: 0.0,
+            reported_at_ms: report.reported_at_ms,
+            extrapolated: 0.0,
+        }
+    }
+
+    fn is_stale(&self, stale_after_ms: u64, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.reported_at_ms) > stale_after_ms
+    }
+
+    /// Updates the averages by the usage that a report adds; returns the extrapolated usage that it
+    /// replaces.
+    fn apply(&mut self, report: &UsageReport<'_>, growth: CapTotals, stale_after_ms: u64) -> f64 {
+        let used = growth.used as f64;
+        let is_newer = report.reported_at_ms > self.reported_at_ms;
+        // An old report, and one after a long silence, may lack usage that was extrapolated.
+        if !is_newer || self.is_stale(stale_after_ms, report.reported_at_ms) {
+            let covered = self.extrapolated.min(used);
+            self.extrapolated = if is_newer { 0.0 } else { self.extrapolated - covered };
+            if is_newer {
+                self.instances = report.instances;
+                self.reported_at_ms = report.reported_at_ms;
+            }
+            return covered;
+        }
+        let requested = used + growth.refused as f64;
+        let elapsed_ms = (report.reported_at_ms - self.reported_at_ms) as f64;
+        let weight = 1.0 - (-elapsed_ms / RATE_TIME_CONSTANT_MS).exp();
+        let average = |rate: f64, units: f64| rate + (units / elapsed_ms * 1_000.0 - rate) * weight;
+        self.instances = report.instances;
+        self.used_rate = average(self.used_rate, used);
+        self.requested_rate = average(self.requested_rate, requested);
+        self.reported_at_ms = report.reported_at_ms;
+        std::mem::take(&mut self.extrapolated)
+    }
 }
--- a/crates/digest/src/aggregator.rs
+++ b/crates/digest/src/aggregator.rs
@@ -6,16 +6,22 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use hickorycourse_caps::{CapTotals, EpochUsage};
 use hickorycourse_duties::{FleetUsage, WindowCounts};
 
 use crate::message::{LoadCounts, MemberDigest, MemberMark, ServiceDigest, ZoneDigest};
 
 /// Time without a digest after which a member's load no longer counts.
 const MEMBER_SILENCE_MS: u64 = 2_500;
-/// Time without a digest after which a member is forgotten; its use of caps stays in the sums.
+/// Time without a digest after which a member is forgotten.
 const MEMBER_EXPIRY_MS: u64 = 30_000;
+/// Time after its last digest for which the use of caps by a start stays in the sums. Those who have
+/// received them keep it.
+const CAP_USAGE_RETENTION_MS: u64 = 10_000;
 /// Starts of a member whose late digests are recognised.
 const MAX_STARTS: usize = 5;
+/// Earlier starts, of all members together, whose use of caps is kept.
+const MAX_FORMER_STARTS: usize = 256;
 /// Members that are kept; more than a zone has.
 const MAX_MEMBERS: usize = 4_096;
 /// Usage windows in a digest: those that a new holder of the duties may still have to report.
@@ -25,15 +31,22 @@
 /// Departures and committed reports in a digest.
 const MAX_NOTICES: usize = 32;
 
-/// Units used and requested by organisation.
-type CapSums = BTreeMap<String, (u64, u64)>;
+/// Units by organisation and epoch.
+type CapSums = BTreeMap<String, BTreeMap<u16, CapTotals>>;
 
 /// The latest digest of one start of a member.
 #[derive(Clone, Debug)]
 struct Start {
     boot: u64,
     sequence: u64,
-    cap_totals: CapSums,
+    received_at_ms: u64,
+    cap_usage: BTreeMap<String, Vec<EpochUsage>>,
+}
+
+impl Start {
+    fn is_cap_usage_sent(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.received_at_ms) < CAP_USAGE_RETENTION_MS
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -50,8 +63,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ZoneAggregator {
     members: BTreeMap<String, Member>,
-    /// Use of caps by starts and members that have been forgotten.
-    former_cap_totals: CapSums,
+    /// Starts of members that start again and again; their use of caps stays in the sums for a while.
+    former_starts: VecDeque<Start>,
     usage: FleetUsage,
 }
 
@@ -76,12 +89,16 @@
         starts.push_back(Start {
             boot: digest.boot,
             sequence: digest.sequence,
-            cap_totals: digest.cap_totals.clone(),
+            received_at_ms: now_ms,
+            cap_usage: digest.cap_usage.clone(),
         });
         if starts.len() > MAX_STARTS
             && let Some(former) = starts.pop_front()
         {
-            add_cap_totals(&mut self.former_cap_totals, &former.cap_totals);
+            self.former_starts.push_back(former);
+            if self.former_starts.len() > MAX_FORMER_STARTS {
+                self.former_starts.pop_front();
+            }
         }
         self.usage.merge(&digest.instance, digest.boot, &digest.windows);
         let name = digest.instance.clone();
@@ -91,16 +108,9 @@
 
     /// Discards members that have been silent for long.
     pub fn expire(&mut self, now_ms: u64) {
-        let former_cap_totals = &mut self.former_cap_totals;
-        self.members.retain(|_, member| {
-            let is_kept = now_ms.saturating_sub(member.received_at_ms) < MEMBER_EXPIRY_MS;
-            if !is_kept {
-                for start in &member.starts {
-                    add_cap_totals(former_cap_totals, &start.cap_totals);
-                }
-            }
-            is_kept
-        });
+        self.members
+            .retain(|_, member| now_ms.saturating_sub(member.received_at_ms) < MEMBER_EXPIRY_MS);
+        self.former_starts.retain(|start| start.is_cap_usage_sent(now_ms));
         if let Some(newest) = self.usage.newest_window() {
             self.usage.evict_before(newest.saturating_sub(USAGE_WINDOWS));
         }
@@ -109,12 +119,15 @@
     /// Adds the sums to `digest`, which names the aggregator.
     pub fn sum_into(&self, digest: &mut ZoneDigest, now_ms: u64) {
         let silence_ms = |member: &Member| now_ms.saturating_sub(member.received_at_ms);
-        let mut cap_totals = self.former_cap_totals.clone();
+        let mut cap_sums = CapSums::new();
+        let starts = self.members.values().flat_map(|member| &member.starts);
+        for start in self.former_starts.iter().chain(starts) {
+            if start.is_cap_usage_sent(now_ms) {
+                add_cap_usage(&mut cap_sums, &start.cap_usage);
+            }
+        }
         let mut services: BTreeMap<String, ServiceSums> = BTreeMap::new();
         for member in self.members.values() {
-            for start in &member.starts {
-                add_cap_totals(&mut cap_totals, &start.cap_totals);
-            }
             if silence_ms(member) >= MEMBER_SILENCE_MS {
                 continue;
             }
@@ -126,7 +139,14 @@
                 services.entry(service.clone()).or_default().add(sums);
             }
         }
-        digest.cap_totals = cap_totals;
+        digest.cap_usage = cap_sums
+            .into_iter()
+            .map(|(organisation, sums)| {
+                let usage = sums.into_iter();
+                let usage = usage.map(|(epoch, totals)| (epoch, totals.used, totals.refused));
+                (organisation, usage.collect())
+            })
+            .collect();
         digest.windows = self.usage.newest_totals(WINDOWS_PER_DIGEST);
         digest.services =
             services.into_iter().map(|(service, sums)| (service, sums.into_digest())).collect();
@@ -153,10 +173,14 @@
     }
 }
 
-fn add_cap_totals(sums: &mut CapSums, totals: &CapSums) {
-    for (organisation, (used, requested)) in totals {
-        let sum = sums.entry(organisation.clone()).or_default();
-        *sum = (sum.0.saturating_add(*used), sum.1.saturating_add(*requested));
+fn add_cap_usage(sums: &mut CapSums, usage: &BTreeMap<String, Vec<EpochUsage>>) {
+    for (organisation, epochs) in usage {
+        let sums = sums.entry(organisation.clone()).or_default();
+        for (epoch, used, refused) in epochs {
+            let sum = sums.entry(*epoch).or_default();
+            sum.used = sum.used.saturating_add(*used);
+            sum.refused = sum.refused.saturating_add(*refused);
+        }
     }
 }
 
--- a/crates/digest/src/message.rs
+++ b/crates/digest/src/message.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use hickorycourse_caps::EpochUsage;
 use hickorycourse_duties::WindowCounts;
 use hickorycourse_permits::LimitNotice;
 use hickorycourse_quarantine::QuarantineDigest;
@@ -27,9 +28,9 @@
     /// Its wall-clock time.
     #[serde(rename = "t")]
     pub sender_wall_ms: u64,
-    /// Units used and requested by organisation since its start.
-    #[serde(rename = "c")]
-    pub cap_totals: BTreeMap<String, (u64, u64)>,
+    /// Its recent use of caps, by organisation.
+    #[serde(rename = "f", default)]
+    pub cap_usage: BTreeMap<String, Vec<EpochUsage>>,
     /// Its newest usage windows.
     #[serde(rename = "u")]
     pub windows: Vec<WindowCounts>,
@@ -115,9 +116,9 @@
     /// Those instances, for the members of the zone.
     #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
     pub members: Vec<MemberMark>,
-    /// Units used and requested by organisation since the start of the aggregator.
-    #[serde(rename = "c")]
-    pub cap_totals: BTreeMap<String, (u64, u64)>,
+    /// Recent use of caps, by organisation. Sums of different aggregators are comparable.
+    #[serde(rename = "f", default)]
+    pub cap_usage: BTreeMap<String, Vec<EpochUsage>>,
     /// The newest usage windows, for other aggregators and the holder of the duties.
     #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
     pub windows: Vec<WindowCounts>,
@@ -157,7 +158,7 @@
             age_ms: 0,
             instances: 0,
             members: Vec::new(),
-            cap_totals: BTreeMap::new(),
+            cap_usage: BTreeMap::new(),
             windows: Vec::new(),
             services: BTreeMap::new(),
             store_era: 0,
--- a/crates/digest/src/own.rs
+++ b/crates/digest/src/own.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use hickorycourse_caps::EpochUsage;
+
 use crate::message::{LoadCounts, MemberDigest, ServiceDigest, ZoneDigest};
 
 /// Digests that are kept; an aggregator that lags further behind is not believed.
@@ -33,9 +35,9 @@
             return false;
         };
         zone.instances = zone.instances.saturating_sub(1);
-        for (organisation, (used, requested)) in &own.cap_totals {
-            if let Some(sum) = zone.cap_totals.get_mut(organisation) {
-                *sum = (sum.0.saturating_sub(*used), sum.1.saturating_sub(*requested));
+        for (organisation, own) in &own.cap_usage {
+            if let Some(sums) = zone.cap_usage.get_mut(organisation) {
+                subtract_cap_usage(sums, own);
             }
         }
         for (service, own) in &own.services {
@@ -47,6 +49,15 @@
     }
 }
 
+fn subtract_cap_usage(sums: &mut [EpochUsage], own: &[EpochUsage]) {
+    for (epoch, used, refused) in own {
+        if let Some(sum) = sums.iter_mut().find(|(known, ..)| known == epoch) {
+            sum.1 = sum.1.saturating_sub(*used);
+            sum.2 = sum.2.saturating_sub(*refused);
+        }
+    }
+}
+
 fn subtract_service(sums: &mut ServiceDigest, own: &ServiceDigest) {
     sums.arrived_tokens_per_ms = (sums.arrived_tokens_per_ms - own.arrived_tokens_per_ms).max(0.0);
     for (rank, rate) in &own.sent_tokens_per_ms {
--- a/crates/model/src/relay.rs
+++ b/crates/model/src/relay.rs
@@ -81,7 +81,8 @@
     }
 }
 
-fn zone_name(zone: usize) -> String {
+/// Returns the name of a zone.
+pub fn zone_name(zone: usize) -> String {
     format!("zone-{zone}")
 }
 
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use futures_util::future::select;
-use hickorycourse_caps::CapTotals;
+use hickorycourse_caps::UsageReport;
 use hickorycourse_digest::{MemberDigest, ServiceDigest};
 use hickorycourse_duties::WindowCounts;
 use hickorycourse_placement::{TokenDemand, UpstreamLoad, WaitingRequests};
@@ -207,13 +207,7 @@
             availability_zone: relay.settings.availability_zone.clone(),
             peer_address: relay.settings.peer_address,
             sender_wall_ms: relay.wall_clock.lock().local_ms(now_ms),
-            cap_totals: relay
-                .cap_totals_for_digest()
-                .into_iter()
-                .map(|(organisation, totals)| {
-                    (organisation, (totals.used as u64, totals.requested as u64))
-                })
-                .collect(),
+            cap_usage: relay.cap_usage_for_digest(),
             windows: relay.newest_windows(),
             services,
             store_era: relay.store_era(),
@@ -304,11 +298,14 @@
         if relay.exchange.lock().is_aggregated() {
             return;
         }
-        let totals = digest
-            .cap_totals
-            .iter()
-            .map(|(organisation, totals)| (organisation.as_str(), into_cap_totals(*totals)));
-        relay.apply_cap_totals(name, digest.boot, totals, 1, now_ms);
+        let report = UsageReport {
+            availability_zone: &digest.availability_zone,
+            peer: Some((name, digest.boot)),
+            instances: 1,
+            usage: &[],
+            reported_at_ms: now_ms,
+        };
+        relay.apply_cap_usage(&digest.cap_usage, &report);
         relay.fleet_usage.lock().merge(name, digest.boot, &digest.windows);
         apply_services(relay, name, &digest.services, 1, now_ms);
     }
@@ -353,11 +350,6 @@
     }
 }
 
-/// Converts the counters of a digest.
-pub fn into_cap_totals((used, requested): (u64, u64)) -> CapTotals {
-    CapTotals { used: used as f64, requested: requested as f64 }
-}
-
 /// Applies the load that a peer has reported for itself, or as the sum of `instances` instances.
 pub fn apply_services(
     relay: &Relay,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hickorycourse_caps::UsageReport;
 use hickorycourse_digest::{
     AGGREGATORS_PER_ZONE, MemberDigest, OwnDigests, ZoneAggregator, ZoneDigest, rank_aggregators,
 };
@@ -18,9 +19,7 @@
 use serde_json::json;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::broadcast::{
-    PeerBroadcast, apply_services, count_dropped, digest_period_ms, into_cap_totals,
-};
+use crate::broadcast::{PeerBroadcast, apply_services, count_dropped, digest_period_ms};
 use crate::datagrams::Message;
 use crate::settings::ExchangePolicy;
 
@@ -489,12 +488,14 @@
         }
         let instances = zone.instances as usize;
         let peer = format!("zone/{}", zone.availability_zone);
-        let boot = zone.boot ^ xxh3_64(zone.aggregator.as_bytes());
-        let totals = zone
-            .cap_totals
-            .iter()
-            .map(|(organisation, totals)| (organisation.as_str(), into_cap_totals(*totals)));
-        relay.apply_cap_totals(&peer, boot, totals, instances, reported_at_ms);
+        let report = UsageReport {
+            availability_zone: &zone.availability_zone,
+            peer: None,
+            instances,
+            usage: &[],
+            reported_at_ms,
+        };
+        relay.apply_cap_usage(&zone.cap_usage, &report);
         relay.fleet_usage.lock().merge(&peer, 0, &zone.windows);
         apply_services(relay, &peer, &zone.services, instances, reported_at_ms);
         self.apply_notices(&zone.departures, &zone.committed_usage, zone.store_era);
--- a/crates/relay/src/state/limits.rs
+++ b/crates/relay/src/state/limits.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use hickorycourse_caps::{CapLimits, CapTotals, RetryBudgetLimits, RetryBudgetShare, SharedCap};
+use hickorycourse_caps::{
+    CapLimits, EpochUsage, RetryBudgetLimits, RetryBudgetShare, SharedCap, UsageReport,
+};
 use hickorycourse_duties::FleetUsage;
 use hickorycourse_routes::UsageCap;
 use serde_json::json;
@@ -63,23 +65,28 @@
         let now_ms = self.now_ms();
         let instances = self.members.lock().count(now_ms);
         let limits = self.cap_limits(cap, instances);
+        let wall_ms = self.wall_clock.lock().estimate_ms(now_ms);
         let mut caps = self.caps.lock();
         let shared = caps
             .entry(organisation.to_owned())
             .or_insert_with(|| self.new_cap(limits, instances, now_ms));
         shared.set_limits(limits);
+        shared.set_wall_time(wall_ms);
         let acquired = shared.try_acquire(units, urgency, instances, now_ms);
         if shared.is_early_broadcast_due() {
             self.digest_requested.notify_one();
         }
         if let Err(retry_after_ms) = acquired {
             let (level, is_shedding) = (shared.level(), shared.is_shedding());
+            let reports = shared.reports(now_ms);
             self.log.write("cap_refused", || {
                 json!({
                     "organisation": organisation, "units": units, "level": level,
                     "per_second": cap.per_second, "burst": cap.burst, "instances": instances,
                     "is_thinned": is_shedding, "process_age_ms": now_ms,
-                    "retry_after_ms": retry_after_ms,
+                    "retry_after_ms": retry_after_ms, "own_used": reports.own_used,
+                    "peers_used": reports.peers_used, "sources": reports.sources,
+                    "oldest_report_ms": reports.oldest_age_ms,
                 })
             });
         }
@@ -88,54 +95,41 @@
 
     /// Returns units of a request that did not run.
     pub fn refund_cap(&self, organisation: &str, units: f64) {
+        let now_ms = self.now_ms();
         if let Some(shared) = self.caps.lock().get_mut(organisation) {
-            shared.refund(units);
+            shared.refund(units, now_ms);
         }
     }
 
-    /// Returns the cap usage of this process since its start, for a digest, and marks it as sent.
-    pub fn cap_totals_for_digest(&self) -> BTreeMap<String, CapTotals> {
+    /// Returns the recent cap usage of this process, for a digest, and marks it as sent.
+    pub fn cap_usage_for_digest(&self) -> BTreeMap<String, Vec<EpochUsage>> {
+        let now_ms = self.now_ms();
         let mut caps = self.caps.lock();
-        caps.iter_mut().map(|(name, shared)| (name.clone(), shared.broadcast_totals())).collect()
+        let usage =
+            caps.iter_mut().map(|(name, shared)| (name.clone(), shared.broadcast_usage(now_ms)));
+        usage.filter(|(_, usage)| !usage.is_empty()).collect()
     }
 
-    /// Applies the cap usage that `instances` other instances have reported as `peer`. `boot` identifies
-    /// the start of the process that reports it.
-    pub fn apply_cap_totals<'a>(
+    /// Applies cap usage that other instances have reported, by organisation.
+    pub fn apply_cap_usage(
         &self,
-        peer: &str,
-        boot: u64,
-        totals: impl Iterator<Item = (&'a str, CapTotals)>,
-        instances: usize,
-        reported_at_ms: u64,
+        usage: &BTreeMap<String, Vec<EpochUsage>>,
+        report: &UsageReport<'_>,
     ) {
+        let now_ms = self.now_ms();
         let mut caps = self.caps.lock();
-        let mut most_skipped: Option<(&str, f64)> = None;
-        for (organisation, totals) in totals {
-            let Some(shared) = caps.get_mut(organisation) else { continue };
-            let skipped = shared.apply_group_report(peer, boot, totals, instances, reported_at_ms);
-            if let Some(skipped) = skipped
-                && most_skipped.is_none_or(|(_, most)| skipped.abs() > most.abs())
-            {
-                most_skipped = Some((organisation, skipped));
-            }
-        }
-        drop(caps);
-        if let Some((organisation, skipped)) = most_skipped {
-            self.log.write("cap_source_changed", || {
-                json!({
-                    "source": peer, "boot": boot, "instances": instances,
-                    "most_skipped": { "organisation": organisation, "units": skipped },
-                })
-            });
+        // Organisations that a report doesn't name have not used anything lately.
+        for (organisation, shared) in caps.iter_mut() {
+            let usage = usage.get(organisation).map_or(&[][..], Vec::as_slice);
+            shared.apply_report(&UsageReport { usage, ..*report }, now_ms);
         }
     }
 
-    /// Forgets what other instances have reported of their load and use, when they report in other
-    /// groups from now on.
+    /// Forgets the load that other instances have reported, and the rates of their use, when they report in
+    /// other groups from now on.
     pub fn clear_reports(&self) {
         for shared in self.caps.lock().values_mut() {
-            shared.clear_peers();
+            shared.clear_rates();
         }
         for (_, placement_table) in self.placement_tables() {
             placement_table.lock().clear_peers();
