Relay: resume a stream only at the software version that began it

Callers found events of two versions of a back end in one stream: in one response after a break, and over their own tries.

Cause: placement did not know the version of an upstream. A resumed stream, and a caller's try with the last event's id, took any upstream; the relay neither read the version that the store lists nor the id of the try that brought the first event.

Change: the version is a hard constraint of placement, in the same step as the choice. Within a response it is that of the upstream that brought the first event; if its version is not known or none accepts the stream within the pause that is allowed, the response ends as interrupted. For the caller's next try, the instance that begins a stream tells its origin (service and version) to two instances of its zone and two of the fleet, by rendezvous hashing, before the first event is sent; the one that resumes asks them. An origin that nobody knows is not guessed: the request is rejected at once as not run (3006), except where one version alone has been listed for as long as a stream lasts, as for callers that do not name the stream. Ids belong to an organisation; an id with two origins has none. An upstream that is listed with another version counts as restarted.

--- a/crates/codes/src/code.rs
+++ b/crates/codes/src/code.rs
@@ -73,6 +73,7 @@
     UpstreamTimeout = 3003, 504, MayHaveRun, "The upstream did not answer in time.";
     UpstreamNonsense = 3004, 502, MayHaveRun, "The upstream's answer could not be understood.";
     UpstreamRefused = 3005, 502, NotRun, "The upstream could not be reached.";
+    StreamNotResumable = 3006, 503, NotRun, "The stream can't go on where it broke off; start it anew.";
     ClaimUnavailable = 4001, 503, NotRun, "The claim for this call could not be recorded.";
     ClaimedElsewhere = 4002, 409, MayHaveRun, "A call with this key is running or was cut off.";
     KeyReused = 4003, 422, NotRun, "The idempotency key was used with another request.";
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -235,6 +235,7 @@
             urgency: group.urgency,
             seed: request as u64 * SEED_FACTOR + u64::from(request_state.attempt),
             excluded: &request_state.excluded,
+            version: None,
         };
         let table = &mut self.relays[relay].placement_table;
         let chosen = table.choose(&placement_request, self.now_ms);
--- /dev/null
+++ b/crates/origins/src/table.rs
@@ -0,0 +1,119 @@
+//! Origins of recent streams.
+//!
+//! Load pattern: a fleet begins up to hundreds of thousands of streams a second, and a few in a thousand are
+//! taken up again, seconds later, at any instance. The origin of each is therefore kept at a few instances,
+//! for as long as a stream and its caller's return can take.
+
+use std::collections::{HashMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
+
+/// Time after which the origin of a stream is forgotten.
+const RETENTION_MS: u64 = 60_000;
+/// Origins that are kept; the oldest ones are forgotten first.
+const MAX_ORIGINS: usize = 65_536;
+
+/// Identifies a stream at all instances: the organisation of its caller, and the request that began it. Ids
+/// are chosen by callers, so the same id of two organisations names two streams.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct StreamKey(u64, u64);
+
+impl StreamKey {
+    /// Creates the key of the stream that this request began.
+    pub fn new(organisation: Option<&str>, request_id: &str) -> Self {
+        let mut hasher = Xxh3::new();
+        for part in [organisation.unwrap_or_default(), request_id] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(&[u8::from(organisation.is_some())]);
+        let hash = hasher.digest128();
+        Self((hash >> 64) as u64, hash as u64)
+    }
+
+    /// Seed for the choice of holders.
+    pub(crate) fn seed(self) -> u64 {
+        self.0
+    }
+}
+
+/// What began a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamOrigin {
+    /// The service.
+    #[serde(rename = "s")]
+    pub service: String,
+    /// Version of its software.
+    #[serde(rename = "v")]
+    pub version: String,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    /// `None` if two origins have been recorded: the id was used twice.
+    origin: Option<StreamOrigin>,
+    recorded_at_ms: u64,
+}
+
+/// Origins of recent streams.
+#[derive(Clone, Debug, Default)]
+pub struct OriginTable {
+    entries: HashMap<StreamKey, Entry>,
+    /// Keys in the order of their recording, with its time.
+    recorded: VecDeque<(u64, StreamKey)>,
+}
+
+impl OriginTable {
+    /// Records the origin of a stream, which has begun or goes on. A stream with two different origins has
+    /// none that is known.
+    pub fn record(&mut self, key: StreamKey, origin: StreamOrigin, now_ms: u64) {
+        self.expire(now_ms);
+        let entry = self
+            .entries
+            .entry(key)
+            .or_insert_with(|| Entry { origin: Some(origin.clone()), recorded_at_ms: now_ms });
+        if entry.origin.as_ref() != Some(&origin) {
+            entry.origin = None;
+        }
+        entry.recorded_at_ms = now_ms;
+        self.recorded.push_back((now_ms, key));
+        while self.recorded.len() > MAX_ORIGINS {
+            self.forget_oldest();
+        }
+    }
+
+    /// Returns the origin of a stream; `None` if it is not known.
+    pub fn find(&self, key: StreamKey, now_ms: u64) -> Option<&StreamOrigin> {
+        let entry = self.entries.get(&key)?;
+        let is_recent = now_ms.saturating_sub(entry.recorded_at_ms) < RETENTION_MS;
+        entry.origin.as_ref().filter(|_| is_recent)
+    }
+
+    /// Forgets the origins of streams that have ended by now.
+    pub fn expire(&mut self, now_ms: u64) {
+        while let Some((recorded_at_ms, _)) = self.recorded.front()
+            && now_ms.saturating_sub(*recorded_at_ms) >= RETENTION_MS
+        {
+            self.forget_oldest();
+        }
+    }
+
+    /// Number of origins.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some((recorded_at_ms, key)) = self.recorded.pop_front() else { return };
+        // One that was recorded again stays.
+        if self.entries.get(&key).is_some_and(|entry| entry.recorded_at_ms == recorded_at_ms) {
+            self.entries.remove(&key);
+        }
+    }
+}
--- a/crates/placement/src/permits.rs
+++ b/crates/placement/src/permits.rs
@@ -98,7 +98,7 @@
             let is_claimable = limit.may_claim(now_ms)
                 && upstream.is_sound(now_ms)
                 && (!is_stale || limit.is_stale(now_ms))
-                && !request.excluded.contains(id);
+                && request.permits(id, upstream);
             is_claimable.then_some((wait_ms, id, upstream))
         });
         let mut limited = limited.peekable();
@@ -125,7 +125,10 @@
         now_ms: u64,
     ) -> Option<Placement> {
         let (id, upstream) = self.upstreams.get_key_value(upstream)?;
-        if !upstream.accepts_permitted(now_ms) || permit_until_ms <= now_ms {
+        if !upstream.accepts_permitted(now_ms)
+            || permit_until_ms <= now_ms
+            || !request.permits(id, upstream)
+        {
             return None;
         }
         let context = self.request_context(request, now_ms);
@@ -157,7 +160,7 @@
         let sound = self
             .upstreams
             .iter()
-            .filter(|(id, upstream)| !upstream.is_leaving && !request.excluded.contains(id));
+            .filter(|(id, upstream)| !upstream.is_leaving && request.permits(id, upstream));
         let limits: Vec<_> = sound.filter_map(|(_, upstream)| upstream.limit.as_ref()).collect();
         let earliest_ms = limits.iter().map(|limit| limit.wait_ms(now_ms)).min()?;
         let per_second: f64 = limits.iter().map(|limit| limit.per_second).sum();
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -1,5 +1,7 @@
 //! Properties of a request that placement depends on.
 
+use crate::upstream::Upstream;
+
 /// One part of a prompt. Requests with the same leading parts share them in an engine's prefix cache.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PromptPart {
@@ -22,9 +24,18 @@
     pub seed: u64,
     /// Ids of upstreams that must not be chosen because an earlier attempt was sent to them.
     pub excluded: &'a [String],
+    /// Software version of the upstreams that may be chosen; `None` for any.
+    pub version: Option<&'a str>,
 }
 
 impl PlacementRequest<'_> {
+    /// Returns whether an upstream may be chosen, whatever its state.
+    pub(crate) fn permits(&self, id: &String, upstream: &Upstream) -> bool {
+        let is_of_version =
+            self.version.is_none_or(|version| upstream.version.as_deref() == Some(version));
+        is_of_version && !self.excluded.contains(id)
+    }
+
     /// The part whose hash selects the affinity upstream: the last part before the one that is unique
     /// to the request. `None` if no part is shared with other requests.
     pub fn affinity_part(&self) -> Option<PromptPart> {
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -86,6 +86,8 @@
     pub is_backoff_probe: bool,
     /// End of the validity of the permit that the request has; `None` without one.
     pub permit_until_ms: Option<u64>,
+    /// Version of the upstream's software; `None` if it is not known.
+    pub version: Option<String>,
 }
 
 impl Placement {
@@ -183,7 +185,11 @@
             let is_backing_off = upstream.backoff.is_active(now_ms);
             let is_permitted = upstream.limit.is_none()
                 || placement.permit_until_ms.is_some_and(|until_ms| until_ms > now_ms);
-            !upstream.is_leaving && is_permitted && (placement.is_backoff_probe || !is_backing_off)
+            let is_same_version = upstream.version == placement.version;
+            !upstream.is_leaving
+                && is_permitted
+                && is_same_version
+                && (placement.is_backoff_probe || !is_backing_off)
         })
     }
 
@@ -206,7 +212,7 @@
         let mut earliest_ms: Option<u64> = None;
         for (id, upstream) in self.upstreams.iter().filter(|(_, upstream)| !upstream.is_leaving) {
             match upstream.backoff.remaining_ms(now_ms) {
-                0 if request.excluded.contains(id) => {}
+                0 if !request.permits(id, upstream) => {}
                 0 => return None,
                 remaining_ms => {
                     earliest_ms = Some(earliest_ms.map_or(remaining_ms, |ms| ms.min(remaining_ms)));
@@ -222,7 +228,7 @@
     /// usable ones. `None` if all are draining, excluded or within a backoff.
     pub fn choose(&self, request: &PlacementRequest<'_>, now_ms: u64) -> Option<Placement> {
         let open = |(id, upstream): &(&String, &Upstream)| {
-            upstream.accepts_requests(now_ms) && !request.excluded.contains(id)
+            upstream.accepts_requests(now_ms) && request.permits(id, upstream)
         };
         let instances = self.count_instances();
         let context = self.request_context(request, now_ms);
@@ -404,6 +410,7 @@
             has_free_slots: running < slots,
             is_backoff_probe: chosen.upstream.backoff.is_active(context.now_ms),
             permit_until_ms: None,
+            version: chosen.upstream.version.clone(),
         }
     }
 
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -74,6 +74,8 @@
     pub(crate) availability_zone: String,
     pub(crate) slots: u64,
     pub(crate) is_leaving: bool,
+    /// Version of its software, if it is known.
+    pub(crate) version: Option<String>,
     /// Requests in flight from this instance.
     pub(crate) running: u64,
     /// Those of them whose first byte has arrived.
@@ -98,6 +100,7 @@
             availability_zone: entry.availability_zone.clone(),
             slots: 1,
             is_leaving: false,
+            version: None,
             running: 0,
             answering: 0,
             waiting: BTreeMap::new(),
@@ -117,6 +120,7 @@
     pub(crate) fn update(&mut self, entry: &UpstreamEntry) {
         self.slots = entry.slots.max(1);
         self.is_leaving = entry.phase == UpstreamPhase::Leaving;
+        self.version.clone_from(&entry.version);
     }
 
     /// Load from the requests of this instance.
--- a/crates/placement/tests/permits.rs
+++ b/crates/placement/tests/permits.rs
@@ -5,8 +5,14 @@
 };
 use hickorycourse_routes::UpstreamEntry;
 
-const REQUEST: PlacementRequest<'_> =
-    PlacementRequest { parts: &[], prompt_tokens: 0, urgency: 1, seed: 0, excluded: &[] };
+const REQUEST: PlacementRequest<'_> = PlacementRequest {
+    parts: &[],
+    prompt_tokens: 0,
+    urgency: 1,
+    seed: 0,
+    excluded: &[],
+    version: None,
+};
 
 fn table(count: usize) -> PlacementTable {
     let entries: Vec<UpstreamEntry> = (0..count)
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -25,6 +25,8 @@
     pub tokens: Option<TokenCounts>,
     /// The last event that the caller has received, when it resumes an interrupted stream.
     pub last_event_id: Option<u64>,
+    /// The request that brought the first event of that stream; absent if not stated.
+    pub resumed_request_id: Option<String>,
 }
 
 impl RequestMetadata {
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -58,7 +58,7 @@
 pub struct PeerBroadcast {
     /// State that all parts of the process share.
     pub relay: Arc<Relay>,
-    socket: UdpSocket,
+    socket: Arc<UdpSocket>,
     /// Time at which each freshness query was sent, by nonce.
     pub pending_queries: Mutex<HashMap<u64, u64>>,
     /// Receivers of replies, by nonce.
@@ -71,7 +71,9 @@
     /// # Errors
     /// The peer address can't be bound.
     pub async fn open(relay: &Arc<Relay>) -> std::io::Result<Arc<Self>> {
-        let socket = UdpSocket::bind(relay.settings.peer_address).await?;
+        let socket = Arc::new(UdpSocket::bind(relay.settings.peer_address).await?);
+        // A process binds its socket once.
+        let _ = relay.peer_socket.set(Arc::clone(&socket));
         Ok(Arc::new(Self {
             relay: Arc::clone(relay),
             socket,
@@ -97,6 +99,7 @@
             relay.expire_upstreams();
             relay.expire_quarantine();
             relay.expire_limits();
+            relay.expire_origins();
             let pause_ms = pause_ms.saturating_sub(relay.now_ms().saturating_sub(now_ms));
             let min_pause_ms = pause_ms / MAX_URGENT_DIGESTS_PER_PERIOD;
             sleep(Duration::from_millis(min_pause_ms)).await;
@@ -274,7 +277,12 @@
             }
             Message::View { nonce, .. }
             | Message::Fleet { nonce, .. }
+            | Message::FoundOrigin { nonce, .. }
             | Message::Grant { nonce, .. } => self.deliver_reply(nonce, message),
+            Message::Origin { key, origin } => self.relay.apply_stream_origin(key, origin),
+            Message::FindOrigin { nonce, key } => {
+                self.send_all(&self.find_own_origin(nonce, key), &[source]).await;
+            }
             Message::Claim { nonce, claim } => {
                 let reply = self.handle_claim(&claim);
                 self.send_all(&Message::Grant { nonce, reply }, &[source]).await;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hickorycourse_codes::{ErrorCode, Problem};
+use hickorycourse_origins::{StreamKey, StreamOrigin};
 use hickorycourse_placement::{AttemptOutcome, Placement, PlacementRequest, PromptPart};
 use hickorycourse_quarantine::RequestItems;
 use hickorycourse_routes::{Access, Route};
@@ -45,6 +46,10 @@
     pub connections: ConnectionPool,
     /// Identifier that the caller gave this request.
     pub request_id: String,
+    /// Identifies the stream that this request begins or resumes.
+    pub stream_key: StreamKey,
+    /// What began the stream that this request resumes.
+    pub origin: Option<StreamOrigin>,
     /// The route at the time of arrival.
     pub route: Route,
     /// The service that the route selects for this request.
@@ -88,6 +93,8 @@
     pub sent_attempts: u32,
     /// Upstreams that are not tried again.
     pub excluded: Vec<String>,
+    /// Version of the upstreams that may be tried; `None` for any.
+    pub version: Option<String>,
     /// Whether an upstream may have run the request.
     pub may_have_run: bool,
     /// Attempts that broke before their answer was well begun, as the upstream ended.
@@ -113,14 +120,15 @@
 }
 
 impl Call {
-    /// Returns the request for the placement table, without the `excluded` upstreams.
-    pub fn placement_request<'a>(&'a self, excluded: &'a [String]) -> PlacementRequest<'a> {
+    /// Returns the request for the placement table, with the upstreams that may be tried.
+    pub fn placement_request<'a>(&'a self, retry_state: &'a RetryState) -> PlacementRequest<'a> {
         PlacementRequest {
             parts: &self.parts,
             prompt_tokens: self.tokens.prompt,
             urgency: self.urgency,
             seed: xxh3_64(self.request_id.as_bytes()),
-            excluded,
+            excluded: &retry_state.excluded,
+            version: retry_state.version.as_deref(),
         }
     }
 
@@ -129,6 +137,15 @@
         RequestItems { request: Some(self.request_hash), parts: &self.shared_parts }
     }
 
+    /// Records the version of the upstream that has brought the first event of a stream that may be resumed.
+    pub fn record_origin(&self, version: Option<&str>) {
+        let Some(version) = version.filter(|_| self.route.repeat.allows_reexecution()) else {
+            return;
+        };
+        let origin = StreamOrigin { service: self.service.clone(), version: version.to_owned() };
+        self.relay.record_stream_origin(self.stream_key, &origin);
+    }
+
     /// Milliseconds until the deadline.
     pub fn remaining_ms(&self) -> u64 {
         self.deadline_at_ms.saturating_sub(self.relay.now_ms())
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -8,6 +8,7 @@
 
 use hickorycourse_body::read_body;
 use hickorycourse_codes::{ErrorCode, Problem};
+use hickorycourse_origins::{StreamKey, StreamOrigin};
 use hickorycourse_quarantine::RequestItems;
 use hickorycourse_routes::{Access, CapUnit, Organisation, Route, RouteTable, UsageCap};
 use http::{HeaderMap, Method};
@@ -186,8 +187,12 @@
     outcome.route = Some(route.name.clone());
     let organisation = find_organisation(relay, &table, route, received.metadata.key.as_deref())?;
     outcome.organisation = organisation.map(|organisation| organisation.name.clone());
-    let service = RouteTable::choose_service(route, &outcome.request_id)
-        .ok_or_else(|| retryable_problem(ErrorCode::NoUpstream))?;
+    let origin = find_origin(relay, &received, route, organisation).await?;
+    let service = match &origin {
+        Some(origin) => origin.service.as_str(),
+        None => RouteTable::choose_service(route, &outcome.request_id)
+            .ok_or_else(|| retryable_problem(ErrorCode::NoUpstream))?,
+    };
     outcome.service = Some(service.to_owned());
     let request_hash = hash_request(
         request,
@@ -205,6 +210,7 @@
     let mut call =
         make_call(relay, request, received, route, organisation, service, arrived_at_ms)?;
     call.request_hash = request_hash;
+    call.origin.clone_from(&origin);
     match route.repeat.is_stream() {
         true => {
             let connection = request.io().cloned();
@@ -214,6 +220,23 @@
     }
 }
 
+/// Returns what began the stream that a request resumes; `None` for other requests.
+async fn find_origin(
+    relay: &Relay,
+    received: &ReceivedRequest,
+    route: &Route,
+    organisation: Option<&Organisation>,
+) -> Result<Option<StreamOrigin>, Problem> {
+    let metadata = &received.metadata;
+    if !route.repeat.is_stream() || metadata.last_event_id.is_none() {
+        return Ok(None);
+    }
+    let request_id = metadata.request_id.as_deref().unwrap_or_default();
+    let organisation = organisation.map(|organisation| organisation.name.as_str());
+    let resumed = metadata.resumed_request_id.as_deref();
+    relay.find_stream_origin(request_id, organisation, resumed, route).await.map(Some)
+}
+
 fn retryable_problem(code: ErrorCode) -> Problem {
     Problem::new(code).with_retry_after_ms(DEFAULT_RETRY_AFTER_MS)
 }
@@ -262,7 +285,13 @@
     let method = Method::from_bytes(request.method().as_str().as_bytes())
         .map_err(|error| Problem::new(ErrorCode::InvalidHeader).with_detail(error.to_string()))?;
     let path_and_query = request.uri().path_and_query();
+    let first_id =
+        metadata.resumed_request_id.as_ref().filter(|_| metadata.last_event_id.is_some());
+    let first_id = first_id.or(metadata.request_id.as_ref()).map(String::as_str);
+    let name = organisation.map(|organisation| organisation.name.as_str());
     Ok(Call {
+        stream_key: StreamKey::new(name, first_id.unwrap_or_default()),
+        origin: None,
         relay: Arc::clone(relay),
         connections: CONNECTIONS.with(ConnectionPool::clone),
         deadline_at_ms: deadline_at_ms(arrived_at_ms, route, &metadata),
--- a/crates/relay/src/datagrams.rs
+++ b/crates/relay/src/datagrams.rs
@@ -1,6 +1,7 @@
 //! Datagrams between instances.
 
 use hickorycourse_digest::{MemberDigest, ZoneDigest};
+use hickorycourse_origins::{StreamKey, StreamOrigin};
 use hickorycourse_permits::LimitNotice;
 use hickorycourse_routes::{RouteDocument, UpstreamEntry};
 use serde::{Deserialize, Serialize};
@@ -76,6 +77,27 @@
     },
     /// Digest of an availability zone to the aggregators of the others.
     Zone(Box<ZoneDigest>),
+    /// What began a stream.
+    Origin {
+        /// Identifies the stream.
+        key: StreamKey,
+        /// What began it.
+        origin: StreamOrigin,
+    },
+    /// Query for what began a stream.
+    FindOrigin {
+        /// Identifies the query.
+        nonce: u64,
+        /// Identifies the stream.
+        key: StreamKey,
+    },
+    /// Reply to such a query.
+    FoundOrigin {
+        /// Identifies the query.
+        nonce: u64,
+        /// What began the stream, if it is known.
+        origin: Option<StreamOrigin>,
+    },
     /// Claim for a permit, to the instance that grants those of the upstream.
     Claim {
         /// Identifies the claim.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod management;
 mod members;
 mod messages;
+mod origins;
 mod placing;
 mod planning;
 mod quarantine;
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -190,6 +190,20 @@
         responsive.map(|(name, _)| name.as_str())
     }
 
+    /// Returns the names of the active instances, or of those in one availability zone. Instances that are
+    /// only suspected of having failed are among them: others may not suspect them.
+    pub fn active_names<'a>(
+        &'a self,
+        availability_zone: Option<&'a str>,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a str> {
+        let active = self.others.iter().filter(move |(_, member)| {
+            member.is_active(now_ms)
+                && availability_zone.is_none_or(|zone| zone == member.availability_zone)
+        });
+        active.map(|(name, _)| name.as_str())
+    }
+
     /// Returns the availability zones of the active instances.
     pub fn availability_zones(&self, now_ms: u64) -> BTreeSet<String> {
         self.active_members(now_ms).map(|member| member.availability_zone.clone()).collect()
--- /dev/null
+++ b/crates/relay/src/origins.rs
@@ -0,0 +1,214 @@
+//! Origins of streams: what began a stream is told to a few other instances, and asked of them when the
+//! caller takes the stream up again at another instance.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use hickorycourse_codes::{ErrorCode, Problem};
+use hickorycourse_origins::{StreamKey, StreamOrigin, rank_holders};
+use hickorycourse_routes::{Route, UpstreamPhase};
+use ntex::rt;
+use serde_json::json;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::broadcast::{PeerBroadcast, count_dropped};
+use crate::datagrams::Message;
+use crate::state::Relay;
+
+/// Instances of the own availability zone that are told the origin of a stream, and instances of the whole
+/// fleet: a caller may return through another zone.
+const TOLD: (usize, usize) = (2, 2);
+/// Instances that are asked: more than were told, as some may have joined since.
+const ASKED: (usize, usize) = (3, 3);
+/// Time for the replies.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Queries that wait to be sent.
+const MAX_QUEUED_QUERIES: usize = 256;
+
+/// A query for the origin of a stream, to several instances.
+pub struct OriginQuery {
+    key: StreamKey,
+    addresses: Vec<SocketAddr>,
+    reply: oneshot::Sender<Option<StreamOrigin>>,
+}
+
+impl Relay {
+    /// Records what begins a stream, and tells other instances. Called before the first event is sent to the
+    /// caller: the process may end at any time after.
+    pub fn record_stream_origin(&self, key: StreamKey, origin: &StreamOrigin) {
+        self.origins.lock().record(key, origin.clone(), self.now_ms());
+        let Some(socket) = self.peer_socket.get() else { return };
+        let message = Message::Origin { key, origin: origin.clone() };
+        let mut bytes = Vec::new();
+        if ciborium::into_writer(&message, &mut bytes).is_err() {
+            count_dropped("origin_unencoded");
+            return;
+        }
+        for address in self.origin_holders(key, TOLD) {
+            // A datagram may be lost; others are told, too.
+            if socket.try_send_to(&bytes, address).is_err() {
+                count_dropped("origin_unsent");
+            }
+        }
+    }
+
+    /// Records the origin of a stream that another instance has begun.
+    pub fn apply_stream_origin(&self, key: StreamKey, origin: StreamOrigin) {
+        self.origins.lock().record(key, origin, self.now_ms());
+    }
+
+    fn origin_holders(&self, key: StreamKey, counts: (usize, usize)) -> BTreeSet<SocketAddr> {
+        let now_ms = self.now_ms();
+        let own_zone = self.settings.availability_zone.as_str();
+        let members = self.members.lock();
+        let near = rank_holders(key, members.active_names(Some(own_zone), now_ms));
+        let all = rank_holders(key, members.active_names(None, now_ms));
+        let chosen = near.into_iter().take(counts.0).chain(all.into_iter().take(counts.1));
+        chosen.filter_map(|name| members.address(name)).collect()
+    }
+
+    /// Returns what began the stream that a caller takes up again.
+    ///
+    /// # Errors
+    /// The origin is not known, the route no longer leads to its service, or no upstream of its version is
+    /// left; the stream has to be started anew.
+    pub async fn find_stream_origin(
+        &self,
+        request_id: &str,
+        organisation: Option<&str>,
+        resumed: Option<&str>,
+        route: &Route,
+    ) -> Result<StreamOrigin, Problem> {
+        let named = match resumed {
+            Some(first_id) => self.ask_stream_origin(StreamKey::new(organisation, first_id)).await,
+            None => None,
+        };
+        let origin = named.or_else(|| self.sole_origin(route));
+        let reason = match &origin {
+            None => "no instance knows what began the stream",
+            Some(origin) if !route.targets.iter().any(|t| t.service == origin.service) => {
+                "the route no longer leads to the service that began the stream"
+            }
+            Some(origin) if !self.serves_version(origin) => {
+                "no upstream of the version that began the stream is left"
+            }
+            Some(_) => "",
+        };
+        let outcome = if reason.is_empty() { "found" } else { "rejected" };
+        metrics::counter!("hickorycourse_resumptions_total", "outcome" => outcome).increment(1);
+        self.log.write("stream_taken_up", || {
+            json!({
+                "request": request_id, "resumes": resumed, "origin": origin, "route": route.name,
+                "rejected": (!reason.is_empty()).then_some(reason),
+            })
+        });
+        match origin {
+            Some(origin) if reason.is_empty() => Ok(origin),
+            _ => Err(Problem::new(ErrorCode::StreamNotResumable).with_detail(format!(
+                "{reason}; send the request anew, without the last event's id"
+            ))),
+        }
+    }
+
+    async fn ask_stream_origin(&self, key: StreamKey) -> Option<StreamOrigin> {
+        if let Some(origin) = self.origins.lock().find(key, self.now_ms()) {
+            return Some(origin.clone());
+        }
+        let addresses: Vec<SocketAddr> = self.origin_holders(key, ASKED).into_iter().collect();
+        let queries = self.origin_queries.get().filter(|_| !addresses.is_empty())?;
+        let (reply, receiver) = oneshot::channel();
+        queries.try_send(OriginQuery { key, addresses, reply }).ok()?;
+        receiver.await.ok()?
+    }
+
+    /// Returns the origin of any stream of a route whose service has had one version for as long as streams
+    /// last, and for as long as this process has listed its upstreams.
+    fn sole_origin(&self, route: &Route) -> Option<StreamOrigin> {
+        let now_ms = self.now_ms();
+        let [target] = route.targets.as_slice() else { return None };
+        let since_ms = now_ms.checked_sub(route.timeout_ms)?;
+        self.observe_versions();
+        let versions = self.listed_versions.lock();
+        let version = versions.sole_since(&target.service, since_ms)?;
+        Some(StreamOrigin { service: target.service.clone(), version: version.to_owned() })
+    }
+
+    fn serves_version(&self, origin: &StreamOrigin) -> bool {
+        let directory = self.directory.lock();
+        let mut entries = directory.entries();
+        entries.any(|entry| {
+            entry.service == origin.service
+                && entry.phase == UpstreamPhase::Ready
+                && entry.version.as_deref() == Some(origin.version.as_str())
+        })
+    }
+
+    /// Records the versions that are listed now.
+    pub fn observe_versions(&self) {
+        let now_ms = self.now_ms();
+        let directory = self.directory.lock();
+        let mut versions = self.listed_versions.lock();
+        for entry in directory.entries() {
+            versions.record(&entry.service, entry.version.as_deref(), now_ms);
+        }
+        versions.expire(now_ms);
+    }
+
+    /// Forgets the origins of streams that have ended by now.
+    pub fn expire_origins(&self) {
+        self.observe_versions();
+        self.origins.lock().expire(self.now_ms());
+    }
+}
+
+impl PeerBroadcast {
+    /// Returns the queue of queries for origins, to be passed to
+    /// [`send_origin_queries`](Self::send_origin_queries).
+    pub fn open_origin_queries(&self) -> mpsc::Receiver<OriginQuery> {
+        let (sender, receiver) = mpsc::channel(MAX_QUEUED_QUERIES);
+        // A process opens the queue once.
+        let _ = self.relay.origin_queries.set(sender);
+        receiver
+    }
+
+    /// Sends queries for origins until the queue is closed.
+    pub async fn send_origin_queries(self: Arc<Self>, mut queries: mpsc::Receiver<OriginQuery>) {
+        while let Some(query) = queries.recv().await {
+            rt::spawn(Arc::clone(&self).send_origin_query(query));
+        }
+    }
+
+    /// Asks all holders at once; the first one that knows the origin is enough.
+    async fn send_origin_query(self: Arc<Self>, query: OriginQuery) {
+        let broadcast = &self;
+        let mut replies: FuturesUnordered<_> = query
+            .addresses
+            .iter()
+            .map(|address| async move {
+                let nonce = rand::random();
+                let message = Message::FindOrigin { nonce, key: query.key };
+                broadcast.request(*address, &message, nonce, REPLY_TIMEOUT).await
+            })
+            .collect();
+        let mut found = None;
+        while let Some(reply) = replies.next().await {
+            if let Some(Message::FoundOrigin { origin: Some(origin), .. }) = reply {
+                found = Some(origin);
+                break;
+            }
+        }
+        // The caller may have left meanwhile.
+        let _ = query.reply.send(found);
+    }
+
+    /// Answers the query of another instance.
+    pub fn find_own_origin(&self, nonce: u64, key: StreamKey) -> Message {
+        let now_ms = self.relay.now_ms();
+        let origin = self.relay.origins.lock().find(key, now_ms).cloned();
+        Message::FoundOrigin { nonce, origin }
+    }
+}
--- a/crates/relay/src/placing.rs
+++ b/crates/relay/src/placing.rs
@@ -67,7 +67,7 @@
         let Some(placement_table) = relay.placement_table(&self.service) else {
             return Err(self.failure_problem(retry_state));
         };
-        let request = self.placement_request(&retry_state.excluded);
+        let request = self.placement_request(retry_state);
         let mut placements = placement_table.lock();
         let waited_ms = now_ms.saturating_sub(self.arrived_at_ms);
         let permitted = permit.and_then(|permit| {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -73,6 +73,7 @@
     rt::spawn(Arc::clone(&broadcast).listen());
     rt::spawn(Arc::clone(&broadcast).broadcast_digests());
     rt::spawn(Arc::clone(&broadcast).send_claims(broadcast.open_claims()));
+    rt::spawn(Arc::clone(&broadcast).send_origin_queries(broadcast.open_origin_queries()));
     rt::spawn(store_watch::watch_store(
         Arc::clone(&relay),
         Rc::clone(&adapter.key_value),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -12,6 +12,7 @@
 use hickorycourse_duties::{
     DutyLease, FleetUsage, LeaseOptions, UsageWindows, WallClockEstimator, WindowCounts,
 };
+use hickorycourse_origins::{ListedVersions, OriginTable};
 use hickorycourse_permits::{LimitTable, PermitIssuer};
 use hickorycourse_placement::{
     AdmissionRule, AdmitAll, CostRule, ExpectedWait, LeastRequests, PlacementOptions,
@@ -25,6 +26,7 @@
 use hickorycourse_telemetry::{EventLog, Meter};
 use parking_lot::{Mutex, RwLock};
 use serde_json::json;
+use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc};
 
 use self::store::StoreHealth;
@@ -33,6 +35,7 @@
 use crate::exchange::ExchangeState;
 use crate::limits::RemoteClaim;
 use crate::members::MemberTable;
+use crate::origins::OriginQuery;
 use crate::quarantine_record::StoredQuarantine;
 use crate::settings::{AdmissionPolicy, PlacementPolicy, RelaySettings};
 use crate::view_log::ViewLog;
@@ -100,6 +103,14 @@
     pub permit_issuer: Mutex<PermitIssuer>,
     /// Queue of claims for permits that other instances grant.
     pub remote_claims: OnceLock<mpsc::Sender<RemoteClaim>>,
+    /// Origins of streams that this instance or others have begun.
+    pub origins: Mutex<OriginTable>,
+    /// Versions of services that have been listed lately.
+    pub listed_versions: Mutex<ListedVersions>,
+    /// Queue of queries for origins.
+    pub origin_queries: OnceLock<mpsc::Sender<OriginQuery>>,
+    /// Socket for datagrams to other instances.
+    pub peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Usage counts of all instances.
     pub fleet_usage: Mutex<FleetUsage>,
     placement_tables: RwLock<BTreeMap<String, SharedPlacementTable>>,
@@ -144,6 +155,10 @@
             are_limits_told: AtomicBool::new(false),
             permit_issuer: Mutex::default(),
             remote_claims: OnceLock::new(),
+            origins: Mutex::default(),
+            listed_versions: Mutex::default(),
+            origin_queries: OnceLock::new(),
+            peer_socket: OnceLock::new(),
             fleet_usage: Mutex::default(),
             placement_tables: RwLock::default(),
             caps: Mutex::default(),
@@ -215,6 +230,7 @@
     pub fn put_upstream(&self, entry: UpstreamEntry) {
         let id = entry.id.clone();
         let change = self.directory.lock().put(entry);
+        self.observe_versions();
         self.apply_changes(&[(id, change)]);
     }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -11,7 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 use ntex::io::IoRef;
-use ntex::time::timeout;
+use ntex::time::{sleep, timeout};
 use serde_json::json;
 
 use crate::attempt::{Attempt, OpenedResponse};
@@ -30,6 +30,9 @@
 /// Shortest idle timeout before the first event.
 const MIN_FIRST_EVENT_IDLE_TIMEOUT_MS: u64 = 1_500;
 
+/// Time between two tries to resume a stream while no upstream accepts it.
+const RESUME_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Response to a caller's request for a stream.
 pub enum StreamResponse {
     /// A stream whose first events have arrived.
@@ -64,6 +67,8 @@
     events: EventTracker,
     first_events: Option<Vec<u8>>,
     upstreams: Vec<String>,
+    /// Version of the upstream that brought the first event; `None` if it is not known.
+    version: Option<String>,
     is_ended: bool,
     in_flight: Option<Rc<InFlightGuard>>,
 }
@@ -86,7 +91,8 @@
     last_event_id: Option<u64>,
     in_flight: Rc<InFlightGuard>,
 ) -> Result<StreamResponse, (RetryState, Problem)> {
-    let mut retry_state = RetryState::default();
+    let version = call.origin.as_ref().map(|origin| origin.version.clone());
+    let mut retry_state = RetryState { version, ..RetryState::default() };
     let mut events = EventTracker::resume_after(last_event_id);
     let mut server_error: Option<BufferedResponse> = None;
     loop {
@@ -97,12 +103,15 @@
             }
         };
         let upstream = opened.attempt.placement.upstream.clone();
+        let version = opened.attempt.placement.version.clone();
         let start = wait_for_first_events(&call, &mut retry_state, opened, &mut events).await;
         if !matches!(start, StreamStart::Interrupted(_)) {
             call.count_run();
         }
         match start {
             StreamStart::Stream(started) => {
+                // From the first event on, only upstreams of this version may go on.
+                call.record_origin(version.as_deref());
                 return Ok(StreamResponse::Stream(Box::new(RelayedStream {
                     call,
                     retry_state,
@@ -112,6 +121,7 @@
                     events,
                     first_events: Some(started.first_events),
                     upstreams: vec![upstream],
+                    version,
                     is_ended: false,
                     in_flight: Some(in_flight),
                 })));
@@ -377,13 +387,24 @@
         Err(StreamInterrupted(detail))
     }
 
-    /// Resumes at another upstream after the last event sent to the caller; returns whether an
-    /// upstream accepted.
+    /// Resumes at another upstream of the same version after the last event sent to the caller; returns
+    /// whether an upstream accepted.
     async fn resume(&mut self) -> bool {
         self.events.drop_partial();
-        while self.call.may_retry(&self.retry_state) {
-            let opened = match self.call.open(&mut self.retry_state, self.events.last_id()).await {
+        if self.version.is_none() {
+            return false;
+        }
+        self.retry_state.version.clone_from(&self.version);
+        let call = &self.call;
+        let wait_until_ms = call.relay.now_ms() + call.route.pause_target_ms.unwrap_or_default();
+        while call.may_retry(&self.retry_state) {
+            let opened = match call.open(&mut self.retry_state, self.events.last_id()).await {
                 Ok(opened) => opened,
+                // The version's only upstreams may be starting again, or about to be listed.
+                Err(_) if call.relay.now_ms() < wait_until_ms => {
+                    sleep(RESUME_INTERVAL).await;
+                    continue;
+                }
                 Err(_) => return false,
             };
             let upstream = opened.attempt.placement.upstream.clone();
--- a/crates/routes/src/directory.rs
+++ b/crates/routes/src/directory.rs
@@ -37,6 +37,9 @@
     pub started_at_ms: Option<u64>,
     /// Increases with each entry that the upstream writes between its start and its end.
     pub sequence: u64,
+    /// Version of its software; `None` if not reported.
+    #[serde(default)]
+    pub version: Option<String>,
 }
 
 /// Effect of a directory update on request routing. Log lines contain the names of the variants.
@@ -53,8 +56,8 @@
     Doubted,
     /// An upstream was removed.
     Gone,
-    /// The identifier belongs to another start of the upstream, another service or another address than
-    /// the known entry.
+    /// The identifier belongs to another start of the upstream, another service, another address or another
+    /// version than the known entry.
     Restarted,
 }
 
@@ -78,6 +81,7 @@
             is_reclaimable: false,
             started_at_ms: None,
             sequence: 1,
+            version: None,
         }
     }
 
@@ -86,6 +90,7 @@
         self.started_at_ms == other.started_at_ms
             && self.address == other.address
             && self.service == other.service
+            && self.version == other.version
     }
 
     /// Returns whether this entry was written before `known`, by the same start of the upstream or
--- a/crates/testkit/src/bin/measure/relay_cores.rs
+++ b/crates/testkit/src/bin/measure/relay_cores.rs
@@ -79,6 +79,7 @@
             urgency: (round % 3) as u8,
             seed: round,
             excluded: &[],
+            version: None,
         };
         if let Some(placement) = table.choose(&request, round / 100) {
             table.begin_attempt(&placement, &request, round / 100);
