--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -199,7 +199,7 @@
 /// Returns whether followers need the changes of a key. Records of usage are read from the store by
 /// the holder of the duties.
 fn is_followed(key: &str) -> bool {
-    !key.starts_with(USAGE_REPORT_PREFIX) && key != ERA_RECORD_KEY
+    !key.is_empty() && !key.starts_with(USAGE_REPORT_PREFIX) && key != ERA_RECORD_KEY
 }
 
 fn into_change(item: &KeyValueRecord) -> StoreChange {
@@ -278,6 +278,14 @@
 }
 
 fn decode(relay: &Relay, item: &KeyValueRecord) -> Option<PlatformItem> {
+    if item.key.is_empty() {
+        let revision = item.mod_revision;
+        relay.log.write(
+            "item_ignored",
+            || json!({ "revision": revision, "reason": "its key can't be read" }),
+        );
+        return None;
+    }
     match relay.protocol.decode_item(&item.key, &item.value) {
         Ok(decoded) => Some(decoded),
         Err(reason) => {
