Relay: take a rejection only for the request that it answers

Callers of other systems were told 'not run, try again' for requests that an engine ran, or such a request ran at a second engine: a faulty engine wrote an earlier refusal once more on a kept connection.

Cause here: a response that says 'not executed' was taken for a rejection before its request id was compared. Connections are not reused after a rejection, as before.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -313,13 +313,16 @@
     ) -> Result<OpenedResponse, String> {
         let upstream = attempt.placement.upstream.clone();
         let status = response.status().as_u16();
-        attempt.record_metadata(&metadata);
         let is_own = metadata.request_id.as_deref() == Some(self.request_id.as_str());
-        // The response to another request may be an old one.
-        if is_own || metadata.is_not_run {
+        // A rejection need not name the request. On a connection that has been used before, one that does
+        // not may belong to an earlier request.
+        let is_rejection = metadata.is_not_run
+            && (is_own || (metadata.request_id.is_none() && !connection.is_reused()));
+        if is_own || is_rejection {
+            attempt.record_metadata(&metadata);
             attempt.record_limit(&metadata.limit);
         }
-        if metadata.is_not_run {
+        if is_rejection {
             let failure = format!("refused with {status}");
             self.log_failure(&upstream, &failure, retry_state);
             retry_state.excluded.push(upstream);
