Streams: a resumed stream goes on with the next event or is broken

Callers of other systems found the text of an error, at times its whole head, in the middle of a stream, or a stream that ended as if it were complete: it had broken off, and the next engine answered with an error.

Cause here: a resumption was judged by its status alone. A 200 of another media type, an error as an event without an id, and events after a gap were passed on; an answer without an event, or with only events from before, ended the stream as complete.

Now the media type must be that of the first response and the first event must be the next one: its id is above the last one, and follows it directly where ids have been consecutive. An end without an event counts as broken. A stream without event ids is not resumed.

Two unit tests of the event tracker.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -4,10 +4,24 @@
 /// Largest event that is buffered; bytes without an event's end may come without limit.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
-/// An event that exceeds the limit; its stream must not be read on.
+/// An event that must not be passed on; its stream must not be read on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("an event exceeds the limit of {MAX_EVENT_BYTES} bytes")]
-pub struct EventTooLarge;
+pub enum EventError {
+    /// It exceeds the limit.
+    #[error("an event exceeds the limit of {MAX_EVENT_BYTES} bytes")]
+    TooLarge,
+    /// The first event after a resumption is not the next one.
+    #[error("the resumed stream begins with event {found:?} after event {last}")]
+    NotNext {
+        /// The last event before.
+        last: u64,
+        /// The id of this one, if it has one.
+        found: Option<u64>,
+    },
+}
+
+/// Events with consecutive ids after which the next id is expected to be consecutive, too.
+const MIN_CONSECUTIVE: u64 = 2;
 
 /// Splits the bytes of a stream into complete events and drops events that were received before. An
 /// incomplete event is buffered until its rest arrives, so that a stream that resumes at another
@@ -18,19 +32,54 @@
     /// Length of the part of `partial` that is known not to contain the end of an event.
     scanned: usize,
     last_id: Option<u64>,
+    /// Events passed on since the start of the tracker.
+    events: u64,
+    /// Whether the id of each of them was the next number.
+    is_consecutive: bool,
+    /// Whether the next event is the first one after a resumption.
+    is_resuming: bool,
 }
 
 impl EventTracker {
     /// Creates a tracker for a stream that resumes after the event with this id.
     pub fn resume_after(last_id: Option<u64>) -> Self {
-        Self { partial: Vec::new(), scanned: 0, last_id }
+        Self { last_id, ..Self::default() }
+    }
+
+    /// Expects that the stream goes on, at another upstream, with the event after the last one. An error
+    /// document, a missing event and one that was passed on before are not that event.
+    pub fn expect_next(&mut self) {
+        self.drop_partial();
+        self.is_resuming = true;
+    }
+
+    fn check_resumed(&self, event: &[u8], id: Option<u64>) -> Result<(), EventError> {
+        let Some(last) = self.last_id.filter(|_| self.is_resuming && !is_comment(event)) else {
+            return Ok(());
+        };
+        // Ids rise; whether by one is known from those that were passed on.
+        let must_be_consecutive = self.is_consecutive && self.events >= MIN_CONSECUTIVE;
+        let is_next = id.is_some_and(|id| match must_be_consecutive {
+            true => Some(id) == last.checked_add(1),
+            false => id > last,
+        });
+        if is_next { Ok(()) } else { Err(EventError::NotNext { last, found: id }) }
+    }
+
+    fn record(&mut self, id: Option<u64>) {
+        let Some(id) = id else { return };
+        let is_next = self.last_id.is_none_or(|last| Some(id) == last.checked_add(1));
+        self.is_consecutive = is_next && (self.events == 0 || self.is_consecutive);
+        self.events += 1;
+        self.last_id = Some(id);
+        self.is_resuming = false;
     }
 
     /// Appends bytes; returns the complete new events, byte for byte.
     ///
     /// # Errors
-    /// The incomplete event exceeds the limit.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventTooLarge> {
+    /// The incomplete event exceeds the limit, or a resumed stream does not go on with the next event.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventError> {
         self.partial.extend_from_slice(bytes);
         let mut events = Vec::new();
         let mut start = 0;
@@ -38,10 +87,11 @@
             self.scanned = 0;
             let event = &self.partial[start..start + length];
             let id = read_id(event);
+            self.check_resumed(event, id)?;
             let is_repeated = matches!((id, self.last_id), (Some(id), Some(last)) if id <= last);
             if !is_repeated {
                 events.extend_from_slice(event);
-                self.last_id = id.or(self.last_id);
+                self.record(id);
             }
             start += length;
         }
@@ -50,7 +100,7 @@
         let last_line = self.partial.iter().rposition(|byte| *byte == b'\n');
         self.scanned = last_line.map_or(0, |index| index + 1);
         match self.partial.len() > MAX_EVENT_BYTES {
-            true => Err(EventTooLarge),
+            true => Err(EventError::TooLarge),
             false => Ok(events),
         }
     }
@@ -73,6 +123,12 @@
     }
 }
 
+/// Returns whether an event only has comments, as upstreams send to keep a connection open.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii_end);
+    lines.all(|line| line.is_empty() || line.starts_with(b":")) && event.contains(&b':')
+}
+
 /// Returns the length of the first event, including the blank line that ends it. The search begins at
 /// the start of the line at `from`.
 fn find_event_end(bytes: &[u8], from: usize) -> Option<usize> {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -7,7 +7,7 @@
 use hickorycourse_codes::Problem;
 use hickorycourse_placement::AttemptOutcome;
 use http::HeaderMap;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 use ntex::io::IoRef;
@@ -78,7 +78,8 @@
     connection: UpstreamConnection,
     body: Incoming,
     /// Whether an end without any events is taken for a broken connection: an upstream that ends after
-    /// the head of a response without a length or chunks leaves the same.
+    /// the head of a response without a length or chunks leaves the same, and so may one that does not know
+    /// the stream that it is to resume.
     must_have_events: bool,
 }
 
@@ -209,6 +210,16 @@
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Returns whether two responses have the same media type, whatever its parameters.
+fn is_same_type(one: &HeaderMap, other: &HeaderMap) -> bool {
+    let media_type = |headers: &HeaderMap| {
+        let value = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let essence = value.and_then(|value| value.split(';').next());
+        essence.map(|essence| essence.trim().to_ascii_lowercase())
+    };
+    media_type(one) == media_type(other)
+}
+
 fn split(opened: OpenedResponse) -> (http::response::Parts, UpstreamSource) {
     let OpenedResponse { attempt, connection, response } = opened;
     let (head, body) = response.into_parts();
@@ -285,10 +296,12 @@
             Ok(Some(Ok(frame))) => frame,
         };
         if let Ok(data) = frame.into_data() {
-            source.must_have_events &= data.is_empty();
             match events.push(&data) {
                 Ok(complete_events) if complete_events.is_empty() => {}
-                Ok(complete_events) => return StreamStep::Events(complete_events),
+                Ok(complete_events) => {
+                    source.must_have_events = false;
+                    return StreamStep::Events(complete_events);
+                }
                 Err(error) => return StreamStep::Interrupted(error.to_string()),
             }
         }
@@ -391,7 +404,8 @@
     /// whether an upstream accepted.
     async fn resume(&mut self) -> bool {
         self.events.drop_partial();
-        if self.version.is_none() {
+        // Without the id of an event, an upstream would begin again.
+        if self.version.is_none() || self.events.last_id().is_none() {
             return false;
         }
         self.retry_state.version.clone_from(&self.version);
@@ -408,12 +422,19 @@
                 Err(_) => return false,
             };
             let upstream = opened.attempt.placement.upstream.clone();
-            if opened.response.status().is_success() {
+            let status = opened.response.status();
+            if status.is_success() && is_same_type(&self.headers, opened.response.headers()) {
                 let (_, source) = split(opened);
-                self.source = Some(source);
+                self.source = Some(UpstreamSource { must_have_events: true, ..source });
+                self.events.expect_next();
                 self.upstreams.push(upstream);
                 return true;
             }
+            call.relay.log.write("resumption_failed", || {
+                json!({
+                    "request": call.request_id, "upstream": upstream, "status": status.as_u16(),
+                })
+            });
             self.retry_state.excluded.push(upstream);
             opened.attempt.end(AttemptOutcome::Failed);
         }
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -76,3 +76,38 @@
     assert_eq!(tracker.push(b"\n").unwrap(), b"id: 1\r\ndata: a\r\n\r\n");
     assert_eq!(tracker.push(b"\n").unwrap(), b"\n");
 }
+
+// Guards against the text of an error, and a missing or repeated event, in the middle of a resumed stream.
+#[test]
+fn push_after_resumption_takes_only_the_next_event() {
+    let wrong = [
+        event(1),
+        event(2),
+        event(4),
+        "data: no id\n\n".to_owned(),
+        "event: error\ndata: wrong\n\n".to_owned(),
+        "{\"error\":\"wrong\"}\n\n".to_owned(),
+        "\n".to_owned(),
+    ];
+    for first in wrong {
+        let mut tracker = EventTracker::default();
+        tracker.push(format!("{}{}id: 3\nda", event(1), event(2)).as_bytes()).unwrap();
+        tracker.expect_next();
+        assert!(tracker.push(first.as_bytes()).is_err(), "{first:?}");
+    }
+    let mut tracker = EventTracker::default();
+    tracker.push(format!("{}{}", event(1), event(2)).as_bytes()).unwrap();
+    tracker.expect_next();
+    let next = format!(": wait\n\n{}", event(3));
+    assert_eq!(tracker.push(next.as_bytes()).unwrap(), next.as_bytes());
+    assert_eq!(tracker.last_id(), Some(3));
+}
+
+// Ids need not be consecutive.
+#[test]
+fn push_after_resumption_of_stream_with_steps_takes_a_later_event() {
+    let mut tracker = EventTracker::default();
+    tracker.push(format!("{}{}", event(10), event(20)).as_bytes()).unwrap();
+    tracker.expect_next();
+    assert_eq!(tracker.push(event(30).as_bytes()).unwrap(), event(30).as_bytes());
+}
