--- a/crates/caps/tests/fleet.rs
+++ b/crates/caps/tests/fleet.rs
@@ -35,6 +35,10 @@
     is_cut: fn(usize, u64) -> bool,
     /// Time at which half of the instances restart; 0 for never.
     restart_at_ms: u64,
+    /// Whether an instance restarts in a step.
+    is_restarting: fn(usize, u64) -> bool,
+    /// Whether an instance is frozen at a time; what it is asked meanwhile waits.
+    is_frozen: fn(usize, u64) -> bool,
     /// When the aggregators of the zones are replaced.
     replacement: Replacement,
     successor: Successor,
@@ -84,6 +88,8 @@
             slack: SLACK,
             is_cut: |_, _| false,
             restart_at_ms: 0,
+            is_restarting: |_, _| false,
+            is_frozen: |_, _| false,
             replacement: Replacement::Never,
             successor: Successor::Standby,
             busy_stride: |_| (1, 0),
@@ -182,6 +188,11 @@
                 *member = new_member(number, 2, rate, now_ms);
             }
         }
+        for (number, member) in members.iter_mut().enumerate() {
+            if (pattern.is_restarting)(number, now_ms) {
+                *member = new_member(number, member.boot + 1, rate, now_ms);
+            }
+        }
         for member in &mut members {
             member.cap.set_limits(limits(rate, pattern.slack));
             member.cap.set_wall_time(now_ms);
@@ -208,6 +219,9 @@
                 member.demand = (number as f64 * 0.618).fract() * UNITS_PER_REQUEST;
             }
             member.demand += share * STEP_MS as f64 / 1_000.0;
+            if (pattern.is_frozen)(number, now_ms) {
+                continue;
+            }
             while member.demand >= UNITS_PER_REQUEST {
                 member.demand -= UNITS_PER_REQUEST - f64::EPSILON;
                 if member.cap.try_acquire(UNITS_PER_REQUEST, 1, instances, now_ms).is_ok() {
@@ -224,7 +238,7 @@
 fn exchange(pattern: &Pattern, members: &mut [Member], zones: &mut [Zone], now_ms: u64) {
     for (number, member) in members.iter_mut().enumerate() {
         let phase_ms = (number as u64 * 7) % (EXCHANGE_MS / STEP_MS) * STEP_MS;
-        if now_ms % EXCHANGE_MS != phase_ms {
+        if now_ms % EXCHANGE_MS != phase_ms || (pattern.is_frozen)(number, now_ms) {
             continue;
         }
         let zone_number = number % pattern.zones;
@@ -446,3 +460,35 @@
         }
     }
 }
+
+// Load pattern: half of the instances stand still for 2 s, every 6 s, and then serve what has waited.
+#[test]
+fn flood_with_frozen_instances_stays_within_cap() {
+    for (instances, zones) in REPLACED_SIZES {
+        let is_frozen = |number: usize, now_ms: u64| {
+            number % 2 == 0 && now_ms >= 6_000 && now_ms % 6_000 < 2_000
+        };
+        assert_cap_is_kept(&Pattern { instances, zones, is_frozen, ..Pattern::default() });
+    }
+}
+
+// Load pattern: all instances restart within 10 s, one after the other.
+#[test]
+fn flood_with_restart_of_all_stays_within_cap() {
+    for (instances, zones) in REPLACED_SIZES {
+        let is_restarting = |number: usize, now_ms: u64| {
+            (8_000..18_000).contains(&now_ms) && (now_ms - 8_000) / STEP_MS == number as u64 % 500
+        };
+        assert_cap_is_kept(&Pattern { instances, zones, is_restarting, ..Pattern::default() });
+    }
+}
+
+// Load pattern: the operators lower a cap to a quarter and raise it again within a window, several times. The
+// highest cap of a window binds.
+#[test]
+fn cap_raised_and_lowered_within_window_is_kept() {
+    for (instances, zones) in REPLACED_SIZES {
+        let rate = |now_ms| if now_ms / 2_000 % 2 == 0 { RATE } else { RATE / 4.0 };
+        assert_cap_is_kept(&Pattern { instances, zones, rate, ..Pattern::default() });
+    }
+}
