Usage: keep the counts of windows when instances report in other groups

Members send their newest windows again, but what ended starts had run was lost to the holder of the duties.

The counts of a zone's processes and each sum of the zone are lower bounds of the same value; the highest one applies, so nothing has to be forgotten and nothing is counted twice.

Test: total_over_change_of_grouping_keeps_counts.

--- a/crates/digest/src/aggregator.rs
+++ b/crates/digest/src/aggregator.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use hickorycourse_caps::{CapTotals, EpochUsage};
-use hickorycourse_duties::{FleetUsage, WindowCounts};
+use hickorycourse_duties::{FleetUsage, UsageSource, WindowCounts};
 
 use crate::message::{LoadCounts, MemberDigest, MemberMark, ServiceDigest, ZoneDigest};
 
@@ -100,7 +100,11 @@
                 self.former_starts.pop_front();
             }
         }
-        self.usage.merge(&digest.instance, digest.boot, &digest.windows);
+        let source = UsageSource {
+            availability_zone: &digest.availability_zone,
+            process: Some((&digest.instance, digest.boot)),
+        };
+        self.usage.merge(&source, &digest.windows);
         let name = digest.instance.clone();
         self.members.insert(name, Member { digest, received_at_ms: now_ms, starts });
         true
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -23,5 +23,5 @@
     ZoneCapacity,
 };
 pub use lease::{DutyLease, LeaseAction, LeaseOptions};
-pub use usage_windows::{FleetUsage, UsageWindows, WindowCounts};
+pub use usage_windows::{FleetUsage, UsageSource, UsageWindows, WindowCounts};
 pub use wall_clock::WallClockEstimator;
--- a/crates/duties/src/usage_windows.rs
+++ b/crates/duties/src/usage_windows.rs
@@ -56,60 +56,117 @@
     }
 }
 
+/// Whose executions a report counts.
+#[derive(Clone, Copy, Debug)]
+pub struct UsageSource<'a> {
+    /// The availability zone.
+    pub availability_zone: &'a str,
+    /// The instance and its boot number; `None` for the sum of all instances in the zone. Each start of a
+    /// process has its own boot number, so that a new process does not overwrite its predecessor's
+    /// counts.
+    pub process: Option<(&'a str, u64)>,
+}
+
+/// Counts by window and organisation.
+type Counts = BTreeMap<u64, BTreeMap<String, u64>>;
+
 /// Executions of all processes, as far as their broadcasts have been received.
 #[derive(Clone, Debug, Default)]
 pub struct FleetUsage {
-    /// Counts by window and organisation, keyed by instance and boot number. Each start of a process
-    /// has its own boot number, so that a new process does not overwrite its predecessor's counts.
-    processes: HashMap<(String, u64), BTreeMap<u64, BTreeMap<String, u64>>>,
+    zones: HashMap<String, ZoneUsage>,
 }
 
-impl FleetUsage {
-    /// Merges the counts of one process. Counts only grow and the larger one wins, so duplicated
-    /// and reordered messages have no effect.
-    pub fn merge(&mut self, instance: &str, boot: u64, windows: &[WindowCounts]) {
-        let known = self.processes.entry((instance.to_owned(), boot)).or_default();
-        for window in windows {
-            let counts = known.entry(window.window).or_default();
-            for (organisation, count) in &window.counts {
-                let highest = counts.entry(organisation.clone()).or_default();
-                *highest = (*highest).max(*count);
+/// Executions in one availability zone.
+#[derive(Clone, Debug, Default)]
+struct ZoneUsage {
+    /// Counts by instance and boot number.
+    processes: HashMap<(String, u64), Counts>,
+    /// The highest sums of all processes that were reported.
+    sums: Counts,
+}
+
+impl ZoneUsage {
+    /// Returns the executions in `window`. The counts of the processes that have been heard and each sum
+    /// are lower bounds, whichever way the processes report, so the highest one applies.
+    fn total(&self, window: u64) -> BTreeMap<String, u64> {
+        let mut total: BTreeMap<String, u64> = BTreeMap::new();
+        for counts in self.processes.values().filter_map(|windows| windows.get(&window)) {
+            for (organisation, count) in counts {
+                *total.entry(organisation.clone()).or_default() += count;
             }
         }
-        while known.len() > RETAINED_WINDOWS {
-            known.pop_first();
+        for (organisation, count) in self.sums.get(&window).into_iter().flatten() {
+            let highest = total.entry(organisation.clone()).or_default();
+            *highest = (*highest).max(*count);
+        }
+        total
+    }
+
+    fn windows(&self) -> impl Iterator<Item = u64> {
+        let reported = self.processes.values().chain(std::iter::once(&self.sums));
+        reported.flat_map(|windows| windows.keys().copied())
+    }
+}
+
+fn merge_counts(known: &mut Counts, windows: &[WindowCounts]) {
+    for window in windows {
+        let counts = known.entry(window.window).or_default();
+        for (organisation, count) in &window.counts {
+            let highest = counts.entry(organisation.clone()).or_default();
+            *highest = (*highest).max(*count);
+        }
+    }
+    while known.len() > RETAINED_WINDOWS {
+        known.pop_first();
+    }
+}
+
+impl FleetUsage {
+    /// Merges reported counts. They only grow and the larger one wins, so duplicated and reordered messages
+    /// have no effect.
+    pub fn merge(&mut self, source: &UsageSource<'_>, windows: &[WindowCounts]) {
+        let zone = self.zones.entry(source.availability_zone.to_owned()).or_default();
+        match source.process {
+            None => merge_counts(&mut zone.sums, windows),
+            Some((instance, boot)) => {
+                let known = zone.processes.entry((instance.to_owned(), boot)).or_default();
+                merge_counts(known, windows);
+            }
         }
     }
 
     /// Returns the executions per organisation in `window`, summed over all processes.
     pub fn total(&self, window: u64) -> BTreeMap<String, u64> {
         let mut total: BTreeMap<String, u64> = BTreeMap::new();
-        for counts in self.processes.values().filter_map(|windows| windows.get(&window)) {
-            for (organisation, count) in counts {
-                *total.entry(organisation.clone()).or_default() += count;
-            }
+        for (organisation, count) in self.zones.values().flat_map(|zone| zone.total(window)) {
+            *total.entry(organisation).or_default() += count;
         }
         total
     }
 
     /// Returns the totals of up to `limit` windows, newest first.
     pub fn newest_totals(&self, limit: usize) -> Vec<WindowCounts> {
-        let windows: BTreeSet<u64> =
-            self.processes.values().flat_map(|windows| windows.keys().copied()).collect();
+        let windows: BTreeSet<u64> = self.zones.values().flat_map(ZoneUsage::windows).collect();
         let newest = windows.into_iter().rev().take(limit);
         newest.map(|window| WindowCounts { window, counts: self.total(window) }).collect()
     }
 
     /// Returns the newest window with a count; `None` without one.
     pub fn newest_window(&self) -> Option<u64> {
-        let newest = self.processes.values().filter_map(|windows| windows.last_key_value());
-        newest.map(|(window, _)| *window).max()
+        self.zones.values().flat_map(ZoneUsage::windows).max()
     }
 
-    /// Evicts processes whose newest window precedes `window`.
+    /// Evicts processes and sums whose newest window precedes `window`.
     pub fn evict_before(&mut self, window: u64) {
-        self.processes.retain(|_, windows| {
+        let is_newer = |windows: &Counts| {
             windows.last_key_value().is_some_and(|(newest, _)| *newest >= window)
-        });
+        };
+        for zone in self.zones.values_mut() {
+            zone.processes.retain(|_, windows| is_newer(windows));
+            if !is_newer(&zone.sums) {
+                zone.sums.clear();
+            }
+        }
+        self.zones.retain(|_, zone| !zone.processes.is_empty() || !zone.sums.is_empty());
     }
 }
--- a/crates/duties/tests/time_and_usage.rs
+++ b/crates/duties/tests/time_and_usage.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use hickorycourse_duties::{FleetUsage, UsageWindows, WallClockEstimator, WindowCounts};
+use hickorycourse_duties::{
+    FleetUsage, UsageSource, UsageWindows, WallClockEstimator, WindowCounts,
+};
 
 const START_MS: u64 = 1_700_000_000_000;
 
@@ -33,14 +35,42 @@
     WindowCounts { window, counts: BTreeMap::from([("dealer".to_owned(), count)]) }
 }
 
+fn process(instance: &str, boot: u64) -> UsageSource<'_> {
+    UsageSource { availability_zone: "east", process: Some((instance, boot)) }
+}
+
+// Guards against counts that are forgotten, or counted twice, when processes report through an aggregator from
+// now on, or to all again.
+#[test]
+fn total_over_change_of_grouping_keeps_counts() {
+    let mut usage = FleetUsage::default();
+    usage.merge(&process("a", 1), &[counts(7, 5)]);
+    usage.merge(&process("ended", 1), &[counts(7, 3)]);
+    let sum = UsageSource { availability_zone: "east", process: None };
+    usage.merge(&sum, &[counts(7, 6)]);
+    assert_eq!(
+        usage.total(7).get("dealer"),
+        Some(&8),
+        "the aggregator does not know the ended one"
+    );
+    usage.merge(&sum, &[counts(7, 12)]);
+    let other_zone = UsageSource { availability_zone: "west", process: None };
+    usage.merge(&other_zone, &[counts(7, 1)]);
+    assert_eq!(usage.total(7).get("dealer"), Some(&13));
+    usage.merge(&process("a", 1), &[counts(7, 6)]);
+    assert_eq!(usage.total(7).get("dealer"), Some(&13));
+    usage.evict_before(8);
+    assert_eq!(usage.newest_window(), None);
+}
+
 #[test]
 fn total_ignores_duplicates_and_keeps_ended_process() {
     let mut usage = FleetUsage::default();
-    usage.merge("a", 1, &[counts(7, 5)]);
-    usage.merge("a", 1, &[counts(7, 9)]);
-    usage.merge("a", 1, &[counts(7, 8)]);
-    usage.merge("a", 2, &[counts(7, 2)]);
-    usage.merge("b", 1, &[counts(7, 4), counts(8, 1)]);
+    usage.merge(&process("a", 1), &[counts(7, 5)]);
+    usage.merge(&process("a", 1), &[counts(7, 9)]);
+    usage.merge(&process("a", 1), &[counts(7, 8)]);
+    usage.merge(&process("a", 2), &[counts(7, 2)]);
+    usage.merge(&process("b", 1), &[counts(7, 4), counts(8, 1)]);
     assert_eq!(usage.total(7).get("dealer"), Some(&15));
     usage.evict_before(8);
     assert_eq!(usage.total(8).get("dealer"), Some(&1));
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -14,7 +14,7 @@
 use futures_util::future::select;
 use hickorycourse_caps::UsageReport;
 use hickorycourse_digest::{MemberDigest, ServiceDigest};
-use hickorycourse_duties::WindowCounts;
+use hickorycourse_duties::{UsageSource, WindowCounts};
 use hickorycourse_placement::{TokenDemand, UpstreamLoad, WaitingRequests};
 use hickorycourse_telemetry::EventLog;
 use ntex::time::{sleep, timeout};
@@ -314,7 +314,11 @@
             reported_at_ms: now_ms,
         };
         relay.apply_cap_usage(&digest.cap_usage, &report);
-        relay.fleet_usage.lock().merge(name, digest.boot, &digest.windows);
+        let source = UsageSource {
+            availability_zone: &digest.availability_zone,
+            process: Some((name, digest.boot)),
+        };
+        relay.fleet_usage.lock().merge(&source, &digest.windows);
         apply_services(relay, name, &digest.services, 1, now_ms);
     }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -13,6 +13,7 @@
 use hickorycourse_digest::{
     AGGREGATORS_PER_ZONE, MemberDigest, OwnDigests, ZoneAggregator, ZoneDigest, rank_aggregators,
 };
+use hickorycourse_duties::UsageSource;
 use hickorycourse_quarantine::QuarantineDigest;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
@@ -496,7 +497,8 @@
             reported_at_ms,
         };
         relay.apply_cap_usage(&zone.cap_usage, &report);
-        relay.fleet_usage.lock().merge(&peer, 0, &zone.windows);
+        let sum = UsageSource { availability_zone: &zone.availability_zone, process: None };
+        relay.fleet_usage.lock().merge(&sum, &zone.windows);
         apply_services(relay, &peer, &zone.services, instances, reported_at_ms);
         self.apply_notices(&zone.departures, &zone.committed_usage, zone.store_era);
         self.merge_zone_quarantine(&zone);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -10,7 +10,8 @@
 use hickorycourse_caps::{RetryBudgetShare, SharedCap};
 use hickorycourse_clock::{Clock, SystemClock};
 use hickorycourse_duties::{
-    DutyLease, FleetUsage, LeaseOptions, UsageWindows, WallClockEstimator, WindowCounts,
+    DutyLease, FleetUsage, LeaseOptions, UsageSource, UsageWindows, WallClockEstimator,
+    WindowCounts,
 };
 use hickorycourse_origins::{ListedVersions, OriginTable};
 use hickorycourse_permits::{LimitTable, PermitIssuer};
@@ -366,7 +367,11 @@
         if self.exchange.lock().is_aggregated() {
             return;
         }
-        self.fleet_usage.lock().merge(&self.settings.instance, self.boot, &windows);
+        let source = UsageSource {
+            availability_zone: &self.settings.availability_zone,
+            process: Some((&self.settings.instance, self.boot)),
+        };
+        self.fleet_usage.lock().merge(&source, &windows);
     }
 
     /// Returns the newest usage windows of this process, for the digest.
--- a/crates/relay/src/state/limits.rs
+++ b/crates/relay/src/state/limits.rs
@@ -5,7 +5,6 @@
 use hickorycourse_caps::{
     CapLimits, EpochUsage, RetryBudgetLimits, RetryBudgetShare, SharedCap, UsageReport,
 };
-use hickorycourse_duties::FleetUsage;
 use hickorycourse_routes::UsageCap;
 use serde_json::json;
 
@@ -134,7 +133,6 @@
         for (_, placement_table) in self.placement_tables() {
             placement_table.lock().clear_peers();
         }
-        *self.fleet_usage.lock() = FleetUsage::default();
     }
 
     /// Records a request to a service; the retry budget grows with the number of requests.
--- a/crates/testkit/src/bin/measure/relay_cores.rs
+++ b/crates/testkit/src/bin/measure/relay_cores.rs
@@ -6,7 +6,7 @@
 use hickorycourse_digest::{MemberDigest, ServiceDigest, ZoneAggregator, ZoneDigest};
 use hickorycourse_duties::{
     CapacityCounts, CapacityDemand, CapacityPlanner, CapacityPlannerOptions, FleetUsage,
-    WindowCounts, ZoneCapacity,
+    UsageSource, WindowCounts, ZoneCapacity,
 };
 use hickorycourse_placement::{
     ExpectedWait, PlacementOptions, PlacementRequest, PlacementTable, PromptPart, TargetAdmission,
@@ -128,7 +128,9 @@
     let windows = [WindowCounts { window: 1, counts }];
     let mut usage = FleetUsage::default();
     let merge_us = time_us(20_000, |round| {
-        usage.merge(&format!("relay-{}", round as usize % count), 1, &windows);
+        let name = format!("relay-{}", round as usize % count);
+        let source = UsageSource { availability_zone: "zone-0", process: Some((&name, 1)) };
+        usage.merge(&source, &windows);
     });
     let total_us = time_us(200, |_| {
         std::hint::black_box(usage.total(1));
