--- a/crates/caps/tests/fleet.rs
+++ b/crates/caps/tests/fleet.rs
@@ -466,7 +466,7 @@
 fn flood_with_frozen_instances_stays_within_cap() {
     for (instances, zones) in REPLACED_SIZES {
         let is_frozen = |number: usize, now_ms: u64| {
-            number % 2 == 0 && now_ms >= 6_000 && now_ms % 6_000 < 2_000
+            number.is_multiple_of(2) && now_ms >= 6_000 && now_ms % 6_000 < 2_000
         };
         assert_cap_is_kept(&Pattern { instances, zones, is_frozen, ..Pattern::default() });
     }
