Origins: select holders without sorting all instances, bound names in datagrams

A forged datagram could have filled the table with long names; they are dropped (origin_invalid) now. At 1,100 instances two sorts for each stream would have cost more than what a node may spend.

--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Free of I/O: the current time is an argument and nothing is sent. The instance that begins a stream
 //! records its [`StreamOrigin`] in its own [`OriginTable`] and tells a few others, which are chosen by
-//! [`rank_holders`] from the stream's [`StreamKey`]. An instance that is to resume a stream asks the same
+//! [`choose_holders`] from the stream's [`StreamKey`]. An instance that is to resume a stream asks the same
 //! ones. An origin that none of them knows is unknown, and such a stream is not resumed, unless
 //! [`ListedVersions`] shows that only one version can have begun it.
 
@@ -15,6 +15,6 @@
     pub use crate::{ListedVersions, OriginTable, StreamKey, StreamOrigin};
 }
 
-pub use holders::rank_holders;
+pub use holders::choose_holders;
 pub use table::{OriginTable, StreamKey, StreamOrigin};
 pub use versions::ListedVersions;
--- a/crates/origins/src/table.rs
+++ b/crates/origins/src/table.rs
@@ -11,6 +11,8 @@
 
 /// Time after which the origin of a stream is forgotten.
 const RETENTION_MS: u64 = 60_000;
+/// Longest name of a service or version.
+const MAX_NAME_BYTES: usize = 256;
 /// Origins that are kept; the oldest ones are forgotten first.
 const MAX_ORIGINS: usize = 65_536;
 
@@ -64,6 +66,13 @@
     recorded: VecDeque<(u64, StreamKey)>,
 }
 
+impl StreamOrigin {
+    /// Returns whether the names are of a length that is believed.
+    pub fn is_valid(&self) -> bool {
+        self.service.len() <= MAX_NAME_BYTES && self.version.len() <= MAX_NAME_BYTES
+    }
+}
+
 impl OriginTable {
     /// Records the origin of a stream, which has begun or goes on. A stream with two different origins has
     /// none that is known.
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -9,7 +9,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hickorycourse_codes::{ErrorCode, Problem};
-use hickorycourse_origins::{StreamKey, StreamOrigin, rank_holders};
+use hickorycourse_origins::{StreamKey, StreamOrigin, choose_holders};
 use hickorycourse_routes::{Route, UpstreamPhase};
 use ntex::rt;
 use serde_json::json;
@@ -58,17 +58,20 @@
 
     /// Records the origin of a stream that another instance has begun.
     pub fn apply_stream_origin(&self, key: StreamKey, origin: StreamOrigin) {
-        self.origins.lock().record(key, origin, self.now_ms());
+        if origin.is_valid() {
+            self.origins.lock().record(key, origin, self.now_ms());
+        } else {
+            count_dropped("origin_invalid");
+        }
     }
 
     fn origin_holders(&self, key: StreamKey, counts: (usize, usize)) -> BTreeSet<SocketAddr> {
         let now_ms = self.now_ms();
         let own_zone = self.settings.availability_zone.as_str();
         let members = self.members.lock();
-        let near = rank_holders(key, members.active_names(Some(own_zone), now_ms));
-        let all = rank_holders(key, members.active_names(None, now_ms));
-        let chosen = near.into_iter().take(counts.0).chain(all.into_iter().take(counts.1));
-        chosen.filter_map(|name| members.address(name)).collect()
+        let near = choose_holders(key, members.active_names(Some(own_zone), now_ms), counts.0);
+        let all = choose_holders(key, members.active_names(None, now_ms), counts.1);
+        near.into_iter().chain(all).filter_map(|name| members.address(name)).collect()
     }
 
     /// Returns what began the stream that a caller takes up again.
