--- a/crates/caps/src/lib.rs
+++ b/crates/caps/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod decaying_sum;
 mod epoch_counter;
+mod reported_usage;
 mod retry_budget_share;
 mod shared_cap;
 
@@ -19,5 +20,6 @@
 }
 
 pub use epoch_counter::{CapTotals, EPOCH_MS, EpochCounter, EpochUsage, epoch_at};
+pub use reported_usage::UsageReport;
 pub use retry_budget_share::{RetryBudgetLimits, RetryBudgetShare};
-pub use shared_cap::{CapLimits, ReportSummary, SharedCap, UsageReport};
+pub use shared_cap::{CapLimits, ReportSummary, SharedCap};
--- a/crates/caps/src/shared_cap.rs
+++ b/crates/caps/src/shared_cap.rs
@@ -4,6 +4,7 @@
 
 use crate::decaying_sum::DecayingSum;
 use crate::epoch_counter::{CapTotals, EpochCounter, EpochUsage, epoch_at};
+use crate::reported_usage::{RATE_TIME_CONSTANT_MS, ReportedRates, UsageReport, ZoneUsage};
 
 /// Fraction of a full bucket that each rank reserves for the next more urgent one, so that the urgent
 /// requests of an organisation over its cap take precedence.
@@ -13,9 +14,6 @@
 /// Fraction of a full bucket above which a request counts as large. Only large requests observe the
 /// reserve.
 const LARGE_REQUEST_FRACTION: f64 = 0.002;
-/// Time constant of the averages of used and requested units per second. Long enough that a single
-/// large request isn't mistaken for a sustained rate.
-const RATE_TIME_CONSTANT_MS: f64 = 1_000.0;
 /// Time without reports after which a peer is removed.
 const PEER_EXPIRY_MS: u64 = 20_000;
 /// Fraction of a full bucket that is available at process start, when the usage of the peers is unknown;
@@ -49,22 +47,6 @@
     pub oldest_age_ms: u64,
 }
 
-/// Usage that peers have reported.
-#[derive(Clone, Copy, Debug)]
-pub struct UsageReport<'a> {
-    /// Availability zone of the peers.
-    pub availability_zone: &'a str,
-    /// The peer that reports, with the identifier of its start; `None` for the sum of the peers in the
-    /// zone.
-    pub peer: Option<(&'a str, u64)>,
-    /// Number of peers whose usage the report contains.
-    pub instances: usize,
-    /// Their usage in recent epochs.
-    pub usage: &'a [EpochUsage],
-    /// Time at which the report was made.
-    pub reported_at_ms: u64,
-}
-
 /// Number of report intervals without a report after which a peer is stale.
 const STALE_REPORT_INTERVALS: u64 = 2;
 /// Minimum time without a report after which a peer is stale, if the report interval is short.
@@ -136,83 +118,6 @@
     }
 }
 
-/// Estimates from the reports of one source: a peer, or the peers of an availability zone together.
-#[derive(Clone, Copy, Debug)]
-struct ReportedRates {
-    /// Instances whose usage the reports contain.
-    instances: usize,
-    /// Used units per second, averaged over the last reports.
-    used_rate: f64,
-    /// Requested units per second, averaged over the last reports.
-    requested_rate: f64,
-    reported_at_ms: u64,
-    /// Extrapolated usage deducted from the level since the last report; the next report replaces it by
-    /// the counted usage.
-    extrapolated: f64,
-}
-
-/// What is known of the peers in one availability zone.
-#[derive(Clone, Debug, Default)]
-struct ZoneUsage {
-    /// Their usage that has been applied to the level.
-    counted: EpochCounter,
-    /// Usage of those that report for themselves, by name and start.
-    starts: HashMap<(String, u64), EpochCounter>,
-    /// Estimates by peer; `None` for all peers of the zone.
-    rates: HashMap<Option<String>, ReportedRates>,
-}
-
-impl ZoneUsage {
-    /// Records a report; returns the usage that was not known before. Each report is a lower bound of
-    /// what the zone has used, whoever made it, so the highest bound of each epoch is kept.
-    fn record(&mut self, report: &UsageReport<'_>, now_ms: u64) -> CapTotals {
-        let mut growth = CapTotals::default();
-        for (epoch, used, refused) in report.usage {
-            let reported = CapTotals { used: *used, refused: *refused };
-            let bound = match report.peer {
-                None => reported,
-                Some((name, boot)) => {
-                    let start = self.starts.entry((name.to_owned(), boot)).or_default();
-                    start.raise(*epoch, reported, now_ms);
-                    let starts = self.starts.values().map(|start| start.totals(*epoch));
-                    starts.fold(CapTotals::default(), |sum, totals| CapTotals {
-                        used: sum.used.saturating_add(totals.used),
-                        refused: sum.refused.saturating_add(totals.refused),
-                    })
-                }
-            };
-            let grown = self.counted.raise(*epoch, bound, now_ms);
-            growth.used = growth.used.saturating_add(grown.used);
-            growth.refused = growth.refused.saturating_add(grown.refused);
-        }
-        growth
-    }
-
-    /// Returns whether the source of a report has been heard before.
-    fn is_known(&self, report: &UsageReport<'_>) -> bool {
-        match report.peer {
-            None => !self.counted.is_empty() || self.rates.contains_key(&None),
-            Some((name, boot)) => {
-                self.rates.contains_key(&Some(name.to_owned()))
-                    || self.starts.contains_key(&(name.to_owned(), boot))
-            }
-        }
-    }
-
-    fn is_empty(&self) -> bool {
-        self.rates.is_empty() && self.starts.is_empty() && self.counted.is_empty()
-    }
-
-    fn expire(&mut self, now_ms: u64) {
-        self.counted.expire(now_ms);
-        self.starts.values_mut().for_each(|start| start.expire(now_ms));
-        let rates = &self.rates;
-        self.starts.retain(|(name, _), start| {
-            !start.is_empty() || rates.contains_key(&Some(name.clone()))
-        });
-    }
-}
-
 /// This instance's replica of a token bucket shared by all instances. The level can go below zero by
 /// usage that peers report late; it has to refill before units are granted again.
 #[derive(Clone, Debug)]
@@ -549,45 +454,3 @@
         self.zones.retain(|_, zone| !zone.is_empty());
     }
 }
-
-impl ReportedRates {
-    fn new(report: &UsageReport<'_>) -> Self {
-        Self {
-            instances: report.instances,
-            used_rate: 0.0,
-            requested_rate: 0.0,
-            reported_at_ms: report.reported_at_ms,
-            extrapolated: 0.0,
-        }
-    }
-
-    fn is_stale(&self, stale_after_ms: u64, now_ms: u64) -> bool {
-        now_ms.saturating_sub(self.reported_at_ms) > stale_after_ms
-    }
-
-    /// Updates the averages by the usage that a report adds; returns the extrapolated usage that it
-    /// replaces.
-    fn apply(&mut self, report: &UsageReport<'_>, growth: CapTotals, stale_after_ms: u64) -> f64 {
-        let used = growth.used as f64;
-        let is_newer = report.reported_at_ms > self.reported_at_ms;
-        // An old report, and one after a long silence, may lack usage that was extrapolated.
-        if !is_newer || self.is_stale(stale_after_ms, report.reported_at_ms) {
-            let covered = self.extrapolated.min(used);
-            self.extrapolated = if is_newer { 0.0 } else { self.extrapolated - covered };
-            if is_newer {
-                self.instances = report.instances;
-                self.reported_at_ms = report.reported_at_ms;
-            }
-            return covered;
-        }
-        let requested = used + growth.refused as f64;
-        let elapsed_ms = (report.reported_at_ms - self.reported_at_ms) as f64;
-        let weight = 1.0 - (-elapsed_ms / RATE_TIME_CONSTANT_MS).exp();
-        let average = |rate: f64, units: f64| rate + (units / elapsed_ms * 1_000.0 - rate) * weight;
-        self.instances = report.instances;
-        self.used_rate = average(self.used_rate, used);
-        self.requested_rate = average(self.requested_rate, requested);
-        self.reported_at_ms = report.reported_at_ms;
-        std::mem::take(&mut self.extrapolated)
-    }
-}
