--- a/crates/caps/tests/fleet.rs
+++ b/crates/caps/tests/fleet.rs
@@ -492,3 +492,26 @@
         assert_cap_is_kept(&Pattern { instances, zones, rate, ..Pattern::default() });
     }
 }
+
+// Load pattern: one of the largest organisations calls for a second every two, each time other instances. What
+// reports tell of demand and use is over when it arrives.
+#[test]
+fn pulsed_flood_that_wanders_stays_within_cap() {
+    for (instances, zones) in REPLACED_SIZES {
+        let demand = |now_ms: u64| match now_ms {
+            0..10_000 => 0.0,
+            _ if (now_ms / 1_000).is_multiple_of(2) => 4.0 * RATE,
+            _ => 0.3 * RATE,
+        };
+        let busy_stride = |now_ms| (15, (now_ms / 1_000 % 15) as usize);
+        let slack = SMALL_SLACK;
+        assert_cap_is_kept(&Pattern {
+            instances,
+            zones,
+            demand,
+            busy_stride,
+            slack,
+            ..Pattern::default()
+        });
+    }
+}
