Origins: record only the version of the entry that is written

Each entry that an upstream writes looked at all that are listed, which at ten thousand upstreams is more than an instance can do. Found by reading the change; no run showed it. The listed ones are looked at with each digest, as before.

--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -230,8 +230,10 @@
     /// Adds or updates an upstream from its entry in the store.
     pub fn put_upstream(&self, entry: UpstreamEntry) {
         let id = entry.id.clone();
+        // An entry may be gone before all that are listed are looked at again.
+        let now_ms = self.now_ms();
+        self.listed_versions.lock().record(&entry.service, entry.version.as_deref(), now_ms);
         let change = self.directory.lock().put(entry);
-        self.observe_versions();
         self.apply_changes(&[(id, change)]);
     }
 
