--- a/crates/testkit/src/link_proxy.rs
+++ b/crates/testkit/src/link_proxy.rs
@@ -112,7 +112,7 @@
 
     /// Sets the fault, which is in effect some milliseconds later.
     pub fn set_fault(&self, fault: LinkFault) {
-        self.fault.send_replace(fault);
+        self.fault.send_if_modified(|current| std::mem::replace(current, fault) != fault);
     }
 
     /// Returns the number of connections that were accepted so far.
