Relay: connections to upstreams through a peer while the own link is cut

Callers of an instance without links to upstreams got a 503 after three failed dials, while other instances served theirs. An instance that cannot connect to an upstream now asks a peer to open the connection and to carry its bytes; the call itself stays where it arrived.

--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -8,4 +8,4 @@
 mod pool;
 
 pub use client::{HttpClient, OpenResponse};
-pub use pool::{ConnectionPool, ExchangeError, UpstreamConnection};
+pub use pool::{Carrier, ConnectionPool, DIAL_TIMEOUT, ExchangeError, UpstreamConnection};
--- a/crates/connections/src/pool.rs
+++ b/crates/connections/src/pool.rs
@@ -13,17 +13,20 @@
 use hyper::{Request, Response, header};
 use hyper_util::rt::TokioIo;
 use ntex::time::timeout;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::{JoinHandle, spawn_local};
 
 /// Timeout for a new connection. Network latency is a few milliseconds; the retransmission of a
 /// lost SYN takes a second, so trying another upstream is faster.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(400);
+pub const DIAL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Idle timeout of a connection if the upstream states none.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 3_000;
 /// Part of the stated idle timeout for which a connection is reused, in percent, so that the
 /// upstream does not close the connection while a request is in transit.
 const IDLE_TIMEOUT_PERCENT: u64 = 60;
+/// Longest idle time of a connection that another process carries; that process may stop.
+const MAX_TUNNEL_IDLE_MS: u64 = 1_000;
 /// Largest head of a response; one that never ends must not fill the memory.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Idle connections in the pool for each upstream.
@@ -51,6 +54,16 @@
 struct PoolKey<K> {
     upstream: K,
     address: SocketAddr,
+    is_tunnelled: bool,
+}
+
+/// The other process that carries a connection.
+pub trait Carrier: std::fmt::Debug {
+    /// Name of the process.
+    fn name(&self) -> &str;
+
+    /// Returns whether the way to the upstream has broken rather than the upstream's connection.
+    fn is_broken(&self) -> bool;
 }
 
 /// Aborts the task that drives a connection, which closes the connection.
@@ -69,6 +82,8 @@
     sender: SendRequest<Full<Bytes>>,
     _task: ConnectionTask,
     pool_key: PoolKey<K>,
+    /// Absent if the connection is direct.
+    carrier: Option<Rc<dyn Carrier>>,
     is_reused: bool,
     idle_since_ms: u64,
     idle_timeout_ms: u64,
@@ -84,11 +99,19 @@
             })?
             .map_err(|error| not_sent(error.to_string()))?;
         stream.set_nodelay(true).map_err(|error| not_sent(error.to_string()))?;
+        Self::open_over(stream, pool_key, None).await
+    }
+
+    async fn open_over(
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        pool_key: PoolKey<K>,
+        carrier: Option<Rc<dyn Carrier>>,
+    ) -> Result<Self, ExchangeError> {
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| not_sent(error.to_string()))?;
+            .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
         let task = spawn_local(async move {
             // The waiting sender receives the error too.
             let _ = connection.await;
@@ -97,6 +120,7 @@
             sender,
             _task: ConnectionTask(task),
             pool_key,
+            carrier,
             is_reused: false,
             idle_since_ms: 0,
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
@@ -115,6 +139,9 @@
         match timeout(limit, self.sender.try_send_request(request)).await {
             Ok(Ok(response)) => {
                 self.idle_timeout_ms = read_idle_timeout_ms(&response);
+                if self.carrier.is_some() {
+                    self.idle_timeout_ms = self.idle_timeout_ms.min(MAX_TUNNEL_IDLE_MS);
+                }
                 Ok(response)
             }
             Ok(Err(mut error)) => {
@@ -138,6 +165,11 @@
         self.is_reused
     }
 
+    /// Returns the process that carries the connection; `None` if it is direct.
+    pub fn carrier(&self) -> Option<&dyn Carrier> {
+        self.carrier.as_deref()
+    }
+
     fn is_reusable(&self, max_idle_ms: u64, now_ms: u64) -> bool {
         let idle_ms = now_ms.saturating_sub(self.idle_since_ms);
         idle_ms < self.idle_timeout_ms.min(max_idle_ms)
@@ -190,17 +222,53 @@
         max_idle_ms: u64,
         now_ms: u64,
     ) -> Result<UpstreamConnection<K>, ExchangeError> {
-        let pool_key = PoolKey { upstream, address };
-        let pooled = self.idle.borrow_mut().get_mut(&pool_key).and_then(|connections| {
-            connections.retain(|connection| connection.is_reusable(u64::MAX, now_ms));
-            connections.pop_if(|connection| connection.is_reusable(max_idle_ms, now_ms))
-        });
-        match pooled {
+        match self.take_idle(upstream.clone(), address, max_idle_ms, now_ms) {
             Some(connection) => Ok(connection),
-            None => UpstreamConnection::open(pool_key).await,
+            None => self.open(upstream, address).await,
         }
     }
 
+    /// Returns the most recently used idle direct connection that has been idle for less than `max_idle_ms`;
+    /// `None` if there is none.
+    pub fn take_idle(
+        &self,
+        upstream: K,
+        address: SocketAddr,
+        max_idle_ms: u64,
+        now_ms: u64,
+    ) -> Option<UpstreamConnection<K>> {
+        let pool_key = PoolKey { upstream, address, is_tunnelled: false };
+        self.take_idle_if(&pool_key, now_ms, |connection| {
+            connection.is_reusable(max_idle_ms, now_ms)
+        })
+    }
+
+    /// As [`take_idle`](Self::take_idle), for connections of carriers that `is_accepted` names.
+    pub fn take_idle_tunnel(
+        &self,
+        upstream: K,
+        address: SocketAddr,
+        now_ms: u64,
+        is_accepted: impl Fn(&str) -> bool,
+    ) -> Option<UpstreamConnection<K>> {
+        let pool_key = PoolKey { upstream, address, is_tunnelled: true };
+        self.take_idle_if(&pool_key, now_ms, |connection| {
+            connection.carrier().is_some_and(|carrier| is_accepted(carrier.name()))
+        })
+    }
+
+    fn take_idle_if(
+        &self,
+        pool_key: &PoolKey<K>,
+        now_ms: u64,
+        is_accepted: impl Fn(&UpstreamConnection<K>) -> bool,
+    ) -> Option<UpstreamConnection<K>> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(pool_key)?;
+        connections.retain(|connection| connection.is_reusable(u64::MAX, now_ms));
+        connections.pop_if(|connection| is_accepted(connection))
+    }
+
     /// Opens a connection without regard to idle ones.
     ///
     /// # Errors
@@ -210,7 +278,22 @@
         upstream: K,
         address: SocketAddr,
     ) -> Result<UpstreamConnection<K>, ExchangeError> {
-        UpstreamConnection::open(PoolKey { upstream, address }).await
+        UpstreamConnection::open(PoolKey { upstream, address, is_tunnelled: false }).await
+    }
+
+    /// Opens a connection over a stream to the upstream that `carrier` carries.
+    ///
+    /// # Errors
+    /// No connection could be opened; nothing was sent.
+    pub async fn open_over(
+        &self,
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        upstream: K,
+        address: SocketAddr,
+        carrier: Rc<dyn Carrier>,
+    ) -> Result<UpstreamConnection<K>, ExchangeError> {
+        let pool_key = PoolKey { upstream, address, is_tunnelled: true };
+        UpstreamConnection::open_over(stream, pool_key, Some(carrier)).await
     }
 
     /// Returns a connection to the pool after a complete response.
--- /dev/null
+++ b/crates/reach/src/link_table.rs
@@ -0,0 +1,329 @@
+//! The instance's own links to the upstreams.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::Rng;
+
+/// Time after which a peer is asked too while the own dial is pending. Network latency is a few
+/// milliseconds.
+pub const PEER_DELAY_MS: u64 = 80;
+/// Upstreams of a scope whose dials have failed without a success in between, from which the scope counts
+/// as cut.
+const MIN_FAILING_UPSTREAMS: usize = 2;
+/// Time until the first probe of a link that has failed.
+const MIN_PROBE_INTERVAL_MS: u64 = 200;
+/// Longest interval between probes.
+const MAX_PROBE_INTERVAL_MS: u64 = 1_000;
+/// Time for which a success shows that the links to an availability zone work.
+const SOUND_MS: u64 = 1_000;
+/// Time for which an upstream that no peer reaches either is dialled without peers.
+const UNREACHABLE_MS: u64 = 1_000;
+
+/// An upstream, as far as its links depend on it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UpstreamView<'a> {
+    /// Identifier of the upstream.
+    pub id: &'a str,
+    /// Its service.
+    pub service: &'a str,
+    /// Its availability zone.
+    pub availability_zone: &'a str,
+}
+
+impl UpstreamView<'_> {
+    /// Scopes that the upstream belongs to, the widest first.
+    fn scopes(&self) -> [LinkScope; 3] {
+        [
+            LinkScope::All,
+            LinkScope::AvailabilityZone(self.availability_zone.to_owned()),
+            LinkScope::Service(self.service.to_owned()),
+        ]
+    }
+}
+
+/// Links that can be cut together.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum LinkScope {
+    /// The links to all upstreams.
+    All,
+    /// The links to the upstreams in one availability zone.
+    AvailabilityZone(String),
+    /// The links to the upstreams of one service.
+    Service(String),
+    /// The link to one upstream.
+    Upstream(String),
+}
+
+impl LinkScope {
+    /// Returns the kind of the scope and the name within it, for logs.
+    pub fn labels(&self) -> (&'static str, &str) {
+        match self {
+            Self::All => ("all", ""),
+            Self::AvailabilityZone(name) => ("availability_zone", name),
+            Self::Service(name) => ("service", name),
+            Self::Upstream(name) => ("upstream", name),
+        }
+    }
+}
+
+/// A change of what is known of the own links.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LinkChange {
+    /// The links of a scope are cut.
+    Cut(LinkScope),
+    /// The links of a scope work again.
+    Restored(LinkScope),
+}
+
+/// How an upstream is to be connected.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DialPlan {
+    /// Directly; peers can't help.
+    Direct,
+    /// Directly, and through a peer after this time or as soon as the direct dial fails. The first connection
+    /// is used.
+    DirectThenPeer {
+        /// Time until a peer is asked.
+        delay_ms: u64,
+    },
+    /// Through a peer.
+    PeerFirst {
+        /// Whether a direct dial is due beside it, to notice the end of the cut.
+        is_probe_due: bool,
+        /// Whether a direct dial is made if no peer opens a connection.
+        may_dial_directly: bool,
+    },
+}
+
+/// When a link that has failed is dialled again.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    due_at_ms: u64,
+    interval_ms: u64,
+}
+
+impl Probe {
+    fn new(now_ms: u64) -> Self {
+        let interval_ms = MIN_PROBE_INTERVAL_MS;
+        Self { due_at_ms: now_ms + interval_ms, interval_ms }
+    }
+
+    /// Returns whether a probe is due, and schedules the next one. The intervals are jittered, so that
+    /// instances that were cut off together do not probe together.
+    fn take_due(&mut self, random: &mut impl Rng, now_ms: u64) -> bool {
+        if now_ms < self.due_at_ms {
+            return false;
+        }
+        self.interval_ms = (self.interval_ms * 3 / 2).min(MAX_PROBE_INTERVAL_MS);
+        self.due_at_ms = now_ms + random.random_range(self.interval_ms / 2..=self.interval_ms);
+        true
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Link {
+    /// Set while the latest direct dial has failed.
+    failure: Option<Probe>,
+    /// Whether the latest request on an open connection got no response in time.
+    is_silent: bool,
+    /// Time until which no peer is expected to reach the upstream either.
+    unreachable_until_ms: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ScopeState {
+    /// Upstreams whose dials have failed since the latest success in this scope.
+    failing: BTreeSet<String>,
+    /// Upstreams with silent connections since the latest response in this scope.
+    silent: BTreeSet<String>,
+    /// Set while the scope is cut.
+    cut: Option<Probe>,
+}
+
+/// Outcomes of the instance's own dials, by upstream.
+#[derive(Clone, Debug, Default)]
+pub struct LinkTable {
+    links: BTreeMap<String, Link>,
+    scopes: BTreeMap<LinkScope, ScopeState>,
+    /// Time of the latest success by availability zone.
+    succeeded_at_ms: BTreeMap<String, u64>,
+}
+
+impl LinkTable {
+    /// Returns how to connect to an upstream. `has_peers` says whether there is a peer to ask.
+    pub fn plan(
+        &mut self,
+        upstream: &UpstreamView<'_>,
+        has_peers: bool,
+        random: &mut impl Rng,
+        now_ms: u64,
+    ) -> DialPlan {
+        if !has_peers {
+            return DialPlan::Direct;
+        }
+        for scope in upstream.scopes() {
+            let state = self.scopes.get_mut(&scope);
+            if let Some(probe) = state.and_then(|state| state.cut.as_mut()) {
+                let is_probe_due = probe.take_due(random, now_ms);
+                return DialPlan::PeerFirst { is_probe_due, may_dial_directly: false };
+            }
+        }
+        let Some(link) = self.links.get_mut(upstream.id) else {
+            return DialPlan::DirectThenPeer { delay_ms: PEER_DELAY_MS };
+        };
+        if now_ms < link.unreachable_until_ms {
+            return DialPlan::Direct;
+        }
+        match &mut link.failure {
+            Some(probe) => {
+                let is_probe_due = probe.take_due(random, now_ms);
+                DialPlan::PeerFirst { is_probe_due, may_dial_directly: true }
+            }
+            None => DialPlan::DirectThenPeer { delay_ms: PEER_DELAY_MS },
+        }
+    }
+
+    /// Returns whether idle direct connections to an upstream may be used. A request that is sent into a
+    /// silent link is lost.
+    pub fn may_use_idle(&self, upstream: &UpstreamView<'_>) -> bool {
+        let is_own_sound = self
+            .links
+            .get(upstream.id)
+            .is_none_or(|link| link.failure.is_none() && !link.is_silent);
+        is_own_sound
+            && upstream.scopes().iter().all(|scope| {
+                self.scopes.get(scope).is_none_or(|state| {
+                    state.cut.is_none() && state.silent.len() < MIN_FAILING_UPSTREAMS
+                })
+            })
+    }
+
+    /// Returns the widest scope of an upstream that is cut, or the upstream itself if its link has failed.
+    pub fn find_cut(&self, upstream: &UpstreamView<'_>) -> Option<LinkScope> {
+        let is_cut =
+            |scope: &LinkScope| self.scopes.get(scope).is_some_and(|state| state.cut.is_some());
+        upstream.scopes().into_iter().find(is_cut).or_else(|| {
+            let link = self.links.get(upstream.id)?;
+            link.failure.map(|_| LinkScope::Upstream(upstream.id.to_owned()))
+        })
+    }
+
+    /// Returns whether a failed dial is more likely the upstream's fault than that of the own links: others in
+    /// its availability zone were reached lately.
+    pub fn is_sound(&self, upstream: &UpstreamView<'_>, now_ms: u64) -> bool {
+        let at_ms = self.succeeded_at_ms.get(upstream.availability_zone);
+        at_ms.is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < SOUND_MS)
+    }
+
+    fn record_success(&mut self, upstream: &UpstreamView<'_>, now_ms: u64) {
+        match self.succeeded_at_ms.get_mut(upstream.availability_zone) {
+            Some(at_ms) => *at_ms = now_ms,
+            None => {
+                self.succeeded_at_ms.insert(upstream.availability_zone.to_owned(), now_ms);
+            }
+        }
+    }
+
+    /// Records that a direct dial has failed, or is pending for so long that a peer was faster.
+    pub fn record_dial_failure(
+        &mut self,
+        upstream: &UpstreamView<'_>,
+        now_ms: u64,
+    ) -> Vec<LinkChange> {
+        let link = self.links.entry(upstream.id.to_owned()).or_default();
+        link.failure.get_or_insert_with(|| Probe::new(now_ms));
+        let mut changes = Vec::new();
+        for scope in upstream.scopes() {
+            let state = self.scopes.entry(scope.clone()).or_default();
+            state.failing.insert(upstream.id.to_owned());
+            if state.cut.is_none() && state.failing.len() >= MIN_FAILING_UPSTREAMS {
+                state.cut = Some(Probe::new(now_ms));
+                changes.push(LinkChange::Cut(scope));
+            }
+        }
+        changes
+    }
+
+    /// Records that a direct dial has succeeded.
+    pub fn record_dial_success(
+        &mut self,
+        upstream: &UpstreamView<'_>,
+        now_ms: u64,
+    ) -> Vec<LinkChange> {
+        self.record_success(upstream, now_ms);
+        let mut changes = Vec::new();
+        let failure = self.links.remove(upstream.id).and_then(|link| link.failure);
+        if failure.is_some() {
+            changes.push(LinkChange::Restored(LinkScope::Upstream(upstream.id.to_owned())));
+        }
+        for scope in upstream.scopes() {
+            let Some(state) = self.scopes.remove(&scope) else { continue };
+            if state.cut.is_none() {
+                continue;
+            }
+            // The failures were those of the scope; its other links are tried again.
+            for id in &state.failing {
+                self.links.remove(id);
+            }
+            changes.push(LinkChange::Restored(scope));
+        }
+        changes
+    }
+
+    /// Records that a response has begun on a direct connection. It says nothing of new connections once
+    /// dials have failed.
+    pub fn record_response(&mut self, upstream: &UpstreamView<'_>, now_ms: u64) {
+        self.record_success(upstream, now_ms);
+        if let Some(link) = self.links.get_mut(upstream.id) {
+            link.is_silent = false;
+        }
+        for scope in upstream.scopes() {
+            if let Some(state) = self.scopes.get_mut(&scope) {
+                state.silent.clear();
+                if state.cut.is_none() {
+                    state.failing.clear();
+                }
+            }
+        }
+    }
+
+    /// Records that a request on a direct connection got no response in time.
+    pub fn record_silence(&mut self, upstream: &UpstreamView<'_>) {
+        self.links.entry(upstream.id.to_owned()).or_default().is_silent = true;
+        for scope in upstream.scopes() {
+            let state = self.scopes.entry(scope).or_default();
+            state.silent.insert(upstream.id.to_owned());
+        }
+    }
+
+    /// Records that peers do not reach an upstream either, so that its failures say nothing of the own
+    /// links.
+    pub fn record_unreachable(
+        &mut self,
+        upstream: &UpstreamView<'_>,
+        now_ms: u64,
+    ) -> Vec<LinkChange> {
+        let link = self.links.entry(upstream.id.to_owned()).or_default();
+        link.failure = None;
+        link.unreachable_until_ms = now_ms + UNREACHABLE_MS;
+        let mut changes = Vec::new();
+        for scope in upstream.scopes() {
+            let Some(state) = self.scopes.get_mut(&scope) else { continue };
+            state.failing.remove(upstream.id);
+            if state.failing.len() < MIN_FAILING_UPSTREAMS && state.cut.take().is_some() {
+                changes.push(LinkChange::Restored(scope));
+            }
+        }
+        changes
+    }
+
+    /// Forgets an upstream that has ended or started again.
+    pub fn forget(&mut self, upstream: &str) {
+        self.links.remove(upstream);
+        self.scopes.retain(|_, state| {
+            state.failing.remove(upstream);
+            state.silent.remove(upstream);
+            state.cut.is_some() || !state.failing.is_empty() || !state.silent.is_empty()
+        });
+    }
+}
--- a/crates/relay/src/buffered_response.rs
+++ b/crates/relay/src/buffered_response.rs
@@ -111,7 +111,7 @@
     let body = match timeout(limit, read_body(&mut attempt, body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::Broken(detail))) => {
-            retry_state.record_broken(attempt);
+            retry_state.record_broken(attempt, &connection);
             return Err(FetchError::Interrupted(detail));
         }
         Ok(Err(error @ BodyError::TooLarge { .. })) => {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -19,7 +19,7 @@
 use crate::adapter::{ResponseMetadata, TokenCounts, UpstreamRequestMetadata};
 use crate::attempt::{Attempt, OpenedResponse};
 use crate::state::Relay;
-use hickorycourse_connections::{ConnectionPool, ExchangeError, UpstreamConnection};
+use hickorycourse_connections::{Carrier, ConnectionPool, ExchangeError, UpstreamConnection};
 
 /// Longest idle time of a pooled connection that is reused for a request that may run at most once.
 /// If the upstream closes the connection while the request is in transit, it is unknown whether the
@@ -106,8 +106,12 @@
 }
 
 impl RetryState {
-    /// Ends an attempt whose connection broke.
-    pub fn record_broken(&mut self, attempt: Attempt) {
+    /// Ends an attempt whose connection broke. The end of a peer that carried it says nothing of the upstream.
+    pub fn record_broken(&mut self, attempt: Attempt, connection: &UpstreamConnection) {
+        if connection.carrier().is_some_and(Carrier::is_broken) {
+            attempt.end(AttemptOutcome::Cancelled);
+            return;
+        }
         self.broken_beginnings += u32::from(attempt.end_broken());
     }
 
@@ -237,16 +241,13 @@
             true => u64::MAX,
             false => MAX_IDLE_NON_IDEMPOTENT_MS,
         };
-        let address = attempt.placement.address;
-        let now_ms = relay.now_ms();
-        let dialled =
-            self.connections.checkout(upstream.clone(), address, max_idle_ms, now_ms).await;
-        let mut connection = match dialled {
+        let target = self.dial_target(&attempt.placement);
+        let mut connection = match self.connect(&target, max_idle_ms).await {
             Ok(connection) => connection,
             Err(error) => {
                 retry_state.failed_dials += 1;
                 retry_state.excluded.push(upstream);
-                attempt.end(AttemptOutcome::Unresponsive);
+                attempt.end(error.outcome());
                 return Err(error.to_string());
             }
         };
@@ -266,6 +267,7 @@
         guard.disarm();
         match result {
             Ok(response) => {
+                relay.record_direct_response(&target, &connection);
                 let status = response.status().as_u16();
                 let metadata = relay.protocol.read_response_head(status, response.headers());
                 self.classify_response(attempt, connection, response, metadata, retry_state)
@@ -282,7 +284,7 @@
                     }
                     ExchangeError::TimedOut(_) => {
                         retry_state.may_have_run = true;
-                        Some(AttemptOutcome::Unresponsive)
+                        Some(relay.record_direct_silence(&target, &connection))
                     }
                     ExchangeError::Interrupted(_) | ExchangeError::InvalidResponse(_) => {
                         retry_state.may_have_run = true;
@@ -294,7 +296,7 @@
                 }
                 match outcome {
                     Some(outcome) => attempt.end(outcome),
-                    None => retry_state.record_broken(attempt),
+                    None => retry_state.record_broken(attempt, &connection),
                 }
                 Err(error.to_string())
             }
--- /dev/null
+++ b/crates/relay/src/forwarding.rs
@@ -0,0 +1,413 @@
+//! Connections to upstreams: directly, or carried by another instance while this one can't reach them.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::{Either, select};
+use hickorycourse_connections::{Carrier, DIAL_TIMEOUT, ExchangeError, UpstreamConnection};
+use hickorycourse_placement::{AttemptOutcome, Placement};
+use hickorycourse_reach::{DialPlan, LinkChange, LinkTable, PeerFault, PeerTable, UpstreamView};
+use hickorycourse_tunnel::{OpenError, OpenRequest, PROTOCOL_VERSION, RefusalReason, TunnelHealth};
+use ntex::rt;
+use ntex::time::sleep;
+use serde_json::json;
+
+use crate::call::Call;
+use crate::state::Relay;
+
+/// Time after which a second peer is asked.
+const SECOND_PEER_DELAY: Duration = Duration::from_millis(100);
+/// Time for a peer to connect to the upstream and reply.
+const TUNNEL_TIMEOUT: Duration = DIAL_TIMEOUT.saturating_add(Duration::from_millis(50));
+
+/// What is known of this instance's links to upstreams, and of peers that carry connections.
+#[derive(Debug, Default)]
+pub struct ReachState {
+    /// This instance's own links.
+    pub links: LinkTable,
+    /// Peers that did not carry a connection lately.
+    pub peers: PeerTable,
+}
+
+/// An upstream to connect to.
+#[derive(Clone, Debug)]
+pub struct DialTarget {
+    upstream: String,
+    address: SocketAddr,
+    service: String,
+    availability_zone: String,
+}
+
+impl DialTarget {
+    fn view(&self) -> UpstreamView<'_> {
+        UpstreamView {
+            id: &self.upstream,
+            service: &self.service,
+            availability_zone: &self.availability_zone,
+        }
+    }
+}
+
+/// Why there is no connection to an upstream; nothing was sent.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum DialError {
+    /// The upstream can't be reached, as far as can be told.
+    #[error("the upstream is not reached: {0}")]
+    Upstream(String),
+    /// This instance's links are cut, and no peer carries the connection.
+    #[error("no way to the upstream: {0}")]
+    Links(String),
+}
+
+impl DialError {
+    /// The outcome of the attempt for the health of the upstream.
+    pub fn outcome(&self) -> AttemptOutcome {
+        match self {
+            Self::Upstream(_) => AttemptOutcome::Unresponsive,
+            Self::Links(_) => AttemptOutcome::Cancelled,
+        }
+    }
+}
+
+/// The peer that carries a connection.
+#[derive(Debug)]
+struct PeerCarrier {
+    name: String,
+    health: TunnelHealth,
+}
+
+impl Carrier for PeerCarrier {
+    fn name(&self) -> &str {
+        &self.name
+    }
+
+    fn is_broken(&self) -> bool {
+        self.health.is_broken()
+    }
+}
+
+/// Why no peer carries a connection.
+#[derive(Debug)]
+struct TunnelFailure {
+    /// Whether a peer says that the upstream can't be reached.
+    is_upstream_unreachable: bool,
+    detail: String,
+}
+
+impl TunnelFailure {
+    fn merge(self, other: Self) -> Self {
+        Self {
+            is_upstream_unreachable: self.is_upstream_unreachable || other.is_upstream_unreachable,
+            detail: format!("{}; {}", self.detail, other.detail),
+        }
+    }
+}
+
+impl Call {
+    /// Returns what is needed to connect to the upstream of a placement.
+    pub fn dial_target(&self, placement: &Placement) -> DialTarget {
+        let directory = self.relay.directory.lock();
+        let entry = directory.get(&placement.upstream);
+        DialTarget {
+            upstream: placement.upstream.clone(),
+            address: placement.address,
+            service: self.service.clone(),
+            availability_zone: entry
+                .map(|entry| entry.availability_zone.clone())
+                .unwrap_or_default(),
+        }
+    }
+
+    /// Returns an idle connection to an upstream, or opens one: directly or through a peer.
+    ///
+    /// # Errors
+    /// There is no connection; nothing was sent.
+    pub async fn connect(
+        &self,
+        target: &DialTarget,
+        max_idle_ms: u64,
+    ) -> Result<UpstreamConnection, DialError> {
+        let relay = &self.relay;
+        let now_ms = relay.now_ms();
+        let has_peers = relay.members.lock().tunnel_candidates(now_ms).next().is_some();
+        let plan = {
+            let links = &mut relay.reach.lock().links;
+            if links.may_use_idle(&target.view()) {
+                let upstream = target.upstream.clone();
+                let idle = &self.connections;
+                if let Some(idle) = idle.take_idle(upstream, target.address, max_idle_ms, now_ms) {
+                    return Ok(idle);
+                }
+            }
+            links.plan(&target.view(), has_peers, &mut rand::rng(), now_ms)
+        };
+        match plan {
+            DialPlan::Direct => {
+                let error = match self.dial_directly(target).await {
+                    Ok(connection) => return Ok(connection),
+                    Err(error) => error.to_string(),
+                };
+                // Without peers to compare with, the upstream is held to be the cause.
+                Err(DialError::Upstream(error))
+            }
+            DialPlan::DirectThenPeer { delay_ms } => {
+                self.dial_with_peers(target, Duration::from_millis(delay_ms)).await
+            }
+            DialPlan::PeerFirst { is_probe_due, may_dial_directly } => {
+                if is_probe_due {
+                    self.spawn_probe(target);
+                }
+                let failure = match self.open_tunnel(target).await {
+                    Ok(connection) => return Ok(connection),
+                    Err(failure) => failure,
+                };
+                if !failure.is_upstream_unreachable && may_dial_directly {
+                    return self
+                        .dial_directly(target)
+                        .await
+                        .map_err(|error| DialError::Links(format!("{error}; {}", failure.detail)));
+                }
+                Err(self.classify_failure(target, failure))
+            }
+        }
+    }
+
+    async fn dial_with_peers(
+        &self,
+        target: &DialTarget,
+        delay: Duration,
+    ) -> Result<UpstreamConnection, DialError> {
+        let relay = &self.relay;
+        let direct = self.dial_directly(target);
+        let tunnel = self.open_tunnel(target);
+        match first_success(direct, delay, tunnel).await {
+            Ok(connection) => {
+                if connection.carrier().is_some() {
+                    relay.record_dial_failure(target);
+                }
+                Ok(connection)
+            }
+            Err((error, failure)) => {
+                if !failure.is_upstream_unreachable {
+                    relay.record_dial_failure(target);
+                }
+                let detail = format!("{error}; {}", failure.detail);
+                Err(self.classify_failure(target, TunnelFailure { detail, ..failure }))
+            }
+        }
+    }
+
+    fn classify_failure(&self, target: &DialTarget, failure: TunnelFailure) -> DialError {
+        let relay = &self.relay;
+        if failure.is_upstream_unreachable {
+            relay.update_links(|links, now_ms| links.record_unreachable(&target.view(), now_ms));
+            return DialError::Upstream(failure.detail);
+        }
+        match relay.reach.lock().links.find_cut(&target.view()) {
+            Some(_) => DialError::Links(failure.detail),
+            None => DialError::Upstream(failure.detail),
+        }
+    }
+
+    async fn dial_directly(
+        &self,
+        target: &DialTarget,
+    ) -> Result<UpstreamConnection, ExchangeError> {
+        let connection = self.connections.open(target.upstream.clone(), target.address).await?;
+        self.relay.record_dial_success(target);
+        Ok(connection)
+    }
+
+    /// Dials a link that is cut, in the background.
+    fn spawn_probe(&self, target: &DialTarget) {
+        let (relay, connections) = (Arc::clone(&self.relay), self.connections.clone());
+        let target = target.clone();
+        drop(rt::spawn(async move {
+            if connections.open(target.upstream.clone(), target.address).await.is_ok() {
+                relay.record_dial_success(&target);
+            }
+        }));
+    }
+
+    /// Returns an idle connection that a peer carries, or asks peers for a new one.
+    async fn open_tunnel(&self, target: &DialTarget) -> Result<UpstreamConnection, TunnelFailure> {
+        let relay = &self.relay;
+        let now_ms = relay.now_ms();
+        let (upstream, address) = (target.upstream.clone(), target.address);
+        let is_accepted = |peer: &str| !relay.members.lock().is_stopping(peer);
+        if let Some(idle) =
+            self.connections.take_idle_tunnel(upstream, address, now_ms, is_accepted)
+        {
+            return Ok(idle);
+        }
+        let chosen: Vec<(String, SocketAddr)> = {
+            let members = relay.members.lock();
+            let zone = &relay.settings.availability_zone;
+            let peers = &relay.reach.lock().peers;
+            let candidates = members.tunnel_candidates(now_ms);
+            let chosen = peers.choose(candidates, zone, &mut rand::rng(), now_ms);
+            chosen.iter().map(|peer| (peer.name.to_owned(), peer.address)).collect()
+        };
+        match chosen.as_slice() {
+            [] => Err(TunnelFailure {
+                is_upstream_unreachable: false,
+                detail: "no peer to ask".to_owned(),
+            }),
+            [only] => self.ask_peer(target, only).await,
+            [first, second, ..] => {
+                let first = self.ask_peer(target, first);
+                let second = self.ask_peer(target, second);
+                let result = first_success(first, SECOND_PEER_DELAY, second).await;
+                result.map_err(|(first, second)| first.merge(second))
+            }
+        }
+    }
+
+    async fn ask_peer(
+        &self,
+        target: &DialTarget,
+        (peer, address): &(String, SocketAddr),
+    ) -> Result<UpstreamConnection, TunnelFailure> {
+        let relay = &self.relay;
+        let started_at_ms = relay.now_ms();
+        let request = OpenRequest {
+            protocol_version: PROTOCOL_VERSION,
+            upstream: target.upstream.clone(),
+            sender: relay.settings.instance.clone(),
+            remaining_ms: self.remaining_ms(),
+        };
+        let opened = hickorycourse_tunnel::open(*address, &request, TUNNEL_TIMEOUT).await;
+        let took_ms = relay.now_ms().saturating_sub(started_at_ms);
+        let outcome = match &opened {
+            Ok(_) => "opened",
+            Err(OpenError::Refused(reason)) => reason.as_str(),
+            Err(OpenError::Failed(_)) => "failed",
+        };
+        metrics::counter!("hickorycourse_tunnel_dials_total", "outcome" => outcome).increment(1);
+        let failure = opened.as_ref().err().map(ToString::to_string);
+        relay.log.write("dialled_through_peer", || {
+            json!({
+                "request": self.request_id, "upstream": target.upstream, "peer": peer,
+                "outcome": outcome, "failure": failure, "took_ms": took_ms,
+            })
+        });
+        let stream = match opened {
+            Ok(stream) => stream,
+            Err(error) => {
+                if let Some(fault) = peer_fault(&error) {
+                    relay.reach.lock().peers.record_fault(peer, fault, relay.now_ms());
+                }
+                return Err(TunnelFailure {
+                    is_upstream_unreachable: is_upstream_unreachable(&error),
+                    detail: format!("{peer}: {error}"),
+                });
+            }
+        };
+        let carrier = Rc::new(PeerCarrier { name: peer.clone(), health: stream.health() });
+        let (upstream, address) = (target.upstream.clone(), target.address);
+        let opened = self.connections.open_over(stream, upstream, address, carrier).await;
+        opened.map_err(|error| TunnelFailure {
+            is_upstream_unreachable: false,
+            detail: format!("{peer}: {error}"),
+        })
+    }
+}
+
+/// Returns why a peer is not asked for a while after it has opened no tunnel.
+fn peer_fault(error: &OpenError) -> Option<PeerFault> {
+    match error {
+        OpenError::Failed(_) => Some(PeerFault::NoReply),
+        OpenError::Refused(RefusalReason::Busy) => Some(PeerFault::Busy),
+        OpenError::Refused(RefusalReason::LinksCut) => Some(PeerFault::LinksCut),
+        OpenError::Refused(RefusalReason::Malformed) => Some(PeerFault::NoReply),
+        OpenError::Refused(RefusalReason::Stopping) => Some(PeerFault::Stopping),
+        OpenError::Refused(
+            RefusalReason::Leaving
+            | RefusalReason::PathCut
+            | RefusalReason::Unreachable
+            | RefusalReason::UnknownUpstream,
+        ) => None,
+    }
+}
+
+fn is_upstream_unreachable(error: &OpenError) -> bool {
+    matches!(
+        error,
+        OpenError::Refused(
+            RefusalReason::Leaving | RefusalReason::Unreachable | RefusalReason::UnknownUpstream
+        )
+    )
+}
+
+/// Runs `first`, and also `second` once `first` has failed or `delay` has passed. Returns the first success,
+/// or both failures.
+async fn first_success<T, E, F>(
+    first: impl Future<Output = Result<T, E>>,
+    delay: Duration,
+    second: impl Future<Output = Result<T, F>>,
+) -> Result<T, (E, F)> {
+    let first = pin!(first);
+    let second = pin!(second);
+    let first = match select(first, pin!(sleep(delay))).await {
+        Either::Left((Ok(value), _)) => return Ok(value),
+        Either::Left((Err(error), _)) => return second.await.map_err(|other| (error, other)),
+        Either::Right(((), first)) => first,
+    };
+    match select(first, second).await {
+        Either::Left((Ok(value), _)) | Either::Right((Ok(value), _)) => Ok(value),
+        Either::Left((Err(error), second)) => second.await.map_err(|other| (error, other)),
+        Either::Right((Err(other), first)) => first.await.map_err(|error| (error, other)),
+    }
+}
+
+impl Relay {
+    /// Changes what is known of the own links, and logs what follows from it.
+    pub fn update_links(&self, update: impl FnOnce(&mut LinkTable, u64) -> Vec<LinkChange>) {
+        let changes = update(&mut self.reach.lock().links, self.now_ms());
+        for change in changes {
+            let (event, scope) = match &change {
+                LinkChange::Cut(scope) => ("link_cut", scope),
+                LinkChange::Restored(scope) => ("link_restored", scope),
+            };
+            let (kind, name) = scope.labels();
+            metrics::counter!("hickorycourse_link_changes_total", "event" => event).increment(1);
+            self.log.write(event, || json!({ "scope": kind, "name": name }));
+        }
+    }
+
+    fn record_dial_failure(&self, target: &DialTarget) {
+        self.update_links(|links, now_ms| links.record_dial_failure(&target.view(), now_ms));
+    }
+
+    fn record_dial_success(&self, target: &DialTarget) {
+        self.update_links(|links, now_ms| links.record_dial_success(&target.view(), now_ms));
+    }
+
+    /// Records that a response has begun, which shows that a direct connection works.
+    pub fn record_direct_response(&self, target: &DialTarget, connection: &UpstreamConnection) {
+        if connection.carrier().is_none() {
+            self.reach.lock().links.record_response(&target.view(), self.now_ms());
+        }
+    }
+
+    /// Records that no response has come in time. Returns the outcome of the attempt for the health of the
+    /// upstream.
+    pub fn record_direct_silence(
+        &self,
+        target: &DialTarget,
+        connection: &UpstreamConnection,
+    ) -> AttemptOutcome {
+        if connection.carrier().is_some() {
+            return AttemptOutcome::Unresponsive;
+        }
+        let links = &mut self.reach.lock().links;
+        links.record_silence(&target.view());
+        match links.find_cut(&target.view()) {
+            Some(_) => AttemptOutcome::Cancelled,
+            None => AttemptOutcome::Unresponsive,
+        }
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod events;
 mod exchange;
 mod follow;
+mod forwarding;
 mod freshness;
 mod limits;
 mod management;
@@ -38,6 +39,7 @@
 mod state;
 mod store_watch;
 mod stream;
+mod tunnels;
 mod view_log;
 
 /// Commonly used types.
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use hickorycourse_reach::PeerCandidate;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
@@ -190,6 +191,23 @@
         responsive.map(|(name, _)| name.as_str())
     }
 
+    /// Returns the instances that are expected to open tunnels.
+    pub fn tunnel_candidates(&self, now_ms: u64) -> impl Iterator<Item = PeerCandidate<'_>> {
+        let expected = self.others.iter().filter(move |(_, member)| {
+            member.is_active(now_ms) && !member.is_stopping && member.suspected_until_ms <= now_ms
+        });
+        expected.map(|(name, member)| PeerCandidate {
+            name,
+            availability_zone: &member.availability_zone,
+            address: member.peer_address,
+        })
+    }
+
+    /// Returns whether an instance is stopping.
+    pub fn is_stopping(&self, instance: &str) -> bool {
+        self.others.get(instance).is_some_and(|member| member.is_stopping)
+    }
+
     /// Returns the names of the active instances, or of those in one availability zone. Instances that are
     /// only suspected of having failed are among them: others may not suspect them.
     pub fn active_names<'a>(
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -24,7 +24,7 @@
 use crate::quarantine_record::maintain_quarantine_record;
 use crate::settings::RelaySettings;
 use crate::state::Relay;
-use crate::{caller, drain, store_watch};
+use crate::{caller, drain, store_watch, tunnels};
 
 /// Idle timeout of callers' connections. Callers close idle connections earlier, so none sends a
 /// request on a connection that this process is closing.
@@ -74,6 +74,14 @@
     rt::spawn(Arc::clone(&broadcast).broadcast_digests());
     rt::spawn(Arc::clone(&broadcast).send_claims(broadcast.open_claims()));
     rt::spawn(Arc::clone(&broadcast).send_origin_queries(broadcast.open_origin_queries()));
+    match tokio::net::TcpListener::bind(settings.peer_address).await {
+        Ok(listener) => drop(rt::spawn(tunnels::serve(Arc::clone(&relay), listener))),
+        // Callers are served without tunnels for other instances.
+        Err(error) => {
+            let reason = error.to_string();
+            relay.log.write("tunnels_unavailable", || json!({ "reason": reason }));
+        }
+    }
     rt::spawn(store_watch::watch_store(
         Arc::clone(&relay),
         Rc::clone(&adapter.key_value),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -34,6 +34,7 @@
 use crate::adapter::Protocol;
 use crate::drain::{DrainState, DrainTimings};
 use crate::exchange::ExchangeState;
+use crate::forwarding::ReachState;
 use crate::limits::RemoteClaim;
 use crate::members::MemberTable;
 use crate::origins::OriginQuery;
@@ -110,6 +111,8 @@
     pub listed_versions: Mutex<ListedVersions>,
     /// Queue of queries for origins.
     pub origin_queries: OnceLock<mpsc::Sender<OriginQuery>>,
+    /// What is known of this instance's links to upstreams, and of peers that carry connections.
+    pub reach: Mutex<ReachState>,
     /// Socket for datagrams to other instances.
     pub peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Usage counts of all instances.
@@ -159,6 +162,7 @@
             origins: Mutex::default(),
             listed_versions: Mutex::default(),
             origin_queries: OnceLock::new(),
+            reach: Mutex::default(),
             peer_socket: OnceLock::new(),
             fleet_usage: Mutex::default(),
             placement_tables: RwLock::default(),
@@ -294,6 +298,9 @@
                 "upstream_changed",
                 || json!({ "upstream": id, "change": format!("{change:?}") }),
             );
+            if matches!(change, DirectoryChange::Gone | DirectoryChange::Restarted) {
+                self.reach.lock().links.forget(id);
+            }
             if *change == DirectoryChange::Restarted {
                 for placement_table in self.placement_tables.read().values() {
                     placement_table.lock().reset_upstream(id);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -242,7 +242,7 @@
     /// As [`fail`](Self::fail), for a connection that broke: the upstream may have ended.
     fn fail_broken(self, call: &Call, retry_state: &mut RetryState, detail: &str) {
         self.log_failure(call, detail);
-        retry_state.record_broken(self.attempt);
+        retry_state.record_broken(self.attempt, &self.connection);
     }
 
     fn log_failure(&self, call: &Call, detail: &str) {
--- a/crates/routes/src/directory.rs
+++ b/crates/routes/src/directory.rs
@@ -308,6 +308,11 @@
         self.upstreams.get(id).is_some_and(|listed| listed.entry.started_at_ms == started_at_ms)
     }
 
+    /// Returns the entry of an upstream; `None` if it is not listed.
+    pub fn get(&self, id: &str) -> Option<&UpstreamEntry> {
+        Some(&self.upstreams.get(id)?.entry)
+    }
+
     /// Returns all entries, including those in their grace period.
     pub fn entries(&self) -> impl Iterator<Item = &UpstreamEntry> {
         self.upstreams.values().map(|listed| &listed.entry)
