--- a/crates/reach/src/link_table.rs
+++ b/crates/reach/src/link_table.rs
@@ -16,6 +16,8 @@
 const MAX_PROBE_INTERVAL_MS: u64 = 1_000;
 /// Time for which a success shows that the links to an availability zone work.
 const SOUND_MS: u64 = 1_000;
+/// Time for which a success shows that idle connections to an availability zone are not silent.
+const PROVEN_MS: u64 = 200;
 /// Time for which an upstream that no peer reaches either is dialled without peers.
 const UNREACHABLE_MS: u64 = 1_000;
 
@@ -211,8 +213,18 @@
     /// Returns whether a failed dial is more likely the upstream's fault than that of the own links: others in
     /// its availability zone were reached lately.
     pub fn is_sound(&self, upstream: &UpstreamView<'_>, now_ms: u64) -> bool {
+        self.success_age_ms(upstream, now_ms) < SOUND_MS
+    }
+
+    /// Returns whether idle connections to an upstream can be relied on: its availability zone has responded
+    /// just before. A new connection proves as much.
+    pub fn is_proven(&self, upstream: &UpstreamView<'_>, now_ms: u64) -> bool {
+        self.success_age_ms(upstream, now_ms) < PROVEN_MS
+    }
+
+    fn success_age_ms(&self, upstream: &UpstreamView<'_>, now_ms: u64) -> u64 {
         let at_ms = self.succeeded_at_ms.get(upstream.availability_zone);
-        at_ms.is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < SOUND_MS)
+        at_ms.map_or(u64::MAX, |at_ms| now_ms.saturating_sub(*at_ms))
     }
 
     fn record_success(&mut self, upstream: &UpstreamView<'_>, now_ms: u64) {
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -135,7 +135,12 @@
         let has_peers = relay.members.lock().tunnel_candidates(now_ms).next().is_some();
         let plan = {
             let links = &mut relay.reach.lock().links;
-            if links.may_use_idle(&target.view()) {
+            // A silent connection costs an idempotent request only a short response timeout.
+            let must_be_proven =
+                self.route.repeat.is_stream() || !self.route.repeat.allows_reexecution();
+            let is_usable =
+                !has_peers || !must_be_proven || links.is_proven(&target.view(), now_ms);
+            if is_usable && links.may_use_idle(&target.view()) {
                 let upstream = target.upstream.clone();
                 let idle = &self.connections;
                 if let Some(idle) = idle.take_idle(upstream, target.address, max_idle_ms, now_ms) {
--- a/crates/relay/src/tunnels.rs
+++ b/crates/relay/src/tunnels.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use futures_util::future::{Either, select};
-use hickorycourse_connections::DIAL_TIMEOUT;
 use hickorycourse_reach::{DialPlan, LinkScope, UpstreamView};
 use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
 use hickorycourse_tunnel::{OpenRequest, RefusalReason, TunnelActivity, accept, carry, refuse};
@@ -19,6 +18,8 @@
 
 use crate::state::{InFlightGuard, Relay};
 
+/// Timeout for the connection to the upstream. The sender has waited for its own dial before.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
 /// Tunnels that this instance carries at a time.
 const MAX_TUNNELS: usize = 512;
 /// Connections of other instances from which new ones are closed without a reply.
