--- a/crates/relay/src/buffered_response.rs
+++ b/crates/relay/src/buffered_response.rs
@@ -112,14 +112,14 @@
     let limit = Duration::from_millis(call.remaining_ms().max(1));
     let body = match timeout(limit, read_body(&mut attempt, body)).await {
         Ok(Ok(body)) if must_have_body && body.is_empty() => {
-            retry_state.record_broken(attempt);
+            retry_state.record_broken(attempt, &connection);
             return Err(FetchError::Interrupted(
                 "the connection ended after the head of the response".to_owned(),
             ));
         }
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::Broken(detail))) => {
-            retry_state.record_broken(attempt);
+            retry_state.record_broken(attempt, &connection);
             return Err(FetchError::Interrupted(detail));
         }
         Ok(Err(error @ BodyError::TooLarge { .. })) => {
