Placement: count a silence once, and end its ejection with progress

Callers saw a sound upstream avoided for seconds after a pause of one: each request that waited in it counted as unresponsive, and the ejection lasted for its full time although the upstream had gone on.

The attempts that see a silence are one piece of evidence now, and any progress at the upstream ends the ejection. Two attempts that find an upstream silent still eject it, as before: a dead one is avoided as soon. Failed connections count as before, whatever older connections do.

--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -1,5 +1,7 @@
 //! Passive health checks: ejects upstreams whose attempts fail (outlier ejection).
 
+use crate::silence::Silence;
+
 /// Outcome of an attempt, as far as it concerns the health of its upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptOutcome {
@@ -9,7 +11,9 @@
     Failed,
     /// The upstream refused the request without running it.
     Refused,
-    /// The attempt timed out without a response, or no connection could be established.
+    /// The attempt was given up at its deadline, while its connection was open.
+    Silent,
+    /// No connection could be established.
     Unresponsive,
     /// The caller disconnected, or the attempt ended for another reason unrelated to the upstream.
     Cancelled,
@@ -36,14 +40,18 @@
     ejected_until_ms: u64,
     /// After an ejection, only one request is in flight at a time until one is answered.
     is_probing: bool,
+    silence: Silence,
 }
 
 impl Health {
-    /// Records the outcome of an attempt and ejects the upstream if it has failed too often.
-    pub fn record(&mut self, outcome: AttemptOutcome, now_ms: u64) {
+    /// Records the outcome of an attempt, begun at `started_at_ms`, and ejects the upstream if it has
+    /// failed too often.
+    pub fn record(&mut self, outcome: AttemptOutcome, started_at_ms: u64, now_ms: u64) {
         match outcome {
             AttemptOutcome::Cancelled => return,
+            AttemptOutcome::Silent => return self.record_silence(started_at_ms, now_ms),
             AttemptOutcome::Answered => {
+                self.silence.record_progress();
                 self.failure_rate *= 1.0 - FAILURE_RATE_WEIGHT;
                 self.consecutive_unresponsive = 0;
                 if self.is_probing {
@@ -66,14 +74,27 @@
         }
     }
 
+    /// Records that an attempt, begun at `started_at_ms`, has waited in vain for longer than expected,
+    /// whether or not it is given up.
+    pub fn record_silence(&mut self, started_at_ms: u64, now_ms: u64) {
+        if self.silence.record(started_at_ms, now_ms) {
+            self.failure_rate += (1.0 - self.failure_rate) * FAILURE_RATE_WEIGHT;
+        }
+    }
+
+    /// Records that an attempt makes progress.
+    pub fn record_progress(&mut self) {
+        self.silence.record_progress();
+    }
+
     /// Whether the upstream is ejected at this time.
     pub fn is_ejected(&self, now_ms: u64) -> bool {
-        self.ejected_until_ms > now_ms
+        self.ejected_until_ms > now_ms || self.silence.is_ejected(now_ms)
     }
 
     /// Whether the upstream is being probed after an ejection, with one request in flight at a time.
     pub fn is_probing(&self) -> bool {
-        self.is_probing
+        self.is_probing || self.silence.is_probing()
     }
 
     /// Moving average of the failure rate, from 0 to 1.
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -457,7 +457,21 @@
         let Some(upstream) = self.upstreams.get_mut(&placement.upstream) else { return };
         upstream.running = upstream.running.saturating_sub(1);
         upstream.answering = upstream.answering.saturating_sub(u64::from(has_first_byte));
-        upstream.health.record(outcome, now_ms);
+        upstream.health.record(outcome, placement.placed_at_ms, now_ms);
+    }
+
+    /// Records that an attempt waits in vain for longer than expected. It may still go on.
+    pub fn record_silence(&mut self, placement: &Placement, now_ms: u64) {
+        if let Some(upstream) = self.upstreams.get_mut(&placement.upstream) {
+            upstream.health.record_silence(placement.placed_at_ms, now_ms);
+        }
+    }
+
+    /// Records that an attempt has received a part of its response.
+    pub fn record_progress(&mut self, placement: &Placement) {
+        if let Some(upstream) = self.upstreams.get_mut(&placement.upstream) {
+            upstream.health.record_progress();
+        }
     }
 
     /// Uses the wait of a caller that disconnected after its first byte was expected as a lower bound of
