Relay: keep a silent upstream until another has accepted the request

Callers saw streams cut in the middle of the answer, and plain requests fail with 502, although the upstream was sound: silent for about a second, it would have gone on. It was dropped after a timeout, before any other upstream had accepted the request, and the resumption failed for want of an upstream of the version, of a connection, of attempts, or because the key was removed meanwhile.

Another upstream is now tried beside the silent one. Without another upstream, the silent one is waited for until the deadline. A failure of one does not end the request while the other is alive.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -40,6 +40,8 @@
     sent_at_ms: Option<u64>,
     first_byte_at_ms: Option<u64>,
     is_begun: bool,
+    /// Whether the present silence of the upstream has been recorded.
+    is_silent: bool,
     is_ended: bool,
 }
 
@@ -60,6 +62,7 @@
             shared_parts: Rc::clone(&call.shared_parts),
             first_byte_at_ms: None,
             is_begun: false,
+            is_silent: false,
             is_ended: false,
         }
     }
@@ -116,6 +119,20 @@
         self.relay.record_limit(upstream, self.upstream_started_at_ms, sent_at_ms, limit);
     }
 
+    /// Records that the upstream is silent for longer than expected. The attempt may still go on.
+    pub fn record_silence(&mut self) {
+        if !std::mem::replace(&mut self.is_silent, true) {
+            let now_ms = self.relay.now_ms();
+            self.placement_table.lock().record_silence(&self.placement, now_ms);
+        }
+    }
+
+    /// Records that the upstream has sent something.
+    pub fn record_response(&mut self) {
+        self.is_silent = false;
+        self.placement_table.lock().record_progress(&self.placement);
+    }
+
     /// Records the arrival of the response's first byte; later calls have no effect.
     pub fn record_first_byte(&mut self) {
         if self.first_byte_at_ms.is_none() {
@@ -132,6 +149,7 @@
         if now_ms >= begun_at_ms + BEGINNING_MS {
             self.record_begun(begun_at_ms);
         }
+        self.record_response();
         self.relay.record_upstream_progress(self.upstream_start);
     }
 
@@ -178,6 +196,10 @@
     }
 
     fn record_end(&mut self, outcome: AttemptOutcome) {
+        let outcome = match outcome {
+            AttemptOutcome::Silent if self.is_silent => AttemptOutcome::Cancelled,
+            outcome => outcome,
+        };
         if !std::mem::replace(&mut self.is_ended, true) {
             let now_ms = self.relay.now_ms();
             if outcome == AttemptOutcome::Answered {
--- a/crates/relay/src/buffered_response.rs
+++ b/crates/relay/src/buffered_response.rs
@@ -73,7 +73,7 @@
         };
         let upstream = opened.attempt.placement.upstream.clone();
         call.count_run();
-        match read_response(call, retry_state, opened).await {
+        match read_response(call, opened).await {
             Ok(buffered) => return Ok(buffered),
             Err(FetchError::ServerError(buffered)) => {
                 retry_state.record_failure(upstream, format!("answered {}", buffered.status));
@@ -101,7 +101,6 @@
 /// The response has a 5xx status or was interrupted.
 pub async fn read_response(
     call: &Call,
-    retry_state: &mut RetryState,
     opened: OpenedResponse,
 ) -> Result<BufferedResponse, FetchError> {
     let OpenedResponse { mut attempt, connection, response } = opened;
@@ -111,7 +110,7 @@
     let body = match timeout(limit, read_body(&mut attempt, body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::Broken(detail))) => {
-            retry_state.record_broken(attempt);
+            call.record_broken(attempt);
             return Err(FetchError::Interrupted(detail));
         }
         Ok(Err(error @ BodyError::TooLarge { .. })) => {
@@ -119,7 +118,7 @@
             return Err(FetchError::Interrupted(error.to_string()));
         }
         Err(()) => {
-            attempt.end(AttemptOutcome::Unresponsive);
+            attempt.end(AttemptOutcome::Silent);
             return Err(FetchError::Interrupted(
                 "the response body was not complete at the deadline".to_owned(),
             ));
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -25,9 +25,7 @@
 /// If the upstream closes the connection while the request is in transit, it is unknown whether the
 /// request ran.
 const MAX_IDLE_NON_IDEMPOTENT_MS: u64 = 1_000;
-/// Failures to open or use a connection after which the call fails.
-const MAX_FAILED_DIALS: u32 = 3;
-/// Response timeout of an idempotent call, after which it is retried at another upstream, as a
+/// Response timeout of an idempotent call, after which another upstream is tried beside, as a
 /// multiple of the forecast time to the first byte.
 const RESPONSE_TIMEOUT_FORECASTS: u64 = 3;
 /// Shortest response timeout; the delays of a busy upstream are smaller.
@@ -84,6 +82,8 @@
     /// Whether this request has been counted in the usage. A request counts once, even if it is
     /// retried at another upstream or fails.
     pub is_run_counted: Cell<bool>,
+    /// Attempts that broke before their answer was well begun, as the upstream ended.
+    pub broken_beginnings: Cell<u32>,
 }
 
 /// Attempts of a call so far, which determine whether it may be retried and where.
@@ -97,20 +97,21 @@
     pub version: Option<String>,
     /// Whether an upstream may have run the request.
     pub may_have_run: bool,
-    /// Attempts that broke before their answer was well begun, as the upstream ended.
-    pub broken_beginnings: u32,
     /// Connections that could not be opened or used.
     pub failed_dials: u32,
     /// The latest failure, for the log.
     pub failure: Option<String>,
 }
 
-impl RetryState {
-    /// Ends an attempt whose connection broke.
-    pub fn record_broken(&mut self, attempt: Attempt) {
-        self.broken_beginnings += u32::from(attempt.end_broken());
-    }
+/// Why no attempt has begun.
+pub(crate) enum BeginError {
+    /// The call may not be sent anywhere.
+    Rejected(Problem),
+    /// The upstream could not be connected to, or has withdrawn.
+    NotConnected { upstream: String, detail: String },
+}
 
+impl RetryState {
     /// Records the failure of an upstream that may have run the request.
     pub fn record_failure(&mut self, upstream: String, failure: String) {
         self.may_have_run = true;
@@ -146,6 +147,12 @@
         self.relay.record_stream_origin(self.stream_key, &origin);
     }
 
+    /// Ends an attempt whose connection broke.
+    pub fn record_broken(&self, attempt: Attempt) {
+        let broken = u32::from(attempt.end_broken());
+        self.broken_beginnings.set(self.broken_beginnings.get() + broken);
+    }
+
     /// Milliseconds until the deadline.
     pub fn remaining_ms(&self) -> u64 {
         self.deadline_at_ms.saturating_sub(self.relay.now_ms())
@@ -154,49 +161,20 @@
     /// Returns whether the attempt limit and the route's retry semantics permit another attempt.
     pub fn may_retry(&self, retry_state: &RetryState) -> bool {
         retry_state.sent_attempts < self.route.attempt_limit
-            && self.may_repeat_beginning(retry_state)
+            && self.may_repeat_beginning()
             && (self.route.repeat.allows_reexecution() || !retry_state.may_have_run)
     }
 
     /// Returns whether the request may be sent again although upstreams have ended under it: once, and not
     /// while it or one of its parts is suspected of that.
-    fn may_repeat_beginning(&self, retry_state: &RetryState) -> bool {
-        match retry_state.broken_beginnings {
+    fn may_repeat_beginning(&self) -> bool {
+        match self.broken_beginnings.get() {
             0 => true,
             1 => !self.relay.quarantine.lock().is_suspected(self.items()),
             _ => false,
         }
     }
 
-    /// Sends the call until an upstream returns the head of a response. A stream resumes after
-    /// `last_event_id`.
-    ///
-    /// # Errors
-    /// The problem for the response to the caller.
-    pub async fn open(
-        &self,
-        retry_state: &mut RetryState,
-        last_event_id: Option<u64>,
-    ) -> Result<OpenedResponse, Problem> {
-        loop {
-            if self.remaining_ms() == 0 {
-                return Err(self.deadline_problem(retry_state));
-            }
-            self.recheck_access(retry_state)?;
-            let attempt = self.place(retry_state).await?;
-            match self.send_once(attempt, retry_state, last_event_id).await {
-                Ok(opened) => return Ok(opened),
-                Err(failure) => {
-                    retry_state.failure = Some(failure);
-                    let may_dial = retry_state.failed_dials < MAX_FAILED_DIALS;
-                    if !may_dial || !self.may_retry(retry_state) {
-                        return Err(self.failure_problem(retry_state));
-                    }
-                }
-            }
-        }
-    }
-
     /// Checks the access again, as the key or the route may have been revoked since the request
     /// arrived.
     fn recheck_access(&self, retry_state: &RetryState) -> Result<(), Problem> {
@@ -225,13 +203,17 @@
         }
     }
 
-    async fn send_once(
+    /// Begins an attempt and connects to its upstream.
+    ///
+    /// # Errors
+    /// No attempt may begin, or there is no connection.
+    pub(crate) async fn begin(
         &self,
-        mut attempt: Attempt,
-        retry_state: &mut RetryState,
-        last_event_id: Option<u64>,
-    ) -> Result<OpenedResponse, String> {
+        retry_state: &RetryState,
+    ) -> Result<(Attempt, UpstreamConnection), BeginError> {
         let relay = &self.relay;
+        self.recheck_access(retry_state).map_err(BeginError::Rejected)?;
+        let attempt = self.place(retry_state).await.map_err(BeginError::Rejected)?;
         let upstream = attempt.placement.upstream.clone();
         let max_idle_ms = match self.route.repeat.allows_reexecution() {
             true => u64::MAX,
@@ -241,33 +223,51 @@
         let now_ms = relay.now_ms();
         let dialled =
             self.connections.checkout(upstream.clone(), address, max_idle_ms, now_ms).await;
-        let mut connection = match dialled {
+        let connection = match dialled {
             Ok(connection) => connection,
             Err(error) => {
-                retry_state.failed_dials += 1;
-                retry_state.excluded.push(upstream);
                 attempt.end(AttemptOutcome::Unresponsive);
-                return Err(error.to_string());
+                return Err(BeginError::NotConnected { upstream, detail: error.to_string() });
             }
         };
         // The upstream may have started to leave while the connection was opened.
         if !attempt.is_open() {
-            retry_state.failed_dials += 1;
-            retry_state.excluded.push(upstream);
-            return Err("the upstream withdrew while the connection was opened".to_owned());
+            let detail = "the upstream withdrew while the connection was opened".to_owned();
+            return Err(BeginError::NotConnected { upstream, detail });
         }
-        let request = self.make_request(&attempt.placement, last_event_id);
-        let limit =
-            Duration::from_millis(self.response_timeout_ms(&attempt.placement, retry_state));
-        retry_state.sent_attempts += 1;
-        attempt.record_sent();
+        Ok((attempt, connection))
+    }
+
+    /// Sends the request and waits for the head of the response until the deadline.
+    pub(crate) async fn send(
+        &self,
+        mut connection: UpstreamConnection,
+        request: Request<Full<Bytes>>,
+    ) -> (UpstreamConnection, Result<Response<Incoming>, ExchangeError>) {
+        let limit = Duration::from_millis(self.remaining_ms());
         let guard = CancelledRunGuard::new(self);
         let result = connection.send(request, limit).await;
         guard.disarm();
+        (connection, result)
+    }
+
+    /// Classifies the result of an attempt that was sent.
+    ///
+    /// # Errors
+    /// The reason for which it has no response.
+    pub(crate) fn conclude(
+        &self,
+        mut attempt: Attempt,
+        connection: UpstreamConnection,
+        result: Result<Response<Incoming>, ExchangeError>,
+        retry_state: &mut RetryState,
+    ) -> Result<OpenedResponse, String> {
+        let upstream = attempt.placement.upstream.clone();
         match result {
             Ok(response) => {
+                attempt.record_response();
                 let status = response.status().as_u16();
-                let metadata = relay.protocol.read_response_head(status, response.headers());
+                let metadata = self.relay.protocol.read_response_head(status, response.headers());
                 self.classify_response(attempt, connection, response, metadata, retry_state)
             }
             Err(error) => {
@@ -282,7 +282,7 @@
                     }
                     ExchangeError::TimedOut(_) => {
                         retry_state.may_have_run = true;
-                        Some(AttemptOutcome::Unresponsive)
+                        Some(AttemptOutcome::Silent)
                     }
                     ExchangeError::Interrupted(_) | ExchangeError::InvalidResponse(_) => {
                         retry_state.may_have_run = true;
@@ -294,7 +294,7 @@
                 }
                 match outcome {
                     Some(outcome) => attempt.end(outcome),
-                    None => retry_state.record_broken(attempt),
+                    None => self.record_broken(attempt),
                 }
                 Err(error.to_string())
             }
@@ -340,7 +340,8 @@
         Ok(OpenedResponse { attempt, connection, response })
     }
 
-    fn make_request(
+    /// Returns the request for the upstream of a placement.
+    pub(crate) fn make_request(
         &self,
         placement: &Placement,
         last_event_id: Option<u64>,
@@ -364,8 +365,13 @@
         request
     }
 
-    /// Timeout for the head of a response. A call that can't be retried waits until its deadline.
-    fn response_timeout_ms(&self, placement: &Placement, retry_state: &RetryState) -> u64 {
+    /// Time without the head of a response after which a further attempt begins. A call that can't be
+    /// retried waits until its deadline.
+    pub(crate) fn response_timeout_ms(
+        &self,
+        placement: &Placement,
+        retry_state: &RetryState,
+    ) -> u64 {
         let remaining_ms = self.remaining_ms();
         let is_last = retry_state.sent_attempts + 1 >= self.route.attempt_limit;
         if is_last || !self.route.repeat.allows_reexecution() {
@@ -444,7 +450,8 @@
         problem.with_retry_after_ms(retry_after_ms)
     }
 
-    fn deadline_problem(&self, retry_state: &RetryState) -> Problem {
+    /// Returns the problem for the caller when the deadline has passed.
+    pub(crate) fn deadline_problem(&self, retry_state: &RetryState) -> Problem {
         match retry_state.may_have_run {
             true => Problem::new(ErrorCode::UpstreamTimeout),
             false => Problem::new(ErrorCode::NoTimeLeft),
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -306,6 +306,7 @@
         tokens: metadata.tokens.unwrap_or_default(),
         arrived_at_ms,
         is_run_counted: Cell::new(false),
+        broken_beginnings: Cell::new(0),
         parts: metadata.parts,
         shared_parts: received.shared_parts,
         request_hash: 0,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod exchange;
 mod follow;
 mod freshness;
+mod hedging;
 mod limits;
 mod management;
 mod members;
@@ -38,6 +39,8 @@
 mod state;
 mod store_watch;
 mod stream;
+mod stream_source;
+mod successor;
 mod view_log;
 
 /// Commonly used types.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -1,38 +1,35 @@
 //! Event streams, and their resumption at another upstream.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
 use futures_util::{Stream, stream};
 use hickorycourse_codes::Problem;
-use hickorycourse_placement::AttemptOutcome;
 use http::HeaderMap;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
-use http_body_util::BodyExt;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Bytes;
 use ntex::io::IoRef;
-use ntex::time::{sleep, timeout};
+use ntex::time::timeout;
 use serde_json::json;
 
-use crate::attempt::{Attempt, OpenedResponse};
+use crate::attempt::OpenedResponse;
 use crate::buffered_response::{self, BufferedResponse, FetchError};
 use crate::call::{Call, RetryState};
 use crate::drain::hold_until_flushed;
 use crate::events::EventTracker;
 use crate::state::InFlightGuard;
-use hickorycourse_connections::UpstreamConnection;
+use crate::stream_source::{SourceStep, UpstreamSource};
+use crate::successor::{Successor, SuccessorSearch};
 
-/// Idle timeout of a resumable stream, after which it moves to another upstream, as a multiple of
-/// the route's target for pauses between events; the response has missed that target by then.
+/// Time without a complete event after which another upstream is tried beside, as a multiple of the
+/// route's target for pauses between events; the response has missed that target by then.
 const IDLE_TIMEOUT_PAUSES: u64 = 3;
-/// Idle timeout of a resumable stream on a route without a target for pauses.
+/// The same on a route without a target for pauses.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 2_000;
-/// Shortest idle timeout before the first event.
+/// Shortest such time before the first event.
 const MIN_FIRST_EVENT_IDLE_TIMEOUT_MS: u64 = 1_500;
 
-/// Time between two tries to resume a stream while no upstream accepts it.
-const RESUME_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Response to a caller's request for a stream.
 pub enum StreamResponse {
     /// A stream whose first events have arrived.
@@ -46,43 +43,68 @@
 #[error("stream interrupted: {0}")]
 pub struct StreamInterrupted(String);
 
+/// What a stream brings next, from whichever upstream.
 enum StreamStep {
     Events(Vec<u8>),
     End,
+    /// The upstream's stream can't be read on.
+    Lost(Loss),
+}
+
+/// Why an upstream's stream can't be read on.
+enum Loss {
     /// The connection broke, or the stream ended within an event.
     Broken(String),
-    /// The stream was given up.
-    Interrupted(String),
+    /// Its events must not be passed on.
+    Invalid(String),
+    /// The deadline has passed.
+    Late,
+}
+
+impl Loss {
+    fn detail(&self) -> &str {
+        match self {
+            Self::Broken(detail) | Self::Invalid(detail) => detail,
+            Self::Late => "the deadline passed before the stream ended",
+        }
+    }
+}
+
+impl From<SourceStep> for StreamStep {
+    fn from(step: SourceStep) -> Self {
+        match step {
+            SourceStep::Events(events) => Self::Events(events),
+            SourceStep::End => Self::End,
+            SourceStep::NoEvents => {
+                Self::Lost(Loss::Broken("the stream ended before the next event".to_owned()))
+            }
+            SourceStep::Broken(detail) => Self::Lost(Loss::Broken(detail)),
+            SourceStep::Invalid(detail) => Self::Lost(Loss::Invalid(detail)),
+        }
+    }
 }
 
 /// A stream that is being relayed to its caller.
 pub struct RelayedStream {
     call: Call,
     retry_state: RetryState,
-    /// Headers of the first upstream's response.
+    /// Headers of the upstream that brought the first event.
     pub headers: HeaderMap,
-    /// Status of the first upstream's response.
+    /// Status of that upstream's response.
     pub status: u16,
+    /// Absent if the stream has ended.
     source: Option<UpstreamSource>,
     events: EventTracker,
-    first_events: Option<Vec<u8>>,
+    first_events: Vec<u8>,
     upstreams: Vec<String>,
     /// Version of the upstream that brought the first event; `None` if it is not known.
     version: Option<String>,
+    /// Whether the caller's response has begun.
+    is_begun: bool,
     is_ended: bool,
     in_flight: Option<Rc<InFlightGuard>>,
 }
 
-struct UpstreamSource {
-    attempt: Attempt,
-    connection: UpstreamConnection,
-    body: Incoming,
-    /// Whether an end without any events is taken for a broken connection: an upstream that ends after
-    /// the head of a response without a length or chunks leaves the same, and so may one that does not know
-    /// the stream that it is to resume.
-    must_have_events: bool,
-}
-
 /// Opens a stream and waits for its first events.
 ///
 /// # Errors
@@ -92,237 +114,223 @@
     last_event_id: Option<u64>,
     in_flight: Rc<InFlightGuard>,
 ) -> Result<StreamResponse, (RetryState, Problem)> {
-    let version = call.origin.as_ref().map(|origin| origin.version.clone());
-    let mut retry_state = RetryState { version, ..RetryState::default() };
-    let mut events = EventTracker::resume_after(last_event_id);
+    let mut relayed = Box::new(RelayedStream::new(call, last_event_id, in_flight));
     let mut server_error: Option<BufferedResponse> = None;
-    loop {
-        let opened = match call.open(&mut retry_state, last_event_id).await {
+    let problem = loop {
+        let opened = match relayed.call.open(&mut relayed.retry_state, last_event_id).await {
             Ok(opened) => opened,
-            Err(problem) => {
-                return server_error.map(StreamResponse::Buffered).ok_or((retry_state, problem));
-            }
+            Err(problem) => break problem,
         };
         let upstream = opened.attempt.placement.upstream.clone();
-        let version = opened.attempt.placement.version.clone();
-        let start = wait_for_first_events(&call, &mut retry_state, opened, &mut events).await;
-        if !matches!(start, StreamStart::Interrupted(_)) {
-            call.count_run();
-        }
-        match start {
-            StreamStart::Stream(started) => {
-                // From the first event on, only upstreams of this version may go on.
-                call.record_origin(version.as_deref());
-                return Ok(StreamResponse::Stream(Box::new(RelayedStream {
-                    call,
-                    retry_state,
-                    headers: started.head.headers,
-                    status: started.head.status.as_u16(),
-                    source: started.source,
-                    events,
-                    first_events: Some(started.first_events),
-                    upstreams: vec![upstream],
-                    version,
-                    is_ended: false,
-                    in_flight: Some(in_flight),
-                })));
-            }
-            StreamStart::Buffered(buffered) => return Ok(StreamResponse::Buffered(buffered)),
-            StreamStart::ServerError(buffered) => {
-                retry_state.record_failure(upstream, format!("answered {}", buffered.status));
-                server_error = Some(buffered);
+        let failure = if opened.response.status().is_success() {
+            match relayed.begin(opened).await {
+                Ok(()) => return Ok(StreamResponse::Stream(relayed)),
+                Err(loss) => loss.detail().to_owned(),
             }
-            StreamStart::Interrupted(detail) => {
-                retry_state.record_failure(upstream, detail);
-                events.drop_partial();
+        } else {
+            match buffered_response::read_response(&relayed.call, opened).await {
+                Ok(buffered) => {
+                    relayed.call.count_run();
+                    return Ok(StreamResponse::Buffered(buffered));
+                }
+                Err(FetchError::ServerError(buffered)) => {
+                    relayed.call.count_run();
+                    let failure = format!("answered {}", buffered.status);
+                    server_error = Some(buffered);
+                    failure
+                }
+                Err(FetchError::Interrupted(detail)) => detail,
             }
-        }
-        if !call.may_retry(&retry_state) {
-            let problem = call.failure_problem(&retry_state);
-            return server_error.map(StreamResponse::Buffered).ok_or((retry_state, problem));
-        }
-    }
-}
-
-/// How an upstream's response to a request for a stream starts.
-enum StreamStart {
-    Stream(Box<StartedStream>),
-    /// The response is not a stream.
-    Buffered(BufferedResponse),
-    /// A complete 5xx response; another upstream may succeed.
-    ServerError(BufferedResponse),
-    Interrupted(String),
-}
-
-struct StartedStream {
-    head: http::response::Parts,
-    first_events: Vec<u8>,
-    /// Absent if the stream has already ended.
-    source: Option<UpstreamSource>,
-}
-
-async fn wait_for_first_events(
-    call: &Call,
-    retry_state: &mut RetryState,
-    opened: OpenedResponse,
-    events: &mut EventTracker,
-) -> StreamStart {
-    if !opened.response.status().is_success() {
-        return match buffered_response::read_response(call, retry_state, opened).await {
-            Ok(buffered) => StreamStart::Buffered(buffered),
-            Err(FetchError::ServerError(buffered)) => StreamStart::ServerError(buffered),
-            Err(FetchError::Interrupted(detail)) => StreamStart::Interrupted(detail),
         };
-    }
-    let (head, mut source) = split(opened);
-    match next_events(call, retry_state, &mut source, events, true).await {
-        StreamStep::Interrupted(detail) => {
-            source.fail(call, &detail);
-            StreamStart::Interrupted(detail)
-        }
-        StreamStep::Broken(detail) => {
-            source.fail_broken(call, retry_state, &detail);
-            StreamStart::Interrupted(detail)
-        }
-        StreamStep::Events(first_events) => {
-            source.attempt.record_first_byte();
-            StreamStart::Stream(Box::new(StartedStream {
-                head,
-                first_events,
-                source: Some(source),
-            }))
+        relayed.retry_state.record_failure(upstream, failure);
+        if !relayed.call.may_retry(&relayed.retry_state) {
+            break relayed.call.failure_problem(&relayed.retry_state);
         }
-        StreamStep::End => {
-            source.attempt.record_first_byte();
-            source.complete(call);
-            StreamStart::Stream(Box::new(StartedStream {
-                head,
-                first_events: Vec::new(),
-                source: None,
-            }))
-        }
-    }
-}
-
-/// Returns whether the end of a response is marked by a length or a last chunk, rather than by the end of
-/// its connection.
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
-
-/// Returns whether two responses have the same media type, whatever its parameters.
-fn is_same_type(one: &HeaderMap, other: &HeaderMap) -> bool {
-    let media_type = |headers: &HeaderMap| {
-        let value = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
-        let essence = value.and_then(|value| value.split(';').next());
-        essence.map(|essence| essence.trim().to_ascii_lowercase())
     };
-    media_type(one) == media_type(other)
+    let retry_state = std::mem::take(&mut relayed.retry_state);
+    server_error.map(StreamResponse::Buffered).ok_or((retry_state, problem))
 }
 
-fn split(opened: OpenedResponse) -> (http::response::Parts, UpstreamSource) {
-    let OpenedResponse { attempt, connection, response } = opened;
-    let (head, body) = response.into_parts();
-    let must_have_events = !is_framed(&head.headers);
-    (head, UpstreamSource { attempt, connection, body, must_have_events })
-}
-
-impl UpstreamSource {
-    /// Returns the connection to the pool after a complete response.
-    fn complete(self, call: &Call) {
-        call.connections.check_in(self.connection, call.relay.now_ms());
-        self.attempt.end(AttemptOutcome::Answered);
+impl RelayedStream {
+    fn new(call: Call, last_event_id: Option<u64>, in_flight: Rc<InFlightGuard>) -> Self {
+        let version = call.origin.as_ref().map(|origin| origin.version.clone());
+        Self {
+            call,
+            retry_state: RetryState { version, ..RetryState::default() },
+            headers: HeaderMap::new(),
+            status: 0,
+            source: None,
+            events: EventTracker::resume_after(last_event_id),
+            first_events: Vec::new(),
+            upstreams: Vec::new(),
+            version: None,
+            is_begun: false,
+            is_ended: false,
+            in_flight: Some(in_flight),
+        }
     }
 
-    fn fail(self, call: &Call, detail: &str) {
-        self.log_failure(call, detail);
-        self.attempt.end(AttemptOutcome::Failed);
+    /// Waits for the first events of a response.
+    async fn begin(&mut self, opened: OpenedResponse) -> Result<(), Loss> {
+        self.events.drop_partial();
+        let (head, source) = UpstreamSource::split(opened);
+        self.take_over(head, source);
+        match self.next_step().await {
+            StreamStep::Lost(loss) => {
+                self.end_source(&loss);
+                return Err(loss);
+            }
+            StreamStep::Events(events) => self.first_events = events,
+            StreamStep::End => {
+                if let Some(source) = self.source.take() {
+                    source.complete(&self.call);
+                }
+            }
+        }
+        self.is_begun = true;
+        self.call.count_run();
+        // From the first event on, only upstreams of this version may go on.
+        self.call.record_origin(self.version.as_deref());
+        Ok(())
     }
 
-    /// As [`fail`](Self::fail), for a connection that broke: the upstream may have ended.
-    fn fail_broken(self, call: &Call, retry_state: &mut RetryState, detail: &str) {
-        self.log_failure(call, detail);
-        retry_state.record_broken(self.attempt);
+    /// Reads on from this source. Before the first event, the response is that of its upstream.
+    fn take_over(&mut self, head: http::response::Parts, source: UpstreamSource) {
+        self.upstreams.push(source.upstream().to_owned());
+        if !self.is_begun {
+            self.status = head.status.as_u16();
+            self.headers = head.headers;
+            self.version.clone_from(&source.attempt.placement.version);
+        }
+        self.source = Some(source);
     }
 
-    fn log_failure(&self, call: &Call, detail: &str) {
-        let upstream = &self.attempt.placement.upstream;
-        call.relay.log.write(
-            "stream_broken",
-            || json!({ "request": call.request_id, "upstream": upstream, "failure": detail }),
-        );
+    fn end_source(&mut self, loss: &Loss) {
+        let Some(source) = self.source.take() else { return };
+        self.retry_state.excluded.push(source.upstream().to_owned());
+        match loss {
+            Loss::Broken(detail) => source.fail_broken(&self.call, detail),
+            Loss::Invalid(_) | Loss::Late => source.fail(&self.call, loss.detail()),
+        }
     }
-}
 
-/// Waits for complete events. The idle timeout counts from the last complete event: bytes alone are no
-/// progress, as a stalled upstream may send one now and then.
-async fn next_events(
-    call: &Call,
-    retry_state: &RetryState,
-    source: &mut UpstreamSource,
-    events: &mut EventTracker,
-    is_first: bool,
-) -> StreamStep {
-    let started_at_ms = call.relay.now_ms();
-    loop {
-        if call.remaining_ms() == 0 {
-            return StreamStep::Interrupted(
-                "the deadline passed before the stream ended".to_owned(),
-            );
-        }
-        let idle_timeout_ms = idle_timeout_ms(call, retry_state, is_first);
-        let idle_ms = call.relay.now_ms().saturating_sub(started_at_ms);
-        let limit_ms = idle_timeout_ms.saturating_sub(idle_ms).min(call.remaining_ms());
-        let limit = Duration::from_millis(limit_ms);
-        let frame = match timeout(limit, source.body.frame()).await {
-            Err(()) => {
-                return StreamStep::Interrupted(format!(
-                    "no complete event received for {} ms",
-                    idle_ms + limit_ms
-                ));
+    /// Waits for the next complete events. When the upstream is silent for longer than expected, another one
+    /// is tried beside it.
+    async fn next_step(&mut self) -> StreamStep {
+        loop {
+            let idle_timeout_ms = self.idle_timeout_ms();
+            let Some(source) = &mut self.source else { return StreamStep::End };
+            let remaining_ms = self.call.remaining_ms();
+            if remaining_ms == 0 {
+                return StreamStep::Lost(Loss::Late);
             }
-            Ok(None) if events.has_partial() => {
-                return StreamStep::Broken(
-                    "the upstream ended the stream within an event".to_owned(),
-                );
+            let limit = Duration::from_millis(idle_timeout_ms.min(remaining_ms));
+            match timeout(limit, source.read_events(&mut self.events)).await {
+                Ok(step) => return step.into(),
+                Err(()) if idle_timeout_ms >= remaining_ms => {
+                    return StreamStep::Lost(Loss::Late);
+                }
+                Err(()) => {}
             }
-            Ok(None) if source.must_have_events => {
-                return StreamStep::Broken(
-                    "the connection ended before the first event".to_owned(),
-                );
+            if let Some(step) = self.wait_beside_successor(idle_timeout_ms).await {
+                return step;
             }
-            Ok(None) => return StreamStep::End,
-            Ok(Some(Err(error))) => return StreamStep::Broken(error.to_string()),
-            Ok(Some(Ok(frame))) => frame,
+        }
+    }
+
+    /// Waits for the silent upstream and for one that takes over, whichever goes on first; `None` if another
+    /// one has taken over and has brought nothing yet. The idle timeout counts from the last complete event:
+    /// bytes alone are no progress, as a stalled upstream may send one now and then.
+    async fn wait_beside_successor(&mut self, idle_ms: u64) -> Option<StreamStep> {
+        let silent_since_ms = self.call.relay.now_ms().saturating_sub(idle_ms);
+        let limit = Duration::from_millis(self.call.remaining_ms());
+        if self.is_begun {
+            self.retry_state.version.clone_from(&self.version);
+        }
+        self.retry_state.may_have_run = true;
+        let Some(source) = &mut self.source else { return Some(StreamStep::End) };
+        source.attempt.record_silence();
+        let silent = source.upstream().to_owned();
+        self.retry_state.excluded.push(silent.clone());
+        let lost_at_ms = Cell::new(None);
+        let search = SuccessorSearch {
+            call: &self.call,
+            events: self.events.clone(),
+            headers: self.is_begun.then_some(&self.headers),
+            lost_at_ms: &lost_at_ms,
         };
-        if let Ok(data) = frame.into_data() {
-            match events.push(&data) {
-                Ok(complete_events) if complete_events.is_empty() => {}
-                Ok(complete_events) => {
-                    source.must_have_events = false;
-                    return StreamStep::Events(complete_events);
+        let mut loss = None;
+        let found = timeout(limit, async {
+            let reading = std::pin::pin!(source.read_events(&mut self.events));
+            let searching = std::pin::pin!(search.run(&mut self.retry_state));
+            match select(reading, searching).await {
+                Either::Right((successor, _)) => Ok(successor),
+                Either::Left((step, searching)) => match StreamStep::from(step) {
+                    // An upstream may have been found already.
+                    StreamStep::Lost(lost) => {
+                        lost_at_ms.set(Some(self.call.relay.now_ms()));
+                        loss = Some(lost);
+                        Ok(searching.await)
+                    }
+                    step => Err(step),
+                },
+            }
+        })
+        .await;
+        let (step, went_on) = match found {
+            Err(()) => (Some(StreamStep::Lost(loss.unwrap_or(Loss::Late))), None),
+            Ok(Err(step)) => {
+                self.retry_state.excluded.retain(|upstream| *upstream != silent);
+                (Some(step), Some(silent.clone()))
+            }
+            Ok(Ok(None)) => (Some(StreamStep::Lost(loss.unwrap_or(Loss::Late))), None),
+            Ok(Ok(Some(successor))) => {
+                match &loss {
+                    Some(loss) => self.end_source(loss),
+                    // Closes its connection.
+                    None => drop(self.source.take()),
                 }
-                Err(error) => return StreamStep::Interrupted(error.to_string()),
+                let went_on = successor.source.upstream().to_owned();
+                (self.continue_with(successor), Some(went_on))
             }
+        };
+        let event = "stream_hedged";
+        let went_on = went_on.as_deref();
+        self.call.log_hedged(event, &silent, silent_since_ms, went_on, &self.retry_state);
+        step
+    }
+
+    /// Goes on with the successor; returns what it has brought already.
+    fn continue_with(&mut self, successor: Successor) -> Option<StreamStep> {
+        let Successor { head, source, events, step } = successor;
+        self.events = events;
+        self.take_over(head, source);
+        step.map(StreamStep::from)
+    }
+
+    /// Time without a complete event after which another upstream is tried. A stream that can't be resumed
+    /// elsewhere waits until its deadline.
+    fn idle_timeout_ms(&self) -> u64 {
+        let call = &self.call;
+        if !self.can_resume() || !call.may_retry(&self.retry_state) {
+            return u64::MAX;
+        }
+        let pause_ms = call
+            .route
+            .pause_target_ms
+            .map_or(DEFAULT_IDLE_TIMEOUT_MS, |pause_ms| pause_ms * IDLE_TIMEOUT_PAUSES);
+        match self.is_begun {
+            true => pause_ms,
+            false => pause_ms.max(MIN_FIRST_EVENT_IDLE_TIMEOUT_MS),
         }
     }
-}
 
-/// Timeout for the next bytes. A stream that can't be resumed elsewhere waits until its deadline.
-fn idle_timeout_ms(call: &Call, retry_state: &RetryState, is_first: bool) -> u64 {
-    let can_resume = call.route.repeat.allows_reexecution()
-        && retry_state.sent_attempts < call.route.attempt_limit;
-    if !can_resume {
-        return u64::MAX;
+    /// Returns whether another upstream may go on. Without the id of an event, it would begin again.
+    fn can_resume(&self) -> bool {
+        let is_known = self.version.is_some() && self.events.last_id().is_some();
+        self.call.route.repeat.allows_reexecution() && (!self.is_begun || is_known)
     }
-    let pause_ms = call
-        .route
-        .pause_target_ms
-        .map_or(DEFAULT_IDLE_TIMEOUT_MS, |pause_ms| pause_ms * IDLE_TIMEOUT_PAUSES);
-    if is_first { pause_ms.max(MIN_FIRST_EVENT_IDLE_TIMEOUT_MS) } else { pause_ms }
-}
 
-impl RelayedStream {
     /// Logs the end of the stream and counts its outcome.
     fn log_end(&self, outcome: &str) {
         let call = &self.call;
@@ -339,44 +347,26 @@
 
     /// Returns the next bytes for the caller; `None` after the end.
     async fn next(&mut self) -> Option<Result<Bytes, StreamInterrupted>> {
-        if let Some(first_events) =
-            self.first_events.take().filter(|first_events| !first_events.is_empty())
-        {
-            return Some(Ok(Bytes::from(first_events)));
+        if !self.first_events.is_empty() {
+            return Some(Ok(Bytes::from(std::mem::take(&mut self.first_events))));
         }
         loop {
-            let Some(source) = &mut self.source else {
-                self.end("complete");
-                return None;
-            };
-            match next_events(&self.call, &self.retry_state, source, &mut self.events, false).await
-            {
-                StreamStep::Events(events) => {
-                    source.attempt.record_first_byte();
-                    source.attempt.record_progress();
-                    return Some(Ok(Bytes::from(events)));
-                }
+            match self.next_step().await {
+                StreamStep::Events(events) => return Some(Ok(Bytes::from(events))),
                 StreamStep::End => {
                     if let Some(source) = self.source.take() {
                         source.complete(&self.call);
                     }
+                    self.end("complete");
+                    return None;
                 }
-                StreamStep::Broken(detail) => {
-                    if let Some(source) = self.source.take() {
-                        self.retry_state.excluded.push(source.attempt.placement.upstream.clone());
-                        source.fail_broken(&self.call, &mut self.retry_state, &detail);
-                    }
-                    if let Err(interrupted) = self.resume_after(detail).await {
-                        return Some(Err(interrupted));
-                    }
-                }
-                StreamStep::Interrupted(detail) => {
-                    if let Some(source) = self.source.take() {
-                        self.retry_state.excluded.push(source.attempt.placement.upstream.clone());
-                        source.fail(&self.call, &detail);
-                    }
-                    if let Err(interrupted) = self.resume_after(detail).await {
-                        return Some(Err(interrupted));
+                StreamStep::Lost(loss) => {
+                    self.end_source(&loss);
+                    let resumed = self.resume_after(&loss).await;
+                    match resumed {
+                        Ok(Some(events)) => return Some(Ok(Bytes::from(events))),
+                        Ok(None) => {}
+                        Err(interrupted) => return Some(Err(interrupted)),
                     }
                 }
             }
@@ -389,62 +379,38 @@
         }
     }
 
-    /// Resumes after an interruption for the reason `detail`.
-    async fn resume_after(&mut self, detail: String) -> Result<(), StreamInterrupted> {
+    /// Resumes at another upstream of the same version, after the last event sent to the caller. Returns the
+    /// events that it has brought already.
+    async fn resume_after(&mut self, loss: &Loss) -> Result<Option<Vec<u8>>, StreamInterrupted> {
         self.retry_state.may_have_run = true;
-        self.retry_state.failure = Some(detail.clone());
-        if self.resume().await {
-            return Ok(());
-        }
-        self.end("broken");
-        Err(StreamInterrupted(detail))
-    }
-
-    /// Resumes at another upstream of the same version after the last event sent to the caller; returns
-    /// whether an upstream accepted.
-    async fn resume(&mut self) -> bool {
+        self.retry_state.failure = Some(loss.detail().to_owned());
         self.events.drop_partial();
-        // Without the id of an event, an upstream would begin again.
-        if self.version.is_none() || self.events.last_id().is_none() {
-            return false;
-        }
-        self.retry_state.version.clone_from(&self.version);
-        let call = &self.call;
-        let wait_until_ms = call.relay.now_ms() + call.route.pause_target_ms.unwrap_or_default();
-        while call.may_retry(&self.retry_state) {
-            let opened = match call.open(&mut self.retry_state, self.events.last_id()).await {
-                Ok(opened) => opened,
-                // The version's only upstreams may be starting again, or about to be listed.
-                Err(_) if call.relay.now_ms() < wait_until_ms => {
-                    sleep(RESUME_INTERVAL).await;
-                    continue;
-                }
-                Err(_) => return false,
+        if self.can_resume() {
+            self.retry_state.version.clone_from(&self.version);
+            let lost_at_ms = Cell::new(Some(self.call.relay.now_ms()));
+            let search = SuccessorSearch {
+                call: &self.call,
+                events: self.events.clone(),
+                headers: Some(&self.headers),
+                lost_at_ms: &lost_at_ms,
             };
-            let upstream = opened.attempt.placement.upstream.clone();
-            let status = opened.response.status();
-            if status.is_success() && is_same_type(&self.headers, opened.response.headers()) {
-                let (_, source) = split(opened);
-                self.source = Some(UpstreamSource { must_have_events: true, ..source });
-                self.events.expect_next();
-                self.upstreams.push(upstream);
-                return true;
+            if let Some(successor) = search.run(&mut self.retry_state).await {
+                return match self.continue_with(successor) {
+                    Some(StreamStep::Events(events)) => Ok(Some(events)),
+                    Some(StreamStep::End | StreamStep::Lost(_)) | None => Ok(None),
+                };
             }
-            call.relay.log.write("resumption_failed", || {
-                json!({
-                    "request": call.request_id, "upstream": upstream, "status": status.as_u16(),
-                })
-            });
-            self.retry_state.excluded.push(upstream);
-            opened.attempt.end(AttemptOutcome::Failed);
         }
-        false
+        self.end("broken");
+        Err(StreamInterrupted(loss.detail().to_owned()))
     }
 }
 
 impl Drop for RelayedStream {
     fn drop(&mut self) {
-        self.end("caller_left");
+        if self.is_begun {
+            self.end("caller_left");
+        }
     }
 }
 
--- /dev/null
+++ b/crates/relay/src/stream_source.rs
@@ -0,0 +1,149 @@
+//! The upstream's side of a relayed stream.
+
+use hickorycourse_connections::UpstreamConnection;
+use hickorycourse_placement::AttemptOutcome;
+use http::HeaderMap;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::json;
+
+use crate::attempt::{Attempt, OpenedResponse};
+use crate::call::Call;
+use crate::events::EventTracker;
+
+/// What an upstream's stream brings next.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SourceStep {
+    /// Complete events.
+    Events(Vec<u8>),
+    /// Its proper end.
+    End,
+    /// Its proper end, where events had to come before.
+    NoEvents,
+    /// The connection broke, or the stream ended within an event.
+    Broken(String),
+    /// Events that must not be passed on.
+    Invalid(String),
+}
+
+/// A stream of one upstream. Dropping it closes its connection.
+pub struct UpstreamSource {
+    /// The attempt at the upstream.
+    pub attempt: Attempt,
+    connection: UpstreamConnection,
+    body: Incoming,
+    is_framed: bool,
+    /// Whether an end without any events is taken for a broken connection: an upstream that ends after
+    /// the head of a response without a length or chunks leaves the same, and so may one that does not know
+    /// the stream that it is to resume.
+    must_have_events: bool,
+    has_events: bool,
+}
+
+impl UpstreamSource {
+    /// Returns the head of the response and the source of its events.
+    pub fn split(opened: OpenedResponse) -> (http::response::Parts, Self) {
+        let OpenedResponse { attempt, connection, response } = opened;
+        let (head, body) = response.into_parts();
+        let is_framed = is_framed(&head.headers);
+        let must_have_events = !is_framed;
+        let source =
+            Self { attempt, connection, body, is_framed, must_have_events, has_events: false };
+        (head, source)
+    }
+
+    /// Returns the source of a stream that is resumed: an end without events is not its end.
+    pub fn into_resumed(self) -> Self {
+        Self { must_have_events: true, ..self }
+    }
+
+    /// Id of the upstream.
+    pub fn upstream(&self) -> &str {
+        &self.attempt.placement.upstream
+    }
+
+    /// Waits for complete events. Nothing is lost if the wait is cancelled: what has arrived is kept in
+    /// `events`.
+    pub async fn read_events(&mut self, events: &mut EventTracker) -> SourceStep {
+        loop {
+            let frame = match self.body.frame().await {
+                None if events.has_partial() => {
+                    let detail = "the upstream ended the stream within an event";
+                    return SourceStep::Broken(detail.to_owned());
+                }
+                None if self.must_have_events && self.is_framed => return SourceStep::NoEvents,
+                None if self.must_have_events => {
+                    let detail = "the connection ended before the first event";
+                    return SourceStep::Broken(detail.to_owned());
+                }
+                None => return SourceStep::End,
+                Some(Err(error)) => return SourceStep::Broken(error.to_string()),
+                Some(Ok(frame)) => frame,
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            match events.push(&data) {
+                Ok(complete_events) if complete_events.is_empty() => {}
+                Ok(complete_events) => {
+                    self.must_have_events = false;
+                    self.record_events();
+                    return SourceStep::Events(complete_events);
+                }
+                Err(error) => return SourceStep::Invalid(error.to_string()),
+            }
+        }
+    }
+
+    fn record_events(&mut self) {
+        match std::mem::replace(&mut self.has_events, true) {
+            true => self.attempt.record_progress(),
+            false => {
+                self.attempt.record_response();
+                self.attempt.record_first_byte();
+            }
+        }
+    }
+
+    /// Returns the connection to the pool after a complete response.
+    pub fn complete(mut self, call: &Call) {
+        self.attempt.record_first_byte();
+        call.connections.check_in(self.connection, call.relay.now_ms());
+        self.attempt.end(AttemptOutcome::Answered);
+    }
+
+    /// Ends an attempt whose stream is not read on.
+    pub fn fail(self, call: &Call, detail: &str) {
+        self.log_failure(call, detail);
+        self.attempt.end(AttemptOutcome::Failed);
+    }
+
+    /// As [`fail`](Self::fail), for a connection that broke: the upstream may have ended.
+    pub fn fail_broken(self, call: &Call, detail: &str) {
+        self.log_failure(call, detail);
+        call.record_broken(self.attempt);
+    }
+
+    fn log_failure(&self, call: &Call, detail: &str) {
+        let upstream = &self.attempt.placement.upstream;
+        call.relay.log.write(
+            "stream_broken",
+            || json!({ "request": call.request_id, "upstream": upstream, "failure": detail }),
+        );
+    }
+}
+
+/// Returns whether the end of a response is marked by a length or a last chunk, rather than by the end of
+/// its connection.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// Returns whether two responses have the same media type, whatever its parameters.
+pub fn is_same_type(one: &HeaderMap, other: &HeaderMap) -> bool {
+    let media_type = |headers: &HeaderMap| {
+        let value = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let essence = value.and_then(|value| value.split(';').next());
+        essence.map(|essence| essence.trim().to_ascii_lowercase())
+    };
+    media_type(one) == media_type(other)
+}
