--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -398,21 +398,11 @@
         }
     }
 
-    /// Records that no response has come in time. Returns the outcome of the attempt for the health of the
-    /// upstream.
-    pub fn record_direct_silence(
-        &self,
-        target: &DialTarget,
-        connection: &UpstreamConnection,
-    ) -> AttemptOutcome {
-        if connection.carrier().is_some() {
-            return AttemptOutcome::Unresponsive;
-        }
+    /// Records that no response has come in time on a direct connection. Returns whether the own link may be
+    /// the cause.
+    pub fn record_direct_silence(&self, target: &DialTarget) -> bool {
         let links = &mut self.reach.lock().links;
         links.record_silence(&target.view());
-        match links.find_cut(&target.view()) {
-            Some(_) => AttemptOutcome::Cancelled,
-            None => AttemptOutcome::Unresponsive,
-        }
+        links.find_cut(&target.view()).is_some()
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod follow;
 mod forwarding;
 mod freshness;
+mod hedging;
 mod limits;
 mod management;
 mod members;
@@ -39,6 +40,8 @@
 mod state;
 mod store_watch;
 mod stream;
+mod stream_source;
+mod successor;
 mod tunnels;
 mod view_log;
 
