Telemetry: the last lines of a process reach its output

The writer thread waits 100 ms for more lines before it writes. The process did not wait for it, and busy processes also left out the lines of their stop over the rate limit: of a stop under load, neither `stopping` nor `stopped` was found in the collected logs, so a drain that ended idle could not be told from one that timed out.

EventLog::flush waits for all queued lines; write_unlimited is for the few events that tell how a process ends.

--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -15,9 +15,18 @@
 /// Time for which the writer thread waits after the first queued line and then writes all queued lines
 /// in one batch, so that not every line wakes it.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which a flush tries to enter a queue that is full.
+const FLUSH_RETRY_INTERVAL: Duration = Duration::from_millis(5);
+
+/// A message to the writer thread.
+enum Message {
+    Line(String),
+    /// Answered once all lines before it have been written.
+    Flush(SyncSender<()>),
+}
 
 struct Shared {
-    sender: SyncSender<String>,
+    sender: SyncSender<Message>,
     lines_per_second: i64,
     started: Instant,
     /// Lines that the rate limit still admits in the current one-second window; negative if lines were
@@ -65,6 +74,12 @@
             metrics::counter!("hickorycourse_log_lines_left_out_total").increment(1);
             return;
         }
+        self.write_unlimited(event, fields);
+    }
+
+    /// As [`write`](Self::write), without regard to the rate limit: for the few events that tell how a
+    /// process has ended.
+    pub fn write_unlimited(&self, event: &str, fields: impl FnOnce() -> Value) {
         let at_ms =
             SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64);
         let mut line = serde_json::json!({ "at_ms": at_ms, "event": event });
@@ -75,11 +90,30 @@
                 line.insert("left_out_before".to_owned(), dropped_lines.into());
             }
         }
-        if self.shared.sender.try_send(format!("{line}\n")).is_err() {
+        if self.shared.sender.try_send(Message::Line(format!("{line}\n"))).is_err() {
             self.shared.dropped_lines.fetch_add(1, Ordering::Relaxed);
         }
     }
 
+    /// Blocks until all lines that were queued before have been written, at most for `limit`; returns
+    /// whether they have. The process may end afterwards.
+    pub fn flush(&self, limit: Duration) -> bool {
+        let deadline = Instant::now() + limit;
+        let (sender, receiver) = sync_channel(1);
+        let mut message = Message::Flush(sender);
+        loop {
+            match self.shared.sender.try_send(message) {
+                Ok(()) => break,
+                Err(TrySendError::Full(unsent)) if Instant::now() < deadline => {
+                    message = unsent;
+                    thread::sleep(FLUSH_RETRY_INTERVAL);
+                }
+                Err(_) => return false,
+            }
+        }
+        receiver.recv_timeout(deadline.saturating_duration_since(Instant::now())).is_ok()
+    }
+
     fn try_acquire_line(&self) -> bool {
         let shared = &self.shared;
         let now_ms = shared.started.elapsed().as_millis() as u64;
@@ -93,14 +127,23 @@
 }
 
 /// Writer thread; returns when all senders have been dropped.
-fn write_lines(receiver: &Receiver<String>) {
+fn write_lines(receiver: &Receiver<Message>) {
     while let Ok(first) = receiver.recv() {
-        thread::sleep(FLUSH_INTERVAL);
-        let mut text = first;
-        while let Ok(line) = receiver.try_recv() {
-            text.push_str(&line);
+        if matches!(first, Message::Line(_)) {
+            thread::sleep(FLUSH_INTERVAL);
+        }
+        let mut text = String::new();
+        let mut flushes = Vec::new();
+        for message in std::iter::once(first).chain(receiver.try_iter()) {
+            match message {
+                Message::Line(line) => text.push_str(&line),
+                Message::Flush(sender) => flushes.push(sender),
+            }
         }
         // There is nowhere to report an error of standard output.
         let _ = std::io::stdout().lock().write_all(text.as_bytes());
+        for flush in flushes {
+            let _ = flush.try_send(());
+        }
     }
 }
