Drain: long requests are finished, or rejected in time

In a planned stop in calm, callers whose request was admitted until 36% of the time to stop (2.88 s of 8 s) on a route that lets it last longer than the rest were cut off at its end without an answer, requests that may run once among them. The process itself did not end before the platform's limit then.

Cause: admission looked at the time since the signal only, not at what the request needs; the drain timeout ended the process under whatever was left.

Change: - A stopping instance admits a request if its deadline lies within the time left, or if 99% of the latest requests of its route took less than that (90% if it is repeated or resumed elsewhere when cut off). Without a forecast it is admitted: most requests are short, and a rejection costs its caller a retry. The decision is DrainTimings::is_finishable; DurationTable holds the durations. - What has no response at 92% of the time to stop gets one: 504 (may have run), or 503 (not run) if it was not sent. - At the drain timeout the process does not wait for its servers. - Each request that the end cuts off is logged (cut_off: id, upstream, age), before `stopped`, which is flushed.

The decision's table is in crates/relay/tests/drain.rs.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -18,6 +18,7 @@
 
 use crate::adapter::{ResponseMetadata, TokenCounts, UpstreamRequestMetadata};
 use crate::attempt::{Attempt, OpenedResponse};
+use crate::in_flight::InFlightGuard;
 use crate::state::Relay;
 use hickorycourse_connections::{ConnectionPool, ExchangeError, UpstreamConnection};
 
@@ -81,6 +82,8 @@
     pub arrived_at_ms: u64,
     /// Deadline of the response.
     pub deadline_at_ms: u64,
+    /// Keeps the request in flight.
+    pub in_flight: Rc<InFlightGuard>,
     /// Whether this request has been counted in the usage. A request counts once, even if it is
     /// retried at another upstream or fails.
     pub is_run_counted: Cell<bool>,
@@ -261,6 +264,7 @@
             Duration::from_millis(self.response_timeout_ms(&attempt.placement, retry_state));
         retry_state.sent_attempts += 1;
         attempt.record_sent();
+        self.in_flight.record_sent(&upstream);
         let guard = CancelledRunGuard::new(self);
         let result = connection.send(request, limit).await;
         guard.disarm();
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -25,8 +25,9 @@
 use crate::buffered_response;
 use crate::call::{Call, DEFAULT_RETRY_AFTER_MS, RetryState};
 use crate::drain::{hold_until_flushed, is_closing, mark_closing};
+use crate::in_flight::InFlightGuard;
 use crate::messages::{copy_headers, read_host, write_buffered, write_headers};
-use crate::state::{InFlightGuard, Relay};
+use crate::state::Relay;
 use crate::stream::{self, StreamResponse};
 use hickorycourse_connections::ConnectionPool;
 
@@ -68,8 +69,14 @@
     let connections = CONNECTIONS.with(ConnectionPool::clone);
     evict_idle_connections(&connections, arrived_at_ms);
     let mut outcome = RequestOutcome::default();
-    let result =
-        serve(&relay, &request, payload, arrived_at_ms, in_flight.clone(), &mut outcome).await;
+    let serving = serve(&relay, &request, payload, arrived_at_ms, in_flight.clone(), &mut outcome);
+    let result = tokio::select! {
+        biased;
+        result = serving => result,
+        () = relay.drain.wait_for_answer_time() => {
+            Err(unfinished_problem(in_flight.as_deref()))
+        }
+    };
     let mut response = match result {
         Ok(response) => response,
         Err(problem) => problem_response(&relay, &mut outcome, &problem),
@@ -109,6 +116,14 @@
     response
 }
 
+/// Returns the problem for a request that can't be finished before the process ends.
+fn unfinished_problem(in_flight: Option<&InFlightGuard>) -> Problem {
+    match in_flight.is_some_and(InFlightGuard::is_sent) {
+        true => Problem::new(ErrorCode::UpstreamTimeout).with_detail("the instance is stopping"),
+        false => retryable_problem(ErrorCode::Draining),
+    }
+}
+
 fn evict_idle_connections(connections: &ConnectionPool, now_ms: u64) {
     if now_ms >= LAST_EVICTION_AT_MS.get() + EVICTION_INTERVAL_MS {
         LAST_EVICTION_AT_MS.set(now_ms);
@@ -175,6 +190,9 @@
 ) -> Result<HttpResponse, Problem> {
     let received = receive_request(relay, request, payload).await?;
     outcome.request_id = received.metadata.request_id.clone().unwrap_or_default();
+    if let Some(in_flight) = &in_flight {
+        in_flight.record_id(&outcome.request_id);
+    }
     if relay.drain.is_stopping() && request.io().is_some_and(is_closing) {
         return Err(retryable_problem(ErrorCode::Draining));
     }
@@ -185,6 +203,9 @@
     let table = relay.route_table().ok_or_else(|| retryable_problem(ErrorCode::SettingsMissing))?;
     let route = find_route(relay, &table, &received.host, request.path())?;
     outcome.route = Some(route.name.clone());
+    if !relay.is_finishable(route, deadline_at_ms(arrived_at_ms, route, &received.metadata)) {
+        return Err(retryable_problem(ErrorCode::Draining));
+    }
     let organisation = find_organisation(relay, &table, route, received.metadata.key.as_deref())?;
     outcome.organisation = organisation.map(|organisation| organisation.name.clone());
     let origin = find_origin(relay, &received, route, organisation).await?;
@@ -207,8 +228,8 @@
     }
     relay.record_request(service);
     let last_event_id = received.metadata.last_event_id;
-    let mut call =
-        make_call(relay, request, received, route, organisation, service, arrived_at_ms)?;
+    let arrival = Arrival { at_ms: arrived_at_ms, in_flight: Rc::clone(&in_flight) };
+    let mut call = make_call(relay, request, received, route, organisation, service, arrival)?;
     call.request_hash = request_hash;
     call.origin.clone_from(&origin);
     match route.repeat.is_stream() {
@@ -272,6 +293,12 @@
     }
 }
 
+/// The arrival of a request.
+struct Arrival {
+    at_ms: u64,
+    in_flight: Rc<InFlightGuard>,
+}
+
 fn make_call(
     relay: &Arc<Relay>,
     request: &HttpRequest,
@@ -279,8 +306,9 @@
     route: &Route,
     organisation: Option<&Organisation>,
     service: &str,
-    arrived_at_ms: u64,
+    arrival: Arrival,
 ) -> Result<Call, Problem> {
+    let Arrival { at_ms: arrived_at_ms, in_flight } = arrival;
     let metadata = received.metadata;
     let method = Method::from_bytes(request.method().as_str().as_bytes())
         .map_err(|error| Problem::new(ErrorCode::InvalidHeader).with_detail(error.to_string()))?;
@@ -293,6 +321,7 @@
         stream_key: StreamKey::new(name, first_id.unwrap_or_default()),
         origin: None,
         relay: Arc::clone(relay),
+        in_flight,
         connections: CONNECTIONS.with(ConnectionPool::clone),
         deadline_at_ms: deadline_at_ms(arrived_at_ms, route, &metadata),
         request_id: metadata.request_id.unwrap_or_default(),
@@ -372,6 +401,9 @@
     outcome.failure = retry_state.failure;
     let buffered = result?;
     outcome.upstream = Some(buffered.upstream.clone());
+    if (200..300).contains(&buffered.status) {
+        call.relay.record_duration(&call.route.name, call.arrived_at_ms);
+    }
     Ok(write_buffered(&buffered))
 }
 
--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -15,7 +15,8 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
-use crate::state::{InFlightGuard, Relay};
+use crate::in_flight::{InFlightGuard, InFlightTable};
+use crate::state::Relay;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the write buffer of a connection is checked.
@@ -27,10 +28,20 @@
 const MIN_DRAIN_MS: u64 = 2_800;
 /// Time for requests in flight, in percent of `stop_ms`; the rest is for flushing their last bytes.
 const DRAIN_TIMEOUT_PERCENT: u64 = 95;
+/// Time after which requests without a response are answered that they were not finished, in percent of
+/// `stop_ms`: such a response still reaches its caller, where the end of the process would cut it off.
+const ANSWER_BY_PERCENT: u64 = 92;
 /// Time after which new requests are rejected, in percent of `stop_ms`, so that the shutdown cuts
 /// none off.
 /// The balancer has detected the shutdown by then; later requests arrive on kept-alive connections.
 const REJECT_AFTER_PERCENT: u64 = 36;
+/// Share of a route's latest requests that must have ended within the time that is left, for a request
+/// that its deadline does not end in time.
+const MIN_FINISHED_SHARE: f64 = 0.99;
+/// As [`MIN_FINISHED_SHARE`], for a request that is repeated or resumed elsewhere if it is cut off.
+const MIN_FINISHED_SHARE_IDEMPOTENT: f64 = 0.9;
+/// Lines about single requests that the end of a drain writes.
+const MAX_CUT_OFF_LINES: usize = 200;
 
 /// Times of a shutdown, in milliseconds since the stop signal.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -39,10 +50,24 @@
     pub min_drain_ms: u64,
     /// Time after which no further request is admitted.
     pub reject_after_ms: u64,
+    /// Time after which requests whose response has not begun are answered that they were not finished.
+    pub answer_by_ms: u64,
     /// Time after which requests in flight are cut off.
     pub drain_timeout_ms: u64,
 }
 
+/// What is known of the time that a request takes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RequestForecast {
+    /// Time until its deadline.
+    pub deadline_in_ms: u64,
+    /// Share of the route's latest requests that have ended within the time left; `None` if there were
+    /// too few.
+    pub finished_share: Option<f64>,
+    /// Whether it is repeated or resumed elsewhere if it is cut off.
+    pub is_idempotent: bool,
+}
+
 impl DrainTimings {
     /// Derives the times from the time after which the platform kills a stopping process.
     pub fn from_stop_ms(stop_ms: u64) -> Self {
@@ -50,9 +75,28 @@
         Self {
             min_drain_ms: MIN_DRAIN_MS.min(drain_timeout_ms / 2),
             reject_after_ms: stop_ms * REJECT_AFTER_PERCENT / 100,
+            answer_by_ms: stop_ms * ANSWER_BY_PERCENT / 100,
             drain_timeout_ms,
         }
     }
+
+    /// Returns the time that a request may take which arrives `spent_ms` after the stop signal.
+    pub fn left_ms(&self, spent_ms: u64) -> u64 {
+        self.answer_by_ms.saturating_sub(spent_ms)
+    }
+
+    /// Decides whether a request that arrives `spent_ms` after the stop signal is likely to be finished. A
+    /// request that is rejected at once is sent elsewhere; one that is cut off may be lost. Without a
+    /// forecast it is admitted, as most requests are short.
+    pub fn is_finishable(&self, spent_ms: u64, forecast: &RequestForecast) -> bool {
+        let min_share = match forecast.is_idempotent {
+            true => MIN_FINISHED_SHARE_IDEMPOTENT,
+            false => MIN_FINISHED_SHARE,
+        };
+        spent_ms < self.reject_after_ms
+            && (forecast.deadline_in_ms <= self.left_ms(spent_ms)
+                || forecast.finished_share.is_none_or(|share| share >= min_share))
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -105,6 +149,10 @@
 pub struct DrainState {
     state: Mutex<State>,
     started: Notify,
+    /// Notified when requests without a response are to be answered.
+    answer_due: Notify,
+    /// The requests in flight, for the log.
+    pub requests: InFlightTable,
 }
 
 impl DrainState {
@@ -168,6 +216,12 @@
         })
     }
 
+    /// Waits until requests without a response are to be answered. Must be called while the request is in
+    /// flight.
+    pub async fn wait_for_answer_time(&self) {
+        self.answer_due.notified().await;
+    }
+
     /// Waits for the start of the shutdown; supports a single waiting task.
     pub async fn wait_until_stopping(&self) {
         while !self.is_stopping() {
@@ -178,18 +232,36 @@
 
 /// Waits for the start of the shutdown, and then until no request is in flight or the drain timeout
 /// has expired.
-pub async fn wait_until_drained(relay: &Arc<Relay>) {
+pub async fn wait_until_drained(relay: &Arc<Relay>) -> DrainEnd {
     relay.drain.wait_until_stopping().await;
-    relay.log.write("stopping", || json!({ "in_flight": relay.drain.in_flight() }));
-    loop {
-        if let Some(end) = relay.drain.try_end(relay.now_ms(), &relay.drain_timings()) {
-            relay
-                .log
-                .write("stopped", || json!({ "spent_ms": end.spent_ms, "cut_off": end.cut_off }));
-            return;
+    relay.log.write_unlimited("stopping", || json!({ "in_flight": relay.drain.in_flight() }));
+    let timings = relay.drain_timings();
+    let end = loop {
+        let now_ms = relay.now_ms();
+        if let Some(end) = relay.drain.try_end(now_ms, &timings) {
+            break end;
+        }
+        let spent_ms = relay.drain.stopping_for_ms(now_ms).unwrap_or_default();
+        if spent_ms >= timings.answer_by_ms {
+            relay.drain.answer_due.notify_waiters();
         }
         sleep(POLL_INTERVAL).await;
+    };
+    let now_ms = relay.now_ms();
+    let cut_off = relay.drain.requests.list();
+    for request in cut_off.iter().take(MAX_CUT_OFF_LINES) {
+        relay.log.write_unlimited("cut_off", || {
+            json!({
+                "request": request.request_id, "upstream": request.upstream,
+                "age_ms": now_ms.saturating_sub(request.arrived_at_ms),
+            })
+        });
     }
+    relay.log.write_unlimited(
+        "stopped",
+        || json!({ "spent_ms": end.spent_ms, "cut_off": end.cut_off, "listed": cut_off.len() }),
+    );
+    end
 }
 
 thread_local! {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,11 +18,13 @@
 mod caller;
 mod datagrams;
 mod drain;
+mod durations;
 mod duty_tasks;
 mod events;
 mod exchange;
 mod follow;
 mod freshness;
+mod in_flight;
 mod limits;
 mod management;
 mod members;
@@ -47,7 +49,8 @@
 }
 
 pub use broadcast::digest_period_ms;
-pub use drain::{DrainEnd, DrainState, DrainTimings};
+pub use drain::{DrainEnd, DrainState, DrainTimings, RequestForecast};
+pub use durations::DurationTable;
 pub use events::EventTracker;
 pub use exchange::report_interval_ms;
 pub use management::is_own_host;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use eyre::WrapErr;
 use futures_util::future::join;
@@ -36,6 +37,8 @@
 const MAX_HEAD_BYTES: usize = 65_536;
 /// Time for connections to close after the drain; requests have ended or been cut off by then.
 pub const SHUTDOWN_TIMEOUT: Seconds = Seconds(1);
+/// Time for the last lines of the event log.
+const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for the last bytes of a response to a slow caller before its connection is closed.
 const FLUSH_TIMEOUT: Seconds = Seconds(30);
 
@@ -89,8 +92,12 @@
     }
     let caller_server = start_caller_server(&relay)?;
     let management_server = start_management_server(&relay)?;
-    drain::wait_until_drained(&relay).await;
-    join(caller_server.stop(true), management_server.stop(true)).await;
+    let end = drain::wait_until_drained(&relay).await;
+    // At the drain timeout there is no time left to wait for connections; they end with the process.
+    if end.cut_off == 0 {
+        join(caller_server.stop(true), management_server.stop(true)).await;
+    }
+    relay.log.flush(LOG_FLUSH_TIMEOUT);
     Ok(())
 }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -21,8 +21,8 @@
 };
 use hickorycourse_quarantine::{PartQuarantine, QuarantineOptions};
 use hickorycourse_routes::{
-    ActiveDocument, ApplyOutcome, DirectoryChange, RouteDocument, RouteTable, UpstreamDirectory,
-    UpstreamEntry,
+    ActiveDocument, ApplyOutcome, DirectoryChange, Route, RouteDocument, RouteTable,
+    UpstreamDirectory, UpstreamEntry,
 };
 use hickorycourse_telemetry::{EventLog, Meter};
 use parking_lot::{Mutex, RwLock};
@@ -32,7 +32,8 @@
 
 use self::store::StoreHealth;
 use crate::adapter::Protocol;
-use crate::drain::{DrainState, DrainTimings};
+use crate::drain::{DrainState, DrainTimings, RequestForecast};
+use crate::durations::DurationTable;
 use crate::exchange::ExchangeState;
 use crate::limits::RemoteClaim;
 use crate::members::MemberTable;
@@ -72,6 +73,8 @@
     pub members: Mutex<MemberTable>,
     /// Shutdown state, with the number of requests in flight.
     pub drain: DrainState,
+    /// How long the latest requests took.
+    pub durations: DurationTable,
     /// Whether the state of the store has to be listed before its changes are followed.
     pub is_listing_needed: AtomicBool,
     /// Time of the latest query of a follower that this instance could not answer; 0 without one.
@@ -141,6 +144,7 @@
             directory: Mutex::default(),
             members: Mutex::default(),
             drain: DrainState::default(),
+            durations: DurationTable::default(),
             is_listing_needed: AtomicBool::new(false),
             unanswered_query_at_ms: AtomicU64::new(0),
             duty_lease: Mutex::new(DutyLease::new(LeaseOptions::from_ttl(bounds.lease_ms))),
@@ -181,6 +185,26 @@
         DrainTimings::from_stop_ms(self.settings.bounds.stop_ms)
     }
 
+    /// Decides whether a request that arrives now is likely to be finished before this process ends.
+    pub fn is_finishable(&self, route: &Route, deadline_at_ms: u64) -> bool {
+        let now_ms = self.now_ms();
+        let Some(spent_ms) = self.drain.stopping_for_ms(now_ms) else { return true };
+        let timings = self.drain_timings();
+        let left_ms = timings.left_ms(spent_ms);
+        let forecast = RequestForecast {
+            deadline_in_ms: deadline_at_ms.saturating_sub(now_ms),
+            finished_share: self.durations.share_within(&route.name, left_ms, now_ms),
+            is_idempotent: route.repeat.allows_reexecution(),
+        };
+        timings.is_finishable(spent_ms, &forecast)
+    }
+
+    /// Records how long a request of a route took that is complete now.
+    pub fn record_duration(&self, route: &str, arrived_at_ms: u64) {
+        let now_ms = self.now_ms();
+        self.durations.record(route, now_ms.saturating_sub(arrived_at_ms), now_ms);
+    }
+
     /// Returns the active routes; `None` until a document has been received.
     pub fn route_table(&self) -> Option<Arc<RouteTable>> {
         self.active_document.read().table()
@@ -381,22 +405,3 @@
         self.usage.lock().newest(WINDOWS_PER_DIGEST)
     }
 }
-
-/// Counts a request as in flight until dropped.
-pub struct InFlightGuard {
-    relay: Arc<Relay>,
-}
-
-impl InFlightGuard {
-    /// Counts a request that has arrived; `None` if it came too late to be admitted.
-    pub fn try_new(relay: &Arc<Relay>) -> Option<Self> {
-        let is_counted = relay.drain.begin_request(relay.now_ms(), &relay.drain_timings());
-        is_counted.then(|| Self { relay: Arc::clone(relay) })
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.relay.drain.end_request();
-    }
-}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -19,7 +19,7 @@
 use crate::call::{Call, RetryState};
 use crate::drain::hold_until_flushed;
 use crate::events::EventTracker;
-use crate::state::InFlightGuard;
+use crate::in_flight::InFlightGuard;
 use hickorycourse_connections::{UpstreamConnection, ends_with_connection};
 
 /// Idle timeout of a resumable stream, after which it moves to another upstream, as a multiple of
@@ -329,6 +329,9 @@
         });
         metrics::counter!("hickorycourse_streams_total", "outcome" => outcome.to_owned())
             .increment(1);
+        if outcome == "complete" {
+            call.relay.record_duration(&call.route.name, call.arrived_at_ms);
+        }
     }
 
     /// Returns the next bytes for the caller; `None` after the end.
--- a/crates/relay/tests/drain.rs
+++ b/crates/relay/tests/drain.rs
@@ -1,10 +1,14 @@
 //! The drain and the admission of requests, decided together.
 
-use hickorycourse_relay::{DrainEnd, DrainState, DrainTimings};
+use hickorycourse_relay::{DrainEnd, DrainState, DrainTimings, RequestForecast};
 use proptest::prelude::*;
 
-const TIMINGS: DrainTimings =
-    DrainTimings { min_drain_ms: 2_800, reject_after_ms: 2_880, drain_timeout_ms: 7_600 };
+const TIMINGS: DrainTimings = DrainTimings {
+    min_drain_ms: 2_800,
+    reject_after_ms: 2_880,
+    answer_by_ms: 7_360,
+    drain_timeout_ms: 7_600,
+};
 
 #[test]
 fn timings_from_stop_ms_in_order() {
@@ -79,6 +83,36 @@
     assert_eq!(drain.try_end(7_600, &TIMINGS), Some(DrainEnd { spent_ms: 7_600, cut_off: 1 }));
 }
 
+// Guards against requests that are admitted late in the stop and cut off at its end.
+#[test]
+fn is_finishable_admits_what_ends_in_time() {
+    // Time since the signal, deadline, share of the latest requests within the time left, whether it may
+    // be repeated, and whether it is admitted.
+    let cases = [
+        (0, 2_000, Some(0.0), false, true),
+        (0, 5_000, Some(0.0), false, true),
+        (0, 7_360, Some(0.0), false, true),
+        (0, 7_361, Some(0.98), false, false),
+        (0, 7_361, Some(0.99), false, true),
+        (0, 20_000, None, false, true),
+        (0, 20_000, Some(0.9), true, true),
+        (0, 20_000, Some(0.89), true, false),
+        (2_300, 5_000, Some(0.0), false, true),
+        (2_500, 5_000, Some(0.0), false, false),
+        (2_500, 5_000, Some(0.95), true, true),
+        (2_500, 5_000, Some(0.95), false, false),
+        (2_879, 10_000, Some(1.0), false, true),
+        (2_879, 2_000, Some(0.0), false, true),
+        (2_880, 2_000, Some(1.0), true, false),
+        (7_500, 100, Some(1.0), true, false),
+    ];
+    for (spent_ms, deadline_in_ms, finished_share, is_idempotent, is_admitted) in cases {
+        let forecast = RequestForecast { deadline_in_ms, finished_share, is_idempotent };
+        let decided = TIMINGS.is_finishable(spent_ms, &forecast);
+        assert_eq!(decided, is_admitted, "{spent_ms} ms after the signal: {forecast:?}");
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Arrive,
