--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -18,6 +18,7 @@
 
 use crate::adapter::{ResponseMetadata, TokenCounts, UpstreamRequestMetadata};
 use crate::attempt::{Attempt, OpenedResponse};
+use crate::in_flight::InFlightGuard;
 use crate::state::Relay;
 use hickorycourse_connections::{Carrier, ConnectionPool, ExchangeError, UpstreamConnection};
 
@@ -79,6 +80,8 @@
     pub arrived_at_ms: u64,
     /// Deadline of the response.
     pub deadline_at_ms: u64,
+    /// Keeps the request in flight.
+    pub in_flight: Rc<InFlightGuard>,
     /// Whether this request has been counted in the usage. A request counts once, even if it is
     /// retried at another upstream or fails.
     pub is_run_counted: Cell<bool>,
--- a/crates/relay/src/hedging.rs
+++ b/crates/relay/src/hedging.rs
@@ -230,6 +230,7 @@
         };
         retry_state.sent_attempts += 1;
         attempt.record_sent();
+        self.in_flight.record_sent(&attempt.placement.upstream);
         let is_direct = connection.carrier().is_none();
         let direct_target = is_direct.then(|| self.dial_target(&attempt.placement));
         Exchange {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod caller;
 mod datagrams;
 mod drain;
+mod durations;
 mod duty_tasks;
 mod events;
 mod exchange;
@@ -25,6 +26,7 @@
 mod forwarding;
 mod freshness;
 mod hedging;
+mod in_flight;
 mod limits;
 mod management;
 mod members;
@@ -52,7 +54,8 @@
 }
 
 pub use broadcast::digest_period_ms;
-pub use drain::{DrainEnd, DrainState, DrainTimings};
+pub use drain::{DrainEnd, DrainState, DrainTimings, RequestForecast};
+pub use durations::DurationTable;
 pub use events::EventTracker;
 pub use exchange::report_interval_ms;
 pub use management::is_own_host;
--- a/crates/relay/src/tunnels.rs
+++ b/crates/relay/src/tunnels.rs
@@ -16,7 +16,8 @@
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::state::{InFlightGuard, Relay};
+use crate::in_flight::InFlightGuard;
+use crate::state::Relay;
 
 /// Timeout for the connection to the upstream. The sender has waited for its own dial before.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
