Placement: divide the slots of brittle upstreams

What callers saw: while engines said `Server-Brittle`, instances went on sending what found no slot; the engines turned it away, fell over, and were met by a herd when they were back.

Cause: the header was not read, and each instance judged by itself whether an engine had room.

Change: what responses say is kept, told in digests and ended like a limit (`relay/src/tolerance.rs`). The slots of such an upstream are divided evenly over the instances, by rendezvous ranks; each request needs a free slot of its instance, also retries, resumed streams and requests with a permit. First attempts take a slot of others only while the upstream reports free ones and an average use below 0.92, within half of the rejections that it tolerates. What finds no slot within an eighth of its target is rejected with `Retry-After`. `slots_per_upstream` and the backoff methods move out of `table.rs`, unchanged.

--- a/crates/digest/src/message.rs
+++ b/crates/digest/src/message.rs
@@ -58,6 +58,9 @@
     /// What it knows of the rate limits of upstreams.
     #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitNotice>,
+    /// What it knows of the requests a second that upstreams can turn away.
+    #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
+    pub tolerances: Vec<LimitNotice>,
     /// Whether it is stopping, and grants no permits any more.
     #[serde(rename = "d", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_stopping: bool,
@@ -143,6 +146,9 @@
     /// What the aggregator knows of the rate limits of upstreams.
     #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitNotice>,
+    /// What the aggregator knows of the requests a second that upstreams can turn away.
+    #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
+    pub tolerances: Vec<LimitNotice>,
 }
 
 impl ZoneDigest {
@@ -167,6 +173,7 @@
             committed_usage: Vec::new(),
             quarantine: QuarantineDigest::default(),
             limits: Vec::new(),
+            tolerances: Vec::new(),
         }
     }
 }
--- a/crates/digest/tests/aggregation.rs
+++ b/crates/digest/tests/aggregation.rs
@@ -33,6 +33,7 @@
         sequence,
         quarantine: Default::default(),
         limits: Vec::new(),
+        tolerances: Vec::new(),
         is_stopping: false,
     }
 }
--- a/crates/placement/src/backoff.rs
+++ b/crates/placement/src/backoff.rs
@@ -4,6 +4,9 @@
 //! Sending on would keep it overloaded and cost each caller an attempt; a few probes show whether a
 //! long backoff is still needed when there is no other upstream.
 
+use crate::request::PlacementRequest;
+use crate::table::PlacementTable;
+
 /// Longest backoff that is obeyed.
 const MAX_BACKOFF_MS: u64 = 600_000;
 /// Requests that may be sent during one backoff, as probes.
@@ -61,3 +64,29 @@
         self.until_ms.saturating_sub(now_ms)
     }
 }
+
+impl PlacementTable {
+    /// Records that an upstream wants no requests for `duration_ms`.
+    pub fn start_backoff(&mut self, upstream: &str, duration_ms: u64, now_ms: u64) {
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.backoff.start(duration_ms, now_ms);
+        }
+    }
+
+    /// Milliseconds until the first of the requested backoffs ends; `None` if an upstream without one
+    /// accepts the request, or none has requested one. Upstreams that have rejected this request count
+    /// too, as they may accept it later.
+    pub fn backoff_remaining_ms(&self, request: &PlacementRequest<'_>, now_ms: u64) -> Option<u64> {
+        let mut earliest_ms: Option<u64> = None;
+        for (id, upstream) in self.upstreams.iter().filter(|(_, upstream)| !upstream.is_leaving) {
+            match upstream.backoff.remaining_ms(now_ms) {
+                0 if !request.permits(id, upstream) => {}
+                0 => return None,
+                remaining_ms => {
+                    earliest_ms = Some(earliest_ms.map_or(remaining_ms, |ms| ms.min(remaining_ms)));
+                }
+            }
+        }
+        earliest_ms
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -14,6 +14,7 @@
 mod admission;
 mod backoff;
 mod cost;
+mod fragile;
 mod health;
 mod latency;
 mod limit;
@@ -21,6 +22,7 @@
 mod permits;
 mod request;
 mod retry_schedule;
+mod slot_use;
 mod table;
 mod token_rate;
 mod upstream;
--- a/crates/placement/src/permits.rs
+++ b/crates/placement/src/permits.rs
@@ -1,10 +1,11 @@
 //! Placement of requests at upstreams that have named a rate limit.
 
+use crate::fragile::SlotsOf;
 use crate::request::PlacementRequest;
 use crate::table::{Placement, PlacementTable};
 
 /// Shortest time until a caller that was refused for want of a permit is expected back.
-const MIN_RETRY_AFTER_MS: u64 = 200;
+pub(crate) const MIN_RETRY_AFTER_MS: u64 = 200;
 
 /// An upstream at which a permit may be claimed for a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -97,6 +98,7 @@
             let wait_ms = limit.wait_ms(now_ms);
             let is_claimable = limit.may_claim(now_ms)
                 && upstream.is_sound(now_ms)
+                && self.has_room(id, upstream, SlotsOf::Own, now_ms)
                 && (!is_stale || limit.is_stale(now_ms))
                 && request.permits(id, upstream);
             is_claimable.then_some((wait_ms, id, upstream))
@@ -127,6 +129,7 @@
         let (id, upstream) = self.upstreams.get_key_value(upstream)?;
         if !upstream.accepts_permitted(now_ms)
             || permit_until_ms <= now_ms
+            || !self.has_room(id, upstream, SlotsOf::Own, now_ms)
             || !request.permits(id, upstream)
         {
             return None;
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -1,5 +1,6 @@
 //! Load and health of the upstreams of one service, and the choice among them.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
@@ -8,6 +9,7 @@
 
 use crate::admission::{Admission, AdmissionRule, Forecast};
 use crate::cost::{CostComponents, CostRule};
+use crate::fragile::{SlotHolders, SlotsOf};
 use crate::health::AttemptOutcome;
 use crate::latency::LatencyEstimate;
 use crate::request::PlacementRequest;
@@ -86,6 +88,8 @@
     pub is_backoff_probe: bool,
     /// End of the validity of the permit that the request has; `None` without one.
     pub permit_until_ms: Option<u64>,
+    /// Whether the request takes a slot of another instance.
+    pub is_lent: bool,
     /// Version of the upstream's software; `None` if it is not known.
     pub version: Option<String>,
 }
@@ -125,7 +129,14 @@
     /// Uncached prompt tokens of requests that were sent.
     sent_meter: TokenRateMeter,
     /// Demand reported by each peer, with the number of instances that it reports for.
-    peer_demand: HashMap<String, (TokenDemand, usize)>,
+    pub(crate) peer_demand: HashMap<String, (TokenDemand, usize)>,
+    /// Whether some upstream can turn few requests away.
+    pub(crate) has_fragile: bool,
+    pub(crate) slot_holders: SlotHolders,
+    /// Instances that have requests at these upstreams, and the time at which they were counted.
+    pub(crate) claimants: Cell<(u64, u64)>,
+    /// Requests that end.
+    pub(crate) end_meter: TokenRateMeter,
 }
 
 /// Rate of uncached prompt tokens of an instance's requests.
@@ -156,6 +167,10 @@
             arrival_meter: TokenRateMeter::default(),
             sent_meter: TokenRateMeter::default(),
             peer_demand: HashMap::new(),
+            has_fragile: false,
+            slot_holders: SlotHolders::default(),
+            claimants: Cell::default(),
+            end_meter: TokenRateMeter::default(),
         }
     }
 
@@ -169,6 +184,7 @@
             upstream.update(entry);
             self.upstreams.insert(entry.id.clone(), upstream);
         }
+        self.refresh_fragile();
     }
 
     /// Discards health, cache contents and load report of an upstream that has restarted.
@@ -176,6 +192,7 @@
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
             upstream.reset();
         }
+        self.refresh_fragile();
     }
 
     /// Whether the upstream of a placement still accepts the request: it is listed, not draining, and has
@@ -198,48 +215,37 @@
         self.upstreams.get(&placement.upstream).is_some_and(|upstream| !upstream.is_leaving)
     }
 
-    /// Records that an upstream wants no requests for `duration_ms`.
-    pub fn start_backoff(&mut self, upstream: &str, duration_ms: u64, now_ms: u64) {
-        if let Some(upstream) = self.upstreams.get_mut(upstream) {
-            upstream.backoff.start(duration_ms, now_ms);
-        }
-    }
-
-    /// Milliseconds until the first of the requested backoffs ends; `None` if an upstream without one
-    /// accepts the request, or none has requested one. Upstreams that have rejected this request count
-    /// too, as they may accept it later.
-    pub fn backoff_remaining_ms(&self, request: &PlacementRequest<'_>, now_ms: u64) -> Option<u64> {
-        let mut earliest_ms: Option<u64> = None;
-        for (id, upstream) in self.upstreams.iter().filter(|(_, upstream)| !upstream.is_leaving) {
-            match upstream.backoff.remaining_ms(now_ms) {
-                0 if !request.permits(id, upstream) => {}
-                0 => return None,
-                remaining_ms => {
-                    earliest_ms = Some(earliest_ms.map_or(remaining_ms, |ms| ms.min(remaining_ms)));
-                }
-            }
-        }
-        earliest_ms
-    }
-
     /// Chooses the upstream with the lowest cost: among the usable ones; if there are none, among those
     /// that are not ejected, even with a probe in flight; else among the ejected ones. Of the upstreams
     /// that have requested a backoff, only those with a due probe are used, and only if there are no
-    /// usable ones. `None` if all are draining, excluded or within a backoff.
+    /// usable ones. Of those that can turn few requests away, only those with a free slot are used; first
+    /// attempts may take one of another instance. `None` if all are draining, excluded, full or within a
+    /// backoff.
     pub fn choose(&self, request: &PlacementRequest<'_>, now_ms: u64) -> Option<Placement> {
-        let open = |(id, upstream): &(&String, &Upstream)| {
-            upstream.accepts_requests(now_ms) && request.permits(id, upstream)
+        let open = |slots_of: SlotsOf| {
+            move |(id, upstream): &(&String, &Upstream)| {
+                upstream.accepts_requests(now_ms)
+                    && request.permits(id, upstream)
+                    && self.has_room(id, upstream, slots_of, now_ms)
+            }
         };
         let instances = self.count_instances();
         let context = self.request_context(request, now_ms);
+        let choose_usable = |slots_of: SlotsOf| {
+            let sample = self.sample_usable(&context, instances, open(slots_of));
+            self.find_cheapest(sample.into_iter(), &context)
+        };
         let choose = |is_candidate: &dyn Fn(&Upstream) -> bool| {
-            let candidates = self.upstreams.iter().filter(open);
-            let candidates = candidates.filter(|(_, upstream)| is_candidate(upstream));
+            let has_sound = self.upstreams.values().any(|upstream| upstream.is_sound(now_ms));
+            let candidates =
+                self.upstreams.iter().filter(open(SlotsOf::Own)).filter(|(_, upstream)| {
+                    is_candidate(upstream) && self.may_be_tried(upstream, has_sound)
+                });
             self.find_cheapest(candidates, &context)
         };
-        let sample = self.sample_usable(&context, instances, open);
-        let chosen = self
-            .find_cheapest(sample.into_iter(), &context)
+        let may_use_others = self.has_fragile && request.excluded.is_empty();
+        let chosen = choose_usable(SlotsOf::Own)
+            .or_else(|| may_use_others.then(|| choose_usable(SlotsOf::Others))?)
             .or_else(|| choose(&|upstream| !upstream.health.is_ejected(now_ms)))
             .or_else(|| choose(&|_| true))?;
         Some(self.build_placement(&chosen, &context))
@@ -410,6 +416,7 @@
             has_free_slots: running < slots,
             is_backoff_probe: chosen.upstream.backoff.is_active(context.now_ms),
             permit_until_ms: None,
+            is_lent: self.is_beyond_share(chosen.id, chosen.upstream, context.now_ms),
             version: chosen.upstream.version.clone(),
         }
     }
@@ -423,8 +430,7 @@
     ) {
         let Some(upstream) = self.upstreams.get_mut(&placement.upstream) else { return };
         self.sent_meter.add(placement.urgency, placement.uncached_tokens, now_ms);
-        upstream.backoff.record_request(now_ms);
-        upstream.running += 1;
+        upstream.begin_request(placement.is_lent, now_ms);
         let waiting = upstream.waiting.entry(placement.urgency).or_default();
         waiting.requests += 1;
         waiting.tokens += placement.uncached_tokens;
@@ -436,7 +442,7 @@
     pub fn record_first_byte(&mut self, placement: &Placement, now_ms: u64) {
         self.remove_waiting(placement);
         if let Some(upstream) = self.upstreams.get_mut(&placement.upstream) {
-            upstream.answering += 1;
+            upstream.begin_response(placement.is_lent);
         }
         self.latency.record_first_byte(placement, placement.elapsed_ms(now_ms) as f64);
     }
@@ -454,10 +460,9 @@
             self.remove_waiting(placement);
             self.record_abandoned_wait(placement, outcome, now_ms);
         }
+        self.end_meter.add(placement.urgency, 1, now_ms);
         let Some(upstream) = self.upstreams.get_mut(&placement.upstream) else { return };
-        upstream.running = upstream.running.saturating_sub(1);
-        upstream.answering = upstream.answering.saturating_sub(u64::from(has_first_byte));
-        upstream.health.record(outcome, now_ms);
+        upstream.end_request(placement.is_lent, has_first_byte, outcome, now_ms);
     }
 
     /// Uses the wait of a caller that disconnected after its first byte was expected as a lower bound of
@@ -569,11 +574,6 @@
         self.demand_tokens_per_ms(now_ms) > 0.0
     }
 
-    /// Batch slots of the largest upstream; 1 without upstreams.
-    pub fn slots_per_upstream(&self) -> u64 {
-        self.upstreams.values().map(|upstream| upstream.slots).max().unwrap_or(1)
-    }
-
     /// Estimated fraction of the tokens believed cached that are not.
     pub fn miss_rate(&self) -> f64 {
         self.latency.miss_rate
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -7,15 +7,18 @@
 use hickorycourse_routing::PrefixIndex;
 
 use crate::backoff::Backoff;
-use crate::health::Health;
+use crate::health::{AttemptOutcome, Health};
 use crate::limit::UpstreamLimit;
 use crate::pace::Pace;
 use crate::request::PlacementRequest;
+use crate::slot_use::SlotUse;
 
 /// Capacity of the prefix index of an upstream, in prompt parts; engines cache a few hundred.
 const PREFIX_INDEX_CAPACITY: usize = 4_096;
 /// Age at which a load report, of the upstream itself or of a peer instance, is stale.
 const REPORT_STALE_AFTER_MS: u64 = 1_500;
+/// Age up to which the upstream's own report tells the free slots.
+const MAX_SLOT_REPORT_AGE_MS: u64 = 300;
 
 /// Requests whose first byte is still outstanding.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -89,6 +92,8 @@
     pub(crate) pace: Pace,
     /// Its rate limit, if it has named one.
     pub(crate) limit: Option<UpstreamLimit>,
+    /// Use of its slots, which is limited while it can turn few requests away.
+    pub(crate) slot_use: SlotUse,
     pub(crate) prefix_index: PrefixIndex,
 }
 
@@ -110,6 +115,7 @@
             backoff: Backoff::default(),
             pace: Pace::default(),
             limit: None,
+            slot_use: SlotUse::default(),
             prefix_index: PrefixIndex::new(PREFIX_INDEX_CAPACITY),
         };
         upstream.update(entry);
@@ -180,6 +186,61 @@
         load
     }
 
+    /// Records that a request is sent; `is_lent` tells whether it takes a slot of another instance.
+    pub(crate) fn begin_request(&mut self, is_lent: bool, now_ms: u64) {
+        self.backoff.record_request(now_ms);
+        self.running += 1;
+        self.slot_use.begin(is_lent, now_ms);
+    }
+
+    /// Records the first byte of a response.
+    pub(crate) fn begin_response(&mut self, is_lent: bool) {
+        self.answering += 1;
+        if is_lent {
+            self.slot_use.settle_lent();
+        }
+    }
+
+    /// Records the end of a request whose first byte has arrived if `has_first_byte`.
+    pub(crate) fn end_request(
+        &mut self,
+        is_lent: bool,
+        has_first_byte: bool,
+        outcome: AttemptOutcome,
+        now_ms: u64,
+    ) {
+        self.running = self.running.saturating_sub(1);
+        self.answering = self.answering.saturating_sub(u64::from(has_first_byte));
+        self.health.record(outcome, now_ms);
+        if is_lent && !has_first_byte {
+            self.slot_use.settle_lent();
+        }
+        let is_given_up =
+            matches!(outcome, AttemptOutcome::Cancelled | AttemptOutcome::Unresponsive);
+        self.slot_use.end(is_given_up, outcome == AttemptOutcome::Refused, now_ms);
+    }
+
+    /// Slots that requests of this instance occupy.
+    pub(crate) fn occupied(&self, now_ms: u64) -> u64 {
+        self.running + self.slot_use.count_lingering(now_ms)
+    }
+
+    /// Requests in flight by its latest report, and the time of that; `None` without a recent one.
+    pub(crate) fn reported_in_flight(&self, now_ms: u64) -> Option<(u64, u64)> {
+        let report = self.report?;
+        let is_recent = now_ms.saturating_sub(report.at_ms) <= MAX_SLOT_REPORT_AGE_MS;
+        let in_flight = self.slot_use.update_reported(report.running + report.waiting);
+        is_recent.then_some((in_flight, report.at_ms))
+    }
+
+    /// Names of the peers that have reported requests in flight.
+    pub(crate) fn loading_peers(&self, now_ms: u64) -> impl Iterator<Item = &str> {
+        let fresh = self.peers.iter().filter(move |(_, peer)| {
+            peer.load.running > 0 && now_ms.saturating_sub(peer.at_ms) < REPORT_STALE_AFTER_MS
+        });
+        fresh.map(|(name, _)| name.as_str())
+    }
+
     /// Whether it is neither draining nor ejected, has no probe in flight, has not requested a backoff, and
     /// takes requests without a further permit.
     pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
@@ -234,6 +295,7 @@
     /// Records a load report of the upstream itself.
     pub(crate) fn set_report(&mut self, running: u64, waiting: u64, now_ms: u64) {
         self.report = Some(Report { running, waiting, at_ms: now_ms });
+        self.slot_use.record_report(running + waiting, self.slots, now_ms);
     }
 
     /// Records the load that a peer instance reported.
@@ -257,6 +319,7 @@
         self.backoff = Backoff::default();
         self.pace = Pace::default();
         self.limit = None;
+        self.slot_use.reset();
         self.prefix_index.clear();
         self.report = None;
     }
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -78,10 +78,12 @@
     pub backoff: Option<BackoffRequest>,
     /// What the head says of the upstream's rate limit.
     pub limit: NamedLimit,
+    /// What the head says of the requests a second that the upstream can turn away.
+    pub tolerance: NamedLimit,
 }
 
 /// What the head of a response says of the requests a second that its upstream takes from all instances
-/// together.
+/// together, or can turn away.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub enum NamedLimit {
     /// The response comes from another upstream, or from what rejects requests before the upstream.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -109,11 +109,13 @@
         }
     }
 
-    /// Records what the head of the response to this request says of the upstream's limit.
-    pub fn record_limit(&self, limit: &NamedLimit) {
+    /// Records what the head of the response to this request says of the upstream's limits.
+    pub fn record_limits(&self, limit: &NamedLimit, tolerance: &NamedLimit) {
         let sent_at_ms = self.sent_at_ms.unwrap_or_else(|| self.relay.now_ms());
         let upstream = &self.placement.upstream;
-        self.relay.record_limit(upstream, self.upstream_started_at_ms, sent_at_ms, limit);
+        let started_at_ms = self.upstream_started_at_ms;
+        self.relay.record_limit(upstream, started_at_ms, sent_at_ms, limit);
+        self.relay.record_tolerance(upstream, started_at_ms, sent_at_ms, tolerance);
     }
 
     /// Records the arrival of the response's first byte; later calls have no effect.
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -99,6 +99,7 @@
             relay.expire_upstreams();
             relay.expire_quarantine();
             relay.expire_limits();
+            relay.expire_tolerances();
             relay.expire_origins();
             let pause_ms = pause_ms.saturating_sub(relay.now_ms().saturating_sub(now_ms));
             let min_pause_ms = pause_ms / MAX_URGENT_DIGESTS_PER_PERIOD;
@@ -226,6 +227,7 @@
             sequence,
             quarantine: relay.quarantine.lock().digest(now_ms),
             limits: relay.limits.lock().notices(),
+            tolerances: relay.tolerances.lock().notices(),
             is_stopping: relay.drain.is_stopping(),
         }
     }
@@ -336,6 +338,7 @@
         self.apply_notices(&digest.departures, &digest.committed_usage, digest.store_era);
         relay.merge_quarantine(&digest.quarantine, name);
         relay.merge_limits(&digest.limits, name);
+        relay.merge_tolerances(&digest.tolerances, name);
     }
 
     /// Applies what others have learned of upstreams and of the store.
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -320,7 +320,7 @@
             && (is_own || (metadata.request_id.is_none() && !connection.is_reused()));
         if is_own || is_rejection {
             attempt.record_metadata(&metadata);
-            attempt.record_limit(&metadata.limit);
+            attempt.record_limits(&metadata.limit, &metadata.tolerance);
         }
         if is_rejection {
             let failure = format!("refused with {status}");
@@ -417,27 +417,26 @@
         Problem::new(ErrorCode::UpstreamFailed)
     }
 
-    /// Returns the problem for the caller when no upstream accepts the request. `permit_ms` is the time
-    /// until a limited upstream is expected to have a permit for this caller, `backoff_ms` that until one
-    /// that has requested a backoff may be used again.
+    /// Returns the problem for the caller when no upstream accepts the request. `slot_ms` is the time until
+    /// an upstream that is full is expected to have a slot for this caller, `permit_ms` that until a limited
+    /// one has a permit, `backoff_ms` that until one that has requested a backoff may be used again.
     pub fn unavailable_problem(
         &self,
         retry_state: &RetryState,
+        slot_ms: Option<u64>,
         permit_ms: Option<u64>,
         backoff_ms: Option<u64>,
     ) -> Problem {
         let problem = self.failure_problem(retry_state);
-        let Some(wait_ms) = permit_ms.or(backoff_ms).filter(|_| !retry_state.may_have_run) else {
+        let backoff_wait_ms = backoff_ms.map(|wait_ms| wait_ms.max(DEFAULT_RETRY_AFTER_MS));
+        let waits_ms = slot_ms.or(permit_ms).or(backoff_wait_ms);
+        let Some(retry_after_ms) = waits_ms.filter(|_| !retry_state.may_have_run) else {
             return problem;
         };
-        let retry_after_ms = match permit_ms {
-            Some(permit_ms) => permit_ms,
-            None => wait_ms.max(DEFAULT_RETRY_AFTER_MS),
-        };
         self.relay.log.write("refused", || {
             json!({
                 "request": self.request_id, "service": self.service,
-                "permit_ms": permit_ms, "backoff_ms": backoff_ms,
+                "slot_ms": slot_ms, "permit_ms": permit_ms, "backoff_ms": backoff_ms,
                 "retry_after_ms": retry_after_ms,
             })
         });
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -387,6 +387,7 @@
         self.apply_notices(&zone.departures, &zone.committed_usage, zone.store_era);
         self.merge_zone_quarantine(&zone);
         relay.merge_limits(&zone.limits, &zone.aggregator);
+        relay.merge_tolerances(&zone.tolerances, &zone.aggregator);
         let aggregators = self.own_aggregators(now_ms);
         if !aggregators.is_aggregator {
             let addresses: Vec<SocketAddr> =
@@ -416,6 +417,7 @@
         zone.version = relay.active_document.read().version();
         zone.quarantine = relay.quarantine.lock().digest(now_ms);
         zone.limits = relay.limits.lock().notices();
+        zone.tolerances = relay.tolerances.lock().notices();
         let mut exchange = relay.exchange.lock();
         zone.sequence = exchange.next_sequence();
         exchange.aggregator.sum_into(&mut zone, now_ms);
@@ -444,6 +446,7 @@
         let without_merged = |zone| ZoneDigest {
             quarantine: QuarantineDigest::default(),
             limits: Vec::new(),
+            tolerances: Vec::new(),
             ..zone
         };
         zones.extend(other_zones.into_iter().map(without_merged));
@@ -503,6 +506,7 @@
         self.apply_notices(&zone.departures, &zone.committed_usage, zone.store_era);
         self.merge_zone_quarantine(&zone);
         relay.merge_limits(&zone.limits, &zone.aggregator);
+        relay.merge_tolerances(&zone.tolerances, &zone.aggregator);
         if let Some(source) = source {
             self.query_newer_document(zone.version, source).await;
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,6 +38,7 @@
 mod state;
 mod store_watch;
 mod stream;
+mod tolerance;
 mod view_log;
 
 /// Commonly used types.
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -52,7 +52,7 @@
 }
 
 impl Relay {
-    fn wall_ms(&self) -> u64 {
+    pub(crate) fn wall_ms(&self) -> u64 {
         self.wall_clock.lock().estimate_ms(self.now_ms())
     }
 
--- a/crates/relay/src/placing.rs
+++ b/crates/relay/src/placing.rs
@@ -25,6 +25,11 @@
 const STALE_CLAIM_INTERVAL_MS: u64 = 400;
 /// Time until the next claim if the instances do not agree on the one that grants the permits.
 const UNKNOWN_ISSUER_WAIT_MS: u64 = 300;
+/// Part of the target, as a divisor, for which a request waits for a slot of an upstream that can turn few
+/// requests away.
+const SLOT_WAIT_DIVISOR: u64 = 8;
+/// Interval at which it is looked for a slot.
+const SLOT_POLL: Duration = Duration::from_millis(3);
 
 /// Permit to send a request to a limited upstream.
 struct Permit {
@@ -38,6 +43,8 @@
     Begun(Box<Attempt>),
     /// A permit of this upstream has to be claimed before.
     Claim { upstream: String, max_wait_ms: u64 },
+    /// A slot may be free soon.
+    AwaitSlot,
 }
 
 impl Call {
@@ -45,10 +52,14 @@
     /// in time, a permit is claimed first.
     pub async fn place(&self, retry_state: &RetryState) -> Result<Attempt, Problem> {
         let mut permit = None;
-        for claims_left in (0..=MAX_CLAIMS).rev() {
+        let mut claims_left = MAX_CLAIMS;
+        loop {
             match self.try_place(retry_state, permit.take(), claims_left > 0)? {
                 PlacementStep::Begun(attempt) => return Ok(*attempt),
+                PlacementStep::AwaitSlot => sleep(SLOT_POLL).await,
+                PlacementStep::Claim { .. } if claims_left == 0 => break,
                 PlacementStep::Claim { upstream, max_wait_ms } => {
+                    claims_left -= 1;
                     permit = self.claim_permit(upstream, max_wait_ms).await;
                 }
             }
@@ -91,11 +102,21 @@
             }
         };
         let Some(mut placement) = chosen else {
+            if retry_state.excluded.is_empty()
+                && waited_ms < self.route.target_ms / SLOT_WAIT_DIVISOR
+                && placements.awaits_slot(&request, now_ms)
+            {
+                return Ok(PlacementStep::AwaitSlot);
+            }
             let left_ms = self.route.patience_ms().saturating_sub(waited_ms);
-            let permit_ms = placements.reserve_permit_retry(&request, left_ms, now_ms);
+            let slot_ms = placements.reserve_slot_retry(left_ms, now_ms);
+            let permit_ms = match slot_ms {
+                Some(_) => None,
+                None => placements.reserve_permit_retry(&request, left_ms, now_ms),
+            };
             let backoff_ms = placements.backoff_remaining_ms(&request, now_ms);
             drop(placements);
-            return Err(self.unavailable_problem(retry_state, permit_ms, backoff_ms));
+            return Err(self.unavailable_problem(retry_state, slot_ms, permit_ms, backoff_ms));
         };
         placements.record_arrival(&placement, now_ms);
         if retry_state.sent_attempts > 0 {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -98,6 +98,8 @@
     pub stored_quarantine: Mutex<StoredQuarantine>,
     /// Rate limits that upstreams have named.
     pub limits: Mutex<LimitTable>,
+    /// Requests a second that upstreams can turn away, as far as they have named a number.
+    pub tolerances: Mutex<LimitTable>,
     /// Whether another instance has told which limits it knows.
     pub are_limits_told: AtomicBool,
     /// Permits that this instance grants to all.
@@ -153,6 +155,7 @@
             quarantine: Mutex::new(PartQuarantine::new(QuarantineOptions::default())),
             stored_quarantine: Mutex::default(),
             limits: Mutex::default(),
+            tolerances: Mutex::default(),
             are_limits_told: AtomicBool::new(false),
             permit_issuer: Mutex::default(),
             remote_claims: OnceLock::new(),
@@ -299,10 +302,12 @@
                     placement_table.lock().reset_upstream(id);
                 }
                 self.record_limit_restart(id);
+                self.record_tolerance_restart(id);
             }
         }
         self.refresh_placement_tables();
         self.apply_limits();
+        self.apply_tolerances();
     }
 
     fn refresh_placement_tables(&self) {
