--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -14,6 +14,7 @@
 mod admission;
 mod backoff;
 mod cost;
+mod fragile;
 mod health;
 mod latency;
 mod limit;
@@ -22,6 +23,7 @@
 mod request;
 mod retry_schedule;
 mod silence;
+mod slot_use;
 mod table;
 mod token_rate;
 mod upstream;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -44,6 +44,7 @@
 mod stream;
 mod stream_source;
 mod successor;
+mod tolerance;
 mod tunnels;
 mod view_log;
 
