Model: instances that are cut off from all upstreams and ask peers

Whether peers chosen at random can carry what cut-off instances take was not known for large fleets. The model plays fleets of which a part loses its upstreams for 12 s, with requests that ask at most two peers and remember refusals for 1.5 s, and four ways to choose the peers.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -3,11 +3,13 @@
 //! [`run`] simulates a [`LoadPattern`] with a seed: callers send requests, relays place and admit them
 //! with the same code as the relay process, engines prefill the prompts and decode the answers. The
 //! [`Report`] counts the outcomes by caller group. [`run_crashes`] simulates requests that crash engines,
-//! see [`CrashPattern`], and [`run_limits`] upstreams that name rate limits, see [`LimitPattern`].
+//! see [`CrashPattern`], [`run_limits`] upstreams that name rate limits, see [`LimitPattern`], and
+//! [`run_partition`] instances that are cut off from all upstreams, see [`PartitionPattern`].
 
 mod crashes;
 mod engine;
 mod limits;
+mod partitions;
 mod pattern;
 mod patterns;
 mod relay;
@@ -25,6 +27,7 @@
     find_crash_pattern, list_crash_patterns, run_crashes,
 };
 pub use limits::{LimitPattern, LimitPolicy, LimitReport, LimitTrouble, run_limits};
+pub use partitions::{CutScope, PartitionPattern, PartitionReport, PeerPolicy, run_partition};
 pub use pattern::{CallerGroup, Fault, LoadPattern, OrganisationCap, RetryBehaviour, Surge};
 pub use patterns::{find_pattern, list_patterns};
 pub use relay::Policy;
--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -2,8 +2,9 @@
 
 use bpaf::Bpaf;
 use hickorycourse_model::{
-    CrashPolicy, LimitPattern, LimitPolicy, LimitTrouble, LoadPattern, Policy, list_crash_patterns,
-    list_patterns, run, run_crashes, run_limits,
+    CrashPolicy, CutScope, LimitPattern, LimitPolicy, LimitTrouble, LoadPattern, PartitionPattern,
+    PeerPolicy, Policy, list_crash_patterns, list_patterns, run, run_crashes, run_limits,
+    run_partition,
 };
 
 /// Simulates load patterns with the chosen policies and with the baseline, and prints the outcomes.
@@ -30,6 +31,8 @@
     sound: bool,
     /// Simulate upstreams that name a rate limit, with alternative policies too
     limits: bool,
+    /// Simulate instances that are cut off from all upstreams, with alternative policies too
+    partitions: bool,
     /// Requests a second that a limited upstream takes; several limits if left out
     #[bpaf(argument("RATE"))]
     rate: Option<f64>,
@@ -43,6 +46,10 @@
     if options.limits {
         return print_limits(&options);
     }
+    if options.partitions {
+        print_partitions(&options);
+        return Ok(());
+    }
     if options.crashes || options.sound {
         return print_crashes(&options);
     }
@@ -106,6 +113,29 @@
     Ok(())
 }
 
+/// Simulates cuts of each scope with each policy.
+fn print_partitions(options: &Options) {
+    let sizes = options.relays.map_or_else(|| vec![76, 295, 1_100], |relays| vec![relays]);
+    for instances in sizes {
+        for (scope_name, scope) in CutScope::list() {
+            if options.pattern.as_ref().is_some_and(|name| name != scope_name) {
+                continue;
+            }
+            let pattern = PartitionPattern { instances, per_second: 10.0, room: 64, scope };
+            for (name, policy) in PeerPolicy::list() {
+                if options.policy.as_ref().is_some_and(|chosen| chosen != name) {
+                    continue;
+                }
+                for seed in 1..=options.seeds {
+                    let report = run_partition(&pattern, policy, seed);
+                    let title = format!("{scope_name} {instances} {name} seed {seed}");
+                    println!("{}", report.format_line(&title));
+                }
+            }
+        }
+    }
+}
+
 /// Simulates the patterns of crashing parts with each policy.
 fn print_crashes(options: &Options) -> eyre::Result<()> {
     let mut is_known = false;
