Reach: connections from before a silence are not used after it

New connections may work while those that were open before stay silent. Idle connections are used only if they were used after the latest silence of their upstream, or of several upstreams of their scope; one silent upstream still counts against itself, several do not.

--- a/crates/connections/src/pool.rs
+++ b/crates/connections/src/pool.rs
@@ -170,11 +170,9 @@
         self.carrier.as_deref()
     }
 
-    fn is_reusable(&self, max_idle_ms: u64, now_ms: u64) -> bool {
+    fn is_reusable(&self, now_ms: u64) -> bool {
         let idle_ms = now_ms.saturating_sub(self.idle_since_ms);
-        idle_ms < self.idle_timeout_ms.min(max_idle_ms)
-            && self.sender.is_ready()
-            && !self.sender.is_closed()
+        idle_ms < self.idle_timeout_ms && self.sender.is_ready() && !self.sender.is_closed()
     }
 }
 
@@ -222,25 +220,24 @@
         max_idle_ms: u64,
         now_ms: u64,
     ) -> Result<UpstreamConnection<K>, ExchangeError> {
-        match self.take_idle(upstream.clone(), address, max_idle_ms, now_ms) {
+        let used_since_ms = now_ms.saturating_sub(max_idle_ms.saturating_sub(1));
+        match self.take_idle(upstream.clone(), address, used_since_ms, now_ms) {
             Some(connection) => Ok(connection),
             None => self.open(upstream, address).await,
         }
     }
 
-    /// Returns the most recently used idle direct connection that has been idle for less than `max_idle_ms`;
-    /// `None` if there is none.
+    /// Returns the most recently used idle direct connection, if it was last used at `used_since_ms` or
+    /// later.
     pub fn take_idle(
         &self,
         upstream: K,
         address: SocketAddr,
-        max_idle_ms: u64,
+        used_since_ms: u64,
         now_ms: u64,
     ) -> Option<UpstreamConnection<K>> {
         let pool_key = PoolKey { upstream, address, is_tunnelled: false };
-        self.take_idle_if(&pool_key, now_ms, |connection| {
-            connection.is_reusable(max_idle_ms, now_ms)
-        })
+        self.take_idle_if(&pool_key, now_ms, |connection| connection.idle_since_ms >= used_since_ms)
     }
 
     /// As [`take_idle`](Self::take_idle), for connections of carriers that `is_accepted` names.
@@ -265,7 +262,7 @@
     ) -> Option<UpstreamConnection<K>> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(pool_key)?;
-        connections.retain(|connection| connection.is_reusable(u64::MAX, now_ms));
+        connections.retain(|connection| connection.is_reusable(now_ms));
         connections.pop_if(|connection| is_accepted(connection))
     }
 
@@ -313,7 +310,7 @@
     /// Closes idle connections that have expired or that the upstream has closed.
     pub fn evict_expired(&self, now_ms: u64) {
         self.idle.borrow_mut().retain(|_, connections| {
-            connections.retain(|connection| connection.is_reusable(u64::MAX, now_ms));
+            connections.retain(|connection| connection.is_reusable(now_ms));
             !connections.is_empty()
         });
     }
--- a/crates/reach/src/link_table.rs
+++ b/crates/reach/src/link_table.rs
@@ -142,6 +142,13 @@
     cut: Option<Probe>,
 }
 
+impl ScopeState {
+    /// Returns whether what is open in this scope may have fallen silent.
+    fn is_doubtful(&self) -> bool {
+        self.cut.is_some() || self.silent.len() >= MIN_FAILING_UPSTREAMS
+    }
+}
+
 /// Outcomes of the instance's own dials, by upstream.
 #[derive(Clone, Debug, Default)]
 pub struct LinkTable {
@@ -149,6 +156,8 @@
     scopes: BTreeMap<LinkScope, ScopeState>,
     /// Time of the latest success by availability zone.
     succeeded_at_ms: BTreeMap<String, u64>,
+    /// Time at which the open connections of a scope were last taken for silent.
+    doubted_at_ms: BTreeMap<LinkScope, u64>,
 }
 
 impl LinkTable {
@@ -185,19 +194,28 @@
         }
     }
 
-    /// Returns whether idle direct connections to an upstream may be used. A request that is sent into a
-    /// silent link is lost.
-    pub fn may_use_idle(&self, upstream: &UpstreamView<'_>) -> bool {
-        let is_own_sound = self
-            .links
-            .get(upstream.id)
-            .is_none_or(|link| link.failure.is_none() && !link.is_silent);
-        is_own_sound
-            && upstream.scopes().iter().all(|scope| {
-                self.scopes.get(scope).is_none_or(|state| {
-                    state.cut.is_none() && state.silent.len() < MIN_FAILING_UPSTREAMS
-                })
-            })
+    /// Returns which idle direct connections to an upstream may be used: those that were last used at this time
+    /// or later; `None` for none. A request that is sent into a silent link is lost.
+    pub fn usable_idle_since_ms(&self, upstream: &UpstreamView<'_>) -> Option<u64> {
+        let link = self.links.get(upstream.id);
+        if link.is_some_and(|link| link.failure.is_some() || link.is_silent) {
+            return None;
+        }
+        let own = LinkScope::Upstream(upstream.id.to_owned());
+        let mut since_ms = self.doubted_at_ms.get(&own).copied().unwrap_or(0);
+        for scope in upstream.scopes() {
+            if self.scopes.get(&scope).is_some_and(ScopeState::is_doubtful) {
+                return None;
+            }
+            since_ms = since_ms.max(self.doubted_at_ms.get(&scope).copied().unwrap_or(0));
+        }
+        Some(since_ms)
+    }
+
+    /// Returns whether the links to several upstreams have fallen silent together, or are cut.
+    pub fn is_doubtful(&self, upstream: &UpstreamView<'_>) -> bool {
+        self.scopes.get(&LinkScope::All).is_some_and(ScopeState::is_doubtful)
+            || self.find_cut(upstream).is_some()
     }
 
     /// Returns the widest scope of an upstream that is cut, or the upstream itself if its link has failed.
@@ -250,6 +268,7 @@
             state.failing.insert(upstream.id.to_owned());
             if state.cut.is_none() && state.failing.len() >= MIN_FAILING_UPSTREAMS {
                 state.cut = Some(Probe::new(now_ms));
+                self.doubted_at_ms.insert(scope.clone(), now_ms);
                 changes.push(LinkChange::Cut(scope));
             }
         }
@@ -300,11 +319,15 @@
     }
 
     /// Records that a request on a direct connection got no response in time.
-    pub fn record_silence(&mut self, upstream: &UpstreamView<'_>) {
+    pub fn record_silence(&mut self, upstream: &UpstreamView<'_>, now_ms: u64) {
         self.links.entry(upstream.id.to_owned()).or_default().is_silent = true;
+        self.doubted_at_ms.insert(LinkScope::Upstream(upstream.id.to_owned()), now_ms);
         for scope in upstream.scopes() {
-            let state = self.scopes.entry(scope).or_default();
+            let state = self.scopes.entry(scope.clone()).or_default();
             state.silent.insert(upstream.id.to_owned());
+            if state.is_doubtful() {
+                self.doubted_at_ms.insert(scope, now_ms);
+            }
         }
     }
 
@@ -332,6 +355,7 @@
     /// Forgets an upstream that has ended or started again.
     pub fn forget(&mut self, upstream: &str) {
         self.links.remove(upstream);
+        self.doubted_at_ms.remove(&LinkScope::Upstream(upstream.to_owned()));
         self.scopes.retain(|_, state| {
             state.failing.remove(upstream);
             state.silent.remove(upstream);
--- a/crates/reach/tests/link_table.rs
+++ b/crates/reach/tests/link_table.rs
@@ -47,7 +47,7 @@
 fn plan_without_failures_dials_directly() {
     let mut links = LinkTable::default();
     assert_eq!(plan(&mut links, 0, 0), DIRECT_THEN_PEER);
-    assert!(links.may_use_idle(&upstream(0)));
+    assert!(links.usable_idle_since_ms(&upstream(0)).is_some());
     let alone = links.plan(&upstream(0), false, &mut random(), 0);
     assert_eq!(alone, DialPlan::Direct);
 }
@@ -63,7 +63,7 @@
     for index in 0..IDS.len() {
         let expected = DialPlan::PeerFirst { is_probe_due: false, may_dial_directly: false };
         assert_eq!(plan(&mut links, index, 12), expected, "{index}");
-        assert!(!links.may_use_idle(&upstream(index)));
+        assert!(links.usable_idle_since_ms(&upstream(index)).is_none());
         assert_eq!(links.find_cut(&upstream(index)), Some(LinkScope::All));
     }
 }
@@ -79,7 +79,7 @@
     assert_eq!(links.find_cut(&upstream(0)), Some(LinkScope::AvailabilityZone("a".to_owned())));
     assert_eq!(links.find_cut(&upstream(4)), None);
     assert_eq!(plan(&mut links, 4, 20), DIRECT_THEN_PEER);
-    assert!(links.may_use_idle(&upstream(5)));
+    assert!(links.usable_idle_since_ms(&upstream(5)).is_some());
 }
 
 #[test]
@@ -187,17 +187,36 @@
 #[test]
 fn silent_connections_are_not_used() {
     let mut links = LinkTable::default();
-    links.record_silence(&upstream(0));
-    assert!(!links.may_use_idle(&upstream(0)));
-    assert!(links.may_use_idle(&upstream(4)));
+    links.record_silence(&upstream(0), 1);
+    assert!(links.usable_idle_since_ms(&upstream(0)).is_none());
+    assert!(links.usable_idle_since_ms(&upstream(4)).is_some());
     assert_eq!(plan(&mut links, 0, 0), DIRECT_THEN_PEER);
-    links.record_silence(&upstream(3));
-    assert!(!links.may_use_idle(&upstream(4)));
+    links.record_silence(&upstream(3), 3);
+    assert!(links.usable_idle_since_ms(&upstream(4)).is_none());
     links.record_response(&upstream(4), 5);
-    assert!(links.may_use_idle(&upstream(5)));
-    assert!(!links.may_use_idle(&upstream(0)));
+    assert!(links.usable_idle_since_ms(&upstream(5)).is_some());
+    assert!(links.usable_idle_since_ms(&upstream(0)).is_none());
     links.record_dial_success(&upstream(0), 6);
-    assert!(links.may_use_idle(&upstream(0)));
+    assert!(links.usable_idle_since_ms(&upstream(0)).is_some());
+}
+
+// New connections may work while those that were open before the cut stay silent.
+#[test]
+fn connections_from_before_a_cut_are_not_used_after_it() {
+    let mut links = LinkTable::default();
+    assert_eq!(links.usable_idle_since_ms(&upstream(4)), Some(0));
+    links.record_silence(&upstream(0), 10);
+    links.record_dial_success(&upstream(0), 20);
+    assert_eq!(links.usable_idle_since_ms(&upstream(0)), Some(10));
+    assert_eq!(links.usable_idle_since_ms(&upstream(4)), Some(0));
+    links.record_silence(&upstream(0), 30);
+    links.record_silence(&upstream(1), 31);
+    links.record_dial_success(&upstream(2), 40);
+    assert_eq!(links.usable_idle_since_ms(&upstream(4)), Some(31));
+    links.record_dial_failure(&upstream(4), 50);
+    links.record_dial_failure(&upstream(5), 51);
+    links.record_dial_success(&upstream(4), 60);
+    assert_eq!(links.usable_idle_since_ms(&upstream(4)), Some(51));
 }
 
 // Open connections may live on while new ones are refused.
@@ -236,13 +255,13 @@
             match event {
                 0..=3 => { links.record_dial_failure(&upstream(0), now_ms); }
                 4 => { links.record_unreachable(&upstream(0), now_ms); }
-                5 => links.record_silence(&upstream(0)),
+                5 => links.record_silence(&upstream(0), now_ms),
                 6 => { links.record_dial_success(&upstream(index), now_ms); }
                 _ => links.record_response(&upstream(index), now_ms),
             }
             for other in 1..IDS.len() {
                 prop_assert_eq!(links.find_cut(&upstream(other)), None);
-                prop_assert!(links.may_use_idle(&upstream(other)));
+                prop_assert!(links.usable_idle_since_ms(&upstream(other)).is_some());
                 let plan = links.plan(&upstream(other), true, &mut random, now_ms);
                 prop_assert_eq!(plan, DIRECT_THEN_PEER);
             }
@@ -261,7 +280,7 @@
             match event {
                 0 | 1 => { links.record_dial_failure(&upstream, now_ms); }
                 2 => { links.record_unreachable(&upstream, now_ms); }
-                3 => links.record_silence(&upstream),
+                3 => links.record_silence(&upstream, now_ms),
                 _ => links.forget(upstream.id),
             }
         }
@@ -270,7 +289,7 @@
         }
         for index in 0..IDS.len() {
             prop_assert_eq!(plan(&mut links, index, 1_000), DIRECT_THEN_PEER);
-            prop_assert!(links.may_use_idle(&upstream(index)));
+            prop_assert!(links.usable_idle_since_ms(&upstream(index)).is_some());
         }
     }
 }
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -140,10 +140,12 @@
                 self.route.repeat.is_stream() || !self.route.repeat.allows_reexecution();
             let is_usable =
                 !has_peers || !must_be_proven || links.is_proven(&target.view(), now_ms);
-            if is_usable && links.may_use_idle(&target.view()) {
-                let upstream = target.upstream.clone();
-                let idle = &self.connections;
-                if let Some(idle) = idle.take_idle(upstream, target.address, max_idle_ms, now_ms) {
+            let since_ms = links.usable_idle_since_ms(&target.view()).filter(|_| is_usable);
+            if let Some(since_ms) = since_ms {
+                let since_ms = since_ms.max(now_ms.saturating_sub(max_idle_ms.saturating_sub(1)));
+                let (upstream, address) = (target.upstream.clone(), target.address);
+                let idle = self.connections.take_idle(upstream, address, since_ms, now_ms);
+                if let Some(idle) = idle {
                     return Ok(idle);
                 }
             }
@@ -409,10 +411,10 @@
             return AttemptOutcome::Unresponsive;
         }
         let links = &mut self.reach.lock().links;
-        links.record_silence(&target.view());
-        match links.find_cut(&target.view()) {
-            Some(_) => AttemptOutcome::Cancelled,
-            None => AttemptOutcome::Unresponsive,
+        links.record_silence(&target.view(), self.now_ms());
+        match links.is_doubtful(&target.view()) {
+            true => AttemptOutcome::Cancelled,
+            false => AttemptOutcome::Unresponsive,
         }
     }
 }
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -23,7 +23,7 @@
 /// Record of an instance in the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct MemberRecord {
-    /// Address that receives its datagrams.
+    /// Address that receives its datagrams and accepts tunnels.
     pub peer_address: SocketAddr,
     /// Its availability zone.
     pub availability_zone: String,
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -23,7 +23,7 @@
     /// alone.
     #[serde(default)]
     pub metrics_address: Option<SocketAddr>,
-    /// Address that receives datagrams of other instances.
+    /// Address that receives datagrams and connections of other instances.
     pub peer_address: SocketAddr,
     /// Address of the platform's key-value store.
     pub store_address: SocketAddr,
