Streams: a silence leaves no trace on later resumptions

Found by a review, by reading; no test of its own yet. Callers could be cut later: upstreams that had refused or could not be reached during a silence stayed excluded after the silent one went on, and used-up dials stayed counted.

The exclusions and dials of the search are now forgotten when the silent upstream goes on, and its loss ends the search's pause. Also: a carrying peer that breaks does not exclude the upstream behind it; the silence of a stream on a direct connection is evidence on the own link before it counts against the upstream; and a tunnel within a response holds up its carrier's shutdown over 4 s without bytes (2 s before), longer than an upstream pauses.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -277,7 +277,9 @@
             }
             Err(error) => {
                 self.log_failure(&upstream, &error.to_string(), retry_state);
-                retry_state.excluded.push(upstream);
+                if !connection.carrier().is_some_and(Carrier::is_broken) {
+                    retry_state.excluded.push(upstream);
+                }
                 let outcome = match &error {
                     ExchangeError::NotSent(_) => {
                         attempt.record_not_sent();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -1,6 +1,5 @@
 //! Event streams, and their resumption at another upstream.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,7 +19,7 @@
 use crate::events::EventTracker;
 use crate::in_flight::InFlightGuard;
 use crate::stream_source::{SourceStep, UpstreamSource};
-use crate::successor::{Successor, SuccessorSearch};
+use crate::successor::{SourceLoss, Successor, SuccessorSearch};
 
 /// Time without a complete event after which another upstream is tried beside, as a multiple of the
 /// route's target for pauses between events; the response has missed that target by then.
@@ -207,7 +206,9 @@
 
     fn end_source(&mut self, loss: &Loss) {
         let Some(source) = self.source.take() else { return };
-        self.retry_state.excluded.push(source.upstream().to_owned());
+        if !source.is_carrier_broken() {
+            self.retry_state.excluded.push(source.upstream().to_owned());
+        }
         match loss {
             Loss::Broken(detail) => source.fail_broken(&self.call, detail),
             Loss::Invalid(_) | Loss::Late => source.fail(&self.call, loss.detail()),
@@ -249,15 +250,16 @@
         }
         self.retry_state.may_have_run = true;
         let Some(source) = &mut self.source else { return Some(StreamStep::End) };
-        source.attempt.record_silence();
+        source.record_silence(&self.call);
         let silent = source.upstream().to_owned();
+        let excluded_before = self.retry_state.excluded.len();
         self.retry_state.excluded.push(silent.clone());
-        let lost_at_ms = Cell::new(None);
+        let source_loss = SourceLoss::default();
         let search = SuccessorSearch {
             call: &self.call,
             events: self.events.clone(),
             headers: self.is_begun.then_some(&self.headers),
-            lost_at_ms: &lost_at_ms,
+            source_loss: &source_loss,
         };
         let mut loss = None;
         let found = timeout(limit, async {
@@ -268,7 +270,7 @@
                 Either::Left((step, searching)) => match StreamStep::from(step) {
                     // An upstream may have been found already.
                     StreamStep::Lost(lost) => {
-                        lost_at_ms.set(Some(self.call.relay.now_ms()));
+                        source_loss.record(self.call.relay.now_ms());
                         loss = Some(lost);
                         Ok(searching.await)
                     }
@@ -280,7 +282,12 @@
         let (step, went_on) = match found {
             Err(()) => (Some(StreamStep::Lost(loss.unwrap_or(Loss::Late))), None),
             Ok(Err(step)) => {
-                self.retry_state.excluded.retain(|upstream| *upstream != silent);
+                // Other upstreams may have recovered by the time that one is needed.
+                self.retry_state.excluded.truncate(excluded_before);
+                self.retry_state.failed_dials = 0;
+                if let Some(source) = &self.source {
+                    source.record_return(&self.call);
+                }
                 (Some(step), Some(silent.clone()))
             }
             Ok(Ok(None)) => (Some(StreamStep::Lost(loss.unwrap_or(Loss::Late))), None),
@@ -390,12 +397,13 @@
         self.events.drop_partial();
         if self.can_resume() {
             self.retry_state.version.clone_from(&self.version);
-            let lost_at_ms = Cell::new(Some(self.call.relay.now_ms()));
+            let source_loss = SourceLoss::default();
+            source_loss.record(self.call.relay.now_ms());
             let search = SuccessorSearch {
                 call: &self.call,
                 events: self.events.clone(),
                 headers: Some(&self.headers),
-                lost_at_ms: &lost_at_ms,
+                source_loss: &source_loss,
             };
             if let Some(successor) = search.run(&mut self.retry_state).await {
                 return match self.continue_with(successor) {
--- a/crates/relay/src/stream_source.rs
+++ b/crates/relay/src/stream_source.rs
@@ -1,6 +1,6 @@
 //! The upstream's side of a relayed stream.
 
-use hickorycourse_connections::{UpstreamConnection, ends_with_connection};
+use hickorycourse_connections::{Carrier, UpstreamConnection, ends_with_connection};
 use hickorycourse_placement::AttemptOutcome;
 use http::HeaderMap;
 use http::header::CONTENT_TYPE;
@@ -63,6 +63,26 @@
         &self.attempt.placement.upstream
     }
 
+    /// Returns whether the peer that carries the connection has failed, rather than the upstream.
+    pub fn is_carrier_broken(&self) -> bool {
+        self.connection.carrier().is_some_and(Carrier::is_broken)
+    }
+
+    /// Records that the stream is silent for longer than expected. The own link may be the cause.
+    pub fn record_silence(&mut self, call: &Call) {
+        let target = call.dial_target(&self.attempt.placement);
+        let is_direct = self.connection.carrier().is_none();
+        if !(is_direct && call.relay.record_direct_silence(&target)) {
+            self.attempt.record_silence();
+        }
+    }
+
+    /// Records that the stream goes on after a silence.
+    pub fn record_return(&self, call: &Call) {
+        let target = call.dial_target(&self.attempt.placement);
+        call.relay.record_direct_response(&target, &self.connection);
+    }
+
     /// Waits for complete events. Nothing is lost if the wait is cancelled: what has arrived is kept in
     /// `events`.
     pub async fn read_events(&mut self, events: &mut EventTracker) -> SourceStep {
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -7,6 +7,7 @@
 use http::HeaderMap;
 use ntex::time::{sleep, timeout};
 use serde_json::json;
+use tokio::sync::Notify;
 
 use crate::attempt::OpenedResponse;
 use crate::call::{Call, RetryState};
@@ -32,6 +33,21 @@
     pub step: Option<SourceStep>,
 }
 
+/// The loss of a stream's own upstream, which ends the pauses of the search for another one.
+#[derive(Debug, Default)]
+pub struct SourceLoss {
+    at_ms: Cell<Option<u64>>,
+    recorded: Notify,
+}
+
+impl SourceLoss {
+    /// Records the loss.
+    pub fn record(&self, at_ms: u64) {
+        self.at_ms.set(Some(at_ms));
+        self.recorded.notify_one();
+    }
+}
+
 /// A stream for which another upstream is searched.
 pub struct SuccessorSearch<'a> {
     /// The call that began the stream.
@@ -40,8 +56,8 @@
     pub events: EventTracker,
     /// Headers that the caller has received; `None` if no event was sent yet.
     pub headers: Option<&'a HeaderMap>,
-    /// Time at which the stream's own upstream was lost; `None` while it may go on.
-    pub lost_at_ms: &'a Cell<Option<u64>>,
+    /// Whether the stream's own upstream is lost, or may go on.
+    pub source_loss: &'a SourceLoss,
 }
 
 impl SuccessorSearch<'_> {
@@ -62,7 +78,7 @@
                 retry_state.excluded.push(upstream);
             }
             let now_ms = call.relay.now_ms();
-            match self.lost_at_ms.get() {
+            match self.source_loss.at_ms.get() {
                 Some(_) if !call.may_retry(retry_state) => return None,
                 Some(lost_at_ms) => {
                     let pause_ms = call.route.pause_target_ms.unwrap_or_default();
@@ -74,10 +90,13 @@
                 }
                 None => {
                     pacing.record_failure(now_ms);
-                    sleep(Duration::from_millis(pacing.next_at_ms() - now_ms)).await;
+                    let pause = Duration::from_millis(pacing.next_at_ms() - now_ms);
+                    let is_lost =
+                        timeout(pause, self.source_loss.recorded.notified()).await.is_ok();
                     retry_state.excluded.truncate(excluded_before);
-                    // A later try opens one connection, as each counts towards the retry budget.
-                    retry_state.failed_dials = MAX_FAILED_DIALS - 1;
+                    // Beside a live upstream, a later try opens one connection, as each counts towards the
+                    // retry budget.
+                    retry_state.failed_dials = if is_lost { 0 } else { MAX_FAILED_DIALS - 1 };
                 }
             }
         }
--- a/crates/relay/src/tunnels.rs
+++ b/crates/relay/src/tunnels.rs
@@ -27,9 +27,9 @@
 const MAX_CONNECTIONS: usize = 2 * MAX_TUNNELS;
 /// Time without bytes after which a tunnel is closed. The sender closes it when its call ends.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(300);
-/// Time without bytes after which a tunnel whose upstream owes no response does not hold up a shutdown. A
-/// sender uses an idle tunnel within a shorter time.
-const QUIET_MS: u64 = 2_000;
+/// Time without bytes after which a tunnel whose upstream owes no response does not hold up a shutdown:
+/// longer than an upstream pauses within a response, and than a sender keeps an idle tunnel.
+const QUIET_MS: u64 = 4_000;
 /// Interval at which the activity of a tunnel is observed.
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause after a connection could not be accepted, for lack of file descriptors.
