Drain: the process ends without leaving requests unread

Beside load, requests that had arrived up to a second before the end of a stop were left unread, and their connections closed without an answer.

Cause: the main thread decides that the drain is over once nothing is in flight, but what a worker thread has not read yet isn't counted. ntex's graceful stop then closes one connection after another without reading from them, which takes long with many connections, and keeps the process for up to 1.3 s more.

Change: after the drain, each worker thread polls its connections in three more rounds, in which late requests are rejected as not run. Then the process ends; its servers reject what arrives until then.

Evidence: stop_of_suspended_process_answers_what_has_arrived sends 1,500 requests while the process is suspended.

--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -7,7 +7,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ntex::io::IoRef;
 use ntex::time::sleep;
@@ -40,6 +40,12 @@
 const MIN_FINISHED_SHARE: f64 = 0.99;
 /// As [`MIN_FINISHED_SHARE`], for a request that is repeated or resumed elsewhere if it is cut off.
 const MIN_FINISHED_SHARE_IDEMPOTENT: f64 = 0.9;
+/// Rounds in which a worker thread polls its connections after the drain, and the time between them: what
+/// had arrived by then is read in the first, and answered before the last.
+const POLL_ROUNDS: u32 = 3;
+const POLL_ROUND_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest wait for the worker threads' rounds.
+const POLL_ROUNDS_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Lines about single requests that the end of a drain writes.
 const MAX_CUT_OFF_LINES: usize = 200;
 
@@ -151,10 +157,21 @@
     started: Notify,
     /// Notified when requests without a response are to be answered.
     answer_due: Notify,
+    /// Notified when the drain has ended.
+    ended: Notify,
+    workers: Mutex<WorkerRounds>,
     /// The requests in flight, for the log.
     pub requests: InFlightTable,
 }
 
+/// Worker threads that poll connections.
+#[derive(Debug, Default)]
+struct WorkerRounds {
+    started: usize,
+    /// Those that have polled all connections since the drain ended.
+    finished: usize,
+}
+
 impl DrainState {
     /// Starts the shutdown; later calls have no effect.
     pub fn start(&self, now_ms: u64) {
@@ -222,6 +239,11 @@
         self.answer_due.notified().await;
     }
 
+    fn have_workers_polled(&self) -> bool {
+        let workers = self.workers.lock();
+        workers.finished >= workers.started
+    }
+
     /// Waits for the start of the shutdown; supports a single waiting task.
     pub async fn wait_until_stopping(&self) {
         while !self.is_stopping() {
@@ -232,7 +254,7 @@
 
 /// Waits for the start of the shutdown, and then until no request is in flight or the drain timeout
 /// has expired.
-pub async fn wait_until_drained(relay: &Arc<Relay>) -> DrainEnd {
+pub async fn wait_until_drained(relay: &Arc<Relay>) {
     relay.drain.wait_until_stopping().await;
     relay.log.write_unlimited("stopping", || json!({ "in_flight": relay.drain.in_flight() }));
     let timings = relay.drain_timings();
@@ -247,6 +269,7 @@
         }
         sleep(POLL_INTERVAL).await;
     };
+    wait_until_polled(relay).await;
     let now_ms = relay.now_ms();
     let cut_off = relay.drain.requests.list();
     for request in cut_off.iter().take(MAX_CUT_OFF_LINES) {
@@ -261,7 +284,27 @@
         "stopped",
         || json!({ "spent_ms": end.spent_ms, "cut_off": end.cut_off, "listed": cut_off.len() }),
     );
-    end
+}
+
+/// Waits until each worker thread has polled its connections: a request that had arrived before the end
+/// of the drain is rejected rather than left unread.
+async fn wait_until_polled(relay: &Relay) {
+    relay.drain.ended.notify_waiters();
+    let started = Instant::now();
+    while !relay.drain.have_workers_polled() && started.elapsed() < POLL_ROUNDS_TIMEOUT {
+        sleep(POLL_ROUND_INTERVAL).await;
+    }
+}
+
+/// Polls the connections of this worker thread once more after the drain. Spawned at the thread's start.
+pub async fn poll_after_drain(relay: Arc<Relay>) {
+    let ended = relay.drain.ended.notified();
+    relay.drain.workers.lock().started += 1;
+    ended.await;
+    for _ in 0..POLL_ROUNDS {
+        sleep(POLL_ROUND_INTERVAL).await;
+    }
+    relay.drain.workers.lock().finished += 1;
 }
 
 thread_local! {
--- a/crates/relay/src/management.rs
+++ b/crates/relay/src/management.rs
@@ -8,7 +8,7 @@
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
 
 use crate::caller;
-use crate::server::{SHUTDOWN_TIMEOUT, listen};
+use crate::server::listen;
 use crate::state::Relay;
 
 const QUARANTINE_PATH: &str = "/quarantine";
@@ -29,7 +29,6 @@
     })
     .workers(1)
     .disable_signals()
-    .shutdown_timeout(SHUTDOWN_TIMEOUT)
     .listen(listen(relay.settings.ready_address)?)?;
     if let Some(address) = relay.settings.metrics_address {
         server = server.listen(listen(address)?)?;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
-use futures_util::future::join;
 use hickorycourse_store::KeyValue;
 use hickorycourse_telemetry::{EventLog, Meter};
 use ntex::http::{HttpServiceConfig, KeepAlive};
@@ -35,8 +34,6 @@
 const MAX_HEADERS: usize = 96;
 /// Buffer for a request's head; the limit in the document is checked afterwards.
 const MAX_HEAD_BYTES: usize = 65_536;
-/// Time for connections to close after the drain; requests have ended or been cut off by then.
-pub const SHUTDOWN_TIMEOUT: Seconds = Seconds(1);
 /// Time for the last lines of the event log.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for the last bytes of a response to a slow caller before its connection is closed.
@@ -90,13 +87,11 @@
     if let Some(duties) = duties {
         rt::spawn(duties.run());
     }
-    let caller_server = start_caller_server(&relay)?;
-    let management_server = start_management_server(&relay)?;
-    let end = drain::wait_until_drained(&relay).await;
-    // At the drain timeout there is no time left to wait for connections; they end with the process.
-    if end.cut_off == 0 {
-        join(caller_server.stop(true), management_server.stop(true)).await;
-    }
+    let _caller_server = start_caller_server(&relay)?;
+    let _management_server = start_management_server(&relay)?;
+    drain::wait_until_drained(&relay).await;
+    // The servers are not stopped: until the process ends, they reject what arrives. ntex would close one
+    // connection after another without reading from them.
     relay.log.flush(LOG_FLUSH_TIMEOUT);
     Ok(())
 }
@@ -119,6 +114,7 @@
     let shared = Arc::clone(relay);
     let server = HttpServer::new(async move || {
         let relay = Arc::clone(&shared);
+        rt::spawn(drain::poll_after_drain(Arc::clone(&relay)));
         App::new().default_service(web::route().to(
             move |request: HttpRequest, payload: types::Payload| {
                 caller::handle_request(Arc::clone(&relay), request, payload)
@@ -129,7 +125,6 @@
     .config(SharedCfg::new("callers").add(config).add(connection_config))
     // ntex's own graceful stop interrupts streams, so this process handles signals itself.
     .disable_signals()
-    .shutdown_timeout(SHUTDOWN_TIMEOUT)
     .listen(listen(relay.settings.caller_address)?)?
     .run();
     Ok(server)
