--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -11,7 +11,8 @@
     Failed,
     /// The upstream refused the request without running it.
     Refused,
-    /// The attempt was given up at its deadline, while its connection was open.
+    /// The upstream was silent for longer than expected, as [`Health::record_silence`] was told, until the
+    /// attempt was given up.
     Silent,
     /// No connection could be established.
     Unresponsive,
@@ -44,12 +45,10 @@
 }
 
 impl Health {
-    /// Records the outcome of an attempt, begun at `started_at_ms`, and ejects the upstream if it has
-    /// failed too often.
-    pub fn record(&mut self, outcome: AttemptOutcome, started_at_ms: u64, now_ms: u64) {
+    /// Records the outcome of an attempt and ejects the upstream if it has failed too often.
+    pub fn record(&mut self, outcome: AttemptOutcome, now_ms: u64) {
         match outcome {
-            AttemptOutcome::Cancelled => return,
-            AttemptOutcome::Silent => return self.record_silence(started_at_ms, now_ms),
+            AttemptOutcome::Cancelled | AttemptOutcome::Silent => return,
             AttemptOutcome::Answered => {
                 self.silence.record_progress();
                 self.failure_rate *= 1.0 - FAILURE_RATE_WEIGHT;
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -212,7 +212,7 @@
     ) {
         self.running = self.running.saturating_sub(1);
         self.answering = self.answering.saturating_sub(u64::from(has_first_byte));
-        self.health.record(outcome, placement.placed_at_ms, now_ms);
+        self.health.record(outcome, now_ms);
         if placement.is_lent && !has_first_byte {
             self.slot_use.settle_lent();
         }
--- a/crates/placement/tests/silence.rs
+++ b/crates/placement/tests/silence.rs
@@ -25,9 +25,9 @@
         }
         in_flight.retain(|(_, is_silent)| !are_dropped || !is_silent);
         if now_ms >= silent_until_ms {
-            for (started_at_ms, _) in in_flight.drain(..) {
+            for _ in in_flight.drain(..) {
                 health.record_progress();
-                health.record(AttemptOutcome::Answered, started_at_ms, now_ms);
+                health.record(AttemptOutcome::Answered, now_ms);
             }
         }
         let has_probe = health.is_probing() && !in_flight.is_empty();
@@ -89,7 +89,7 @@
 fn failed_connections_eject_despite_progress() {
     let mut health = Health::default();
     for now_ms in [0, 100] {
-        health.record(AttemptOutcome::Unresponsive, now_ms, now_ms);
+        health.record(AttemptOutcome::Unresponsive, now_ms);
         health.record_progress();
     }
     assert!(health.is_ejected(200) && health.is_probing());
@@ -120,8 +120,8 @@
     let elsewhere = begin(&mut table, 310);
     assert_eq!(elsewhere.upstream, "west");
     table.end_attempt(&elsewhere, false, AttemptOutcome::Answered, 320);
-    // Given up without a further word, one of them is no new evidence.
-    table.end_attempt(&held[0], false, AttemptOutcome::Cancelled, 330);
+    // One that is given up is no new evidence.
+    table.end_attempt(&held[0], false, AttemptOutcome::Silent, 330);
     table.record_progress(&held[1]);
     for placement in &held[1..] {
         table.end_attempt(placement, false, AttemptOutcome::Answered, 400);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -42,6 +42,8 @@
     is_begun: bool,
     /// Whether the present silence of the upstream has been recorded.
     is_silent: bool,
+    /// Time at which a silence before the first byte was recorded.
+    waited_until_ms: Option<u64>,
     is_ended: bool,
 }
 
@@ -63,6 +65,7 @@
             first_byte_at_ms: None,
             is_begun: false,
             is_silent: false,
+            waited_until_ms: None,
             is_ended: false,
         }
     }
@@ -125,6 +128,9 @@
     pub fn record_silence(&mut self) {
         if !std::mem::replace(&mut self.is_silent, true) {
             let now_ms = self.relay.now_ms();
+            if self.first_byte_at_ms.is_none() {
+                self.waited_until_ms.get_or_insert(now_ms);
+            }
             self.placement_table.lock().record_silence(&self.placement, now_ms);
         }
     }
@@ -140,7 +146,9 @@
         if self.first_byte_at_ms.is_none() {
             let now_ms = self.relay.now_ms();
             self.first_byte_at_ms = Some(now_ms);
-            self.placement_table.lock().record_first_byte(&self.placement, now_ms);
+            // What a silence lasts says nothing of how long a queue or a prefill takes.
+            let measured_at_ms = self.waited_until_ms.unwrap_or(now_ms);
+            self.placement_table.lock().record_first_byte(&self.placement, measured_at_ms);
         }
     }
 
@@ -199,9 +207,12 @@
 
     fn record_end(&mut self, outcome: AttemptOutcome) {
         let outcome = match outcome {
-            AttemptOutcome::Silent if self.is_silent => AttemptOutcome::Cancelled,
+            AttemptOutcome::Cancelled if self.is_silent => AttemptOutcome::Silent,
             outcome => outcome,
         };
+        if outcome == AttemptOutcome::Silent && !self.is_ended {
+            self.record_silence();
+        }
         if !std::mem::replace(&mut self.is_ended, true) {
             let now_ms = self.relay.now_ms();
             if outcome == AttemptOutcome::Answered {
