--- a/crates/caps/tests/convergence.rs
+++ b/crates/caps/tests/convergence.rs
@@ -98,6 +98,7 @@
             quarantine: Default::default(),
             limits: Vec::new(),
             is_stopping: false,
+            tolerances: Vec::new(),
         };
         member.own.record(digest.clone());
         digest
