Caps: the level is a function of the use in the last windows

A customer got more than its cap while instances restarted and demand grew.

Use is now counted in the slot of time in which it happened, from epochs of a whole window, and the level is what a bucket that was full at any remembered time would have left. What sources have not reported yet is used at their latest rate, at their share of the rate if they are silent, never at more than the whole. An unknown past leaves an empty bucket at the start. Load shedding begins where the demanded rate drains a bucket before all know, and only where the peers are asked, too.

SENT_MS becomes the window and an epoch: a start learns what was used before it.

--- a/crates/caps/src/epoch_counter.rs
+++ b/crates/caps/src/epoch_counter.rs
@@ -4,9 +4,6 @@
 
 /// Length of an epoch.
 pub const EPOCH_MS: u64 = 2_000;
-/// Time without growth after which an epoch is no longer sent. Longer than an epoch, so that each sender
-/// names all units that it has counted in the present one.
-const SENT_MS: u64 = 2 * EPOCH_MS;
 /// Time without growth after which an epoch is forgotten; longer than any message about it is passed on.
 const RETENTION_MS: u64 = 30_000;
 /// Epochs that are kept. Clocks that differ only label them differently.
@@ -83,9 +80,11 @@
         self.epochs.get(&epoch).map_or_else(CapTotals::default, |known| known.totals)
     }
 
-    /// Returns the epochs that have grown recently, to be sent.
-    pub fn recent(&self, now_ms: u64) -> Vec<EpochUsage> {
-        let is_recent = |known: &EpochTotals| now_ms.saturating_sub(known.grown_at_ms) < SENT_MS;
+    /// Returns the epochs that may have grown within the last `window_ms`, to be sent: those who have just
+    /// started learn of them what was used before.
+    pub fn recent(&self, window_ms: u64, now_ms: u64) -> Vec<EpochUsage> {
+        let sent_ms = window_ms + EPOCH_MS;
+        let is_recent = |known: &EpochTotals| now_ms.saturating_sub(known.grown_at_ms) < sent_ms;
         let recent = self.epochs.iter().filter(|(_, known)| is_recent(known));
         recent.map(|(epoch, known)| (*epoch, known.totals.used, known.totals.refused)).collect()
     }
--- a/crates/caps/src/lib.rs
+++ b/crates/caps/src/lib.rs
@@ -13,6 +13,7 @@
 mod reported_usage;
 mod retry_budget_share;
 mod shared_cap;
+mod usage_window;
 
 /// Types that most users of this crate need.
 pub mod prelude {
--- a/crates/caps/src/reported_usage.rs
+++ b/crates/caps/src/reported_usage.rs
@@ -36,10 +36,14 @@
 }
 
 impl ZoneUsage {
-    /// Records a report; returns the usage that was not known before. Each report is a lower bound of
-    /// what the zone has used, whoever made it, so the highest bound of each epoch is kept.
-    pub(crate) fn record(&mut self, report: &UsageReport<'_>, now_ms: u64) -> CapTotals {
-        let mut growth = CapTotals::default();
+    /// Records a report; returns the usage that was not known before, by epoch. Each report is a lower
+    /// bound of what the zone has used, whoever made it, so the highest bound of each epoch is kept.
+    pub(crate) fn record(
+        &mut self,
+        report: &UsageReport<'_>,
+        now_ms: u64,
+    ) -> Vec<(u16, CapTotals)> {
+        let mut growth = Vec::with_capacity(report.usage.len());
         for (epoch, used, refused) in report.usage {
             let reported = CapTotals { used: *used, refused: *refused };
             let bound = match report.peer {
@@ -54,24 +58,11 @@
                     })
                 }
             };
-            let grown = self.counted.raise(*epoch, bound, now_ms);
-            growth.used = growth.used.saturating_add(grown.used);
-            growth.refused = growth.refused.saturating_add(grown.refused);
+            growth.push((*epoch, self.counted.raise(*epoch, bound, now_ms)));
         }
         growth
     }
 
-    /// Returns whether the source of a report has been heard before.
-    pub(crate) fn is_known(&self, report: &UsageReport<'_>) -> bool {
-        match report.peer {
-            None => !self.counted.is_empty() || self.rates.contains_key(&None),
-            Some((name, boot)) => {
-                self.rates.contains_key(&Some(name.to_owned()))
-                    || self.starts.contains_key(&(name.to_owned(), boot))
-            }
-        }
-    }
-
     pub(crate) fn is_empty(&self) -> bool {
         self.rates.is_empty() && self.starts.is_empty() && self.counted.is_empty()
     }
@@ -96,9 +87,6 @@
     /// Requested units per second, averaged over the last reports.
     pub(crate) requested_rate: f64,
     pub(crate) reported_at_ms: u64,
-    /// Extrapolated usage deducted from the level since the last report; the next report replaces it by
-    /// the counted usage.
-    pub(crate) extrapolated: f64,
 }
 
 impl ReportedRates {
@@ -108,7 +96,6 @@
             used_rate: 0.0,
             requested_rate: 0.0,
             reported_at_ms: report.reported_at_ms,
-            extrapolated: 0.0,
         }
     }
 
@@ -116,34 +103,28 @@
         now_ms.saturating_sub(self.reported_at_ms) > stale_after_ms
     }
 
-    /// Updates the averages by the usage that a report adds; returns the extrapolated usage that it
-    /// replaces.
+    /// Updates the averages by the usage that a report adds.
     pub(crate) fn apply(
         &mut self,
         report: &UsageReport<'_>,
         growth: CapTotals,
         stale_after_ms: u64,
-    ) -> f64 {
-        let used = growth.used as f64;
-        let is_newer = report.reported_at_ms > self.reported_at_ms;
-        // An old report, and one after a long silence, may lack usage that was extrapolated.
-        if !is_newer || self.is_stale(stale_after_ms, report.reported_at_ms) {
-            let covered = self.extrapolated.min(used);
-            self.extrapolated = if is_newer { 0.0 } else { self.extrapolated - covered };
-            if is_newer {
-                self.instances = report.instances;
-                self.reported_at_ms = report.reported_at_ms;
-            }
-            return covered;
+    ) {
+        if report.reported_at_ms <= self.reported_at_ms {
+            return;
+        }
+        // After a long silence, usage may be missing from which an average could be made.
+        if !self.is_stale(stale_after_ms, report.reported_at_ms) {
+            let used = growth.used as f64;
+            let requested = used + growth.refused as f64;
+            let elapsed_ms = (report.reported_at_ms - self.reported_at_ms) as f64;
+            let weight = 1.0 - (-elapsed_ms / RATE_TIME_CONSTANT_MS).exp();
+            let average =
+                |rate: f64, units: f64| rate + (units / elapsed_ms * 1_000.0 - rate) * weight;
+            self.used_rate = average(self.used_rate, used);
+            self.requested_rate = average(self.requested_rate, requested);
         }
-        let requested = used + growth.refused as f64;
-        let elapsed_ms = (report.reported_at_ms - self.reported_at_ms) as f64;
-        let weight = 1.0 - (-elapsed_ms / RATE_TIME_CONSTANT_MS).exp();
-        let average = |rate: f64, units: f64| rate + (units / elapsed_ms * 1_000.0 - rate) * weight;
         self.instances = report.instances;
-        self.used_rate = average(self.used_rate, used);
-        self.requested_rate = average(self.requested_rate, requested);
         self.reported_at_ms = report.reported_at_ms;
-        std::mem::take(&mut self.extrapolated)
     }
 }
--- a/crates/caps/src/shared_cap.rs
+++ b/crates/caps/src/shared_cap.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 
 use crate::decaying_sum::DecayingSum;
-use crate::epoch_counter::{CapTotals, EpochCounter, EpochUsage, epoch_at};
+use crate::epoch_counter::{CapTotals, EPOCH_MS, EpochCounter, EpochUsage, epoch_at};
 use crate::reported_usage::{RATE_TIME_CONSTANT_MS, ReportedRates, UsageReport, ZoneUsage};
+use crate::usage_window::{UncountedUse, UsageWindow};
 
 /// Fraction of a full bucket that each rank reserves for the next more urgent one, so that the urgent
 /// requests of an organisation over its cap take precedence.
@@ -32,6 +33,8 @@
     pub allowance: f64,
     /// Typical interval between two reports of a peer.
     pub report_interval_ms: u64,
+    /// Length of the sliding window for which the cap holds.
+    pub window_ms: u64,
 }
 
 /// What a replica knows of the usage in the present epoch and the one before.
@@ -78,9 +81,11 @@
 const MIN_RETRY_AFTER_MS: u64 = 150;
 /// Fraction of a full bucket that, once used since the last broadcast, triggers an early one.
 const EARLY_BROADCAST_FRACTION: f64 = 0.03;
-/// Time after the creation of a replica in which the first report of each source may contain usage from
-/// before.
-const FIRST_REPORTS_MS: u64 = 5_000;
+/// Part of the demand that must arrive at peers for load shedding, as a divisor. Otherwise the level of this
+/// replica tells all that is needed.
+const MIN_PEER_DEMAND_DIVISOR: f64 = 5.0;
+/// Age of an epoch, in epochs, above which its label is taken for one of another clock.
+const MAX_LABEL_AGE: u64 = 64;
 /// Time for which refunded units are not reported again when they are used.
 const REFUND_VALIDITY_MS: u64 = 1_000;
 /// Interval between removals of expired entries.
@@ -96,7 +101,13 @@
         report_interval_ms: u64,
     ) -> Self {
         let in_window = per_second * window_ms as f64 / 1_000.0 + burst;
-        Self { per_second, burst, allowance: in_window * overshoot + slack, report_interval_ms }
+        Self {
+            per_second,
+            burst,
+            allowance: in_window * overshoot + slack,
+            report_interval_ms,
+            window_ms,
+        }
     }
 
     /// Time without reports after which a peer is stale: its share of the rate is reserved instead of
@@ -105,32 +116,39 @@
         MIN_STALE_AFTER_MS.max(self.report_interval_ms * STALE_REPORT_INTERVALS)
     }
 
-    /// Whether a full bucket, drained at the sustained rate, is empty before all instances have learned
+    /// Whether a full bucket, drained at the demanded rate, is empty before all instances have learned
     /// of a change in demand.
-    fn has_slow_reports(&self) -> bool {
-        let drain_time_ms = self.capacity() / self.per_second.max(1e-9) * 1_000.0;
+    fn has_slow_reports(&self, demand: f64) -> bool {
+        let drain_time_ms = self.capacity() / self.per_second.max(demand).max(1e-9) * 1_000.0;
         (self.report_interval_ms * PROPAGATION_REPORT_INTERVALS) as f64 > drain_time_ms
     }
 
+    /// Level of a full bucket, and units added per second.
+    fn bucket(&self) -> (f64, f64) {
+        (self.capacity(), self.per_second)
+    }
+
     /// Level of a full bucket in units.
     fn capacity(&self) -> f64 {
         self.burst + self.allowance * ALLOWANCE_FRACTION
     }
 }
 
-/// This instance's replica of a token bucket shared by all instances. The level can go below zero by
-/// usage that peers report late; it has to refill before units are granted again.
+/// This instance's replica of a token bucket shared by all instances. Its level is a function of the use that
+/// is known: a replica that has just started knows what peers report of the time before, and what nobody
+/// reports leaves it with an empty bucket at its start.
 #[derive(Clone, Debug)]
 pub struct SharedCap {
     limits: CapLimits,
+    /// Units left at the last request.
     level: f64,
-    updated_at_ms: u64,
+    window: UsageWindow,
     /// Number of instances at the last request.
     instances: usize,
-    created_at_ms: u64,
+    /// Time since which some instances have not reported.
+    unreported_since_ms: u64,
     expired_at_ms: u64,
-    /// The present epoch.
-    epoch: u16,
+    wall_ms: u64,
     /// Units used and refused by this instance in each epoch.
     own: EpochCounter,
     /// Units used by this instance since its start, with those that were refunded and not used again.
@@ -163,11 +181,11 @@
         Self {
             limits,
             level,
-            updated_at_ms: now_ms,
+            window: UsageWindow::new(limits.window_ms, limits.bucket(), level, now_ms),
             instances,
-            created_at_ms: now_ms,
+            unreported_since_ms: now_ms,
             expired_at_ms: now_ms,
-            epoch: 0,
+            wall_ms: 0,
             own: EpochCounter::default(),
             own_used: 0.0,
             refunded: (0.0, 0),
@@ -189,15 +207,14 @@
         self
     }
 
-    /// Changes the limits; the level is reduced to the new capacity if it exceeds it.
+    /// Changes the limits from now on; the level is reduced to the new capacity if it exceeds it.
     pub fn set_limits(&mut self, limits: CapLimits) {
         self.limits = limits;
-        self.level = self.level.min(limits.capacity());
     }
 
     /// Sets the wall-clock time, which labels the usage from now on. It need not be exact, nor rise.
     pub fn set_wall_time(&mut self, wall_ms: u64) {
-        self.epoch = epoch_at(wall_ms);
+        self.wall_ms = wall_ms;
     }
 
     /// Acquires units if the cap has them. Large requests leave a reserve in the bucket for more urgent
@@ -226,7 +243,9 @@
         let reserve = capacity * RESERVE_FRACTION * f64::from(reserved_ranks);
         let demand = self.estimate_demand(now_ms);
         let rate = self.available_rate(instances, now_ms);
-        self.is_shedding = self.limits.has_slow_reports() && self.must_shed(demand, rate);
+        self.is_shedding = self.peer_demand(now_ms) * MIN_PEER_DEMAND_DIVISOR > demand
+            && self.limits.has_slow_reports(demand)
+            && self.must_shed(demand, rate);
         let is_granted = match self.is_shedding {
             true => self.admit_fraction(units, reserve, demand, rate),
             // A request larger than the capacity is granted when the bucket is full.
@@ -234,7 +253,7 @@
         };
         if !is_granted {
             let refused = CapTotals { used: 0, refused: units.ceil() as u64 };
-            self.own.add(self.epoch, refused, now_ms);
+            self.own.add(epoch_at(self.wall_ms), refused, now_ms);
             let needed_units = (units + reserve).min(capacity);
             let (missing_units, least_ms) = match self.is_shedding {
                 true => ((needed_units - self.level).max(units), MIN_RETRY_AFTER_MS),
@@ -244,6 +263,7 @@
             return Err(missing_ms.max(least_ms));
         }
         self.level -= units;
+        self.window.add(units, now_ms);
         self.count_used(units, now_ms);
         Ok(())
     }
@@ -255,7 +275,8 @@
         self.refunded.0 = if now_ms < valid_until_ms { refunded - reported } else { 0.0 };
         let used = units - reported;
         self.own_used += used;
-        self.own.add(self.epoch, CapTotals { used: used.ceil() as u64, refused: 0 }, now_ms);
+        let used = CapTotals { used: used.ceil() as u64, refused: 0 };
+        self.own.add(epoch_at(self.wall_ms), used, now_ms);
     }
 
     fn must_shed(&self, demand: f64, rate: f64) -> bool {
@@ -299,8 +320,13 @@
 
     /// Estimated units per second requested from this instance and the peers that report.
     fn estimate_demand(&self, now_ms: u64) -> f64 {
-        let peers = self.fresh_rates(now_ms).map(|rates| rates.requested_rate).sum::<f64>();
-        self.requested.per_second(now_ms) + peers * self.estimate_demand_growth(now_ms)
+        let growth = self.estimate_demand_growth(now_ms);
+        self.requested.per_second(now_ms) + self.peer_demand(now_ms) * growth
+    }
+
+    /// Units per second requested from the peers, as they have reported.
+    fn peer_demand(&self, now_ms: u64) -> f64 {
+        self.fresh_rates(now_ms).map(|rates| rates.requested_rate).sum()
     }
 
     /// Units per second that are left for this instance and the peers that report; the others keep their
@@ -334,6 +360,7 @@
     /// already, so counters do not fall; the units are not reported when they are used again soon.
     pub fn refund(&mut self, units: f64, now_ms: u64) {
         self.level = (self.level + units).min(self.limits.capacity());
+        self.window.add(-units, now_ms);
         let (refunded, valid_until_ms) = self.refunded;
         let still_valid = if now_ms < valid_until_ms { refunded } else { 0.0 };
         self.refunded = (still_valid + units, now_ms + REFUND_VALIDITY_MS);
@@ -356,7 +383,8 @@
 
     /// What peers have reported, for the log.
     pub fn reports(&self, now_ms: u64) -> ReportSummary {
-        let epochs = [self.epoch.wrapping_sub(1), self.epoch];
+        let epoch = epoch_at(self.wall_ms);
+        let epochs = [epoch.wrapping_sub(1), epoch];
         let rates = self.zones.values().flat_map(|zone| zone.rates.values());
         ReportSummary {
             own_used: epochs.map(|epoch| self.own.totals(epoch).used).iter().sum(),
@@ -383,7 +411,7 @@
     pub fn broadcast_usage(&mut self, now_ms: u64) -> Vec<EpochUsage> {
         self.broadcast_used = self.own_used;
         self.own.expire(now_ms);
-        self.own.recent(now_ms)
+        self.own.recent(self.limits.window_ms, now_ms)
     }
 
     /// Forgets the rates that peers have reported, when they report in other groups from now on. Their
@@ -394,54 +422,63 @@
 
     /// Applies a report of peers. Reports may arrive repeatedly and in any order.
     pub fn apply_report(&mut self, report: &UsageReport<'_>, now_ms: u64) {
-        // Where requests are rarer than reports, the level has to be brought up to date first: otherwise
-        // the use in this report would be extrapolated once more at the next request.
-        if now_ms.saturating_sub(self.updated_at_ms) > self.limits.report_interval_ms {
-            self.refill(now_ms);
-        }
-        let is_young = now_ms.saturating_sub(self.created_at_ms) < FIRST_REPORTS_MS;
-        let stale_after_ms = self.limits.stale_after_ms();
+        self.advance(now_ms);
         let zone = self.zones.entry(report.availability_zone.to_owned()).or_default();
-        let is_baseline = is_young && !zone.is_known(report);
-        let mut growth = zone.record(report, now_ms);
-        if is_baseline {
-            growth = CapTotals::default();
-        }
         let source = report.peer.map(|(name, _)| name.to_owned());
+        let rates = zone.rates.get(&source);
+        let previous_at_ms = rates.map_or(0, |rates| rates.reported_at_ms);
+        let latest_at_ms = report.reported_at_ms.max(previous_at_ms);
+        let mut growth = CapTotals::default();
+        for (epoch, grown) in zone.record(report, now_ms) {
+            growth.used = growth.used.saturating_add(grown.used);
+            growth.refused = growth.refused.saturating_add(grown.refused);
+            let ended_at_ms = now_ms.saturating_sub(ended_ago_ms(epoch, self.wall_ms));
+            // Clocks may differ: what a source has told before bounds the time of what it tells now.
+            let used_at_ms = ended_at_ms.clamp(previous_at_ms, latest_at_ms);
+            self.window.add(grown.used as f64, used_at_ms);
+        }
+        let stale_after_ms = self.limits.stale_after_ms();
         let rates = zone.rates.entry(source).or_insert_with(|| ReportedRates::new(report));
-        let covered = rates.apply(report, growth, stale_after_ms);
-        self.level = (self.level + covered - growth.used as f64).min(self.limits.capacity());
+        rates.apply(report, growth, stale_after_ms);
     }
 
-    /// Refills the bucket for the time since the last call and deducts the extrapolated usage of peers.
+    /// Brings the level up to date.
     fn refill(&mut self, now_ms: u64) {
-        let instances = self.instances;
-        let elapsed_s = now_ms.saturating_sub(self.updated_at_ms) as f64 / 1_000.0;
-        self.updated_at_ms = self.updated_at_ms.max(now_ms);
-        let share = self.limits.per_second / instances.max(1) as f64;
-        self.level += self.limits.per_second * elapsed_s;
         if now_ms.saturating_sub(self.expired_at_ms) >= EXPIRY_INTERVAL_MS {
             self.expire(now_ms);
         }
-        let (mut fresh_instances, mut known_instances) = (0, 0);
+        let uncounted = self.advance(now_ms);
+        self.level = self.window.level(&uncounted, now_ms);
+    }
+
+    /// Goes on to the present time; returns the use that no report has counted yet.
+    fn advance(&mut self, now_ms: u64) -> Vec<UncountedUse> {
         let growth = self.estimate_demand_growth(now_ms);
         let stale_after_ms = self.limits.stale_after_ms();
-        for rates in self.zones.values_mut().flat_map(|zone| zone.rates.values_mut()) {
-            let is_stale = rates.is_stale(stale_after_ms, now_ms);
-            let rate = match is_stale {
-                true => share * rates.instances as f64,
-                false => rates.used_rate * growth,
-            };
-            known_instances += rates.instances;
-            fresh_instances += if is_stale { 0 } else { rates.instances };
-            let extrapolated = rate * elapsed_s;
-            rates.extrapolated += extrapolated;
-            self.level -= extrapolated;
+        let rates = self.zones.values().flat_map(|zone| zone.rates.values());
+        let reported = rates.clone().map(|rates| rates.instances).sum::<usize>();
+        // Members that are listed late are known from reports first.
+        let instances = self.instances.max(1 + reported);
+        let share = self.limits.per_second / instances as f64;
+        let mut uncounted: Vec<UncountedUse> = rates
+            .map(|rates| UncountedUse {
+                per_second: match rates.is_stale(stale_after_ms, now_ms) {
+                    true => share * rates.instances as f64,
+                    false => rates.used_rate * growth,
+                },
+                since_ms: rates.reported_at_ms,
+            })
+            .collect();
+        let unreported = instances - 1 - reported;
+        if unreported == 0 {
+            self.unreported_since_ms = now_ms;
         }
-        // Instances that have never reported are counted with their share of the rate.
-        let unreported = instances.saturating_sub(1 + fresh_instances.max(known_instances));
-        self.level -= share * unreported as f64 * elapsed_s;
-        self.level = self.level.min(self.limits.capacity());
+        uncounted.push(UncountedUse {
+            per_second: share * unreported as f64,
+            since_ms: self.unreported_since_ms,
+        });
+        self.window.advance(self.limits.bucket(), &uncounted, now_ms);
+        uncounted
     }
 
     fn expire(&mut self, now_ms: u64) {
@@ -454,3 +491,11 @@
         self.zones.retain(|_, zone| !zone.is_empty());
     }
 }
+
+/// Time since the end of an epoch; 0 if it has not ended, or its label is not of the own clock.
+fn ended_ago_ms(epoch: u16, wall_ms: u64) -> u64 {
+    match u64::from(epoch_at(wall_ms).wrapping_sub(epoch)) {
+        age @ 1..=MAX_LABEL_AGE => wall_ms % EPOCH_MS + (age - 1) * EPOCH_MS,
+        _ => 0,
+    }
+}
--- a/crates/caps/tests/caps.rs
+++ b/crates/caps/tests/caps.rs
@@ -9,6 +9,7 @@
     burst: 1_000.0,
     allowance: 1_300.0,
     report_interval_ms: BROADCAST_INTERVAL_MS,
+    window_ms: 8_000,
 };
 /// Interval between the regular broadcasts of an instance.
 const BROADCAST_INTERVAL_MS: u64 = 400;
@@ -108,6 +109,7 @@
         burst: 100_000.0,
         allowance: 90_000.0,
         report_interval_ms: broadcast_interval_ms,
+        window_ms: 8_000,
     };
     let mut caps: Vec<SharedCap> =
         (0..INSTANCES).map(|_| SharedCap::new(limits, INSTANCES, 0)).collect();
--- a/crates/caps/tests/convergence.rs
+++ b/crates/caps/tests/convergence.rs
@@ -10,8 +10,13 @@
 const ZONES: usize = 3;
 const MEMBERS: usize = 9;
 const AGGREGATORS: usize = 2;
-const LIMITS: CapLimits =
-    CapLimits { per_second: 1e6, burst: 1e6, allowance: 0.0, report_interval_ms: 1_200 };
+const LIMITS: CapLimits = CapLimits {
+    per_second: 1e6,
+    burst: 1e6,
+    allowance: 0.0,
+    report_interval_ms: 1_200,
+    window_ms: 8_000,
+};
 
 struct Member {
     cap: SharedCap,
--- a/crates/relay/src/state/limits.rs
+++ b/crates/relay/src/state/limits.rs
@@ -116,10 +116,12 @@
         report: &UsageReport<'_>,
     ) {
         let now_ms = self.now_ms();
+        let wall_ms = self.wall_ms();
         let mut caps = self.caps.lock();
         // Organisations that a report doesn't name have not used anything lately.
         for (organisation, shared) in caps.iter_mut() {
             let usage = usage.get(organisation).map_or(&[][..], Vec::as_slice);
+            shared.set_wall_time(wall_ms);
             shared.apply_report(&UsageReport { usage, ..*report }, now_ms);
         }
     }
--- a/crates/testkit/src/bin/measure/relay_cores.rs
+++ b/crates/testkit/src/bin/measure/relay_cores.rs
@@ -99,6 +99,7 @@
         burst: 1e6,
         allowance: 1e5,
         report_interval_ms: 15 * count as u64,
+        window_ms: 8_000,
     };
     let mut cap = SharedCap::new(limits, count, 0);
     let report_us = time_us(20_000, |round| {
