Reach: a response ends a cut, not a dial

Callers of an instance whose links accept connections and reset them were answered 502 for requests that may have run, for as long as the links were so: between them, the links were taken for restored.

Cause: a dial that succeeds ended the verdict that links are cut, cleared the failures of all others in its scope, and proved the zone to be sound. What the instance was told by one dial was used for every link, without a response. Peers did the same with the connections that they carry, and used the request of another instance as the probe of a link that is held cut.

Change: a dial that succeeds says nothing while dials of its scope fail. A response on a connection that was dialled after the cut was found ends it, and so does a probe's connection that stays open for another second, as a fleet without repeatable requests would stay cut off. A probe sends nothing; after 50 ms one request that may be repeated tries a direct connection. A connection that ends within 200 ms of its dial without a response counts as a failed dial. While dials fail, and for a call of which a connection has broken, a new connection is used after 50 ms, if it is still open; idle ones are not used for such a call. The same for carried connections, which are never probes of a scope that is cut.

The tests of the table that ended cuts with dials end them with responses now (`record_response` says when its connection was dialled); they assert the same and more. `accepted_connections_do_not_end_a_cut` and `links_that_accept_and_reset_are_cut` failed before: the first dial gave `[Restored(Upstream("u0")), Restored(All), Restored(Service("chat"))]`, and nothing was found cut.

--- a/crates/connections/src/client.rs
+++ b/crates/connections/src/client.rs
@@ -69,7 +69,7 @@
             }
             match send_on(connection, request.clone(), limit).await {
                 Err(ExchangeError::NotSent(_)) => {
-                    let connection = self.pool.open(server, address).await?;
+                    let connection = self.pool.open(server, address, self.clock.now_ms()).await?;
                     send_on(connection, request, limit).await
                 }
                 result => result,
@@ -90,7 +90,7 @@
         limit: Duration,
     ) -> Result<OpenResponse<K>, ExchangeError> {
         let exchange = async {
-            let connection = self.pool.open(server, address).await?;
+            let connection = self.pool.open(server, address, self.clock.now_ms()).await?;
             send_on(connection, request, limit).await
         };
         within(limit, exchange).await
--- a/crates/connections/src/pool.rs
+++ b/crates/connections/src/pool.rs
@@ -85,12 +85,13 @@
     /// Absent if the connection is direct.
     carrier: Option<Rc<dyn Carrier>>,
     is_reused: bool,
+    dialled_at_ms: u64,
     idle_since_ms: u64,
     idle_timeout_ms: u64,
 }
 
 impl<K> UpstreamConnection<K> {
-    async fn open(pool_key: PoolKey<K>) -> Result<Self, ExchangeError> {
+    async fn open(pool_key: PoolKey<K>, now_ms: u64) -> Result<Self, ExchangeError> {
         let not_sent = |detail: String| ExchangeError::NotSent(detail);
         let stream = timeout(DIAL_TIMEOUT, TcpStream::connect(pool_key.address))
             .await
@@ -99,13 +100,14 @@
             })?
             .map_err(|error| not_sent(error.to_string()))?;
         stream.set_nodelay(true).map_err(|error| not_sent(error.to_string()))?;
-        Self::open_over(stream, pool_key, None).await
+        Self::open_over(stream, pool_key, None, now_ms).await
     }
 
     async fn open_over(
         stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
         pool_key: PoolKey<K>,
         carrier: Option<Rc<dyn Carrier>>,
+        now_ms: u64,
     ) -> Result<Self, ExchangeError> {
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
@@ -122,6 +124,7 @@
             pool_key,
             carrier,
             is_reused: false,
+            dialled_at_ms: now_ms,
             idle_since_ms: 0,
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
         })
@@ -165,6 +168,16 @@
         self.is_reused
     }
 
+    /// Time at which the connection was dialled.
+    pub fn dialled_at_ms(&self) -> u64 {
+        self.dialled_at_ms
+    }
+
+    /// Returns whether the connection has ended, as far as is known.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Returns the process that carries the connection; `None` if it is direct.
     pub fn carrier(&self) -> Option<&dyn Carrier> {
         self.carrier.as_deref()
@@ -223,7 +236,7 @@
         let used_since_ms = now_ms.saturating_sub(max_idle_ms.saturating_sub(1));
         match self.take_idle(upstream.clone(), address, used_since_ms, now_ms) {
             Some(connection) => Ok(connection),
-            None => self.open(upstream, address).await,
+            None => self.open(upstream, address, now_ms).await,
         }
     }
 
@@ -274,8 +287,9 @@
         &self,
         upstream: K,
         address: SocketAddr,
+        now_ms: u64,
     ) -> Result<UpstreamConnection<K>, ExchangeError> {
-        UpstreamConnection::open(PoolKey { upstream, address, is_tunnelled: false }).await
+        UpstreamConnection::open(PoolKey { upstream, address, is_tunnelled: false }, now_ms).await
     }
 
     /// Opens a connection over a stream to the upstream that `carrier` carries.
@@ -288,9 +302,10 @@
         upstream: K,
         address: SocketAddr,
         carrier: Rc<dyn Carrier>,
+        now_ms: u64,
     ) -> Result<UpstreamConnection<K>, ExchangeError> {
         let pool_key = PoolKey { upstream, address, is_tunnelled: true };
-        UpstreamConnection::open_over(stream, pool_key, Some(carrier)).await
+        UpstreamConnection::open_over(stream, pool_key, Some(carrier), now_ms).await
     }
 
     /// Returns a connection to the pool after a complete response.
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -8,5 +8,7 @@
 mod link_table;
 mod peer_choice;
 
-pub use link_table::{DialPlan, LinkChange, LinkScope, LinkTable, PEER_DELAY_MS, UpstreamView};
+pub use link_table::{
+    DialPlan, HOLD_MS, LinkChange, LinkScope, LinkTable, PEER_DELAY_MS, SETTLE_MS, UpstreamView,
+};
 pub use peer_choice::{MAX_PEERS_PER_DIAL, PeerCandidate, PeerFault, PeerTable};
--- a/crates/reach/src/link_table.rs
+++ b/crates/reach/src/link_table.rs
@@ -20,6 +20,14 @@
 const PROVEN_MS: u64 = 200;
 /// Time for which an upstream that no peer reaches either is dialled without peers.
 const UNREACHABLE_MS: u64 = 1_000;
+/// Time for which a new connection stays open before it is taken for more than accepted. A link that resets
+/// what it accepts does so within the network latency.
+pub const SETTLE_MS: u64 = 50;
+/// Time after which a probe's connection that is still open ends a cut, so that one also ends without a
+/// request that may be repeated.
+pub const HOLD_MS: u64 = 1_000;
+/// Time from a dial within which the end of its connection is taken for the link's.
+const RESET_WITHIN_MS: u64 = 200;
 
 /// An upstream, as far as its links depend on it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -88,6 +96,12 @@
         /// Time until a peer is asked.
         delay_ms: u64,
     },
+    /// Directly and through a peer as in `DirectThenPeer`, to find out whether a link that is held cut brings a
+    /// response.
+    Trial {
+        /// Time until a peer is asked.
+        delay_ms: u64,
+    },
     /// Through a peer.
     PeerFirst {
         /// Whether a direct dial is due beside it, to notice the end of the cut.
@@ -122,10 +136,39 @@
     }
 }
 
+/// Links that are held cut until a connection that was opened afterwards brings a response.
+#[derive(Clone, Copy, Debug)]
+struct Cut {
+    since_ms: u64,
+    probe: Probe,
+    /// Whether a request that may be repeated may try a link: a probe's connection has stayed open.
+    is_trial_due: bool,
+}
+
+impl Cut {
+    fn new(now_ms: u64) -> Self {
+        Self { since_ms: now_ms, probe: Probe::new(now_ms), is_trial_due: false }
+    }
+
+    fn plan(
+        &mut self,
+        may_repeat: bool,
+        may_dial_directly: bool,
+        random: &mut impl Rng,
+        now_ms: u64,
+    ) -> DialPlan {
+        if may_repeat && std::mem::take(&mut self.is_trial_due) {
+            return DialPlan::Trial { delay_ms: PEER_DELAY_MS };
+        }
+        let is_probe_due = self.probe.take_due(random, now_ms);
+        DialPlan::PeerFirst { is_probe_due, may_dial_directly }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Link {
-    /// Set while the latest direct dial has failed.
-    failure: Option<Probe>,
+    /// Set from a failed direct dial until a response.
+    failure: Option<Cut>,
     /// Whether the latest request on an open connection got no response in time.
     is_silent: bool,
     /// Time until which no peer is expected to reach the upstream either.
@@ -134,12 +177,12 @@
 
 #[derive(Clone, Debug, Default)]
 struct ScopeState {
-    /// Upstreams whose dials have failed since the latest success in this scope.
+    /// Upstreams whose dials have failed since the latest response in this scope.
     failing: BTreeSet<String>,
     /// Upstreams with silent connections since the latest response in this scope.
     silent: BTreeSet<String>,
     /// Set while the scope is cut.
-    cut: Option<Probe>,
+    cut: Option<Cut>,
 }
 
 impl ScopeState {
@@ -161,11 +204,13 @@
 }
 
 impl LinkTable {
-    /// Returns how to connect to an upstream. `has_peers` says whether there is a peer to ask.
+    /// Returns how to connect to an upstream. `has_peers` says whether there is a peer to ask, and `may_repeat`
+    /// whether the request may be sent again if its connection is reset.
     pub fn plan(
         &mut self,
         upstream: &UpstreamView<'_>,
         has_peers: bool,
+        may_repeat: bool,
         random: &mut impl Rng,
         now_ms: u64,
     ) -> DialPlan {
@@ -174,9 +219,8 @@
         }
         for scope in upstream.scopes() {
             let state = self.scopes.get_mut(&scope);
-            if let Some(probe) = state.and_then(|state| state.cut.as_mut()) {
-                let is_probe_due = probe.take_due(random, now_ms);
-                return DialPlan::PeerFirst { is_probe_due, may_dial_directly: false };
+            if let Some(cut) = state.and_then(|state| state.cut.as_mut()) {
+                return cut.plan(may_repeat, false, random, now_ms);
             }
         }
         let Some(link) = self.links.get_mut(upstream.id) else {
@@ -186,10 +230,7 @@
             return DialPlan::Direct;
         }
         match &mut link.failure {
-            Some(probe) => {
-                let is_probe_due = probe.take_due(random, now_ms);
-                DialPlan::PeerFirst { is_probe_due, may_dial_directly: true }
-            }
+            Some(cut) => cut.plan(may_repeat, true, random, now_ms),
             None => DialPlan::DirectThenPeer { delay_ms: PEER_DELAY_MS },
         }
     }
@@ -254,20 +295,24 @@
         }
     }
 
-    /// Records that a direct dial has failed, or is pending for so long that a peer was faster.
+    /// Records that a direct dial has failed, that its connection was reset before it brought anything, or that
+    /// it is pending for so long that a peer was faster.
     pub fn record_dial_failure(
         &mut self,
         upstream: &UpstreamView<'_>,
         now_ms: u64,
     ) -> Vec<LinkChange> {
         let link = self.links.entry(upstream.id.to_owned()).or_default();
-        link.failure.get_or_insert_with(|| Probe::new(now_ms));
+        link.failure.get_or_insert_with(|| Cut::new(now_ms)).is_trial_due = false;
         let mut changes = Vec::new();
         for scope in upstream.scopes() {
             let state = self.scopes.entry(scope.clone()).or_default();
             state.failing.insert(upstream.id.to_owned());
+            if let Some(cut) = &mut state.cut {
+                cut.is_trial_due = false;
+            }
             if state.cut.is_none() && state.failing.len() >= MIN_FAILING_UPSTREAMS {
-                state.cut = Some(Probe::new(now_ms));
+                state.cut = Some(Cut::new(now_ms));
                 self.doubted_at_ms.insert(scope.clone(), now_ms);
                 changes.push(LinkChange::Cut(scope));
             }
@@ -275,47 +320,104 @@
         changes
     }
 
-    /// Records that a direct dial has succeeded.
-    pub fn record_dial_success(
+    /// Records that a direct connection ended before it brought anything. Soon after the dial, that counts as a
+    /// failed one.
+    pub fn record_break(
         &mut self,
         upstream: &UpstreamView<'_>,
+        dialled_at_ms: u64,
         now_ms: u64,
     ) -> Vec<LinkChange> {
-        self.record_success(upstream, now_ms);
-        let mut changes = Vec::new();
-        let failure = self.links.remove(upstream.id).and_then(|link| link.failure);
-        if failure.is_some() {
-            changes.push(LinkChange::Restored(LinkScope::Upstream(upstream.id.to_owned())));
+        match now_ms.saturating_sub(dialled_at_ms) < RESET_WITHIN_MS {
+            true => self.record_dial_failure(upstream, now_ms),
+            false => Vec::new(),
+        }
+    }
+
+    /// Returns for how long a new connection is to stay open before a request is sent: [`SETTLE_MS`] if others have
+    /// failed.
+    pub fn settle_ms(&self, upstream: &UpstreamView<'_>) -> u64 {
+        let is_failing = |scope: &LinkScope| {
+            self.scopes.get(scope).is_some_and(|state| !state.failing.is_empty())
+        };
+        match upstream.scopes().iter().any(is_failing) || self.find_cut(upstream).is_some() {
+            true => SETTLE_MS,
+            false => 0,
         }
+    }
+
+    /// Records that a direct dial has succeeded. While dials of its scopes fail, that says nothing of any link:
+    /// it may accept connections and reset them.
+    pub fn record_dial_success(&mut self, upstream: &UpstreamView<'_>, now_ms: u64) {
+        let mut has_failed = false;
+        if let Some(link) = self.links.get_mut(upstream.id) {
+            link.unreachable_until_ms = 0;
+            has_failed = link.failure.is_some();
+        }
+        let is_calm =
+            |scope: &LinkScope| self.scopes.get(scope).is_none_or(|state| state.failing.is_empty());
+        if has_failed || !upstream.scopes().iter().all(is_calm) {
+            return;
+        }
+        self.links.remove(upstream.id);
         for scope in upstream.scopes() {
-            let Some(state) = self.scopes.remove(&scope) else { continue };
-            if state.cut.is_none() {
-                continue;
+            if let Some(state) = self.scopes.get_mut(&scope) {
+                state.silent.clear();
             }
-            // The failures were those of the scope; its other links are tried again.
-            for id in &state.failing {
-                self.links.remove(id);
+        }
+        self.record_success(upstream, now_ms);
+    }
+
+    /// Records that a probe's connection has stayed open for [`SETTLE_MS`], so that a request that may be
+    /// repeated may try the links.
+    pub fn record_settled(&mut self, upstream: &UpstreamView<'_>) {
+        if let Some(failure) =
+            self.links.get_mut(upstream.id).and_then(|link| link.failure.as_mut())
+        {
+            failure.is_trial_due = true;
+        }
+        for scope in upstream.scopes() {
+            if let Some(cut) = self.scopes.get_mut(&scope).and_then(|state| state.cut.as_mut()) {
+                cut.is_trial_due = true;
             }
-            changes.push(LinkChange::Restored(scope));
         }
-        changes
     }
 
-    /// Records that a response has begun on a direct connection. It says nothing of new connections once
-    /// dials have failed.
-    pub fn record_response(&mut self, upstream: &UpstreamView<'_>, now_ms: u64) {
+    /// Records that a response has begun on a direct connection that was dialled at `dialled_at_ms`, or that a
+    /// probe's connection has stayed open for [`HOLD_MS`]. One from before a cut says nothing of new
+    /// connections.
+    pub fn record_response(
+        &mut self,
+        upstream: &UpstreamView<'_>,
+        dialled_at_ms: u64,
+        now_ms: u64,
+    ) -> Vec<LinkChange> {
         self.record_success(upstream, now_ms);
+        let mut changes = Vec::new();
         if let Some(link) = self.links.get_mut(upstream.id) {
             link.is_silent = false;
+            if link.failure.is_some_and(|failure| failure.since_ms < dialled_at_ms) {
+                self.links.remove(upstream.id);
+                changes.push(LinkChange::Restored(LinkScope::Upstream(upstream.id.to_owned())));
+            }
         }
         for scope in upstream.scopes() {
-            if let Some(state) = self.scopes.get_mut(&scope) {
-                state.silent.clear();
-                if state.cut.is_none() {
-                    state.failing.clear();
+            let Some(state) = self.scopes.get_mut(&scope) else { continue };
+            state.silent.clear();
+            let Some(cut) = state.cut else {
+                state.failing.clear();
+                continue;
+            };
+            if cut.since_ms < dialled_at_ms {
+                // The failures were those of the scope; its other links are tried again.
+                for id in &state.failing {
+                    self.links.remove(id);
                 }
+                self.scopes.remove(&scope);
+                changes.push(LinkChange::Restored(scope));
             }
         }
+        changes
     }
 
     /// Records that a request on a direct connection got no response in time.
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -87,6 +87,8 @@
     pub is_run_counted: Cell<bool>,
     /// Attempts that broke before their answer was well begun, as the upstream ended.
     pub broken_beginnings: Cell<u32>,
+    /// Whether the connection of one of its attempts has broken; the own links may be the cause.
+    pub has_broken: Cell<bool>,
 }
 
 /// Attempts of a call so far, which determine whether it may be retried and where.
@@ -156,6 +158,7 @@
             attempt.end(AttemptOutcome::Cancelled);
             return;
         }
+        self.has_broken.set(true);
         let broken = u32::from(attempt.end_broken());
         self.broken_beginnings.set(self.broken_beginnings.get() + broken);
     }
@@ -282,6 +285,7 @@
                 }
                 let outcome = match &error {
                     ExchangeError::NotSent(_) => {
+                        self.relay.record_broken_link(&target, &connection);
                         attempt.record_not_sent();
                         retry_state.sent_attempts -= 1;
                         retry_state.failed_dials += 1;
@@ -296,7 +300,12 @@
                             false => AttemptOutcome::Silent,
                         })
                     }
-                    ExchangeError::Interrupted(_) | ExchangeError::InvalidResponse(_) => {
+                    ExchangeError::Interrupted(_) => {
+                        retry_state.may_have_run = true;
+                        let is_link_cut = self.relay.record_broken_link(&target, &connection);
+                        is_link_cut.then_some(AttemptOutcome::Cancelled)
+                    }
+                    ExchangeError::InvalidResponse(_) => {
                         retry_state.may_have_run = true;
                         None
                     }
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -336,6 +336,7 @@
         arrived_at_ms,
         is_run_counted: Cell::new(false),
         broken_beginnings: Cell::new(0),
+        has_broken: Cell::new(false),
         parts: metadata.parts,
         shared_parts: received.shared_parts,
         request_hash: 0,
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -7,9 +7,14 @@
 use std::time::Duration;
 
 use futures_util::future::{Either, select};
-use hickorycourse_connections::{Carrier, DIAL_TIMEOUT, ExchangeError, UpstreamConnection};
+use hickorycourse_connections::{
+    Carrier, ConnectionPool, DIAL_TIMEOUT, ExchangeError, UpstreamConnection,
+};
 use hickorycourse_placement::{AttemptOutcome, Placement};
-use hickorycourse_reach::{DialPlan, LinkChange, LinkTable, PeerFault, PeerTable, UpstreamView};
+use hickorycourse_reach::{
+    DialPlan, HOLD_MS, LinkChange, LinkTable, PeerFault, PeerTable, SETTLE_MS, UpstreamView,
+};
+use hickorycourse_routes::UpstreamEntry;
 use hickorycourse_tunnel::{OpenError, OpenRequest, PROTOCOL_VERSION, RefusalReason, TunnelHealth};
 use ntex::rt;
 use ntex::time::sleep;
@@ -41,8 +46,20 @@
     availability_zone: String,
 }
 
+impl From<&UpstreamEntry> for DialTarget {
+    fn from(entry: &UpstreamEntry) -> Self {
+        Self {
+            upstream: entry.id.clone(),
+            address: entry.address,
+            service: entry.service.clone(),
+            availability_zone: entry.availability_zone.clone(),
+        }
+    }
+}
+
 impl DialTarget {
-    fn view(&self) -> UpstreamView<'_> {
+    /// The upstream, as far as its links depend on it.
+    pub fn view(&self) -> UpstreamView<'_> {
         UpstreamView {
             id: &self.upstream,
             service: &self.service,
@@ -132,14 +149,16 @@
     ) -> Result<UpstreamConnection, DialError> {
         let relay = &self.relay;
         let now_ms = relay.now_ms();
+        let may_repeat = self.route.repeat.allows_reexecution();
         let has_peers = relay.members.lock().tunnel_candidates(now_ms).next().is_some();
         let plan = {
             let links = &mut relay.reach.lock().links;
             // A silent connection costs an idempotent request only a short response timeout.
-            let must_be_proven =
-                self.route.repeat.is_stream() || !self.route.repeat.allows_reexecution();
-            let is_usable =
-                !has_peers || !must_be_proven || links.is_proven(&target.view(), now_ms);
+            let must_be_proven = self.route.repeat.is_stream() || !may_repeat;
+            // What has broken one connection of a call may be about to break others.
+            let is_usable = !has_peers
+                || (!self.has_broken.get()
+                    && (!must_be_proven || links.is_proven(&target.view(), now_ms)));
             let since_ms = links.usable_idle_since_ms(&target.view()).filter(|_| is_usable);
             if let Some(since_ms) = since_ms {
                 let since_ms = since_ms.max(now_ms.saturating_sub(max_idle_ms.saturating_sub(1)));
@@ -149,7 +168,7 @@
                     return Ok(idle);
                 }
             }
-            links.plan(&target.view(), has_peers, &mut rand::rng(), now_ms)
+            links.plan(&target.view(), has_peers, may_repeat, &mut rand::rng(), now_ms)
         };
         match plan {
             DialPlan::Direct => {
@@ -160,12 +179,12 @@
                 // Without peers to compare with, the upstream is held to be the cause.
                 Err(DialError::Upstream(error))
             }
-            DialPlan::DirectThenPeer { delay_ms } => {
+            DialPlan::DirectThenPeer { delay_ms } | DialPlan::Trial { delay_ms } => {
                 self.dial_with_peers(target, Duration::from_millis(delay_ms)).await
             }
             DialPlan::PeerFirst { is_probe_due, may_dial_directly } => {
                 if is_probe_due {
-                    self.spawn_probe(target);
+                    spawn_probe(&self.relay, &self.connections, target);
                 }
                 let failure = match self.open_tunnel(target).await {
                     Ok(connection) => return Ok(connection),
@@ -173,7 +192,7 @@
                 };
                 if !failure.is_upstream_unreachable && may_dial_directly {
                     return self
-                        .dial_directly(target)
+                        .dial_settled(target)
                         .await
                         .map_err(|error| DialError::Links(format!("{error}; {}", failure.detail)));
                 }
@@ -188,7 +207,7 @@
         delay: Duration,
     ) -> Result<UpstreamConnection, DialError> {
         let relay = &self.relay;
-        let direct = self.dial_directly(target);
+        let direct = self.dial_settled(target);
         let tunnel = self.open_tunnel(target);
         match first_success(direct, delay, tunnel).await {
             Ok(connection) => {
@@ -223,20 +242,31 @@
         &self,
         target: &DialTarget,
     ) -> Result<UpstreamConnection, ExchangeError> {
-        let connection = self.connections.open(target.upstream.clone(), target.address).await?;
-        self.relay.record_dial_success(target);
+        let relay = &self.relay;
+        let (upstream, address) = (target.upstream.clone(), target.address);
+        let connection = self.connections.open(upstream, address, relay.now_ms()).await?;
+        relay.record_dial_success(target);
         Ok(connection)
     }
 
-    /// Dials a link that is cut, in the background.
-    fn spawn_probe(&self, target: &DialTarget) {
-        let (relay, connections) = (Arc::clone(&self.relay), self.connections.clone());
-        let target = target.clone();
-        drop(rt::spawn(async move {
-            if connections.open(target.upstream.clone(), target.address).await.is_ok() {
-                relay.record_dial_success(&target);
-            }
-        }));
+    /// As [`dial_directly`](Self::dial_directly). While links are doubtful, or if a connection of this call has broken,
+    /// waits to see whether the new one is reset, which counts as a failed dial.
+    async fn dial_settled(&self, target: &DialTarget) -> Result<UpstreamConnection, ExchangeError> {
+        let connection = self.dial_directly(target).await?;
+        let settle_ms = match self.has_broken.get() {
+            true => SETTLE_MS,
+            false => self.relay.reach.lock().links.settle_ms(&target.view()),
+        };
+        if settle_ms == 0 {
+            return Ok(connection);
+        }
+        sleep(Duration::from_millis(settle_ms)).await;
+        if connection.is_closed() {
+            self.relay.record_dial_failure(target);
+            let detail = "the connection was closed before it was used";
+            return Err(ExchangeError::NotSent(detail.to_owned()));
+        }
+        Ok(connection)
     }
 
     /// Returns an idle connection that a peer carries, or asks peers for a new one.
@@ -315,7 +345,8 @@
         };
         let carrier = Rc::new(PeerCarrier { name: peer.clone(), health: stream.health() });
         let (upstream, address) = (target.upstream.clone(), target.address);
-        let opened = self.connections.open_over(stream, upstream, address, carrier).await;
+        let opened =
+            self.connections.open_over(stream, upstream, address, carrier, relay.now_ms()).await;
         opened.map_err(|error| TunnelFailure {
             is_upstream_unreachable: false,
             detail: format!("{peer}: {error}"),
@@ -323,6 +354,26 @@
     }
 }
 
+/// Dials a link that is held cut, in the background. Nothing is sent: what has been accepted may be reset.
+pub fn spawn_probe(relay: &Arc<Relay>, connections: &ConnectionPool, target: &DialTarget) {
+    let (relay, connections) = (Arc::clone(relay), connections.clone());
+    let target = target.clone();
+    drop(rt::spawn(async move {
+        let dialled_at_ms = relay.now_ms();
+        let opened = connections.open(target.upstream.clone(), target.address, dialled_at_ms).await;
+        sleep(Duration::from_millis(SETTLE_MS)).await;
+        let Some(connection) = opened.ok().filter(|connection| !connection.is_closed()) else {
+            relay.record_dial_failure(&target);
+            return;
+        };
+        relay.reach.lock().links.record_settled(&target.view());
+        sleep(Duration::from_millis(HOLD_MS)).await;
+        if !connection.is_closed() {
+            relay.record_link_response(&target.view(), dialled_at_ms);
+        }
+    }));
+}
+
 /// Returns why a peer is not asked for a while after it has opened no tunnel.
 fn peer_fault(error: &OpenError) -> Option<PeerFault> {
     match error {
@@ -390,16 +441,36 @@
     }
 
     fn record_dial_success(&self, target: &DialTarget) {
-        self.update_links(|links, now_ms| links.record_dial_success(&target.view(), now_ms));
+        let now_ms = self.now_ms();
+        self.reach.lock().links.record_dial_success(&target.view(), now_ms);
+    }
+
+    /// Records that a direct connection that was dialled at `dialled_at_ms` works.
+    pub fn record_link_response(&self, upstream: &UpstreamView<'_>, dialled_at_ms: u64) {
+        self.update_links(|links, now_ms| links.record_response(upstream, dialled_at_ms, now_ms));
     }
 
     /// Records that a response has begun, which shows that a direct connection works.
     pub fn record_direct_response(&self, target: &DialTarget, connection: &UpstreamConnection) {
         if connection.carrier().is_none() {
-            self.reach.lock().links.record_response(&target.view(), self.now_ms());
+            self.record_link_response(&target.view(), connection.dialled_at_ms());
         }
     }
 
+    /// Records that a connection broke before it brought a response. A new direct one may have been accepted
+    /// and reset by its link. Returns whether the link was held cut already, so that it is the likely cause.
+    pub fn record_broken_link(&self, target: &DialTarget, connection: &UpstreamConnection) -> bool {
+        if connection.carrier().is_some() || connection.is_reused() {
+            return false;
+        }
+        let was_cut = self.reach.lock().links.find_cut(&target.view()).is_some();
+        let dialled_at_ms = connection.dialled_at_ms();
+        self.update_links(|links, now_ms| {
+            links.record_break(&target.view(), dialled_at_ms, now_ms)
+        });
+        was_cut
+    }
+
     /// Records that no response has come in time on a direct connection. Returns whether the own link may be
     /// the cause.
     pub fn record_direct_silence(&self, target: &DialTarget) -> bool {
--- a/crates/relay/src/tunnels.rs
+++ b/crates/relay/src/tunnels.rs
@@ -8,14 +8,18 @@
 use std::time::Duration;
 
 use futures_util::future::{Either, select};
+use hickorycourse_connections::ConnectionPool;
 use hickorycourse_reach::{DialPlan, LinkScope, UpstreamView};
 use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
-use hickorycourse_tunnel::{OpenRequest, RefusalReason, TunnelActivity, accept, carry, refuse};
+use hickorycourse_tunnel::{
+    OpenRequest, RefusalReason, TunnelActivity, TunnelEnd, accept, carry, refuse,
+};
 use ntex::rt;
 use ntex::time::{sleep, timeout};
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::forwarding::{DialTarget, spawn_probe};
 use crate::in_flight::InFlightGuard;
 use crate::state::Relay;
 
@@ -129,8 +133,18 @@
     });
 }
 
+/// A connection to an upstream that this instance opened for another.
+struct CarriedConnection {
+    stream: TcpStream,
+    target: DialTarget,
+    dialled_at_ms: u64,
+}
+
 /// Dials the upstream of a request, directly.
-async fn dial(relay: &Relay, request: &OpenRequest) -> Result<TcpStream, RefusalReason> {
+async fn dial(
+    relay: &Arc<Relay>,
+    request: &OpenRequest,
+) -> Result<CarriedConnection, RefusalReason> {
     if relay.drain.is_stopping() {
         return Err(RefusalReason::Stopping);
     }
@@ -139,14 +153,24 @@
     if entry.phase == UpstreamPhase::Leaving {
         return Err(RefusalReason::Leaving);
     }
-    check_own_links(relay, &view(&entry))?;
+    check_own_links(relay, &entry)?;
     let limit = DIAL_TIMEOUT.min(Duration::from_millis(request.remaining_ms));
+    let dialled_at_ms = relay.now_ms();
     let dialled = timeout(limit, TcpStream::connect(entry.address)).await;
     let now_ms = relay.now_ms();
     match dialled {
-        Ok(Ok(upstream)) if upstream.set_nodelay(true).is_ok() => {
-            relay.update_links(|links, _| links.record_dial_success(&view(&entry), now_ms));
-            Ok(upstream)
+        Ok(Ok(stream)) if stream.set_nodelay(true).is_ok() => {
+            let settle_ms = {
+                let links = &mut relay.reach.lock().links;
+                links.record_dial_success(&view(&entry), now_ms);
+                links.settle_ms(&view(&entry))
+            };
+            if settle_ms > 0 && ends_within(&stream, settle_ms).await {
+                relay
+                    .update_links(|links, now_ms| links.record_dial_failure(&view(&entry), now_ms));
+                return Err(RefusalReason::PathCut);
+            }
+            Ok(CarriedConnection { stream, target: DialTarget::from(&entry), dialled_at_ms })
         }
         _ => {
             if relay.reach.lock().links.is_sound(&view(&entry), now_ms) {
@@ -158,17 +182,30 @@
     }
 }
 
-/// Refuses what the own links do not reach, unless it is time to dial again.
-fn check_own_links(relay: &Relay, upstream: &UpstreamView<'_>) -> Result<(), RefusalReason> {
+/// Returns whether a connection over which nothing was sent ends within some time.
+async fn ends_within(stream: &TcpStream, limit_ms: u64) -> bool {
+    let first = timeout(Duration::from_millis(limit_ms), stream.peek(&mut [0])).await;
+    matches!(first, Ok(Ok(0) | Err(_)))
+}
+
+/// Refuses what the own links do not reach. The request of another instance is no probe: it may run once.
+fn check_own_links(relay: &Arc<Relay>, entry: &UpstreamEntry) -> Result<(), RefusalReason> {
     let now_ms = relay.now_ms();
-    let links = &mut relay.reach.lock().links;
-    let plan = links.plan(upstream, true, &mut rand::rng(), now_ms);
-    match (plan, links.find_cut(upstream)) {
-        (DialPlan::PeerFirst { is_probe_due: false, .. }, Some(LinkScope::All)) => {
-            Err(RefusalReason::LinksCut)
-        }
-        (DialPlan::PeerFirst { is_probe_due: false, .. }, _) => Err(RefusalReason::PathCut),
-        _ => Ok(()),
+    let (plan, cut) = {
+        let links = &mut relay.reach.lock().links;
+        let plan = links.plan(&view(entry), true, false, &mut rand::rng(), now_ms);
+        (plan, links.find_cut(&view(entry)))
+    };
+    let DialPlan::PeerFirst { is_probe_due, may_dial_directly } = plan else { return Ok(()) };
+    if is_probe_due && may_dial_directly {
+        return Ok(());
+    }
+    if is_probe_due {
+        spawn_probe(relay, &ConnectionPool::default(), &DialTarget::from(entry));
+    }
+    match cut {
+        Some(LinkScope::All) => Err(RefusalReason::LinksCut),
+        _ => Err(RefusalReason::PathCut),
     }
 }
 
@@ -184,9 +221,10 @@
     relay: &Arc<Relay>,
     request: &OpenRequest,
     sender: TcpStream,
-    upstream: TcpStream,
+    upstream: CarriedConnection,
     dial_ms: u64,
 ) {
+    let CarriedConnection { stream: upstream, target, dialled_at_ms } = upstream;
     metrics::counter!("hickorycourse_tunnels_total", "outcome" => "opened").increment(1);
     relay.log.write(
         "tunnel_opened",
@@ -195,12 +233,26 @@
     let opened_at_ms = relay.now_ms();
     let activity = TunnelActivity::default();
     let carried = pin!(carry(sender, upstream, IDLE_TIMEOUT, &activity));
-    let held = pin!(hold_up_shutdown(relay, &activity));
+    let has_responded = Cell::new(false);
+    let on_first_bytes = || {
+        if !has_responded.replace(true) {
+            relay.record_link_response(&target.view(), dialled_at_ms);
+        }
+    };
+    let held = pin!(hold_up_shutdown(relay, &activity, &on_first_bytes));
     let end = match select(carried, held).await {
-        Either::Left((end, _)) => end.as_str(),
-        Either::Right(((), _)) => "stopped",
+        Either::Left((end, _)) => Some(end),
+        Either::Right(((), _)) => None,
     };
     let carried = activity.carried();
+    if carried.from_upstream_bytes > 0 {
+        on_first_bytes();
+    } else if matches!(end, Some(TunnelEnd::UpstreamEnded | TunnelEnd::UpstreamFailed)) {
+        relay.update_links(|links, now_ms| {
+            links.record_break(&target.view(), dialled_at_ms, now_ms)
+        });
+    }
+    let end = end.map_or("stopped", TunnelEnd::as_str);
     relay.log.write("tunnel_closed", || {
         json!({
             "upstream": request.upstream, "peer": request.sender, "end": end,
@@ -212,8 +264,12 @@
 }
 
 /// Holds up a shutdown while a tunnel carries something. Returns when it is used after the shutdown has
-/// closed the process for requests.
-async fn hold_up_shutdown(relay: &Arc<Relay>, activity: &TunnelActivity) {
+/// closed the process for requests. Calls `on_first_bytes` when the upstream has begun to respond.
+async fn hold_up_shutdown(
+    relay: &Arc<Relay>,
+    activity: &TunnelActivity,
+    on_first_bytes: impl Fn(),
+) {
     let mut in_flight = InFlightGuard::try_new(relay);
     let mut carried = activity.carried();
     let mut carried_at_ms = relay.now_ms();
@@ -221,6 +277,9 @@
         sleep(OBSERVATION_INTERVAL).await;
         let now_ms = relay.now_ms();
         if activity.carried() != carried {
+            if carried.from_upstream_bytes == 0 && activity.carried().from_upstream_bytes > 0 {
+                on_first_bytes();
+            }
             carried = activity.carried();
             carried_at_ms = now_ms;
         }
