Datagrams: a failure names its kind, size and recipient

The line of a datagram that could not be sent now has its kind, size and recipient, the counter a label with the kind, and the sizes of sent datagrams are a histogram by kind.

--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -133,7 +133,7 @@
             let (length, source) = match self.socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
                 Err(error) => {
-                    log_datagram_failure(&self.relay.log, &error.to_string());
+                    log_receive_failure(&self.relay.log, &error.to_string());
                     continue;
                 }
             };
@@ -141,7 +141,7 @@
                 Ok(message) => self.handle_message(message, source).await,
                 Err(error) => {
                     count_dropped("malformed");
-                    log_datagram_failure(&self.relay.log, &error.to_string());
+                    log_receive_failure(&self.relay.log, &error.to_string());
                 }
             }
         }
@@ -247,18 +247,39 @@
 
     /// Sends a message to each address.
     pub async fn send_all(&self, message: &Message, addresses: &[SocketAddr]) {
+        if addresses.is_empty() {
+            return;
+        }
+        let kind = message.kind();
         let mut bytes = Vec::new();
         if let Err(error) = ciborium::into_writer(message, &mut bytes) {
-            log_datagram_failure(&self.relay.log, &error.to_string());
+            self.record_send_failure(kind, 0, None, &error.to_string());
             return;
         }
+        metrics::histogram!("hickorycourse_datagram_bytes", "kind" => kind)
+            .record(bytes.len() as f64);
         for address in addresses {
             if let Err(error) = self.socket.send_to(&bytes, address).await {
-                log_datagram_failure(&self.relay.log, &error.to_string());
+                self.record_send_failure(kind, bytes.len(), Some(*address), &error.to_string());
             }
         }
     }
 
+    fn record_send_failure(
+        &self,
+        kind: &'static str,
+        size_bytes: usize,
+        recipient: Option<SocketAddr>,
+        reason: &str,
+    ) {
+        metrics::counter!("hickorycourse_datagram_failures_total", "kind" => kind).increment(1);
+        self.relay.log.write("datagram_failed", || {
+            json!({
+                "reason": reason, "kind": kind, "size_bytes": size_bytes, "recipient": recipient,
+            })
+        });
+    }
+
     async fn handle_message(&self, message: Message, source: SocketAddr) {
         match message {
             Message::Digest(digest) => {
@@ -401,7 +422,7 @@
     metrics::counter!("hickorycourse_datagrams_dropped_total", "reason" => reason).increment(1);
 }
 
-fn log_datagram_failure(log: &EventLog, reason: &str) {
-    metrics::counter!("hickorycourse_datagram_failures_total").increment(1);
-    log.write("datagram_failed", || json!({ "reason": reason }));
+fn log_receive_failure(log: &EventLog, reason: &str) {
+    metrics::counter!("hickorycourse_datagram_failures_total", "kind" => "received").increment(1);
+    log.write("datagram_failed", || json!({ "reason": reason, "kind": "received" }));
 }
--- a/crates/relay/src/datagrams.rs
+++ b/crates/relay/src/datagrams.rs
@@ -114,6 +114,27 @@
     },
 }
 
+impl Message {
+    /// Returns the name of the kind, for logs and metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Digest(_) => "digest",
+            Self::Ask { .. } => "ask",
+            Self::Proof(_) => "proof",
+            Self::Follow { .. } => "follow",
+            Self::View { .. } => "view",
+            Self::Report { .. } => "report",
+            Self::Fleet { .. } => "fleet",
+            Self::Zone(_) => "zone",
+            Self::Origin { .. } => "origin",
+            Self::FindOrigin { .. } => "find_origin",
+            Self::FoundOrigin { .. } => "found_origin",
+            Self::Claim { .. } => "claim",
+            Self::Grant { .. } => "grant",
+        }
+    }
+}
+
 /// Claim for a permit to send a request to an upstream that has named a limit.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PermitClaim {
