Digests: told in parts where they do not fit a datagram

Cause: an aggregator returned the digests of all zones in one datagram, of which at most 65,507 bytes are sent. With load on 250 upstreams in each of six zones and 40 organisations these are 79,427 to 91,311 bytes, with 2,000 upstreams 383,957 to 395,841; one zone's digest reaches 69,105 then, a report of a member on all of them 65,281.

Change: replies, digests of zones and digests of members are sent in parts of at most 64,995 bytes, each a digest of its own that an older build can read; a reply has whole zones in a part where these fit, and begins with another zone each time. A receiver joins the parts and uses nothing of a digest without all of its parts: what it knew keeps its age, and nothing looks unused. A reply is used as far as it has arrived when the time for it is over.

Before: with the digests in one list, `encode_zones_of_large_site_fit_datagrams` fails with 79,435 bytes at 295 instances, 250 upstreams and three epochs, and `split_zone_and_member_of_large_site_fit_datagrams` at 295 instances, 2,000 upstreams and six. After: all parts fit; the tests of the crate and the process tests `exchange` and `datagrams` pass.

--- a/crates/caps/tests/convergence.rs
+++ b/crates/caps/tests/convergence.rs
@@ -98,6 +98,7 @@
             quarantine: Default::default(),
             limits: Vec::new(),
             is_stopping: false,
+            part: Default::default(),
             tolerances: Vec::new(),
         };
         member.own.record(digest.clone());
--- a/crates/caps/tests/fleet.rs
+++ b/crates/caps/tests/fleet.rs
@@ -145,6 +145,7 @@
         quarantine: Default::default(),
         limits: Vec::new(),
         is_stopping: false,
+        part: Default::default(),
         tolerances: Vec::new(),
     }
 }
--- a/crates/digest/src/message.rs
+++ b/crates/digest/src/message.rs
@@ -10,6 +10,8 @@
 use hickorycourse_quarantine::QuarantineDigest;
 use serde::{Deserialize, Serialize};
 
+use crate::parts::PartMark;
+
 /// State of one instance.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct MemberDigest {
@@ -64,6 +66,9 @@
     /// Whether it is stopping, and grants no permits any more.
     #[serde(rename = "d", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_stopping: bool,
+    /// Which part this is of a digest that is sent in several.
+    #[serde(rename = "y", default, skip_serializing_if = "PartMark::is_whole")]
+    pub part: PartMark,
 }
 
 /// Load that one instance or zone has placed on the upstreams of a service.
@@ -149,6 +154,9 @@
     /// What the aggregator knows of the requests a second that upstreams can turn away.
     #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
     pub tolerances: Vec<LimitNotice>,
+    /// Which part this is of a digest that is sent in several.
+    #[serde(rename = "y", default, skip_serializing_if = "PartMark::is_whole")]
+    pub part: PartMark,
 }
 
 impl ZoneDigest {
@@ -174,6 +182,7 @@
             quarantine: QuarantineDigest::default(),
             limits: Vec::new(),
             tolerances: Vec::new(),
+            part: PartMark::default(),
         }
     }
 }
--- a/crates/digest/tests/aggregation.rs
+++ b/crates/digest/tests/aggregation.rs
@@ -35,6 +35,7 @@
         limits: Vec::new(),
         tolerances: Vec::new(),
         is_stopping: false,
+        part: Default::default(),
     }
 }
 
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -13,17 +13,16 @@
 
 use futures_util::future::select;
 use hickorycourse_caps::UsageReport;
-use hickorycourse_digest::{MemberDigest, ServiceDigest};
+use hickorycourse_digest::{MemberDigest, PartMark, ServiceDigest, split};
 use hickorycourse_duties::{UsageSource, WindowCounts};
 use hickorycourse_placement::{TokenDemand, UpstreamLoad, WaitingRequests};
-use hickorycourse_telemetry::EventLog;
-use ntex::time::{sleep, timeout};
+use ntex::time::sleep;
 use parking_lot::Mutex;
 use serde_json::json;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
+use tokio::sync::mpsc;
 
-use crate::datagrams::Message;
+use crate::datagrams::{MAX_DATAGRAM_BYTES, MAX_DIGEST_BYTES, Message};
 use crate::exchange::EXCHANGE_INTERVAL_MS;
 use crate::follow::{ViewQuery, ViewReply, make_reply};
 use crate::state::Relay;
@@ -46,8 +45,6 @@
 const MAX_DEPARTURES_PER_DIGEST: usize = 32;
 /// Largest difference between the known era and one that another instance reports.
 const MAX_ERA_STEP: u64 = 64;
-/// Largest UDP payload over IPv4.
-const MAX_DATAGRAM_BYTES: usize = 65_507;
 
 /// Returns the period in milliseconds between two digests of an instance, in a fleet of this size.
 pub fn digest_period_ms(instances: usize) -> u64 {
@@ -61,8 +58,8 @@
     socket: Arc<UdpSocket>,
     /// Time at which each freshness query was sent, by nonce.
     pub pending_queries: Mutex<HashMap<u64, u64>>,
-    /// Receivers of replies, by nonce.
-    pending_replies: Mutex<HashMap<u64, oneshot::Sender<Message>>>,
+    /// Tasks that wait for replies, by nonce.
+    pub pending_replies: Mutex<HashMap<u64, mpsc::Sender<Message>>>,
 }
 
 impl PeerBroadcast {
@@ -114,13 +111,12 @@
     async fn broadcast_to_all(&self, all: &[SocketAddr], round: u64, now_ms: u64) -> u64 {
         let relay = &self.relay;
         let is_large = all.len() >= UNIFORM_BROADCAST_MAX_INSTANCES;
-        let digest = Message::Digest(Box::new(self.make_digest(now_ms, round + 1)));
-        if !is_large || round.is_multiple_of(ZONE_DIGESTS_PER_FLEET_DIGEST) {
-            self.send_all(&digest, all).await;
-        } else {
-            let own_zone = Some(relay.settings.availability_zone.as_str());
-            let zone = relay.members.lock().shuffled_addresses(own_zone, &mut rand::rng(), now_ms);
-            self.send_all(&digest, &zone).await;
+        let is_for_all = !is_large || round.is_multiple_of(ZONE_DIGESTS_PER_FLEET_DIGEST);
+        let own_zone = Some(relay.settings.availability_zone.as_str());
+        let zone = || relay.members.lock().shuffled_addresses(own_zone, &mut rand::rng(), now_ms);
+        let recipients = if is_for_all { all.to_vec() } else { zone() };
+        for part in split(self.make_digest(now_ms, round + 1), MAX_DIGEST_BYTES) {
+            self.send_all(&Message::Digest(Box::new(part)), &recipients).await;
         }
         let period_ms = digest_period_ms(all.len() + 1);
         if is_large { period_ms / ZONE_DIGESTS_PER_FLEET_DIGEST } else { period_ms }
@@ -133,7 +129,7 @@
             let (length, source) = match self.socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
                 Err(error) => {
-                    log_receive_failure(&self.relay.log, &error.to_string());
+                    self.record_receive_failure(&error.to_string());
                     continue;
                 }
             };
@@ -141,7 +137,7 @@
                 Ok(message) => self.handle_message(message, source).await,
                 Err(error) => {
                     count_dropped("malformed");
-                    log_receive_failure(&self.relay.log, &error.to_string());
+                    self.record_receive_failure(&error.to_string());
                 }
             }
         }
@@ -162,31 +158,6 @@
         }
     }
 
-    /// Sends a message with a nonce and waits for the reply that carries it.
-    pub async fn request(
-        &self,
-        address: SocketAddr,
-        message: &Message,
-        nonce: u64,
-        reply_timeout: Duration,
-    ) -> Option<Message> {
-        let (sender, receiver) = oneshot::channel();
-        self.pending_replies.lock().insert(nonce, sender);
-        self.send_all(message, &[address]).await;
-        let reply = timeout(reply_timeout, receiver).await;
-        self.pending_replies.lock().remove(&nonce);
-        reply.ok()?.ok()
-    }
-
-    /// Hands a reply over to the task that waits for it. One that nobody waits for any more is late or a
-    /// duplicate.
-    fn deliver_reply(&self, nonce: u64, reply: Message) {
-        let receiver = self.pending_replies.lock().remove(&nonce);
-        if receiver.is_none_or(|receiver| receiver.send(reply).is_err()) {
-            count_dropped("late_reply");
-        }
-    }
-
     /// Returns the digest of this instance.
     pub fn make_digest(&self, now_ms: u64, sequence: u64) -> MemberDigest {
         let relay = &self.relay;
@@ -229,6 +200,7 @@
             limits: relay.limits.lock().notices(),
             tolerances: relay.tolerances.lock().notices(),
             is_stopping: relay.drain.is_stopping(),
+            part: PartMark::default(),
         }
     }
 
@@ -265,7 +237,15 @@
         }
     }
 
-    fn record_send_failure(
+    /// Records a datagram that could not be received or read.
+    pub fn record_receive_failure(&self, reason: &str) {
+        metrics::counter!("hickorycourse_datagram_failures_total", "kind" => "received")
+            .increment(1);
+        self.relay.log.write("datagram_failed", || json!({ "reason": reason, "kind": "received" }));
+    }
+
+    /// Records a datagram that could not be encoded or sent.
+    pub fn record_send_failure(
         &self,
         kind: &'static str,
         size_bytes: usize,
@@ -282,7 +262,9 @@
 
     async fn handle_message(&self, message: Message, source: SocketAddr) {
         match message {
-            Message::Digest(digest) => {
+            Message::Digest(part) => {
+                let digest = self.relay.exchange.lock().member_parts.add(*part);
+                let Some(digest) = digest else { return };
                 self.apply_digest(&digest);
                 self.query_newer_document(digest.version, digest.peer_address).await;
             }
@@ -421,8 +403,3 @@
 pub fn count_dropped(reason: &'static str) {
     metrics::counter!("hickorycourse_datagrams_dropped_total", "reason" => reason).increment(1);
 }
-
-fn log_receive_failure(log: &EventLog, reason: &str) {
-    metrics::counter!("hickorycourse_datagram_failures_total", "kind" => "received").increment(1);
-    log.write("datagram_failed", || json!({ "reason": reason, "kind": "received" }));
-}
--- a/crates/relay/src/datagrams.rs
+++ b/crates/relay/src/datagrams.rs
@@ -1,6 +1,6 @@
 //! Datagrams between instances.
 
-use hickorycourse_digest::{MemberDigest, ZoneDigest};
+use hickorycourse_digest::{MemberDigest, PartMark, ZoneDigest};
 use hickorycourse_origins::{StreamKey, StreamOrigin};
 use hickorycourse_permits::LimitNotice;
 use hickorycourse_routes::{RouteDocument, UpstreamEntry};
@@ -9,6 +9,11 @@
 use crate::exchange::WantedReply;
 use crate::follow::{ViewQuery, ViewReply};
 
+/// Largest UDP payload over IPv4.
+pub const MAX_DATAGRAM_BYTES: usize = 65_507;
+/// Largest digest or list of digests in a message, with space for the message's other fields.
+pub const MAX_DIGEST_BYTES: usize = MAX_DATAGRAM_BYTES - 512;
+
 /// Response of an instance that reaches the store to one that does not.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct FreshnessAttestation {
@@ -71,6 +76,9 @@
         nonce: u64,
         /// Time since the digests were encoded.
         age_ms: u64,
+        /// Which part of the reply this is. An older build sends one, and uses the first that arrives.
+        #[serde(default, skip_serializing_if = "PartMark::is_whole")]
+        part: PartMark,
         /// Encoded [`ZoneDigest`]s; empty if none were wanted.
         #[serde(with = "serde_bytes")]
         zones: Vec<u8>,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -7,11 +7,13 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hickorycourse_caps::UsageReport;
 use hickorycourse_digest::{
-    AGGREGATORS_PER_ZONE, MemberDigest, OwnDigests, ZoneAggregator, ZoneDigest, rank_aggregators,
+    AGGREGATORS_PER_ZONE, MemberDigest, OwnDigests, PartBuffer, PartMark, ZoneAggregator,
+    ZoneDigest, encode_zones, rank_aggregators, split,
 };
 use hickorycourse_duties::UsageSource;
 use hickorycourse_quarantine::QuarantineDigest;
@@ -21,7 +23,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::broadcast::{PeerBroadcast, apply_services, count_dropped, digest_period_ms};
-use crate::datagrams::Message;
+use crate::datagrams::{MAX_DIGEST_BYTES, Message};
 use crate::settings::ExchangePolicy;
 
 /// Interval between two reports of a member, and between two digests of a zone.
@@ -68,10 +70,10 @@
     SumsWithUsage,
 }
 
-/// Sums that are returned to members, encoded.
+/// Sums that are returned to members, encoded in parts.
 #[derive(Debug)]
 struct EncodedSums {
-    bytes: Vec<u8>,
+    parts: Arc<[Vec<u8>]>,
     made_at_ms: u64,
 }
 
@@ -87,6 +89,10 @@
     encoded: Option<EncodedSums>,
     /// Start of the aggregator and sequence number of the digest that was applied last, by zone.
     applied: BTreeMap<String, (u64, u64)>,
+    /// Digests of members of which parts are missing.
+    pub member_parts: PartBuffer<MemberDigest>,
+    /// Digests of other zones of which parts are missing.
+    zone_parts: PartBuffer<ZoneDigest>,
 }
 
 impl ExchangeState {
@@ -252,7 +258,9 @@
         if aggregators.is_first {
             let told = ZoneDigest { members: Vec::new(), ..zone.clone() };
             let addresses = self.remote_aggregators(now_ms);
-            self.send_all(&Message::Zone(Box::new(told)), &addresses).await;
+            for part in split(told, MAX_DIGEST_BYTES) {
+                self.send_all(&Message::Zone(Box::new(part)), &addresses).await;
+            }
         }
         let mut zones = vec![zone];
         zones.extend(self.relay.exchange.lock().other_zones(now_ms));
@@ -299,12 +307,9 @@
         };
         for (index, (_, address)) in aggregators.others.iter().enumerate() {
             if index as u64 != asked {
-                let report = Message::Report {
-                    nonce: None,
-                    wanted: WantedReply::Acknowledgement,
-                    digest: Box::new(digest.clone()),
-                };
-                self.send_all(&report, &[*address]).await;
+                for report in make_reports(None, WantedReply::Acknowledgement, digest.clone()) {
+                    self.send_all(&report, &[*address]).await;
+                }
             }
         }
         let (name, address) = &aggregators.others[asked as usize];
@@ -328,23 +333,11 @@
         digest: MemberDigest,
     ) -> Option<(Vec<ZoneDigest>, u64)> {
         let nonce = rand::random();
-        let message = Message::Report { nonce: Some(nonce), wanted, digest: Box::new(digest) };
-        let reply = self.request(address, &message, nonce, REPLY_TIMEOUT).await;
+        let reports = make_reports(Some(nonce), wanted, digest);
+        let reply = self.request_fleet(address, &reports, nonce, REPLY_TIMEOUT).await;
         let now_ms = self.relay.now_ms();
         self.relay.members.lock().record_reply(name, reply.is_some(), now_ms);
-        let Message::Fleet { age_ms, zones, .. } = reply? else { return None };
-        if zones.is_empty() {
-            return Some((Vec::new(), age_ms));
-        }
-        match ciborium::from_reader::<Vec<ZoneDigest>, _>(zones.as_slice()) {
-            Ok(zones) => Some((zones, age_ms)),
-            Err(error) => {
-                count_dropped("malformed");
-                let reason = error.to_string();
-                self.relay.log.write("datagram_failed", || json!({ "reason": reason }));
-                None
-            }
-        }
+        reply
     }
 
     /// Handles the report of a member.
@@ -363,6 +356,7 @@
             count_dropped("misdirected");
             return;
         }
+        let Some(digest) = relay.exchange.lock().member_parts.add(digest) else { return };
         if !relay.exchange.lock().aggregator.record(digest.clone(), now_ms) {
             count_dropped("old");
             return;
@@ -370,8 +364,12 @@
         self.apply_member_state(&digest, now_ms);
         self.query_newer_document(digest.version, digest.peer_address).await;
         let Some(nonce) = nonce else { return };
-        if let Some((zones, age_ms)) = self.encode_sums(wanted, now_ms) {
-            self.send_all(&Message::Fleet { nonce, age_ms, zones }, &[source]).await;
+        let Some((parts, age_ms)) = self.encode_sums(wanted, now_ms) else { return };
+        let count = u16::try_from(parts.len()).unwrap_or(u16::MAX);
+        for (index, zones) in (0..count).zip(parts.iter()) {
+            let part = PartMark { index, count };
+            let reply = Message::Fleet { nonce, age_ms, part, zones: zones.clone() };
+            self.send_all(&reply, &[source]).await;
         }
     }
 
@@ -395,7 +393,9 @@
             self.send_all(&Message::Zone(Box::new(zone)), &addresses).await;
             return;
         }
-        if !relay.exchange.lock().record_zone(zone, now_ms) {
+        let mut exchange = relay.exchange.lock();
+        let Some(zone) = exchange.zone_parts.add(zone) else { return };
+        if !exchange.record_zone(zone, now_ms) {
             count_dropped("old");
         }
     }
@@ -424,15 +424,15 @@
         zone
     }
 
-    /// Encodes the sums of all zones; returns them with the time since they were made.
-    fn encode_sums(&self, wanted: WantedReply, now_ms: u64) -> Option<(Vec<u8>, u64)> {
+    /// Encodes the sums of all zones in parts; returns them with the time since they were made.
+    fn encode_sums(&self, wanted: WantedReply, now_ms: u64) -> Option<(Arc<[Vec<u8>]>, u64)> {
         match wanted {
-            WantedReply::Acknowledgement => return Some((Vec::new(), 0)),
+            WantedReply::Acknowledgement => return Some((Arc::new([Vec::new()]), 0)),
             WantedReply::Sums => {
                 let exchange = self.relay.exchange.lock();
                 let fresh = exchange.encoded.as_ref().and_then(|encoded| {
                     let age_ms = now_ms.saturating_sub(encoded.made_at_ms);
-                    (age_ms < SUMS_TTL_MS).then(|| (encoded.bytes.clone(), age_ms))
+                    (age_ms < SUMS_TTL_MS).then(|| (Arc::clone(&encoded.parts), age_ms))
                 });
                 if fresh.is_some() {
                     return fresh;
@@ -453,17 +453,21 @@
         if wanted == WantedReply::Sums {
             zones.iter_mut().for_each(|zone| zone.windows.clear());
         }
-        let mut bytes = Vec::new();
-        if let Err(error) = ciborium::into_writer(&zones, &mut bytes) {
-            let reason = error.to_string();
-            self.relay.log.write("datagram_failed", || json!({ "reason": reason }));
-            return None;
-        }
+        // An older build uses only the first part that arrives.
+        let first = rand::random_range(0..zones.len());
+        zones.rotate_left(first);
+        let parts: Arc<[Vec<u8>]> = match encode_zones(zones, MAX_DIGEST_BYTES) {
+            Ok(parts) => parts.into(),
+            Err(error) => {
+                self.record_send_failure("fleet", 0, None, &error.to_string());
+                return None;
+            }
+        };
         if wanted == WantedReply::Sums {
-            let encoded = EncodedSums { bytes: bytes.clone(), made_at_ms: now_ms };
+            let encoded = EncodedSums { parts: Arc::clone(&parts), made_at_ms: now_ms };
             self.relay.exchange.lock().encoded = Some(encoded);
         }
-        Some((bytes, 0))
+        Some((parts, 0))
     }
 
     /// Applies the digest of a zone, without the own part of it. `source` is the aggregator that has
@@ -512,3 +516,9 @@
         }
     }
 }
+
+/// Returns the messages that report a digest.
+fn make_reports(nonce: Option<u64>, wanted: WantedReply, digest: MemberDigest) -> Vec<Message> {
+    let parts = split(digest, MAX_DIGEST_BYTES).into_iter();
+    parts.map(|part| Message::Report { nonce, wanted, digest: Box::new(part) }).collect()
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -37,6 +37,7 @@
 mod quarantine;
 mod quarantine_record;
 mod readers;
+mod replies;
 mod server;
 mod settings;
 mod state;
--- /dev/null
+++ b/crates/relay/src/replies.rs
@@ -0,0 +1,92 @@
+//! Replies that a task waits for, and the parts of those that do not fit one datagram.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hickorycourse_digest::{FleetParts, ZoneDigest};
+use ntex::time::timeout;
+use tokio::sync::mpsc;
+
+use crate::broadcast::{PeerBroadcast, count_dropped};
+use crate::datagrams::Message;
+
+/// Parts of a reply that may await the task.
+const MAX_PENDING_PARTS: usize = 64;
+
+impl PeerBroadcast {
+    /// Sends a message with a nonce and waits for the reply that carries it.
+    pub async fn request(
+        &self,
+        address: SocketAddr,
+        message: &Message,
+        nonce: u64,
+        reply_timeout: Duration,
+    ) -> Option<Message> {
+        let mut receiver = self.expect_replies(nonce, 1);
+        self.send_all(message, &[address]).await;
+        let reply = timeout(reply_timeout, receiver.recv()).await;
+        self.pending_replies.lock().remove(&nonce);
+        reply.ok()?
+    }
+
+    /// Sends the parts of a report and waits for the parts of the reply; what has arrived when the time is
+    /// over is returned.
+    pub async fn request_fleet(
+        &self,
+        address: SocketAddr,
+        reports: &[Message],
+        nonce: u64,
+        reply_timeout: Duration,
+    ) -> Option<(Vec<ZoneDigest>, u64)> {
+        let mut receiver = self.expect_replies(nonce, MAX_PENDING_PARTS);
+        let deadline = Instant::now() + reply_timeout;
+        for report in reports {
+            self.send_all(report, &[address]).await;
+        }
+        let mut parts = FleetParts::default();
+        loop {
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            let Ok(Some(reply)) = timeout(remaining, receiver.recv()).await else { break };
+            let Message::Fleet { age_ms, part, zones, .. } = reply else { break };
+            let Some(zones) = self.decode_zones(&zones) else { continue };
+            if parts.add(part, age_ms, zones) {
+                break;
+            }
+        }
+        self.pending_replies.lock().remove(&nonce);
+        parts.into_zones()
+    }
+
+    fn decode_zones(&self, encoded: &[u8]) -> Option<Vec<ZoneDigest>> {
+        if encoded.is_empty() {
+            return Some(Vec::new());
+        }
+        match ciborium::from_reader(encoded) {
+            Ok(zones) => Some(zones),
+            Err(error) => {
+                count_dropped("malformed");
+                self.record_receive_failure(&error.to_string());
+                None
+            }
+        }
+    }
+
+    fn expect_replies(&self, nonce: u64, count: usize) -> mpsc::Receiver<Message> {
+        let (sender, receiver) = mpsc::channel(count);
+        self.pending_replies.lock().insert(nonce, sender);
+        receiver
+    }
+
+    /// Hands a reply over to the task that waits for it. One that nobody waits for any more is late or a
+    /// duplicate.
+    pub fn deliver_reply(&self, nonce: u64, reply: Message) {
+        let is_delivered = self
+            .pending_replies
+            .lock()
+            .get(&nonce)
+            .is_some_and(|sender| sender.try_send(reply).is_ok());
+        if !is_delivered {
+            count_dropped("late_reply");
+        }
+    }
+}
--- a/crates/testkit/src/bin/measure/relay_cores.rs
+++ b/crates/testkit/src/bin/measure/relay_cores.rs
@@ -166,6 +166,7 @@
         quarantine: Default::default(),
         limits: Vec::new(),
         is_stopping: false,
+        part: Default::default(),
         tolerances: Vec::new(),
     })
 }
