Freshness: a proof that does not fit a datagram is sent in parts

An instance without the store asks others for the list of upstreams and a newer document. Both were told in one datagram: 250 upstreams are 45,752 bytes, 2,000 are 366,003, of 65,507 that can be sent, and the document comes on top.

The encoded proof is divided and joined by the instance that asked; without one of its parts nothing of it is used, as before. A proof that fits is sent as before. An older build drops the parts, where it heard nothing before.

--- a/crates/digest/src/parts.rs
+++ b/crates/digest/src/parts.rs
@@ -29,7 +29,7 @@
 pub type EncodeError = ciborium::ser::Error<Error>;
 
 /// Position of a part in its digest.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct PartMark {
     /// Index of the part.
     #[serde(rename = "i")]
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -22,6 +22,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+use crate::chunks::ChunkBuffer;
 use crate::datagrams::{MAX_DATAGRAM_BYTES, MAX_DIGEST_BYTES, Message};
 use crate::exchange::EXCHANGE_INTERVAL_MS;
 use crate::follow::{ViewQuery, ViewReply, make_reply};
@@ -58,6 +59,8 @@
     socket: Arc<UdpSocket>,
     /// Time at which each freshness query was sent, by nonce.
     pub pending_queries: Mutex<HashMap<u64, u64>>,
+    /// Parts of replies to freshness queries, by nonce and sender.
+    pub attestation_parts: Mutex<ChunkBuffer<(u64, SocketAddr)>>,
     /// Tasks that wait for replies, by nonce.
     pub pending_replies: Mutex<HashMap<u64, mpsc::Sender<Message>>>,
 }
@@ -75,6 +78,7 @@
             relay: Arc::clone(relay),
             socket,
             pending_queries: Mutex::default(),
+            attestation_parts: Mutex::default(),
             pending_replies: Mutex::default(),
         }))
     }
@@ -270,10 +274,15 @@
             }
             Message::Ask { nonce, version } => {
                 if let Some(attestation) = self.make_attestation(nonce, version) {
-                    self.send_all(&Message::Proof(Box::new(attestation)), &[source]).await;
+                    self.send_attestation(attestation, source).await;
                 }
             }
             Message::Proof(attestation) => self.apply_attestation(*attestation, source),
+            Message::ProofPart { nonce, part, bytes } => {
+                if let Some(attestation) = self.join_attestation((nonce, source), part, bytes) {
+                    self.apply_attestation(attestation, source);
+                }
+            }
             Message::Follow { nonce, query } => {
                 if let Some(reply) = make_reply(&self.relay, query) {
                     let reply = Message::View { nonce, reply: Box::new(reply) };
--- a/crates/relay/src/datagrams.rs
+++ b/crates/relay/src/datagrams.rs
@@ -47,6 +47,16 @@
     },
     /// Reply to a freshness query.
     Proof(Box<FreshnessAttestation>),
+    /// Part of an encoded [`FreshnessAttestation`] that does not fit one datagram.
+    ProofPart {
+        /// Identifies the query.
+        nonce: u64,
+        /// Which part this is.
+        part: PartMark,
+        /// The bytes.
+        #[serde(with = "serde_bytes")]
+        bytes: Vec<u8>,
+    },
     /// Query of a follower.
     Follow {
         /// Identifies the query.
@@ -129,6 +139,7 @@
             Self::Digest(_) => "digest",
             Self::Ask { .. } => "ask",
             Self::Proof(_) => "proof",
+            Self::ProofPart { .. } => "proof_part",
             Self::Follow { .. } => "follow",
             Self::View { .. } => "view",
             Self::Report { .. } => "report",
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod buffered_response;
 mod call;
 mod caller;
+mod chunks;
 mod datagrams;
 mod drain;
 mod durations;
@@ -56,6 +57,7 @@
 }
 
 pub use broadcast::digest_period_ms;
+pub use chunks::{ChunkBuffer, divide as divide_reply};
 pub use drain::{DrainEnd, DrainState, DrainTimings, RequestForecast};
 pub use durations::DurationTable;
 pub use events::EventTracker;
--- a/crates/relay/src/replies.rs
+++ b/crates/relay/src/replies.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hickorycourse_digest::{FleetParts, ZoneDigest};
+use hickorycourse_digest::{FleetParts, PartMark, ZoneDigest};
 use ntex::time::timeout;
 use tokio::sync::mpsc;
 
 use crate::broadcast::{PeerBroadcast, count_dropped};
-use crate::datagrams::Message;
+use crate::chunks::divide;
+use crate::datagrams::{FreshnessAttestation, MAX_DIGEST_BYTES, Message};
 
 /// Parts of a reply that may await the task.
 const MAX_PENDING_PARTS: usize = 64;
@@ -57,6 +58,48 @@
         parts.into_zones()
     }
 
+    /// Sends the reply to a freshness query, in parts if it does not fit a datagram.
+    pub async fn send_attestation(&self, attestation: FreshnessAttestation, asker: SocketAddr) {
+        let nonce = attestation.nonce;
+        let mut bytes = Vec::new();
+        let encoded = ciborium::into_writer(&attestation, &mut bytes);
+        if encoded.is_err() || bytes.len() <= MAX_DIGEST_BYTES {
+            self.send_all(&Message::Proof(Box::new(attestation)), &[asker]).await;
+            return;
+        }
+        for (part, chunk) in divide(&bytes, MAX_DIGEST_BYTES) {
+            let message = Message::ProofPart { nonce, part, bytes: chunk.to_vec() };
+            self.send_all(&message, &[asker]).await;
+        }
+    }
+
+    /// Adds a part of the reply to a freshness query; returns the reply when it is complete.
+    pub fn join_attestation(
+        &self,
+        reply: (u64, SocketAddr),
+        part: PartMark,
+        bytes: Vec<u8>,
+    ) -> Option<FreshnessAttestation> {
+        let bytes = {
+            let pending_queries = self.pending_queries.lock();
+            if !pending_queries.contains_key(&reply.0) {
+                count_dropped("late_reply");
+                return None;
+            }
+            let mut attestation_parts = self.attestation_parts.lock();
+            attestation_parts.retain(|(nonce, _)| pending_queries.contains_key(&nonce));
+            attestation_parts.add(reply, part, bytes)?
+        };
+        match ciborium::from_reader(bytes.as_slice()) {
+            Ok(attestation) => Some(attestation),
+            Err(error) => {
+                count_dropped("malformed");
+                self.record_receive_failure(&error.to_string());
+                None
+            }
+        }
+    }
+
     fn decode_zones(&self, encoded: &[u8]) -> Option<Vec<ZoneDigest>> {
         if encoded.is_empty() {
             return Some(Vec::new());
