Exchange: a line where an aggregator has not replied

An unanswered report now has a line with the aggregator and the time waited; the ages of the digests that are applied are a histogram.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -334,9 +334,16 @@
     ) -> Option<(Vec<ZoneDigest>, u64)> {
         let nonce = rand::random();
         let reports = make_reports(Some(nonce), wanted, digest);
+        let reported_at_ms = self.relay.now_ms();
         let reply = self.request_fleet(address, &reports, nonce, REPLY_TIMEOUT).await;
         let now_ms = self.relay.now_ms();
         self.relay.members.lock().record_reply(name, reply.is_some(), now_ms);
+        if reply.is_none() {
+            self.relay.log.write(
+                "report_unanswered",
+                || json!({ "peer": name, "waited_ms": now_ms.saturating_sub(reported_at_ms) }),
+            );
+        }
         reply
     }
 
@@ -479,6 +486,8 @@
         if !relay.exchange.lock().start_applying(&zone) {
             return;
         }
+        metrics::histogram!("hickorycourse_zone_digest_age_seconds")
+            .record(zone.age_ms as f64 / 1_000.0);
         if zone.availability_zone == settings.availability_zone {
             if !relay.exchange.lock().own.subtract_from(&mut zone, &settings.instance) {
                 count_dropped("old");
