Exchange: a late reply of an aggregator is used

Reports of the use of caps in the large site were 2.4 s old in the median (oldest of six zones), 0.5 s with 18 instances. A member waited 250 ms for the reply to its report and dropped one that came later; the next came 400 ms later, and after two such replies it suspected the aggregator for 3 s, although that was only slow.

A reply, or the rest of one, that arrives within 2 s of the report is applied when it arrives, with the time since the report added to its age, and shows that the aggregator works. What is older than what is known already is not applied, as before.

Tests: `late_replies` (with the fate of the old code by reading, it has no counterpart that ran); `exchange` and `datagrams` pass.

--- a/crates/digest/src/parts.rs
+++ b/crates/digest/src/parts.rs
@@ -347,7 +347,7 @@
 }
 
 /// The parts of an aggregator's reply that have arrived.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct FleetParts {
     indexes: Vec<u16>,
     age_ms: u64,
@@ -366,6 +366,11 @@
         self.indexes.len() >= usize::from(part.count)
     }
 
+    /// Returns whether no part has arrived.
+    pub fn is_empty(&self) -> bool {
+        self.indexes.is_empty()
+    }
+
     /// Returns the digests that have arrived whole and the time since they were encoded; `None` if no
     /// part has arrived.
     pub fn into_zones(self) -> Option<(Vec<ZoneDigest>, u64)> {
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -289,6 +289,11 @@
                     self.send_all(&reply, &[source]).await;
                 }
             }
+            Message::Fleet { nonce, part, zones, .. } if !self.is_reply_awaited(nonce) => {
+                if !self.handle_late_reply(nonce, part, &zones, source).await {
+                    count_dropped("late_reply");
+                }
+            }
             Message::View { nonce, .. }
             | Message::Fleet { nonce, .. }
             | Message::FoundOrigin { nonce, .. }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -24,6 +24,7 @@
 
 use crate::broadcast::{PeerBroadcast, apply_services, count_dropped, digest_period_ms};
 use crate::datagrams::{MAX_DIGEST_BYTES, Message};
+use crate::late_replies::LateReplies;
 use crate::settings::ExchangePolicy;
 
 /// Interval between two reports of a member, and between two digests of a zone.
@@ -91,6 +92,8 @@
     applied: BTreeMap<String, (u64, u64)>,
     /// Digests of members of which parts are missing.
     pub member_parts: PartBuffer<MemberDigest>,
+    /// Replies that have not arrived in time.
+    late_replies: LateReplies,
     /// Digests of other zones of which parts are missing.
     zone_parts: PartBuffer<ZoneDigest>,
 }
@@ -124,6 +127,14 @@
         true
     }
 
+    /// Records the digest of another zone that the other aggregator of the own zone has returned.
+    fn record_returned_zone(&mut self, mut zone: ZoneDigest, own_zone: &str, now_ms: u64) {
+        if zone.availability_zone != own_zone {
+            let age_ms = std::mem::take(&mut zone.age_ms);
+            self.record_zone(zone, now_ms.saturating_sub(age_ms));
+        }
+    }
+
     /// Returns whether no digest of another zone has arrived recently.
     fn is_zone_silent(&self, availability_zone: &str, now_ms: u64) -> bool {
         self.zones.get(availability_zone).is_none_or(|(_, received_at_ms)| {
@@ -267,6 +278,7 @@
         for zone in zones {
             self.apply_zone(zone, None, now_ms).await;
         }
+        let own_zone = self.relay.settings.availability_zone.clone();
         // The other aggregator may have heard of zones that expect this instance not to aggregate.
         for (name, address) in &aggregators.others {
             let wanted = WantedReply::SumsWithUsage;
@@ -275,11 +287,9 @@
                 continue;
             };
             let now_ms = self.relay.now_ms();
-            let own_zone = &self.relay.settings.availability_zone;
-            let mut exchange = self.relay.exchange.lock();
-            for mut zone in zones.into_iter().filter(|zone| zone.availability_zone != *own_zone) {
-                let age_ms = std::mem::take(&mut zone.age_ms) + age_ms;
-                exchange.record_zone(zone, now_ms.saturating_sub(age_ms));
+            for mut zone in zones {
+                zone.age_ms += age_ms;
+                self.relay.exchange.lock().record_returned_zone(zone, &own_zone, now_ms);
             }
         }
     }
@@ -334,17 +344,49 @@
     ) -> Option<(Vec<ZoneDigest>, u64)> {
         let nonce = rand::random();
         let reports = make_reports(Some(nonce), wanted, digest);
-        let reported_at_ms = self.relay.now_ms();
-        let reply = self.request_fleet(address, &reports, nonce, REPLY_TIMEOUT).await;
+        let asked_at_ms = self.relay.now_ms();
+        let (parts, is_complete) =
+            self.request_fleet(address, &reports, nonce, REPLY_TIMEOUT).await;
         let now_ms = self.relay.now_ms();
-        self.relay.members.lock().record_reply(name, reply.is_some(), now_ms);
-        if reply.is_none() {
+        self.relay.members.lock().record_reply(name, !parts.is_empty(), now_ms);
+        if !is_complete {
+            let mut exchange = self.relay.exchange.lock();
+            exchange.late_replies.expect(nonce, name, asked_at_ms, parts.clone());
             self.relay.log.write(
                 "report_unanswered",
-                || json!({ "peer": name, "waited_ms": now_ms.saturating_sub(reported_at_ms) }),
+                || json!({ "peer": name, "waited_ms": now_ms.saturating_sub(asked_at_ms) }),
             );
         }
-        reply
+        parts.into_zones()
+    }
+
+    /// Handles a reply of an aggregator for which nobody waits any more; returns whether it was expected.
+    pub async fn handle_late_reply(
+        &self,
+        nonce: u64,
+        part: PartMark,
+        zones: &[u8],
+        source: SocketAddr,
+    ) -> bool {
+        let relay = &self.relay;
+        if !relay.exchange.lock().late_replies.is_awaited(nonce) {
+            return false;
+        }
+        let Some(zones) = self.decode_zones(zones) else { return true };
+        let now_ms = relay.now_ms();
+        let added = relay.exchange.lock().late_replies.add(nonce, part, zones, now_ms);
+        let Some((aggregator, zones)) = added else { return true };
+        relay.members.lock().record_reply(&aggregator, true, now_ms);
+        let is_aggregator = self.own_aggregators(now_ms).is_aggregator;
+        let own_zone = relay.settings.availability_zone.clone();
+        for zone in zones {
+            // An aggregator has the sums of its own zone, and tells its members those of the others.
+            match is_aggregator {
+                true => relay.exchange.lock().record_returned_zone(zone, &own_zone, now_ms),
+                false => self.apply_zone(zone, Some(source), now_ms).await,
+            }
+        }
+        true
     }
 
     /// Handles the report of a member.
--- a/crates/relay/src/replies.rs
+++ b/crates/relay/src/replies.rs
@@ -30,32 +30,31 @@
         reply.ok()?
     }
 
-    /// Sends the parts of a report and waits for the parts of the reply; what has arrived when the time is
-    /// over is returned.
+    /// Sends the parts of a report and waits for the parts of the reply. Returns those that have arrived
+    /// when the time is over, and whether they are all.
     pub async fn request_fleet(
         &self,
         address: SocketAddr,
         reports: &[Message],
         nonce: u64,
         reply_timeout: Duration,
-    ) -> Option<(Vec<ZoneDigest>, u64)> {
+    ) -> (FleetParts, bool) {
         let mut receiver = self.expect_replies(nonce, MAX_PENDING_PARTS);
         let deadline = Instant::now() + reply_timeout;
         for report in reports {
             self.send_all(report, &[address]).await;
         }
         let mut parts = FleetParts::default();
-        loop {
+        let mut is_complete = false;
+        while !is_complete {
             let remaining = deadline.saturating_duration_since(Instant::now());
             let Ok(Some(reply)) = timeout(remaining, receiver.recv()).await else { break };
             let Message::Fleet { age_ms, part, zones, .. } = reply else { break };
             let Some(zones) = self.decode_zones(&zones) else { continue };
-            if parts.add(part, age_ms, zones) {
-                break;
-            }
+            is_complete = parts.add(part, age_ms, zones);
         }
         self.pending_replies.lock().remove(&nonce);
-        parts.into_zones()
+        (parts, is_complete)
     }
 
     /// Sends the reply to a freshness query, in parts if it does not fit a datagram.
@@ -100,7 +99,8 @@
         }
     }
 
-    fn decode_zones(&self, encoded: &[u8]) -> Option<Vec<ZoneDigest>> {
+    /// Decodes the digests in a part of an aggregator's reply.
+    pub fn decode_zones(&self, encoded: &[u8]) -> Option<Vec<ZoneDigest>> {
         if encoded.is_empty() {
             return Some(Vec::new());
         }
@@ -120,6 +120,11 @@
         receiver
     }
 
+    /// Returns whether a task waits for a reply.
+    pub fn is_reply_awaited(&self, nonce: u64) -> bool {
+        self.pending_replies.lock().contains_key(&nonce)
+    }
+
     /// Hands a reply over to the task that waits for it. One that nobody waits for any more is late or a
     /// duplicate.
     pub fn deliver_reply(&self, nonce: u64, reply: Message) {
