Aggregation: sums are added up without a copy of each name

An aggregator of a large zone adds up 50 members' digests several times in 400 ms, with a small share of a processor. The names of organisations, services and upstreams were copied once for each member; now once for each sum.

--- a/crates/digest/src/aggregator.rs
+++ b/crates/digest/src/aggregator.rs
@@ -32,7 +32,7 @@
 const MAX_NOTICES: usize = 32;
 
 /// Units by organisation and epoch.
-type CapSums = BTreeMap<String, BTreeMap<u16, CapTotals>>;
+type CapSums<'a> = BTreeMap<&'a str, BTreeMap<u16, CapTotals>>;
 
 /// The latest digest of one start of a member.
 #[derive(Clone, Debug)]
@@ -130,7 +130,7 @@
                 add_cap_usage(&mut cap_sums, &start.cap_usage);
             }
         }
-        let mut services: BTreeMap<String, ServiceSums> = BTreeMap::new();
+        let mut services: BTreeMap<&str, ServiceSums<'_>> = BTreeMap::new();
         for member in self.members.values() {
             if silence_ms(member) >= MEMBER_SILENCE_MS {
                 continue;
@@ -140,7 +140,7 @@
             digest.store_era = digest.store_era.max(member.digest.store_era);
             add_notices(digest, &member.digest);
             for (service, sums) in &member.digest.services {
-                services.entry(service.clone()).or_default().add(sums);
+                services.entry(service).or_default().add(sums);
             }
         }
         digest.cap_usage = cap_sums
@@ -148,12 +148,13 @@
             .map(|(organisation, sums)| {
                 let usage = sums.into_iter();
                 let usage = usage.map(|(epoch, totals)| (epoch, totals.used, totals.refused));
-                (organisation, usage.collect())
+                (organisation.to_owned(), usage.collect())
             })
             .collect();
         digest.windows = self.usage.newest_totals(WINDOWS_PER_DIGEST);
+        let services = services.into_iter();
         digest.services =
-            services.into_iter().map(|(service, sums)| (service, sums.into_digest())).collect();
+            services.map(|(service, sums)| (service.to_owned(), sums.into_digest())).collect();
     }
 }
 
@@ -177,9 +178,9 @@
     }
 }
 
-fn add_cap_usage(sums: &mut CapSums, usage: &BTreeMap<String, Vec<EpochUsage>>) {
+fn add_cap_usage<'a>(sums: &mut CapSums<'a>, usage: &'a BTreeMap<String, Vec<EpochUsage>>) {
     for (organisation, epochs) in usage {
-        let sums = sums.entry(organisation.clone()).or_default();
+        let sums = sums.entry(organisation).or_default();
         for (epoch, used, refused) in epochs {
             let sum = sums.entry(*epoch).or_default();
             sum.used = sum.used.saturating_add(*used);
@@ -190,10 +191,10 @@
 
 /// Sums of the load on the upstreams of a service.
 #[derive(Default)]
-struct ServiceSums {
+struct ServiceSums<'a> {
     arrived_tokens_per_ms: f64,
     sent_tokens_per_ms: BTreeMap<u8, f64>,
-    loads: BTreeMap<String, UpstreamSums>,
+    loads: BTreeMap<&'a str, UpstreamSums>,
 }
 
 #[derive(Default)]
@@ -203,14 +204,14 @@
     waiting: BTreeMap<u8, (u64, u64)>,
 }
 
-impl ServiceSums {
-    fn add(&mut self, digest: &ServiceDigest) {
+impl<'a> ServiceSums<'a> {
+    fn add(&mut self, digest: &'a ServiceDigest) {
         self.arrived_tokens_per_ms += digest.arrived_tokens_per_ms;
         for (rank, rate) in &digest.sent_tokens_per_ms {
             *self.sent_tokens_per_ms.entry(*rank).or_default() += rate;
         }
         for (upstream, running, answering, waiting) in &digest.loads {
-            let sums = self.loads.entry(upstream.clone()).or_default();
+            let sums = self.loads.entry(upstream).or_default();
             sums.running = sums.running.saturating_add(*running);
             sums.answering = sums.answering.saturating_add(*answering);
             for (rank, requests, tokens) in waiting {
@@ -221,10 +222,10 @@
     }
 
     fn into_digest(self) -> ServiceDigest {
-        let into_counts = |(upstream, sums): (String, UpstreamSums)| -> LoadCounts {
+        let into_counts = |(upstream, sums): (&str, UpstreamSums)| -> LoadCounts {
             let waiting = sums.waiting.into_iter();
             let waiting = waiting.map(|(rank, (requests, tokens))| (rank, requests, tokens));
-            (upstream, sums.running, sums.answering, waiting.collect())
+            (upstream.to_owned(), sums.running, sums.answering, waiting.collect())
         };
         ServiceDigest {
             arrived_tokens_per_ms: self.arrived_tokens_per_ms,
