Exchange: an aggregator without a reply is not asked twice in a row

A member whose aggregator had been killed or had no processor asked it again and got no sums until it suspected it, after two reports; what it knew of caps and load was 0.8 s older then.

The next report asks the other aggregator for the sums. Both get every report, as before, and the one without a reply is suspected after its second one as before.

Before: with the choice that did not know of the missing reply, `aggregator_without_reply_is_not_asked_twice_in_a_row` fails (relay-0 asks relay-b again). After: it passes, as do the process tests `exchange`, `datagrams`, `followers` and `partition`.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -92,6 +92,8 @@
     applied: BTreeMap<String, (u64, u64)>,
     /// Digests of members of which parts are missing.
     pub member_parts: PartBuffer<MemberDigest>,
+    /// The aggregator that has not replied in time to the last report.
+    unanswered: Option<String>,
     /// Replies that have not arrived in time.
     late_replies: LateReplies,
     /// Digests of other zones of which parts are missing.
@@ -302,30 +304,27 @@
         sequence: u64,
     ) {
         let relay = &self.relay;
-        let count = aggregators.others.len() as u64;
-        if count == 0 {
+        let names: Vec<&str> = aggregators.others.iter().map(|(name, _)| name.as_str()).collect();
+        let unanswered = relay.exchange.lock().unanswered.take();
+        let own = &relay.settings.instance;
+        let Some(asked) = choose_asked(own, sequence, unanswered.as_deref(), &names) else {
             return;
-        }
-        // Members are spread over the aggregators. Now and then the other one is asked, which shows
-        // whether it works.
-        let is_other_asked = sequence.is_multiple_of(OTHER_ASKED_INTERVAL);
-        let asked =
-            (xxh3_64(relay.settings.instance.as_bytes()) + u64::from(is_other_asked)) % count;
+        };
         let wanted = match relay.duty_lease.lock().is_holder() {
             true => WantedReply::SumsWithUsage,
             false => WantedReply::Sums,
         };
         for (index, (_, address)) in aggregators.others.iter().enumerate() {
-            if index as u64 != asked {
+            if index != asked {
                 for report in make_reports(None, WantedReply::Acknowledgement, digest.clone()) {
                     self.send_all(&report, &[*address]).await;
                 }
             }
         }
-        let (name, address) = &aggregators.others[asked as usize];
-        let Some((zones, age_ms)) = self.report(name, *address, wanted, digest).await else {
-            return;
-        };
+        let (name, address) = &aggregators.others[asked];
+        let reply = self.report(name, *address, wanted, digest).await;
+        relay.exchange.lock().unanswered = reply.is_none().then(|| name.clone());
+        let Some((zones, age_ms)) = reply else { return };
         let now_ms = relay.now_ms();
         for mut zone in zones {
             zone.age_ms += age_ms;
@@ -568,6 +567,22 @@
     }
 }
 
+/// Returns the index of the aggregator that a member asks for the sums; `None` if there is none. Members are
+/// spread over the aggregators. The other one is asked now and then, which shows whether it works, and
+/// after a report to `unanswered` without a reply.
+pub fn choose_asked(
+    instance: &str,
+    sequence: u64,
+    unanswered: Option<&str>,
+    aggregators: &[&str],
+) -> Option<usize> {
+    let count = aggregators.len();
+    let usual = xxh3_64(instance.as_bytes()).checked_rem(count as u64)? as usize;
+    let asked = (usual + usize::from(sequence.is_multiple_of(OTHER_ASKED_INTERVAL))) % count;
+    let is_unanswered = unanswered == Some(aggregators[asked]);
+    Some((asked + usize::from(is_unanswered)) % count)
+}
+
 /// Returns the messages that report a digest.
 fn make_reports(nonce: Option<u64>, wanted: WantedReply, digest: MemberDigest) -> Vec<Message> {
     let parts = split(digest, MAX_DIGEST_BYTES).into_iter();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -62,7 +62,7 @@
 pub use drain::{DrainEnd, DrainState, DrainTimings, RequestForecast};
 pub use durations::DurationTable;
 pub use events::EventTracker;
-pub use exchange::report_interval_ms;
+pub use exchange::{choose_asked, report_interval_ms};
 pub use late_replies::LateReplies;
 pub use management::is_own_host;
 pub use members::{MemberRecord, MemberTable};
--- a/crates/relay/tests/late_replies.rs
+++ b/crates/relay/tests/late_replies.rs
@@ -1,7 +1,7 @@
 //! Replies of aggregators that arrive after the time for them.
 
 use hickorycourse_digest::{FleetParts, PartMark, ZoneDigest};
-use hickorycourse_relay::LateReplies;
+use hickorycourse_relay::{LateReplies, choose_asked};
 
 fn zone(name: &str, age_ms: u64) -> ZoneDigest {
     ZoneDigest { age_ms, ..ZoneDigest::new(name, "relay-0", 1) }
@@ -45,3 +45,25 @@
     }
     assert_eq!((0..100).filter(|nonce| late.is_awaited(*nonce)).count(), 5);
 }
+
+// Load pattern: one of two aggregators has been killed. Half of the members ask it usually; each of them must
+// hear from the other one with every second report, before the lost one is suspected.
+#[test]
+fn aggregator_without_reply_is_not_asked_twice_in_a_row() {
+    let aggregators = ["relay-a", "relay-b"];
+    for (member, lost) in (0..40).flat_map(|member| aggregators.map(|lost| (member, lost))) {
+        let instance = format!("relay-{member}");
+        let mut unanswered = None;
+        let mut asked_names = Vec::new();
+        for sequence in 1..200 {
+            let asked = choose_asked(&instance, sequence, unanswered, &aggregators);
+            let asked = aggregators[asked.expect("there are aggregators")];
+            assert!(unanswered != Some(asked), "{instance} asks {asked} again");
+            unanswered = (asked == lost).then_some(asked);
+            asked_names.push(asked);
+        }
+        assert!(aggregators.iter().all(|name| asked_names.contains(name)));
+        assert_eq!(choose_asked(&instance, 1, Some("relay-a"), &["relay-a"]), Some(0));
+        assert_eq!(choose_asked(&instance, 1, None, &[]), None);
+    }
+}
