--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -5,15 +5,13 @@
 //! every size, and so is the age of what it knows. All of it is soft state, and no rule depends on who
 //! aggregates: two instances that both do so only cost traffic.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hickorycourse_caps::UsageReport;
 use hickorycourse_digest::{
-    AGGREGATORS_PER_ZONE, MemberDigest, OwnDigests, PartBuffer, PartMark, ZoneAggregator,
-    ZoneDigest, encode_zones, rank_aggregators, split,
+    AGGREGATORS_PER_ZONE, MemberDigest, PartMark, ZoneDigest, encode_zones, rank_aggregators, split,
 };
 use hickorycourse_duties::UsageSource;
 use hickorycourse_quarantine::QuarantineDigest;
@@ -24,7 +22,7 @@
 
 use crate::broadcast::{PeerBroadcast, apply_services, count_dropped, digest_period_ms};
 use crate::datagrams::{MAX_DIGEST_BYTES, Message};
-use crate::late_replies::LateReplies;
+use crate::exchange_state::EncodedSums;
 use crate::settings::ExchangePolicy;
 
 /// Interval between two reports of a member, and between two digests of a zone.
@@ -42,12 +40,8 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which the sums that are returned to members are kept.
 const SUMS_TTL_MS: u64 = 120;
-/// Time without a digest after which another zone's aggregator is replaced by one that sends.
-const ZONE_SOURCE_SILENCE_MS: u64 = 1_200;
 /// Instances of a zone without recent digests that get a digest in addition to its aggregators.
 const FORWARDERS_PER_SILENT_ZONE: usize = 3;
-/// Age above which the digest of another zone is not passed on.
-const MAX_ZONE_AGE_MS: u64 = 10_000;
 
 /// Returns the typical time in milliseconds between two reports of another instance, in a fleet of this
 /// size.
@@ -71,100 +65,6 @@
     SumsWithUsage,
 }
 
-/// Sums that are returned to members, encoded in parts.
-#[derive(Debug)]
-struct EncodedSums {
-    parts: Arc<[Vec<u8>]>,
-    made_at_ms: u64,
-}
-
-/// State of the exchange through aggregators.
-#[derive(Debug, Default)]
-pub struct ExchangeState {
-    is_aggregated: bool,
-    sequence: u64,
-    own: OwnDigests,
-    aggregator: ZoneAggregator,
-    /// The latest digest of each other zone, with the time of its arrival.
-    zones: BTreeMap<String, (ZoneDigest, u64)>,
-    encoded: Option<EncodedSums>,
-    /// Start of the aggregator and sequence number of the digest that was applied last, by zone.
-    applied: BTreeMap<String, (u64, u64)>,
-    /// Digests of members of which parts are missing.
-    pub member_parts: PartBuffer<MemberDigest>,
-    /// The aggregator that has not replied in time to the last report.
-    unanswered: Option<String>,
-    /// Replies that have not arrived in time.
-    late_replies: LateReplies,
-    /// Digests of other zones of which parts are missing.
-    zone_parts: PartBuffer<ZoneDigest>,
-}
-
-impl ExchangeState {
-    /// Returns whether digests are aggregated, rather than sent from each instance to all others.
-    pub fn is_aggregated(&self) -> bool {
-        self.is_aggregated
-    }
-
-    fn next_sequence(&mut self) -> u64 {
-        self.sequence += 1;
-        self.sequence
-    }
-
-    /// Records the digest of another zone, made at `at_ms`; returns false if it is old, or from another
-    /// aggregator than the one that sends for that zone.
-    fn record_zone(&mut self, zone: ZoneDigest, at_ms: u64) -> bool {
-        if let Some((known, received_at_ms)) = self.zones.get(&zone.availability_zone) {
-            let is_same_source =
-                (known.aggregator.as_str(), known.boot) == (zone.aggregator.as_str(), zone.boot);
-            let is_accepted = match is_same_source {
-                true => zone.sequence > known.sequence,
-                false => at_ms.saturating_sub(*received_at_ms) > ZONE_SOURCE_SILENCE_MS,
-            };
-            if !is_accepted {
-                return false;
-            }
-        }
-        self.zones.insert(zone.availability_zone.clone(), (zone, at_ms));
-        true
-    }
-
-    /// Records the digest of another zone that the other aggregator of the own zone has returned.
-    fn record_returned_zone(&mut self, mut zone: ZoneDigest, own_zone: &str, now_ms: u64) {
-        if zone.availability_zone != own_zone {
-            let age_ms = std::mem::take(&mut zone.age_ms);
-            self.record_zone(zone, now_ms.saturating_sub(age_ms));
-        }
-    }
-
-    /// Returns whether no digest of another zone has arrived recently.
-    fn is_zone_silent(&self, availability_zone: &str, now_ms: u64) -> bool {
-        self.zones.get(availability_zone).is_none_or(|(_, received_at_ms)| {
-            now_ms.saturating_sub(*received_at_ms) > ZONE_SOURCE_SILENCE_MS
-        })
-    }
-
-    /// Records that the digest of a zone is applied; returns false if it is not newer than the one that was
-    /// applied last.
-    fn start_applying(&mut self, zone: &ZoneDigest) -> bool {
-        let applied = self.applied.entry(zone.availability_zone.clone()).or_default();
-        let is_new = applied.0 != zone.boot || applied.1 < zone.sequence;
-        if is_new {
-            *applied = (zone.boot, zone.sequence);
-        }
-        is_new
-    }
-
-    /// Returns the digests of the other zones with their present age.
-    fn other_zones(&self, now_ms: u64) -> impl Iterator<Item = ZoneDigest> {
-        let known = self.zones.values().filter_map(move |(zone, received_at_ms)| {
-            let age_ms = zone.age_ms + now_ms.saturating_sub(*received_at_ms);
-            (age_ms < MAX_ZONE_AGE_MS).then(|| ZoneDigest { age_ms, ..zone.clone() })
-        });
-        known.collect::<Vec<_>>().into_iter()
-    }
-}
-
 /// The instances that act for an availability zone.
 struct Aggregators {
     /// Whether this instance is the first of them, which sends the digests of the zone to the others.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod duty_tasks;
 mod events;
 mod exchange;
+mod exchange_state;
 mod follow;
 mod forwarding;
 mod freshness;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -34,7 +34,7 @@
 use crate::adapter::Protocol;
 use crate::drain::{DrainState, DrainTimings, RequestForecast};
 use crate::durations::DurationTable;
-use crate::exchange::ExchangeState;
+use crate::exchange_state::ExchangeState;
 use crate::forwarding::ReachState;
 use crate::limits::RemoteClaim;
 use crate::members::MemberTable;
