--- a/crates/caps/tests/convergence.rs
+++ b/crates/caps/tests/convergence.rs
@@ -103,6 +103,7 @@
             quarantine: Default::default(),
             limits: Vec::new(),
             is_stopping: false,
+            part: Default::default(),
             tolerances: Vec::new(),
             decides_caps: false,
         };
--- a/crates/caps/tests/support/mod.rs
+++ b/crates/caps/tests/support/mod.rs
@@ -234,6 +234,7 @@
         is_stopping: false,
         tolerances: Vec::new(),
         decides_caps: true,
+        part: Default::default(),
     }
 }
 
--- a/crates/digest/src/message.rs
+++ b/crates/digest/src/message.rs
@@ -10,6 +10,8 @@
 use hickorycourse_quarantine::QuarantineDigest;
 use serde::{Deserialize, Serialize};
 
+use crate::parts::PartMark;
+
 /// State of one instance.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct MemberDigest {
@@ -67,6 +69,9 @@
     /// Whether it can decide on caps for others.
     #[serde(rename = "c", default, skip_serializing_if = "std::ops::Not::not")]
     pub decides_caps: bool,
+    /// Which part this is of a digest that is sent in several.
+    #[serde(rename = "y", default, skip_serializing_if = "PartMark::is_whole")]
+    pub part: PartMark,
 }
 
 /// Load that one instance or zone has placed on the upstreams of a service.
@@ -155,6 +160,9 @@
     /// Instances of the zone that decide on caps, with the addresses that receive their datagrams.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub deciders: Vec<(String, SocketAddr)>,
+    /// Which part this is of a digest that is sent in several.
+    #[serde(rename = "y", default, skip_serializing_if = "PartMark::is_whole")]
+    pub part: PartMark,
 }
 
 impl ZoneDigest {
@@ -181,6 +189,7 @@
             limits: Vec::new(),
             tolerances: Vec::new(),
             deciders: Vec::new(),
+            part: PartMark::default(),
         }
     }
 }
--- a/crates/digest/tests/aggregation.rs
+++ b/crates/digest/tests/aggregation.rs
@@ -36,6 +36,7 @@
         tolerances: Vec::new(),
         decides_caps: false,
         is_stopping: false,
+        part: Default::default(),
     }
 }
 
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -13,17 +13,17 @@
 
 use futures_util::future::select;
 use hickorycourse_caps::UsageReport;
-use hickorycourse_digest::{MemberDigest, ServiceDigest};
+use hickorycourse_digest::{MemberDigest, PartMark, ServiceDigest, split};
 use hickorycourse_duties::{UsageSource, WindowCounts};
 use hickorycourse_placement::{TokenDemand, UpstreamLoad, WaitingRequests};
-use hickorycourse_telemetry::EventLog;
-use ntex::time::{sleep, timeout};
+use ntex::time::sleep;
 use parking_lot::Mutex;
 use serde_json::json;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
+use tokio::sync::mpsc;
 
-use crate::datagrams::Message;
+use crate::chunks::ChunkBuffer;
+use crate::datagrams::{MAX_DATAGRAM_BYTES, MAX_DIGEST_BYTES, Message};
 use crate::exchange::EXCHANGE_INTERVAL_MS;
 use crate::follow::{ViewQuery, ViewReply, make_reply};
 use crate::state::Relay;
@@ -46,8 +46,6 @@
 const MAX_DEPARTURES_PER_DIGEST: usize = 32;
 /// Largest difference between the known era and one that another instance reports.
 const MAX_ERA_STEP: u64 = 64;
-/// Largest UDP payload over IPv4.
-const MAX_DATAGRAM_BYTES: usize = 65_507;
 
 /// Returns the period in milliseconds between two digests of an instance, in a fleet of this size.
 pub fn digest_period_ms(instances: usize) -> u64 {
@@ -61,8 +59,10 @@
     socket: Arc<UdpSocket>,
     /// Time at which each freshness query was sent, by nonce.
     pub pending_queries: Mutex<HashMap<u64, u64>>,
-    /// Receivers of replies, by nonce.
-    pending_replies: Mutex<HashMap<u64, oneshot::Sender<Message>>>,
+    /// Parts of replies to freshness queries, by nonce and sender.
+    pub attestation_parts: Mutex<ChunkBuffer<(u64, SocketAddr)>>,
+    /// Tasks that wait for replies, by nonce.
+    pub pending_replies: Mutex<HashMap<u64, mpsc::Sender<Message>>>,
 }
 
 impl PeerBroadcast {
@@ -78,6 +78,7 @@
             relay: Arc::clone(relay),
             socket,
             pending_queries: Mutex::default(),
+            attestation_parts: Mutex::default(),
             pending_replies: Mutex::default(),
         }))
     }
@@ -115,15 +116,14 @@
     async fn broadcast_to_all(&self, all: &[SocketAddr], round: u64, now_ms: u64) -> u64 {
         let relay = &self.relay;
         let is_large = all.len() >= UNIFORM_BROADCAST_MAX_INSTANCES;
+        let is_for_all = !is_large || round.is_multiple_of(ZONE_DIGESTS_PER_FLEET_DIGEST);
+        let own_zone = Some(relay.settings.availability_zone.as_str());
+        let zone = || relay.members.lock().shuffled_addresses(own_zone, &mut rand::rng(), now_ms);
+        let recipients = if is_for_all { all.to_vec() } else { zone() };
         let digest = self.make_digest(now_ms, round + 1);
         self.record_decider(&digest, now_ms);
-        let digest = Message::Digest(Box::new(digest));
-        if !is_large || round.is_multiple_of(ZONE_DIGESTS_PER_FLEET_DIGEST) {
-            self.send_all(&digest, all).await;
-        } else {
-            let own_zone = Some(relay.settings.availability_zone.as_str());
-            let zone = relay.members.lock().shuffled_addresses(own_zone, &mut rand::rng(), now_ms);
-            self.send_all(&digest, &zone).await;
+        for part in split(digest, MAX_DIGEST_BYTES) {
+            self.send_all(&Message::Digest(Box::new(part)), &recipients).await;
         }
         let period_ms = digest_period_ms(all.len() + 1);
         if is_large { period_ms / ZONE_DIGESTS_PER_FLEET_DIGEST } else { period_ms }
@@ -136,7 +136,7 @@
             let (length, source) = match self.socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
                 Err(error) => {
-                    log_datagram_failure(&self.relay.log, &error.to_string());
+                    self.record_receive_failure(&error.to_string());
                     continue;
                 }
             };
@@ -144,7 +144,7 @@
                 Ok(message) => self.handle_message(message, source).await,
                 Err(error) => {
                     count_dropped("malformed");
-                    log_datagram_failure(&self.relay.log, &error.to_string());
+                    self.record_receive_failure(&error.to_string());
                 }
             }
         }
@@ -165,31 +165,6 @@
         }
     }
 
-    /// Sends a message with a nonce and waits for the reply that carries it.
-    pub async fn request(
-        &self,
-        address: SocketAddr,
-        message: &Message,
-        nonce: u64,
-        reply_timeout: Duration,
-    ) -> Option<Message> {
-        let (sender, receiver) = oneshot::channel();
-        self.pending_replies.lock().insert(nonce, sender);
-        self.send_all(message, &[address]).await;
-        let reply = timeout(reply_timeout, receiver).await;
-        self.pending_replies.lock().remove(&nonce);
-        reply.ok()?.ok()
-    }
-
-    /// Hands a reply over to the task that waits for it. One that nobody waits for any more is late or a
-    /// duplicate.
-    fn deliver_reply(&self, nonce: u64, reply: Message) {
-        let receiver = self.pending_replies.lock().remove(&nonce);
-        if receiver.is_none_or(|receiver| receiver.send(reply).is_err()) {
-            count_dropped("late_reply");
-        }
-    }
-
     /// Returns the digest of this instance.
     pub fn make_digest(&self, now_ms: u64, sequence: u64) -> MemberDigest {
         let relay = &self.relay;
@@ -233,6 +208,7 @@
             tolerances: relay.tolerances.lock().notices(),
             is_stopping: relay.drain.is_stopping(),
             decides_caps: relay.decides_caps(),
+            part: PartMark::default(),
         }
     }
 
@@ -251,36 +227,77 @@
 
     /// Sends a message to each address.
     pub async fn send_all(&self, message: &Message, addresses: &[SocketAddr]) {
+        if addresses.is_empty() {
+            return;
+        }
+        let kind = message.kind();
         let mut bytes = Vec::new();
         if let Err(error) = ciborium::into_writer(message, &mut bytes) {
-            log_datagram_failure(&self.relay.log, &error.to_string());
+            self.record_send_failure(kind, 0, None, &error.to_string());
             return;
         }
+        metrics::histogram!("hickorycourse_datagram_bytes", "kind" => kind)
+            .record(bytes.len() as f64);
         for address in addresses {
             if let Err(error) = self.socket.send_to(&bytes, address).await {
-                log_datagram_failure(&self.relay.log, &error.to_string());
+                self.record_send_failure(kind, bytes.len(), Some(*address), &error.to_string());
             }
         }
     }
 
+    /// Records a datagram that could not be received or read.
+    pub fn record_receive_failure(&self, reason: &str) {
+        metrics::counter!("hickorycourse_datagram_failures_total", "kind" => "received")
+            .increment(1);
+        self.relay.log.write("datagram_failed", || json!({ "reason": reason, "kind": "received" }));
+    }
+
+    /// Records a datagram that could not be encoded or sent.
+    pub fn record_send_failure(
+        &self,
+        kind: &'static str,
+        size_bytes: usize,
+        recipient: Option<SocketAddr>,
+        reason: &str,
+    ) {
+        metrics::counter!("hickorycourse_datagram_failures_total", "kind" => kind).increment(1);
+        self.relay.log.write("datagram_failed", || {
+            json!({
+                "reason": reason, "kind": kind, "size_bytes": size_bytes, "recipient": recipient,
+            })
+        });
+    }
+
     async fn handle_message(&self, message: Message, source: SocketAddr) {
         match message {
-            Message::Digest(digest) => {
+            Message::Digest(part) => {
+                let digest = self.relay.exchange.lock().member_parts.add(*part);
+                let Some(digest) = digest else { return };
                 self.apply_digest(&digest);
                 self.query_newer_document(digest.version, digest.peer_address).await;
             }
             Message::Ask { nonce, version } => {
                 if let Some(attestation) = self.make_attestation(nonce, version) {
-                    self.send_all(&Message::Proof(Box::new(attestation)), &[source]).await;
+                    self.send_attestation(attestation, source).await;
                 }
             }
             Message::Proof(attestation) => self.apply_attestation(*attestation, source),
+            Message::ProofPart { nonce, part, bytes } => {
+                if let Some(attestation) = self.join_attestation((nonce, source), part, bytes) {
+                    self.apply_attestation(attestation, source);
+                }
+            }
             Message::Follow { nonce, query } => {
                 if let Some(reply) = make_reply(&self.relay, query) {
                     let reply = Message::View { nonce, reply: Box::new(reply) };
                     self.send_all(&reply, &[source]).await;
                 }
             }
+            Message::Fleet { nonce, part, zones, .. } if !self.is_reply_awaited(nonce) => {
+                if !self.handle_late_reply(nonce, part, &zones, source).await {
+                    count_dropped("late_reply");
+                }
+            }
             Message::View { nonce, .. }
             | Message::Fleet { nonce, .. }
             | Message::FoundOrigin { nonce, .. }
@@ -423,8 +440,3 @@
 pub fn count_dropped(reason: &'static str) {
     metrics::counter!("hickorycourse_datagrams_dropped_total", "reason" => reason).increment(1);
 }
-
-fn log_datagram_failure(log: &EventLog, reason: &str) {
-    metrics::counter!("hickorycourse_datagram_failures_total").increment(1);
-    log.write("datagram_failed", || json!({ "reason": reason }));
-}
--- a/crates/relay/src/datagrams.rs
+++ b/crates/relay/src/datagrams.rs
@@ -1,6 +1,6 @@
 //! Datagrams between instances.
 
-use hickorycourse_digest::{MemberDigest, ZoneDigest};
+use hickorycourse_digest::{MemberDigest, PartMark, ZoneDigest};
 use hickorycourse_origins::{StreamKey, StreamOrigin};
 use hickorycourse_permits::LimitNotice;
 use hickorycourse_routes::{RouteDocument, UpstreamEntry};
@@ -10,6 +10,11 @@
 use crate::exchange::WantedReply;
 use crate::follow::{ViewQuery, ViewReply};
 
+/// Largest UDP payload over IPv4.
+pub const MAX_DATAGRAM_BYTES: usize = 65_507;
+/// Largest digest or list of digests in a message, with space for the message's other fields.
+pub const MAX_DIGEST_BYTES: usize = MAX_DATAGRAM_BYTES - 512;
+
 /// Response of an instance that reaches the store to one that does not.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct FreshnessAttestation {
@@ -43,6 +48,16 @@
     },
     /// Reply to a freshness query.
     Proof(Box<FreshnessAttestation>),
+    /// Part of an encoded [`FreshnessAttestation`] that does not fit one datagram.
+    ProofPart {
+        /// Identifies the query.
+        nonce: u64,
+        /// Which part this is.
+        part: PartMark,
+        /// The bytes.
+        #[serde(with = "serde_bytes")]
+        bytes: Vec<u8>,
+    },
     /// Query of a follower.
     Follow {
         /// Identifies the query.
@@ -72,6 +87,9 @@
         nonce: u64,
         /// Time since the digests were encoded.
         age_ms: u64,
+        /// Which part of the reply this is. An older build sends one, and uses the first that arrives.
+        #[serde(default, skip_serializing_if = "PartMark::is_whole")]
+        part: PartMark,
         /// Encoded [`ZoneDigest`]s; empty if none were wanted.
         #[serde(with = "serde_bytes")]
         zones: Vec<u8>,
@@ -134,6 +152,31 @@
     },
 }
 
+impl Message {
+    /// Returns the name of the kind, for logs and metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Digest(_) => "digest",
+            Self::Ask { .. } => "ask",
+            Self::Proof(_) => "proof",
+            Self::ProofPart { .. } => "proof_part",
+            Self::Follow { .. } => "follow",
+            Self::View { .. } => "view",
+            Self::Report { .. } => "report",
+            Self::Fleet { .. } => "fleet",
+            Self::Zone(_) => "zone",
+            Self::Origin { .. } => "origin",
+            Self::FindOrigin { .. } => "find_origin",
+            Self::FoundOrigin { .. } => "found_origin",
+            Self::Claim { .. } => "claim",
+            Self::Grant { .. } => "grant",
+            Self::ClaimUnits { .. } => "claim_units",
+            Self::GrantUnits { .. } => "grant_units",
+            Self::ReturnUnits { .. } => "return_units",
+        }
+    }
+}
+
 /// Claim for a permit to send a request to an upstream that has named a limit.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PermitClaim {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -5,13 +5,13 @@
 //! every size, and so is the age of what it knows. All of it is soft state, and no rule depends on who
 //! aggregates: two instances that both do so only cost traffic.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hickorycourse_caps::UsageReport;
 use hickorycourse_digest::{
-    AGGREGATORS_PER_ZONE, MemberDigest, OwnDigests, ZoneAggregator, ZoneDigest, rank_aggregators,
+    AGGREGATORS_PER_ZONE, MemberDigest, PartMark, ZoneDigest, encode_zones, rank_aggregators, split,
 };
 use hickorycourse_duties::UsageSource;
 use hickorycourse_quarantine::QuarantineDigest;
@@ -21,7 +21,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::broadcast::{PeerBroadcast, apply_services, count_dropped, digest_period_ms};
-use crate::datagrams::Message;
+use crate::datagrams::{MAX_DIGEST_BYTES, Message};
+use crate::exchange_state::EncodedSums;
 use crate::settings::ExchangePolicy;
 
 /// Interval between two reports of a member, and between two digests of a zone.
@@ -39,12 +40,8 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which the sums that are returned to members are kept.
 const SUMS_TTL_MS: u64 = 120;
-/// Time without a digest after which another zone's aggregator is replaced by one that sends.
-const ZONE_SOURCE_SILENCE_MS: u64 = 1_200;
 /// Instances of a zone without recent digests that get a digest in addition to its aggregators.
 const FORWARDERS_PER_SILENT_ZONE: usize = 3;
-/// Age above which the digest of another zone is not passed on.
-const MAX_ZONE_AGE_MS: u64 = 10_000;
 
 /// Returns the typical time in milliseconds between two reports of another instance, in a fleet of this
 /// size.
@@ -68,84 +65,6 @@
     SumsWithUsage,
 }
 
-/// Sums that are returned to members, encoded.
-#[derive(Debug)]
-struct EncodedSums {
-    bytes: Vec<u8>,
-    made_at_ms: u64,
-}
-
-/// State of the exchange through aggregators.
-#[derive(Debug, Default)]
-pub struct ExchangeState {
-    is_aggregated: bool,
-    sequence: u64,
-    own: OwnDigests,
-    aggregator: ZoneAggregator,
-    /// The latest digest of each other zone, with the time of its arrival.
-    zones: BTreeMap<String, (ZoneDigest, u64)>,
-    encoded: Option<EncodedSums>,
-    /// Start of the aggregator and sequence number of the digest that was applied last, by zone.
-    applied: BTreeMap<String, (u64, u64)>,
-}
-
-impl ExchangeState {
-    /// Returns whether digests are aggregated, rather than sent from each instance to all others.
-    pub fn is_aggregated(&self) -> bool {
-        self.is_aggregated
-    }
-
-    fn next_sequence(&mut self) -> u64 {
-        self.sequence += 1;
-        self.sequence
-    }
-
-    /// Records the digest of another zone, made at `at_ms`; returns false if it is old, or from another
-    /// aggregator than the one that sends for that zone.
-    fn record_zone(&mut self, zone: ZoneDigest, at_ms: u64) -> bool {
-        if let Some((known, received_at_ms)) = self.zones.get(&zone.availability_zone) {
-            let is_same_source =
-                (known.aggregator.as_str(), known.boot) == (zone.aggregator.as_str(), zone.boot);
-            let is_accepted = match is_same_source {
-                true => zone.sequence > known.sequence,
-                false => at_ms.saturating_sub(*received_at_ms) > ZONE_SOURCE_SILENCE_MS,
-            };
-            if !is_accepted {
-                return false;
-            }
-        }
-        self.zones.insert(zone.availability_zone.clone(), (zone, at_ms));
-        true
-    }
-
-    /// Returns whether no digest of another zone has arrived recently.
-    fn is_zone_silent(&self, availability_zone: &str, now_ms: u64) -> bool {
-        self.zones.get(availability_zone).is_none_or(|(_, received_at_ms)| {
-            now_ms.saturating_sub(*received_at_ms) > ZONE_SOURCE_SILENCE_MS
-        })
-    }
-
-    /// Records that the digest of a zone is applied; returns false if it is not newer than the one that was
-    /// applied last.
-    fn start_applying(&mut self, zone: &ZoneDigest) -> bool {
-        let applied = self.applied.entry(zone.availability_zone.clone()).or_default();
-        let is_new = applied.0 != zone.boot || applied.1 < zone.sequence;
-        if is_new {
-            *applied = (zone.boot, zone.sequence);
-        }
-        is_new
-    }
-
-    /// Returns the digests of the other zones with their present age.
-    fn other_zones(&self, now_ms: u64) -> impl Iterator<Item = ZoneDigest> {
-        let known = self.zones.values().filter_map(move |(zone, received_at_ms)| {
-            let age_ms = zone.age_ms + now_ms.saturating_sub(*received_at_ms);
-            (age_ms < MAX_ZONE_AGE_MS).then(|| ZoneDigest { age_ms, ..zone.clone() })
-        });
-        known.collect::<Vec<_>>().into_iter()
-    }
-}
-
 /// The instances that act for an availability zone.
 struct Aggregators {
     /// Whether this instance is the first of them, which sends the digests of the zone to the others.
@@ -252,13 +171,16 @@
         if aggregators.is_first {
             let told = ZoneDigest { members: Vec::new(), ..zone.clone() };
             let addresses = self.remote_aggregators(now_ms);
-            self.send_all(&Message::Zone(Box::new(told)), &addresses).await;
+            for part in split(told, MAX_DIGEST_BYTES) {
+                self.send_all(&Message::Zone(Box::new(part)), &addresses).await;
+            }
         }
         let mut zones = vec![zone];
         zones.extend(self.relay.exchange.lock().other_zones(now_ms));
         for zone in zones {
             self.apply_zone(zone, None, now_ms).await;
         }
+        let own_zone = self.relay.settings.availability_zone.clone();
         // The other aggregator may have heard of zones that expect this instance not to aggregate.
         for (name, address) in &aggregators.others {
             let wanted = WantedReply::SumsWithUsage;
@@ -267,11 +189,9 @@
                 continue;
             };
             let now_ms = self.relay.now_ms();
-            let own_zone = &self.relay.settings.availability_zone;
-            let mut exchange = self.relay.exchange.lock();
-            for mut zone in zones.into_iter().filter(|zone| zone.availability_zone != *own_zone) {
-                let age_ms = std::mem::take(&mut zone.age_ms) + age_ms;
-                exchange.record_zone(zone, now_ms.saturating_sub(age_ms));
+            for mut zone in zones {
+                zone.age_ms += age_ms;
+                self.relay.exchange.lock().record_returned_zone(zone, &own_zone, now_ms);
             }
         }
     }
@@ -284,33 +204,27 @@
         sequence: u64,
     ) {
         let relay = &self.relay;
-        let count = aggregators.others.len() as u64;
-        if count == 0 {
+        let names: Vec<&str> = aggregators.others.iter().map(|(name, _)| name.as_str()).collect();
+        let unanswered = relay.exchange.lock().unanswered.take();
+        let own = &relay.settings.instance;
+        let Some(asked) = choose_asked(own, sequence, unanswered.as_deref(), &names) else {
             return;
-        }
-        // Members are spread over the aggregators. Now and then the other one is asked, which shows
-        // whether it works.
-        let is_other_asked = sequence.is_multiple_of(OTHER_ASKED_INTERVAL);
-        let asked =
-            (xxh3_64(relay.settings.instance.as_bytes()) + u64::from(is_other_asked)) % count;
+        };
         let wanted = match relay.duty_lease.lock().is_holder() {
             true => WantedReply::SumsWithUsage,
             false => WantedReply::Sums,
         };
         for (index, (_, address)) in aggregators.others.iter().enumerate() {
-            if index as u64 != asked {
-                let report = Message::Report {
-                    nonce: None,
-                    wanted: WantedReply::Acknowledgement,
-                    digest: Box::new(digest.clone()),
-                };
-                self.send_all(&report, &[*address]).await;
+            if index != asked {
+                for report in make_reports(None, WantedReply::Acknowledgement, digest.clone()) {
+                    self.send_all(&report, &[*address]).await;
+                }
             }
         }
-        let (name, address) = &aggregators.others[asked as usize];
-        let Some((zones, age_ms)) = self.report(name, *address, wanted, digest).await else {
-            return;
-        };
+        let (name, address) = &aggregators.others[asked];
+        let reply = self.report(name, *address, wanted, digest).await;
+        relay.exchange.lock().unanswered = reply.is_none().then(|| name.clone());
+        let Some((zones, age_ms)) = reply else { return };
         let now_ms = relay.now_ms();
         for mut zone in zones {
             zone.age_ms += age_ms;
@@ -328,23 +242,50 @@
         digest: MemberDigest,
     ) -> Option<(Vec<ZoneDigest>, u64)> {
         let nonce = rand::random();
-        let message = Message::Report { nonce: Some(nonce), wanted, digest: Box::new(digest) };
-        let reply = self.request(address, &message, nonce, REPLY_TIMEOUT).await;
+        let reports = make_reports(Some(nonce), wanted, digest);
+        let asked_at_ms = self.relay.now_ms();
+        let (parts, is_complete) =
+            self.request_fleet(address, &reports, nonce, REPLY_TIMEOUT).await;
         let now_ms = self.relay.now_ms();
-        self.relay.members.lock().record_reply(name, reply.is_some(), now_ms);
-        let Message::Fleet { age_ms, zones, .. } = reply? else { return None };
-        if zones.is_empty() {
-            return Some((Vec::new(), age_ms));
+        self.relay.members.lock().record_reply(name, !parts.is_empty(), now_ms);
+        if !is_complete {
+            let mut exchange = self.relay.exchange.lock();
+            exchange.late_replies.expect(nonce, name, asked_at_ms, parts.clone());
+            self.relay.log.write(
+                "report_unanswered",
+                || json!({ "peer": name, "waited_ms": now_ms.saturating_sub(asked_at_ms) }),
+            );
         }
-        match ciborium::from_reader::<Vec<ZoneDigest>, _>(zones.as_slice()) {
-            Ok(zones) => Some((zones, age_ms)),
-            Err(error) => {
-                count_dropped("malformed");
-                let reason = error.to_string();
-                self.relay.log.write("datagram_failed", || json!({ "reason": reason }));
-                None
+        parts.into_zones()
+    }
+
+    /// Handles a reply of an aggregator for which nobody waits any more; returns whether it was expected.
+    pub async fn handle_late_reply(
+        &self,
+        nonce: u64,
+        part: PartMark,
+        zones: &[u8],
+        source: SocketAddr,
+    ) -> bool {
+        let relay = &self.relay;
+        if !relay.exchange.lock().late_replies.is_awaited(nonce) {
+            return false;
+        }
+        let Some(zones) = self.decode_zones(zones) else { return true };
+        let now_ms = relay.now_ms();
+        let added = relay.exchange.lock().late_replies.add(nonce, part, zones, now_ms);
+        let Some((aggregator, zones)) = added else { return true };
+        relay.members.lock().record_reply(&aggregator, true, now_ms);
+        let is_aggregator = self.own_aggregators(now_ms).is_aggregator;
+        let own_zone = relay.settings.availability_zone.clone();
+        for zone in zones {
+            // An aggregator has the sums of its own zone, and tells its members those of the others.
+            match is_aggregator {
+                true => relay.exchange.lock().record_returned_zone(zone, &own_zone, now_ms),
+                false => self.apply_zone(zone, Some(source), now_ms).await,
             }
         }
+        true
     }
 
     /// Handles the report of a member.
@@ -363,6 +304,7 @@
             count_dropped("misdirected");
             return;
         }
+        let Some(digest) = relay.exchange.lock().member_parts.add(digest) else { return };
         if !relay.exchange.lock().aggregator.record(digest.clone(), now_ms) {
             count_dropped("old");
             return;
@@ -370,8 +312,12 @@
         self.apply_member_state(&digest, now_ms);
         self.query_newer_document(digest.version, digest.peer_address).await;
         let Some(nonce) = nonce else { return };
-        if let Some((zones, age_ms)) = self.encode_sums(wanted, now_ms) {
-            self.send_all(&Message::Fleet { nonce, age_ms, zones }, &[source]).await;
+        let Some((parts, age_ms)) = self.encode_sums(wanted, now_ms) else { return };
+        let count = u16::try_from(parts.len()).unwrap_or(u16::MAX);
+        for (index, zones) in (0..count).zip(parts.iter()) {
+            let part = PartMark { index, count };
+            let reply = Message::Fleet { nonce, age_ms, part, zones: zones.clone() };
+            self.send_all(&reply, &[source]).await;
         }
     }
 
@@ -395,7 +341,9 @@
             self.send_all(&Message::Zone(Box::new(zone)), &addresses).await;
             return;
         }
-        if !relay.exchange.lock().record_zone(zone, now_ms) {
+        let mut exchange = relay.exchange.lock();
+        let Some(zone) = exchange.zone_parts.add(zone) else { return };
+        if !exchange.record_zone(zone, now_ms) {
             count_dropped("old");
         }
     }
@@ -424,15 +372,15 @@
         zone
     }
 
-    /// Encodes the sums of all zones; returns them with the time since they were made.
-    fn encode_sums(&self, wanted: WantedReply, now_ms: u64) -> Option<(Vec<u8>, u64)> {
+    /// Encodes the sums of all zones in parts; returns them with the time since they were made.
+    fn encode_sums(&self, wanted: WantedReply, now_ms: u64) -> Option<(Arc<[Vec<u8>]>, u64)> {
         match wanted {
-            WantedReply::Acknowledgement => return Some((Vec::new(), 0)),
+            WantedReply::Acknowledgement => return Some((Arc::new([Vec::new()]), 0)),
             WantedReply::Sums => {
                 let exchange = self.relay.exchange.lock();
                 let fresh = exchange.encoded.as_ref().and_then(|encoded| {
                     let age_ms = now_ms.saturating_sub(encoded.made_at_ms);
-                    (age_ms < SUMS_TTL_MS).then(|| (encoded.bytes.clone(), age_ms))
+                    (age_ms < SUMS_TTL_MS).then(|| (Arc::clone(&encoded.parts), age_ms))
                 });
                 if fresh.is_some() {
                     return fresh;
@@ -453,17 +401,21 @@
         if wanted == WantedReply::Sums {
             zones.iter_mut().for_each(|zone| zone.windows.clear());
         }
-        let mut bytes = Vec::new();
-        if let Err(error) = ciborium::into_writer(&zones, &mut bytes) {
-            let reason = error.to_string();
-            self.relay.log.write("datagram_failed", || json!({ "reason": reason }));
-            return None;
-        }
+        // An older build uses only the first part that arrives.
+        let first = rand::random_range(0..zones.len());
+        zones.rotate_left(first);
+        let parts: Arc<[Vec<u8>]> = match encode_zones(zones, MAX_DIGEST_BYTES) {
+            Ok(parts) => parts.into(),
+            Err(error) => {
+                self.record_send_failure("fleet", 0, None, &error.to_string());
+                return None;
+            }
+        };
         if wanted == WantedReply::Sums {
-            let encoded = EncodedSums { bytes: bytes.clone(), made_at_ms: now_ms };
+            let encoded = EncodedSums { parts: Arc::clone(&parts), made_at_ms: now_ms };
             self.relay.exchange.lock().encoded = Some(encoded);
         }
-        Some((bytes, 0))
+        Some((parts, 0))
     }
 
     /// Applies the digest of a zone, without the own part of it. `source` is the aggregator that has
@@ -475,6 +427,8 @@
         if !relay.exchange.lock().start_applying(&zone) {
             return;
         }
+        metrics::histogram!("hickorycourse_zone_digest_age_seconds")
+            .record(zone.age_ms as f64 / 1_000.0);
         if zone.availability_zone == settings.availability_zone {
             if !relay.exchange.lock().own.subtract_from(&mut zone, &settings.instance) {
                 count_dropped("old");
@@ -514,3 +468,25 @@
         }
     }
 }
+
+/// Returns the index of the aggregator that a member asks for the sums; `None` if there is none. Members are
+/// spread over the aggregators. The other one is asked now and then, which shows whether it works, and
+/// after a report to `unanswered` without a reply.
+pub fn choose_asked(
+    instance: &str,
+    sequence: u64,
+    unanswered: Option<&str>,
+    aggregators: &[&str],
+) -> Option<usize> {
+    let count = aggregators.len();
+    let usual = xxh3_64(instance.as_bytes()).checked_rem(count as u64)? as usize;
+    let asked = (usual + usize::from(sequence.is_multiple_of(OTHER_ASKED_INTERVAL))) % count;
+    let is_unanswered = unanswered == Some(aggregators[asked]);
+    Some((asked + usize::from(is_unanswered)) % count)
+}
+
+/// Returns the messages that report a digest.
+fn make_reports(nonce: Option<u64>, wanted: WantedReply, digest: MemberDigest) -> Vec<Message> {
+    let parts = split(digest, MAX_DIGEST_BYTES).into_iter();
+    parts.map(|part| Message::Report { nonce, wanted, digest: Box::new(part) }).collect()
+}
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -36,7 +36,7 @@
 use crate::cap_claims::CapMessage;
 use crate::drain::{DrainState, DrainTimings, RequestForecast};
 use crate::durations::DurationTable;
-use crate::exchange::ExchangeState;
+use crate::exchange_state::ExchangeState;
 use crate::forwarding::ReachState;
 use crate::limits::RemoteClaim;
 use crate::members::MemberTable;
