--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -48,6 +48,15 @@
 mod tunnels;
 mod view_log;
 
+/// Formats that instances of other builds read and write, for tests.
+#[doc(hidden)]
+pub mod wire {
+    pub use crate::datagrams::{FreshnessAttestation, Message, PermitClaim, PermitReply};
+    pub use crate::exchange::WantedReply;
+    pub use crate::follow::{ViewQuery, ViewReply};
+    pub use crate::quarantine_record::QuarantineRecord;
+}
+
 /// Commonly used types.
 pub mod prelude {
     pub use crate::adapter::{DutyClient, Protocol};
