View age of a request, and why a follower reads the store

Which of the causes sent a follower to the store could not be told from `store_read`, and no line had the age of the list of upstreams with which a request was placed: `proof_age_ms` is that of the document.

`store_read` names its cause and counts in hickorycourse_store_read_total; the new line `attempt_sent` has the age at placement and at sending, also for retries and hedges; hickorycourse_view_age_seconds records it.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -45,12 +45,19 @@
     /// Time at which a silence before the first byte was recorded.
     waited_until_ms: Option<u64>,
     is_ended: bool,
+    /// Age of the list of upstreams that the upstream was chosen from; `None` if it was never proven.
+    view_age_ms: Option<u64>,
 }
 
 impl Attempt {
     /// Creates the attempt of a placement that occupies a slot already.
     pub fn new(call: &Call, placement_table: SharedPlacementTable, placement: Placement) -> Self {
         let started_at_ms = call.relay.directory.lock().started_at_ms(&placement.upstream);
+        let view_age_ms = call.relay.view_age_ms(call.relay.now_ms());
+        if let Some(view_age_ms) = view_age_ms {
+            metrics::histogram!("hickorycourse_view_age_seconds")
+                .record(view_age_ms as f64 / 1_000.0);
+        }
         Self {
             relay: Arc::clone(&call.relay),
             placement_table,
@@ -67,6 +74,7 @@
             is_silent: false,
             waited_until_ms: None,
             is_ended: false,
+            view_age_ms,
         }
     }
 
@@ -77,7 +85,15 @@
 
     /// Records that the request is sent now, which uses up its permit.
     pub fn record_sent(&mut self) {
-        self.sent_at_ms = Some(self.relay.now_ms());
+        let now_ms = self.relay.now_ms();
+        self.sent_at_ms = Some(now_ms);
+        self.relay.log.write("attempt_sent", || {
+            json!({
+                "request": self.request_id, "upstream": self.placement.upstream,
+                "view_age_ms": self.view_age_ms,
+                "view_age_sent_ms": self.relay.view_age_ms(now_ms),
+            })
+        });
     }
 
     /// Records that the request was not sent after all.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use crate::broadcast::PeerBroadcast;
-use crate::readers::LastHeard;
+use crate::readers::{LastHeard, ReadCause};
 use crate::state::Relay;
 use crate::store_watch::apply_event;
 use crate::view_log::{StoreChange, ViewChanges};
@@ -114,14 +114,22 @@
         relay.expire_upstreams();
         let now_ms = relay.now_ms();
         let is_selected = relay.is_reader(now_ms);
-        let must_read = timings.must_read(is_selected, heard, now_ms);
-        let must_list = matches!(step, Some(FollowStep::Relist))
-            || relay.is_listing_needed.load(Ordering::Relaxed);
-        if must_read || must_list || relay.drain.is_stopping() {
+        let cause = timings.read_cause(is_selected, heard, now_ms).or_else(|| {
+            if matches!(step, Some(FollowStep::Relist)) {
+                Some(ReadCause::ChangesUnavailable)
+            } else if relay.is_listing_needed.load(Ordering::Relaxed) {
+                Some(ReadCause::ListingNeeded)
+            } else {
+                relay.drain.is_stopping().then_some(ReadCause::Stopping)
+            }
+        });
+        if let Some(cause) = cause {
             metrics::gauge!("hickorycourse_store_following").set(0.0);
+            metrics::counter!("hickorycourse_store_read_total", "cause" => cause.name())
+                .increment(1);
             relay.log.write("store_read", || {
                 json!({
-                    "is_selected": is_selected, "must_list": must_list,
+                    "cause": cause.name(),
                     "age_ms": now_ms.saturating_sub(heard.current_at_ms),
                     "silence_ms": now_ms.saturating_sub(heard.replied_at_ms),
                     "revision": known_revision,
@@ -185,6 +193,7 @@
     // The reply was made after the query was sent, whatever the network delay was.
     let attested_at_ms = queried_at_ms.checked_sub(reply.age_ms)?;
     heard.current_at_ms = heard.current_at_ms.max(attested_at_ms);
+    relay.attest_view(attested_at_ms);
     relay.active_document.write().attest_by_store(attested_at_ms);
     Some(FollowStep::Current)
 }
--- a/crates/relay/src/freshness.rs
+++ b/crates/relay/src/freshness.rs
@@ -110,6 +110,7 @@
             return;
         }
         relay.replace_upstreams_from_peer(attestation.upstreams);
+        relay.attest_view(attested_at_ms);
         relay.active_document.write().attest_freshness(attestation.version, attested_at_ms);
         relay.log.write("proof_from_peer", || {
             json!({
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -68,12 +68,59 @@
         !is_selected && now_ms.saturating_sub(reading_since_ms) >= self.min_reading_ms
     }
 
-    /// Returns whether a follower reads the store itself: it has been selected, no reader replies, or
-    /// what it last heard of the store's state is too old, as its reader has lost the store.
+    /// Returns why a follower reads the store itself: it has been selected, no reader replies, or what
+    /// it last heard of the store's state is too old, as its reader has lost the store.
+    pub fn read_cause(
+        &self,
+        is_selected: bool,
+        heard: LastHeard,
+        now_ms: u64,
+    ) -> Option<ReadCause> {
+        if is_selected {
+            Some(ReadCause::Selected)
+        } else if now_ms.saturating_sub(heard.replied_at_ms) > self.max_silence_ms {
+            Some(ReadCause::Silence)
+        } else if now_ms.saturating_sub(heard.current_at_ms) > self.max_age_ms {
+            Some(ReadCause::Age)
+        } else {
+            None
+        }
+    }
+
+    /// Returns whether a follower reads the store itself for one of these causes.
     pub fn must_read(&self, is_selected: bool, heard: LastHeard, now_ms: u64) -> bool {
-        is_selected
-            || now_ms.saturating_sub(heard.replied_at_ms) > self.max_silence_ms
-            || now_ms.saturating_sub(heard.current_at_ms) > self.max_age_ms
+        self.read_cause(is_selected, heard, now_ms).is_some()
+    }
+}
+
+/// Why a follower reads the store itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadCause {
+    /// It is one of the readers now.
+    Selected,
+    /// No reader replies.
+    Silence,
+    /// What was last heard is too old.
+    Age,
+    /// No reader can tell the changes since the known revision.
+    ChangesUnavailable,
+    /// The upstreams were told as a list, without a revision.
+    ListingNeeded,
+    /// This instance stops and may no longer be told.
+    Stopping,
+}
+
+impl ReadCause {
+    /// Returns the name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Selected => "selected",
+            Self::Silence => "silence",
+            Self::Age => "age",
+            Self::ChangesUnavailable => "changes_unavailable",
+            Self::ListingNeeded => "listing_needed",
+            Self::Stopping => "stopping",
+        }
     }
 }
 
--- a/crates/relay/src/state/store.rs
+++ b/crates/relay/src/state/store.rs
@@ -30,6 +30,9 @@
     /// Time at which what this instance has read from the store was last known to be current; `None`
     /// while it doesn't read the store.
     read_at_ms: Option<u64>,
+    /// Latest time at which the known upstreams were proven to be those that the store lists, by it or
+    /// by another instance.
+    view_attested_at_ms: Option<u64>,
 }
 
 impl Relay {
@@ -107,6 +110,18 @@
         self.store.lock().read_at_ms = at_ms;
     }
 
+    /// Records that the known upstreams were those that the store listed at `at_ms`.
+    pub fn attest_view(&self, at_ms: u64) {
+        let mut store = self.store.lock();
+        store.view_attested_at_ms = store.view_attested_at_ms.max(Some(at_ms));
+    }
+
+    /// Returns the time since the known upstreams were last proven to be those that the store lists;
+    /// `None` before the first proof.
+    pub fn view_age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.store.lock().view_attested_at_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
+    }
+
     /// Returns the time since the end of the latest outage of the store; `None` without one.
     pub fn store_recovered_ago_ms(&self, now_ms: u64) -> Option<u64> {
         self.store.lock().recovered_at_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -215,6 +215,7 @@
 fn record_freshness(relay: &Relay, started_at_ms: u64) {
     relay.record_store_success();
     relay.set_view_current_at(Some(started_at_ms));
+    relay.attest_view(started_at_ms);
     relay.active_document.write().attest_by_store(started_at_ms);
 }
 
