View log: changes in parts, whatever their number and size

Callers saw requests to upstreams that had left, beside large changes. A listing gives all of its differences one revision, and changes of one revision were told together or not at all: with 300 upstreams of 250 bytes, or a document above 32 KiB, `changes_after` answers `Unavailable` (asserted in the test), and each follower lists the store.

`part_after` continues at a cursor (start of the instance, number of the change, bytes of its value), so a revision spans parts and a large value is told in pieces: 300 differences in 3 to 5 parts of 32 KiB, a document of 100,000 bytes whole. Nothing uses it yet.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -67,4 +67,4 @@
     AdmissionPolicy, Bounds, Duty, EventLogSettings, ExchangePolicy, PlacementPolicy,
     PolicySettings, RelaySettings,
 };
-pub use view_log::{StoreChange, ViewChanges, ViewLog};
+pub use view_log::{StoreChange, ViewChanges, ViewCursor, ViewLog, ViewPart};
--- a/crates/relay/src/view_log.rs
+++ b/crates/relay/src/view_log.rs
@@ -10,6 +10,9 @@
 /// Bytes of keys and values that are kept.
 const MAX_BYTES: usize = 1024 * 1024;
 
+/// Bytes that a change takes in a reply beside its key and its value, at most.
+const CHANGE_OVERHEAD_BYTES: usize = 24;
+
 /// A change in the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StoreChange {
@@ -41,6 +44,35 @@
     Unavailable,
 }
 
+/// Place in the log of one instance, after which a follower that it has told a part asks for the rest.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ViewCursor {
+    /// Start of the instance; 0 before the first part.
+    #[serde(rename = "b")]
+    pub boot: u64,
+    /// Number of the next change in its log.
+    #[serde(rename = "n")]
+    pub sequence: u64,
+    /// Bytes of that change's value that have been told.
+    #[serde(rename = "o")]
+    pub offset_bytes: u64,
+}
+
+/// Part of the changes that a follower doesn't know.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ViewPart {
+    /// Bytes of the first change's value that were told before.
+    pub offset_bytes: u64,
+    /// The changes, in order.
+    pub changes: Vec<StoreChange>,
+    /// Bytes of the last change's value that are still to be told.
+    pub remaining_bytes: u64,
+    /// Revision up to which the follower knows all changes with this part.
+    pub revision: u64,
+    /// Where the next part begins; `None` if there is none.
+    pub next: Option<ViewCursor>,
+}
+
 /// Recent changes in the store.
 #[derive(Clone, Debug, Default)]
 pub struct ViewLog {
@@ -49,6 +81,8 @@
     /// Revision up to which the store has been read.
     revision: u64,
     changes: VecDeque<StoreChange>,
+    /// Number of the first change that is kept; numbers are not used twice.
+    first_sequence: u64,
     size_bytes: usize,
     /// Keys that the store lists.
     keys: BTreeSet<String>,
@@ -68,8 +102,13 @@
     pub fn apply_listing(&mut self, items: Vec<StoreChange>, revision: u64) {
         let listed: BTreeSet<String> = items.iter().map(|item| item.key.clone()).collect();
         if self.covered_after.is_none() || self.revision > revision {
-            *self =
-                Self { covered_after: Some(revision), revision, keys: listed, ..Self::default() };
+            *self = Self {
+                covered_after: Some(revision),
+                revision,
+                keys: listed,
+                first_sequence: self.unused_sequence(),
+                ..Self::default()
+            };
             return;
         }
         let since = self.revision;
@@ -103,6 +142,7 @@
         while self.changes.len() > MAX_CHANGES || self.size_bytes > MAX_BYTES {
             let Some(oldest) = self.changes.pop_front() else { break };
             self.size_bytes -= oldest.size_bytes();
+            self.first_sequence += 1;
             self.covered_after = Some(oldest.revision);
         }
     }
@@ -126,7 +166,74 @@
 
     /// Discards everything, as changes may be missed from now on.
     pub fn clear(&mut self) {
-        *self = Self::default();
+        *self = Self { first_sequence: self.unused_sequence(), ..Self::default() };
+    }
+
+    /// Returns a number that no change has and no cursor points to.
+    fn unused_sequence(&self) -> u64 {
+        self.first_sequence + self.changes.len() as u64 + 1
+    }
+
+    /// Returns whether changes are kept since a listing.
+    pub fn is_covered(&self) -> bool {
+        self.covered_after.is_some()
+    }
+
+    /// Returns the next part of the changes for a follower that knows all changes up to the revision
+    /// `known` and has been told those before `cursor`; `None` if they are not kept. A part has about
+    /// `max_bytes`; a value above that is told in pieces. `boot` identifies this start of the instance.
+    pub fn part_after(
+        &self,
+        known: u64,
+        cursor: ViewCursor,
+        boot: u64,
+        max_bytes: usize,
+    ) -> Option<ViewPart> {
+        let kept = self.first_sequence..=self.first_sequence + self.changes.len() as u64;
+        let (start, mut offset) = if cursor.boot == boot && kept.contains(&cursor.sequence) {
+            ((cursor.sequence - self.first_sequence) as usize, cursor.offset_bytes as usize)
+        } else if self.covered_after.is_some_and(|covered_after| known >= covered_after) {
+            (self.changes.partition_point(|change| change.revision <= known), 0)
+        } else {
+            return None;
+        };
+        let mut part = ViewPart {
+            offset_bytes: offset as u64,
+            changes: Vec::new(),
+            remaining_bytes: 0,
+            revision: self.revision.max(known),
+            next: None,
+        };
+        let mut left_bytes = max_bytes;
+        for (index, change) in self.changes.iter().enumerate().skip(start) {
+            let rest = change.value.as_deref().map(|value| value.get(offset..).unwrap_or_default());
+            let rest_bytes = rest.map_or(0, <[u8]>::len);
+            let size_bytes = change.key.len() + rest_bytes + CHANGE_OVERHEAD_BYTES;
+            let is_fitting = size_bytes <= left_bytes;
+            let told_bytes = match (is_fitting, part.changes.is_empty()) {
+                (true, _) => rest_bytes,
+                (false, true) => rest_bytes.min(max_bytes.max(1)),
+                (false, false) => 0,
+            };
+            if is_fitting || part.changes.is_empty() {
+                let value = rest.map(|rest| rest[..told_bytes].to_vec());
+                let (key, revision) = (change.key.clone(), change.revision);
+                part.changes.push(StoreChange { key, value, revision });
+                left_bytes = left_bytes.saturating_sub(size_bytes);
+                if told_bytes == rest_bytes {
+                    offset = 0;
+                    continue;
+                }
+                part.remaining_bytes = (rest_bytes - told_bytes) as u64;
+                offset += told_bytes;
+            }
+            // All changes of earlier revisions have been told.
+            part.revision = known.max(change.revision.saturating_sub(1));
+            let sequence = self.first_sequence + index as u64;
+            part.next = Some(ViewCursor { boot, sequence, offset_bytes: offset as u64 });
+            break;
+        }
+        Some(part)
     }
 
     /// Returns the changes after the revision that a follower knows, up to `max_bytes`.
--- a/crates/relay/tests/readers.rs
+++ b/crates/relay/tests/readers.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hickorycourse_relay::{
-    Bounds, FollowTimings, LastHeard, MAX_READERS_PER_ZONE, StoreChange, ViewChanges, ViewLog,
-    select_readers,
+    Bounds, FollowTimings, LastHeard, MAX_READERS_PER_ZONE, StoreChange, ViewChanges, ViewCursor,
+    ViewLog, select_readers,
 };
 use proptest::prelude::*;
 
@@ -114,6 +114,80 @@
     assert_eq!(log.changes_after(30, 500), ViewChanges::Unavailable);
 }
 
+/// Asks for all parts after `known`; returns the changes with assembled values, the revision that is then
+/// known, and the number of parts.
+fn follow_in_parts(log: &ViewLog, known: u64, max_bytes: usize) -> (Vec<StoreChange>, u64, usize) {
+    let (mut changes, mut cursor, mut known) =
+        (Vec::<StoreChange>::new(), ViewCursor::default(), known);
+    for parts in 1.. {
+        let part = log.part_after(known, cursor, 7, max_bytes).expect("the changes are kept");
+        let mut told = part.changes.into_iter();
+        if part.offset_bytes > 0 {
+            let (begun, rest) = (changes.last_mut().expect("a begun change"), told.next());
+            let (begun, rest) = (begun.value.as_mut(), rest.and_then(|rest| rest.value));
+            begun.expect("a value").extend(rest.expect("a value"));
+        }
+        changes.extend(told);
+        assert!(part.revision >= known);
+        known = part.revision;
+        match part.next {
+            Some(next) => cursor = next,
+            None => return (changes, known, parts),
+        }
+    }
+    unreachable!("the parts end");
+}
+
+// Load pattern: a release of hundreds of upstreams while a reader had lost the store; its next listing
+// gives all differences one revision.
+#[test]
+fn listing_with_many_differences_is_told_in_parts() {
+    let mut log = ViewLog::default();
+    log.apply_listing(Vec::new(), 10);
+    let entry = "x".repeat(250);
+    let items = (0..300).map(|number| put(&format!("servers/i-{number:03}"), &entry, 11 + number));
+    log.apply_listing(items.collect(), 400);
+    // Builds without cursors can't be told.
+    assert_eq!(log.changes_after(10, 32 * 1024), ViewChanges::Unavailable);
+    let (changes, known, parts) = follow_in_parts(&log, 10, 32 * 1024);
+    assert_eq!((changes.len(), known), (300, 400));
+    assert!((3..6).contains(&parts), "{parts} parts");
+}
+
+// Load pattern: a document that is larger than a datagram, beside changes of upstreams.
+#[test]
+fn large_value_is_told_in_pieces() {
+    let mut log = ViewLog::default();
+    log.apply_listing(Vec::new(), 10);
+    let document: String =
+        (0..100_000_u32).map(|number| char::from(b'a' + (number % 23) as u8)).collect();
+    log.append(put("a", "1", 11));
+    log.append(put("document", &document, 12));
+    log.append(deleted("a", 13));
+    let (changes, known, _) = follow_in_parts(&log, 10, 32 * 1024);
+    let expected = vec![put("a", "1", 11), put("document", &document, 12), deleted("a", 13)];
+    assert!(changes == expected);
+    assert_eq!(known, 13);
+}
+
+// A follower goes on at another reader, or its reader starts anew, in the midst of a revision.
+#[test]
+fn part_after_cursor_of_other_log_begins_at_known_revision() {
+    let mut log = ViewLog::default();
+    log.apply_listing(Vec::new(), 10);
+    log.apply_listing((0..4).map(|key| put(&format!("key-{key}"), "1", 15)).collect(), 20);
+    let first = log.part_after(10, ViewCursor::default(), 7, 60).expect("a part");
+    assert_eq!((first.changes.len(), first.revision), (2, 19));
+    let cursor = first.next.expect("a next part");
+    let rest = log.part_after(first.revision, cursor, 7, 1_000).expect("a part");
+    assert_eq!((rest.changes.len(), rest.revision, rest.next), (2, 20, None));
+    let anew = log.part_after(first.revision, cursor, 8, 1_000).expect("a part");
+    assert_eq!((anew.changes.len(), anew.offset_bytes), (4, 0));
+    log.clear();
+    log.apply_listing(Vec::new(), 30);
+    assert_eq!(log.part_after(first.revision, cursor, 7, 1_000), None);
+}
+
 // Guards against a follower that misses what changed while its reader had lost the store.
 #[test]
 fn apply_listing_after_gap_tells_differences() {
