Peers' lists of upstreams only for a view that is old

A proof of the document's age from a peer brought its list of upstreams, which replaced the own ones and made a reader end its watch and a follower list the store, even where only the document's proof was old and the own view newer. The list has no revision; it is now applied only when the own view is older than the age at which a follower reads the store.

--- a/crates/relay/src/freshness.rs
+++ b/crates/relay/src/freshness.rs
@@ -109,8 +109,14 @@
         if !is_fresher {
             return;
         }
-        relay.replace_upstreams_from_peer(attestation.upstreams);
-        relay.attest_view(attested_at_ms);
+        // The list has no revision, so the store has to be listed after it. It is a way out only for one
+        // whose own view is old and that nobody tells the changes.
+        let max_age_ms = relay.follow_timings().max_age_ms;
+        let is_view_old = relay.view_age_ms(now_ms).is_none_or(|age_ms| age_ms >= max_age_ms);
+        if is_view_old {
+            relay.replace_upstreams_from_peer(attestation.upstreams);
+            relay.attest_view(attested_at_ms);
+        }
         relay.active_document.write().attest_freshness(attestation.version, attested_at_ms);
         relay.log.write("proof_from_peer", || {
             json!({
