--- a/crates/routes/src/directory.rs
+++ b/crates/routes/src/directory.rs
@@ -246,11 +246,17 @@
     }
 
     /// Applies a listing that another instance has told. What is missing from it may only be unknown to
-    /// that instance, so a later listing of the same entry is not taken for an outdated one.
+    /// that instance, so a later listing of the same entry is not taken for an outdated one. Upstreams that
+    /// leave stay known, so that an older entry doesn't bring them back.
     pub fn replace_from_peer(
         &mut self,
-        entries: Vec<UpstreamEntry>,
+        mut entries: Vec<UpstreamEntry>,
     ) -> Vec<(String, DirectoryChange)> {
+        let listed: BTreeSet<String> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let leaving = self
+            .entries()
+            .filter(|entry| entry.phase == UpstreamPhase::Leaving && !listed.contains(&entry.id));
+        entries.extend(leaving.cloned().collect::<Vec<_>>());
         let former = self.former.clone();
         let changes = self.replace(entries, None);
         self.former = former;
--- a/crates/routes/tests/directory.rs
+++ b/crates/routes/tests/directory.rs
@@ -134,3 +134,18 @@
     assert_eq!(directory.entries().count(), 0);
     assert_eq!(directory.put(entry("i-1", 100, 5)), DirectoryChange::Added);
 }
+
+// The other instance may have learned the deletion of an entry, and an older record may arrive later.
+#[test]
+fn replace_from_peer_keeps_departures() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(leaving(entry("a", 100, 5)));
+    directory.put(entry("b", 100, 5));
+    directory.announce_departure("b", Some(100));
+    directory.replace_from_peer(Vec::new());
+    directory.put(entry("a", 100, 4));
+    directory.put(entry("b", 100, 6));
+    assert!(directory.entries().all(|entry| entry.phase == UpstreamPhase::Leaving));
+    directory.replace(Vec::new(), None);
+    assert_eq!(directory.entries().count(), 0);
+}
