Store watch: a watch goes on only over a short gap

Heartbeats of a long outage are more than a listing, and could exceed the largest accepted response of a poll again and again: what is known for more than 10 s is listed anew, as before.

--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -46,6 +46,9 @@
 const BACKOFF_MS: std::ops::Range<u64> = 100..400;
 /// Range of the delay before a listing after the history was lost; all instances notice it at once.
 const RESTART_JITTER_MS: std::ops::Range<u64> = 0..150;
+/// Age of what is known of the store up to which a watch goes on from there. The heartbeats of a longer
+/// time are more than a listing.
+const MAX_RESUME_AGE_MS: u64 = 10_000;
 /// TTL of the lease on this instance's member record; covers an outage of the store. A record that
 /// outlives its instance only keeps that instance's share of caps reserved.
 const MEMBER_TTL_MS: u64 = 20_000;
@@ -171,6 +174,11 @@
     relay: &Relay,
     key_value: &dyn KeyValue,
 ) -> Result<Option<Box<dyn Watch>>, PlatformError> {
+    let now_ms = relay.now_ms();
+    let age_ms = relay.log_attested_at_ms().map(|at_ms| now_ms.saturating_sub(at_ms));
+    if age_ms.is_none_or(|age_ms| age_ms > MAX_RESUME_AGE_MS) {
+        return Ok(None);
+    }
     let known_revision = {
         let view_log = relay.view_log.lock();
         if !view_log.is_covered() || relay.is_listing_needed.load(Ordering::Relaxed) {
