Placement: a request waits once for a search where the list is old

`ViewGate` decides; its test replays a store that is silent for all in spells of 5 and 30 s with searches of 100 ms: requests wait in the first 100 ms of being old in each spell and never again.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -46,6 +46,7 @@
 mod successor;
 mod tolerance;
 mod tunnels;
+mod view_gate;
 mod view_log;
 mod view_search;
 
@@ -69,5 +70,6 @@
     AdmissionPolicy, Bounds, Duty, EventLogSettings, ExchangePolicy, PlacementPolicy,
     PolicySettings, RelaySettings,
 };
+pub use view_gate::ViewGate;
 pub use view_log::{StoreChange, ViewChanges, ViewCursor, ViewLog, ViewPart};
 pub use view_search::join_pieces;
--- a/crates/relay/src/placing.rs
+++ b/crates/relay/src/placing.rs
@@ -16,6 +16,7 @@
 use crate::attempt::Attempt;
 use crate::call::{Call, RetryState};
 use crate::datagrams::PermitReply;
+use crate::view_gate::await_newer_view;
 
 /// Claims for permits before a call is refused.
 const MAX_CLAIMS: u32 = 4;
@@ -53,6 +54,7 @@
     pub async fn place(&self, retry_state: &RetryState) -> Result<Attempt, Problem> {
         let mut permit = None;
         let mut claims_left = MAX_CLAIMS;
+        await_newer_view(&self.relay).await;
         loop {
             match self.try_place(retry_state, permit.take(), claims_left > 0)? {
                 PlacementStep::Begun(attempt) => return Ok(*attempt),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -41,6 +41,7 @@
 use crate::origins::OriginQuery;
 use crate::quarantine_record::StoredQuarantine;
 use crate::settings::{AdmissionPolicy, PlacementPolicy, RelaySettings};
+use crate::view_gate::ViewGate;
 use crate::view_log::ViewLog;
 
 /// The upstreams of one service with their load, behind one lock.
@@ -91,6 +92,12 @@
     pub exchange: Mutex<ExchangeState>,
     /// Changes in the store that this instance has read, for those that follow it.
     pub view_log: Mutex<ViewLog>,
+    /// Decides whether requests wait for newer changes in the store.
+    pub view_gate: Mutex<ViewGate>,
+    /// Triggers a search for newer changes in the store.
+    pub view_search_requested: Notify,
+    /// Wakes those that wait for the end of a search.
+    pub view_searched: Notify,
     /// Triggers a new registration of this instance in the store.
     pub registration_requested: Notify,
     /// Usage reports that were committed in the store before they were sent, by window. A store that
@@ -157,6 +164,9 @@
             digest_requested: Notify::new(),
             exchange: Mutex::default(),
             view_log: Mutex::default(),
+            view_gate: Mutex::default(),
+            view_search_requested: Notify::new(),
+            view_searched: Notify::new(),
             registration_requested: Notify::new(),
             committed_usage: Mutex::default(),
             quarantine: Mutex::new(PartQuarantine::new(QuarantineOptions::default())),
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -17,6 +17,7 @@
 use hickorycourse_store::{
     KeyValue, KeyValueRecord, Lease, PlatformError, SwapOutcome, Watch, WatchEvent,
 };
+use ntex::rt;
 use ntex::time::sleep;
 use rand::Rng;
 use serde_json::json;
@@ -29,7 +30,7 @@
 use crate::quarantine_record::QUARANTINE_KEY;
 use crate::state::Relay;
 use crate::view_log::StoreChange;
-use crate::view_search::search_while_late;
+use crate::view_search::{search_on_request, search_while_late};
 
 /// Pause after a batch of changes in a fleet of one, in percent of
 /// [`Bounds::change_propagation_ms`](crate::settings::Bounds::change_propagation_ms).
@@ -74,6 +75,7 @@
     key_value: Rc<dyn KeyValue>,
     broadcast: Arc<PeerBroadcast>,
 ) {
+    rt::spawn(search_on_request(Arc::clone(&relay), Arc::clone(&broadcast)));
     loop {
         let ended = watch_until_failure(&relay, key_value.as_ref(), &broadcast).await;
         relay.set_view_current_at(None);
--- a/crates/relay/src/view_search.rs
+++ b/crates/relay/src/view_search.rs
@@ -131,7 +131,18 @@
     let candidates = relay.view_candidates(relay.now_ms());
     let queries =
         candidates.into_iter().map(|address| ask_for_view(relay, broadcast, address, true));
-    join_all(queries).await.into_iter().max().unwrap_or(FollowStep::Silent)
+    let best = join_all(queries).await.into_iter().max().unwrap_or(FollowStep::Silent);
+    relay.view_gate.lock().record_search(relay.now_ms());
+    relay.view_searched.notify_waiters();
+    best
+}
+
+/// Searches whenever a request waits for it, until the process ends.
+pub async fn search_on_request(relay: Arc<Relay>, broadcast: Arc<PeerBroadcast>) {
+    loop {
+        relay.view_search_requested.notified().await;
+        search_view(&relay, &broadcast).await;
+    }
 }
 
 /// Searches while a poll of the store is late, in the intervals of a follower. Searches go on after the
--- a/crates/relay/tests/readers.rs
+++ b/crates/relay/tests/readers.rs
@@ -4,7 +4,7 @@
 
 use hickorycourse_relay::{
     Bounds, FollowTimings, LastHeard, MAX_READERS_PER_ZONE, StoreChange, ViewChanges, ViewCursor,
-    ViewLog, ViewQuery, ViewReply, join_pieces, select_readers,
+    ViewGate, ViewLog, ViewQuery, ViewReply, join_pieces, select_readers,
 };
 use proptest::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -331,6 +331,32 @@
     assert_eq!(timings.fall_back_delay_ms(0, 0), 0);
 }
 
+// Load pattern: a store that is silent for all instances, beside requests at all times; its spells are
+// 5 s and 30 s, and a search ends 100 ms after it has begun.
+#[test]
+fn requests_wait_for_one_search_in_each_spell() {
+    let leaving_ms = 4_000;
+    for spell_ms in [5_000, 30_000] {
+        let (mut gate, mut attested_at_ms, mut search_ends_at_ms) = (ViewGate::default(), 0, None);
+        let mut waiting_ms = Vec::new();
+        for now_ms in (0..4 * spell_ms).step_by(10) {
+            if now_ms % spell_ms == 0 {
+                attested_at_ms = now_ms;
+            }
+            if search_ends_at_ms.is_some_and(|at_ms| at_ms <= now_ms) {
+                gate.record_search(now_ms);
+                search_ends_at_ms = None;
+            }
+            if gate.must_wait(attested_at_ms, leaving_ms, now_ms) {
+                search_ends_at_ms.get_or_insert(now_ms + 100);
+                waiting_ms.push(now_ms % spell_ms);
+            }
+        }
+        assert_eq!(waiting_ms.len(), 4 * 10, "{waiting_ms:?}");
+        assert!(waiting_ms.iter().all(|at_ms| (3_200..3_400).contains(at_ms)), "{waiting_ms:?}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(300) })]
 
