--- a/crates/digest/src/message.rs
+++ b/crates/digest/src/message.rs
@@ -67,7 +67,7 @@
     #[serde(rename = "d", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_stopping: bool,
     /// Whether it can decide on caps for others.
-    #[serde(rename = "c", default, skip_serializing_if = "std::ops::Not::not")]
+    #[serde(rename = "dc", default, skip_serializing_if = "std::ops::Not::not")]
     pub decides_caps: bool,
     /// Which part this is of a digest that is sent in several.
     #[serde(rename = "y", default, skip_serializing_if = "PartMark::is_whole")]
@@ -158,7 +158,7 @@
     #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
     pub tolerances: Vec<LimitNotice>,
     /// Instances of the zone that decide on caps, with the addresses that receive their datagrams.
-    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "dc", default, skip_serializing_if = "Vec::is_empty")]
     pub deciders: Vec<(String, SocketAddr)>,
     /// Which part this is of a digest that is sent in several.
     #[serde(rename = "y", default, skip_serializing_if = "PartMark::is_whole")]
--- a/crates/relay/src/datagrams.rs
+++ b/crates/relay/src/datagrams.rs
@@ -65,6 +65,14 @@
         /// The query.
         query: ViewQuery,
     },
+    /// As [`Self::Follow`], to an instance that is not expected to read the store. Builds without it drop it,
+    /// and would read the store after a [`Self::Follow`].
+    Search {
+        /// Identifies the query.
+        nonce: u64,
+        /// The query.
+        query: ViewQuery,
+    },
     /// Reply to a follower.
     View {
         /// Identifies the query.
@@ -161,6 +169,7 @@
             Self::Proof(_) => "proof",
             Self::ProofPart { .. } => "proof_part",
             Self::Follow { .. } => "follow",
+            Self::Search { .. } => "search",
             Self::View { .. } => "view",
             Self::Report { .. } => "report",
             Self::Fleet { .. } => "fleet",
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -51,7 +51,9 @@
 mod successor;
 mod tolerance;
 mod tunnels;
+mod view_gate;
 mod view_log;
+mod view_search;
 
 /// Formats that instances of other builds read and write, for tests.
 #[doc(hidden)]
@@ -74,6 +76,7 @@
 pub use durations::DurationTable;
 pub use events::EventTracker;
 pub use exchange::{choose_asked, report_interval_ms};
+pub use follow::{ViewQuery, ViewReply};
 pub use late_replies::LateReplies;
 pub use management::is_own_host;
 pub use members::{MemberRecord, MemberTable};
@@ -83,4 +86,6 @@
     AdmissionPolicy, Bounds, Duty, EventLogSettings, ExchangePolicy, PlacementPolicy,
     PolicySettings, RelaySettings,
 };
-pub use view_log::{StoreChange, ViewChanges, ViewLog};
+pub use view_gate::ViewGate;
+pub use view_log::{StoreChange, ViewChanges, ViewCursor, ViewLog, ViewPart};
+pub use view_search::join_pieces;
--- a/crates/relay/tests/readers.rs
+++ b/crates/relay/tests/readers.rs
@@ -3,10 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hickorycourse_relay::{
-    Bounds, FollowTimings, LastHeard, MAX_READERS_PER_ZONE, StoreChange, ViewChanges, ViewLog,
-    select_readers,
+    Bounds, FollowTimings, LastHeard, MAX_READERS_PER_ZONE, StoreChange, ViewChanges, ViewCursor,
+    ViewGate, ViewLog, ViewQuery, ViewReply, join_pieces, select_readers,
 };
 use proptest::prelude::*;
+use serde::{Deserialize, Serialize};
 
 fn names(count: usize) -> Vec<String> {
     (0..count).map(|number| format!("relay-{number}")).collect()
@@ -114,6 +115,80 @@
     assert_eq!(log.changes_after(30, 500), ViewChanges::Unavailable);
 }
 
+/// Asks for all parts after `known`; returns the changes with assembled values, the revision that is then
+/// known, and the number of parts.
+fn follow_in_parts(log: &ViewLog, known: u64, max_bytes: usize) -> (Vec<StoreChange>, u64, usize) {
+    let (mut changes, mut cursor, mut known) =
+        (Vec::<StoreChange>::new(), ViewCursor::default(), known);
+    for parts in 1.. {
+        let part = log.part_after(known, cursor, 7, max_bytes).expect("the changes are kept");
+        let mut told = part.changes.into_iter();
+        if part.offset_bytes > 0 {
+            let (begun, rest) = (changes.last_mut().expect("a begun change"), told.next());
+            let (begun, rest) = (begun.value.as_mut(), rest.and_then(|rest| rest.value));
+            begun.expect("a value").extend(rest.expect("a value"));
+        }
+        changes.extend(told);
+        assert!(part.revision >= known);
+        known = part.revision;
+        match part.next {
+            Some(next) => cursor = next,
+            None => return (changes, known, parts),
+        }
+    }
+    unreachable!("the parts end");
+}
+
+// Load pattern: a release of hundreds of upstreams while a reader had lost the store; its next listing
+// gives all differences one revision.
+#[test]
+fn listing_with_many_differences_is_told_in_parts() {
+    let mut log = ViewLog::default();
+    log.apply_listing(Vec::new(), 10);
+    let entry = "x".repeat(250);
+    let items = (0..300).map(|number| put(&format!("servers/i-{number:03}"), &entry, 11 + number));
+    log.apply_listing(items.collect(), 400);
+    // Builds without cursors can't be told.
+    assert_eq!(log.changes_after(10, 32 * 1024), ViewChanges::Unavailable);
+    let (changes, known, parts) = follow_in_parts(&log, 10, 32 * 1024);
+    assert_eq!((changes.len(), known), (300, 400));
+    assert!((3..6).contains(&parts), "{parts} parts");
+}
+
+// Load pattern: a document that is larger than a datagram, beside changes of upstreams.
+#[test]
+fn large_value_is_told_in_pieces() {
+    let mut log = ViewLog::default();
+    log.apply_listing(Vec::new(), 10);
+    let document: String =
+        (0..100_000_u32).map(|number| char::from(b'a' + (number % 23) as u8)).collect();
+    log.append(put("a", "1", 11));
+    log.append(put("document", &document, 12));
+    log.append(deleted("a", 13));
+    let (changes, known, _) = follow_in_parts(&log, 10, 32 * 1024);
+    let expected = vec![put("a", "1", 11), put("document", &document, 12), deleted("a", 13)];
+    assert!(changes == expected);
+    assert_eq!(known, 13);
+}
+
+// A follower goes on at another reader, or its reader starts anew, in the midst of a revision.
+#[test]
+fn part_after_cursor_of_other_log_begins_at_known_revision() {
+    let mut log = ViewLog::default();
+    log.apply_listing(Vec::new(), 10);
+    log.apply_listing((0..4).map(|key| put(&format!("key-{key}"), "1", 15)).collect(), 20);
+    let first = log.part_after(10, ViewCursor::default(), 7, 60).expect("a part");
+    assert_eq!((first.changes.len(), first.revision), (2, 19));
+    let cursor = first.next.expect("a next part");
+    let rest = log.part_after(first.revision, cursor, 7, 1_000).expect("a part");
+    assert_eq!((rest.changes.len(), rest.revision, rest.next), (2, 20, None));
+    let anew = log.part_after(first.revision, cursor, 8, 1_000).expect("a part");
+    assert_eq!((anew.changes.len(), anew.offset_bytes), (4, 0));
+    log.clear();
+    log.apply_listing(Vec::new(), 30);
+    assert_eq!(log.part_after(first.revision, cursor, 7, 1_000), None);
+}
+
 // Guards against a follower that misses what changed while its reader had lost the store.
 #[test]
 fn apply_listing_after_gap_tells_differences() {
@@ -140,6 +215,148 @@
     assert_eq!(told, ViewChanges::Complete(vec![put("a", "3", 13), deleted("a", 13)]));
 }
 
+/// Query of a build without cursors.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+struct EarlierQuery {
+    r: u64,
+}
+
+/// Reply of a build without cursors.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+struct EarlierReply {
+    e: u64,
+    a: u64,
+    o: Option<u64>,
+    r: u64,
+    c: bool,
+    u: Option<Vec<StoreChange>>,
+}
+
+fn encode(message: &impl Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes).expect("the message is encoded");
+    bytes
+}
+
+fn reply_of(log: &ViewLog, known: u64, cursor: ViewCursor) -> ViewReply {
+    let part = log.part_after(known, cursor, 7, 32 * 1024).expect("the changes are kept");
+    ViewReply {
+        store_era: 0,
+        age_ms: 100,
+        recovered_ago_ms: None,
+        revision: part.revision,
+        is_complete: part.next.is_none(),
+        changes: Some(part.changes),
+        next: part.next,
+        offset_bytes: part.offset_bytes,
+        remaining_bytes: part.remaining_bytes,
+    }
+}
+
+// Instances of both builds run side by side while a fleet is upgraded.
+#[test]
+fn queries_and_replies_are_decoded_by_builds_without_cursors() {
+    let query =
+        ViewQuery { known_revision: 9, cursor: Some(ViewCursor::default()), is_search: true };
+    let earlier: EarlierQuery = ciborium::from_reader(&*encode(&query)).expect("decoded");
+    assert_eq!(earlier, EarlierQuery { r: 9 });
+    let query: ViewQuery =
+        ciborium::from_reader(&*encode(&EarlierQuery { r: 9 })).expect("decoded");
+    assert_eq!((query.known_revision, query.cursor, query.is_search), (9, None, false));
+    let mut log = ViewLog::default();
+    log.apply_listing(Vec::new(), 10);
+    log.append(put("a", "1", 11));
+    let reply = reply_of(&log, 10, ViewCursor::default());
+    let earlier: EarlierReply = ciborium::from_reader(&*encode(&reply)).expect("decoded");
+    assert_eq!((earlier.r, earlier.c, earlier.u), (11, true, reply.changes));
+    let earlier = EarlierReply { e: 1, a: 2, o: None, r: 11, c: false, u: Some(Vec::new()) };
+    let reply: ViewReply = ciborium::from_reader(&*encode(&earlier)).expect("decoded");
+    assert_eq!((reply.revision, reply.next, reply.remaining_bytes), (11, None, 0));
+}
+
+// Load pattern: a release with a document that is larger than a datagram.
+#[test]
+fn replies_fit_datagrams_and_their_pieces_are_joined() {
+    let mut log = ViewLog::default();
+    log.apply_listing(Vec::new(), 10);
+    let (entry, document) = ("x".repeat(250), "d".repeat(200_000));
+    let mut items: Vec<StoreChange> = (0..600)
+        .map(|number| put(&format!("servers/i-{number:03}"), &entry, 11 + number))
+        .collect();
+    items.push(put("op/config", &document, 700));
+    log.apply_listing(items.clone(), 700);
+    let (mut known, mut cursor, mut begun) = (10, ViewCursor::default(), None);
+    let mut told = Vec::new();
+    loop {
+        let reply = reply_of(&log, known, cursor);
+        assert!(encode(&reply).len() <= 60_000, "{} bytes", encode(&reply).len());
+        told.extend(join_pieces(&reply, &mut begun).expect("the pieces fit"));
+        (known, cursor) = (reply.revision, reply.next.unwrap_or_default());
+        if reply.is_complete {
+            break;
+        }
+    }
+    let expected: Vec<StoreChange> =
+        items.into_iter().map(|item| StoreChange { revision: 700, ..item }).collect();
+    assert!(told == expected);
+    // A piece whose beginning was told by another instance is of no use.
+    let cursor = ViewCursor { boot: 7, sequence: 600, offset_bytes: 10 };
+    assert_eq!(join_pieces(&reply_of(&log, 10, cursor), &mut None), None);
+}
+
+// Guards against an instance that tells others a revision of which it knows only a part.
+#[test]
+fn append_told_leaves_the_known_revision() {
+    let mut log = ViewLog::default();
+    log.apply_listing(Vec::new(), 10);
+    log.append_told(put("a", "1", 12));
+    assert_eq!(log.revision(), 10);
+    assert_eq!(log.part_after(10, ViewCursor::default(), 7, 1_000).expect("a part").revision, 10);
+    log.append_told(put("b", "1", 12));
+    log.advance(12);
+    assert_eq!(
+        log.changes_after(10, 1_000),
+        ViewChanges::Complete(vec![put("a", "1", 12), put("b", "1", 12)])
+    );
+}
+
+// Load pattern: all followers of a zone have the same cause to read the store at the same time.
+#[test]
+fn fall_back_delays_are_spread_within_bound() {
+    let timings = FollowTimings::from_bounds(4_000, 10_000);
+    let delays: Vec<u64> = (0..50).map(|rank| timings.fall_back_delay_ms(rank, 50)).collect();
+    assert_eq!(delays[0], 0);
+    assert!(delays.windows(2).all(|pair| pair[0] < pair[1]));
+    assert!(timings.max_age_ms + delays[49] + timings.query_interval_ms < 4_000);
+    assert_eq!(timings.fall_back_delay_ms(0, 0), 0);
+}
+
+// Load pattern: a store that is silent for all instances, beside requests at all times; its spells are
+// 5 s and 30 s, and a search ends 100 ms after it has begun.
+#[test]
+fn requests_wait_for_one_search_in_each_spell() {
+    let leaving_ms = 4_000;
+    for spell_ms in [5_000, 30_000] {
+        let (mut gate, mut attested_at_ms, mut search_ends_at_ms) = (ViewGate::default(), 0, None);
+        let mut waiting_ms = Vec::new();
+        for now_ms in (0..4 * spell_ms).step_by(10) {
+            if now_ms % spell_ms == 0 {
+                attested_at_ms = now_ms;
+            }
+            if search_ends_at_ms.is_some_and(|at_ms| at_ms <= now_ms) {
+                gate.record_search(now_ms);
+                search_ends_at_ms = None;
+            }
+            if gate.must_wait(attested_at_ms, leaving_ms, now_ms) {
+                search_ends_at_ms.get_or_insert(now_ms + 100);
+                waiting_ms.push(now_ms % spell_ms);
+            }
+        }
+        assert_eq!(waiting_ms.len(), 4 * 10, "{waiting_ms:?}");
+        assert!(waiting_ms.iter().all(|at_ms| (3_200..3_400).contains(at_ms)), "{waiting_ms:?}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(300) })]
 
