Digests: sums that lack the own part are not applied

An instance that was frozen for 2.5 to 10 s took what it had used itself for the use of peers: the sums of its zone keep the use of a silent member for 10 s, but no longer name it, so nothing was subtracted. Found by review; no test of its own.

--- a/crates/digest/src/own.rs
+++ b/crates/digest/src/own.rs
@@ -25,11 +25,12 @@
     }
 
     /// Takes the part of this instance out of the sums of its own zone, so that what remains is that of
-    /// the other instances. Returns false if the sums contain an unknown digest of this instance.
+    /// the other instances. Returns false if the sums contain an unknown digest of this instance, or none
+    /// although it has sent some: what it has used is in the sums for longer than its load.
     pub fn subtract_from(&self, zone: &mut ZoneDigest, instance: &str) -> bool {
         let Some((_, sequence, _)) = zone.members.iter().find(|(name, _, _)| name == instance)
         else {
-            return true;
+            return self.sent.is_empty();
         };
         let Some(own) = self.sent.iter().find(|digest| digest.sequence == *sequence) else {
             return false;
