Freshness: a list of upstreams is attested with its own age

The attestation had the age of the document's proof, so a peer with a proven document and an old list passed the list on as new. Found by review; no test of its own.

--- a/crates/relay/src/freshness.rs
+++ b/crates/relay/src/freshness.rs
@@ -72,7 +72,10 @@
         let active_document = relay.active_document.read();
         let table = active_document.table()?;
         let version = table.document().version;
-        let age_ms = active_document.staleness_bound_ms(relay.now_ms())?;
+        let now_ms = relay.now_ms();
+        // It attests the document and the list of upstreams.
+        let view_age_ms = relay.view_age_ms(now_ms)?;
+        let age_ms = active_document.staleness_bound_ms(now_ms)?.max(view_age_ms);
         let is_newer = known_version.is_none_or(|known| known < version);
         Some(FreshnessAttestation {
             nonce,
