Caps: what a review of the claims found

- Refunds created credit: units were returned to the present slot, on top of a bucket that had refilled since. refund_after_refill_adds_no_credit fails when they are counted at the present time (250 more granted from a bucket of 1,000); they are counted in the slot of the grant now.
- A decider without a document replied Unknown and each claimant used its whole replica.
It is suspected now, the next one is asked, and at last the share is used.
- A change between mesh and aggregators made each instance its own decider at once.
- A grant that came after 100 ms stayed used: the claim is returned, also before it arrives.
- A replica that has stood still took claims for proof that nobody else had decided: claims count only while reports arrive.
- A zone that is late by more than 1.2 s keeps its part of the bucket only where more is asked for than the others' part of the rate, so that small organisations are not refused beside late reports.
- After a miss another instance is asked; one miss after a suspicion renews it.

--- a/crates/caps/src/deciders.rs
+++ b/crates/caps/src/deciders.rs
@@ -16,7 +16,8 @@
 /// Claims in a row without a reply after which an instance is not asked for a while; a single datagram may be
 /// lost.
 const MAX_MISSED_REPLIES: u32 = 2;
-/// Time after the start of the process within which those that decide are heard of.
+/// Time after the start of the process, or a change of the way in which they announce themselves, within which
+/// those that decide are heard of.
 const HEARD_FIRST_WITHIN_MS: u64 = 3_000;
 /// Time for which it is not asked.
 const SUSPICION_MS: u64 = 3_000;
@@ -57,6 +58,8 @@
     /// By zone, or by instance where each speaks for itself.
     announcements: BTreeMap<String, Announcement>,
     misses: BTreeMap<String, Misses>,
+    /// Time since which announcements are expected.
+    expected_since_ms: u64,
 }
 
 impl DeciderTable {
@@ -87,10 +90,17 @@
         let misses = self.misses.entry(name.to_owned()).or_default();
         misses.in_a_row += 1;
         if misses.in_a_row >= MAX_MISSED_REPLIES {
-            *misses = Misses { in_a_row: 0, suspected_until_ms: now_ms + SUSPICION_MS };
+            misses.suspected_until_ms = now_ms + SUSPICION_MS;
         }
     }
 
+    /// Records that a decider can't decide yet.
+    pub fn record_unable(&mut self, name: &str, now_ms: u64) {
+        let suspected_until_ms = now_ms + SUSPICION_MS;
+        let in_a_row = MAX_MISSED_REPLIES;
+        self.misses.insert(name.to_owned(), Misses { in_a_row, suspected_until_ms });
+    }
+
     /// Forgets zones and instances that have been silent for long.
     pub fn expire(&mut self, now_ms: u64) {
         self.announcements
@@ -102,13 +112,14 @@
     }
 
     /// Forgets all announcements, when they are made in other groups from now on.
-    pub fn clear(&mut self) {
+    pub fn clear(&mut self, now_ms: u64) {
         self.announcements.clear();
+        self.expected_since_ms = now_ms;
     }
 
     /// Chooses who decides on the requests of an organisation. Instances that have heard the same choose the
-    /// same one. `now_ms` counts from the start of the process.
-    pub fn choose(&self, organisation: &str, own: &str, now_ms: u64) -> Decider {
+    /// same one. Those that are `asked` already are left out. `now_ms` counts from the start of the process.
+    pub fn choose(&self, organisation: &str, own: &str, asked: &[String], now_ms: u64) -> Decider {
         let is_expected = |name: &str| {
             self.misses.get(name).is_none_or(|misses| misses.suspected_until_ms <= now_ms)
         };
@@ -118,12 +129,15 @@
             .filter(|known| now_ms.saturating_sub(known.heard_at_ms) <= HEARD_WITHIN_MS)
             .flat_map(|known| &known.deciders)
             .map(|(name, address)| (name.as_str(), *address))
-            .filter(|(name, _)| is_expected(name))
+            .filter(|(name, _)| is_expected(name) && !asked.iter().any(|asked| asked == name))
             .collect();
+        let is_early = now_ms.saturating_sub(self.expected_since_ms) < HEARD_FIRST_WITHIN_MS;
+        if is_early && expected.keys().all(|name| *name == own) {
+            return Decider::Unheard;
+        }
         match choose_issuer(organisation, None, expected.keys().copied()) {
             Some(name) if name == own => Decider::Own,
             Some(name) => Decider::Other { name: name.to_owned(), address: expected[name] },
-            None if now_ms < HEARD_FIRST_WITHIN_MS => Decider::Unheard,
             None => Decider::Nobody,
         }
     }
--- a/crates/caps/src/grant_ledger.rs
+++ b/crates/caps/src/grant_ledger.rs
@@ -14,24 +14,37 @@
     pub organisation: String,
     /// Number of units.
     pub units: f64,
+    /// Time of the grant.
+    pub granted_at_ms: u64,
 }
 
 /// The grants of the last seconds by the identifiers of their claims. A claim that arrives twice is granted
 /// once, and a grant that is returned twice is returned once.
 #[derive(Clone, Debug, Default)]
 pub struct GrantLedger {
-    grants: HashMap<u64, GrantedUnits>,
+    /// `None` for a claim that was returned.
+    grants: HashMap<u64, Option<GrantedUnits>>,
     order: VecDeque<(u64, u64)>,
 }
 
 impl GrantLedger {
     /// Returns whether the claim was granted and not returned.
     pub fn is_granted(&self, claim: u64) -> bool {
-        self.grants.contains_key(&claim)
+        self.grants.get(&claim).is_some_and(Option::is_some)
+    }
+
+    /// Returns whether the claim was returned; its return may have arrived first.
+    pub fn is_returned(&self, claim: u64) -> bool {
+        self.grants.get(&claim).is_some_and(Option::is_none)
     }
 
     /// Records a grant.
-    pub fn record(&mut self, claim: u64, granted: GrantedUnits, now_ms: u64) {
+    pub fn record(&mut self, claim: u64, granted: GrantedUnits) {
+        let now_ms = granted.granted_at_ms;
+        self.insert(claim, Some(granted), now_ms);
+    }
+
+    fn insert(&mut self, claim: u64, granted: Option<GrantedUnits>, now_ms: u64) {
         self.order.push_back((now_ms, claim));
         self.grants.insert(claim, granted);
         let is_over = |granted_at_ms: u64| now_ms.saturating_sub(granted_at_ms) > RETURNABLE_MS;
@@ -43,8 +56,14 @@
         }
     }
 
-    /// Takes back a grant; `None` if it is not known.
-    pub fn take(&mut self, claim: u64) -> Option<GrantedUnits> {
-        self.grants.remove(&claim)
+    /// Takes back a grant; `None` if it is not known, or was taken back.
+    pub fn take(&mut self, claim: u64, now_ms: u64) -> Option<GrantedUnits> {
+        match self.grants.get_mut(&claim) {
+            Some(granted) => granted.take(),
+            None => {
+                self.insert(claim, None, now_ms);
+                None
+            }
+        }
     }
 }
--- a/crates/caps/src/shared_cap.rs
+++ b/crates/caps/src/shared_cap.rs
@@ -82,6 +82,8 @@
 const MIN_RETRY_AFTER_MS: u64 = 150;
 /// Fraction of a full bucket that, once used since the last broadcast, triggers an early one.
 const EARLY_BROADCAST_FRACTION: f64 = 0.03;
+/// Minimum time without a report after which a peer may be using its part of the bucket.
+const MIN_RECENT_MS: u64 = 1_200;
 /// Retry delay of a request that no other instance has decided on; another one may do so by then.
 const ALONE_RETRY_AFTER_MS: u64 = 500;
 /// Part of the demand that must arrive at peers for load shedding, as a divisor. Otherwise the level of this
@@ -151,6 +153,8 @@
     /// Time since which some instances have not reported.
     unreported_since_ms: u64,
     expired_at_ms: u64,
+    /// Time at which a report has arrived last.
+    report_arrived_at_ms: Option<u64>,
     wall_ms: u64,
     /// Units used and refused by this instance in each epoch.
     own: EpochCounter,
@@ -190,6 +194,7 @@
             instances,
             unreported_since_ms: now_ms,
             expired_at_ms: now_ms,
+            report_arrived_at_ms: None,
             wall_ms: 0,
             own: EpochCounter::default(),
             own_used: 0.0,
@@ -250,6 +255,11 @@
         let reserve = capacity * RESERVE_FRACTION * f64::from(reserved_ranks);
         let demand = self.estimate_demand(now_ms);
         let rate = self.available_rate(instances, now_ms);
+        let heard = self.heard_fraction(now_ms);
+        // Others may be asked for as much as this instance.
+        if self.level > 0.0 && demand > self.limits.per_second * heard {
+            self.level *= heard;
+        }
         self.is_shedding = self.peer_demand(now_ms) * MIN_PEER_DEMAND_DIVISOR > demand
             && self.limits.has_slow_reports(demand)
             && self.must_shed(demand, rate);
@@ -391,11 +401,12 @@
         rates.filter(move |rates| !rates.is_stale(stale_after_ms, now_ms))
     }
 
-    /// Refunds units that were acquired for a request that did not run. Peers may know of their use
+    /// Refunds units that were acquired at `acquired_at_ms` for a request that did not run. Peers may know of their use
     /// already, so counters do not fall; the units are not reported when they are used again soon.
-    pub fn refund(&mut self, units: f64, now_ms: u64) {
+    pub fn refund(&mut self, units: f64, acquired_at_ms: u64, now_ms: u64) {
         self.level = (self.level + units).min(self.limits.capacity());
-        self.window.add(-units, now_ms);
+        // Counted at the present time, they would add to a bucket that has refilled since.
+        self.window.add(-units, acquired_at_ms);
         let (refunded, valid_until_ms) = self.refunded;
         let still_valid = if now_ms < valid_until_ms { refunded } else { 0.0 };
         self.refunded = (still_valid + units, now_ms + REFUND_VALIDITY_MS);
@@ -466,6 +477,7 @@
     /// Applies a report of peers. Reports may arrive repeatedly and in any order.
     pub fn apply_report(&mut self, report: &UsageReport<'_>, now_ms: u64) {
         self.advance(now_ms);
+        self.report_arrived_at_ms = Some(now_ms);
         let zone = self.zones.entry(report.availability_zone.to_owned()).or_default();
         let source = report.peer.map(|(name, _)| name.to_owned());
         let rates = zone.rates.get(&source);
@@ -492,18 +504,26 @@
         }
         let uncounted = self.advance(now_ms);
         self.level = self.window.level(&uncounted, now_ms);
-        if self.level > 0.0 {
-            self.level *= self.heard_fraction(now_ms);
-        }
+    }
+
+    /// Whether the instances of a zone claim from this one within `within_ms`, so that what they use is known. A
+    /// replica that has heard no report either may have stood still, while another one decided.
+    fn is_claiming(&self, zone: &ZoneUsage, within_ms: u64, now_ms: u64) -> bool {
+        let is_within = |at_ms: Option<u64>, within_ms| {
+            at_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) <= within_ms)
+        };
+        is_within(zone.claimed_at_ms, within_ms)
+            && is_within(self.report_arrived_at_ms, MIN_RECENT_MS)
     }
 
     /// Fraction of the instances that are known to use no more than they have reported or claimed. The others
     /// may be using their part of what is left.
     fn heard_fraction(&self, now_ms: u64) -> f64 {
-        let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) <= self.limits.report_interval_ms;
+        let recent_ms = self.limits.report_interval_ms.max(MIN_RECENT_MS);
+        let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) <= recent_ms;
         let (mut reported, mut late) = (0, 0);
         for zone in self.zones.values() {
-            let is_claiming = zone.claimed_at_ms.is_some_and(is_recent);
+            let is_claiming = self.is_claiming(zone, recent_ms, now_ms);
             for rates in zone.rates.values() {
                 reported += rates.instances;
                 if !is_claiming && !is_recent(rates.reported_at_ms) {
@@ -526,9 +546,7 @@
         let share = self.limits.per_second / instances as f64;
         let mut uncounted = Vec::with_capacity(self.zones.len() + 1);
         for zone in self.zones.values() {
-            let is_claiming = zone
-                .claimed_at_ms
-                .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) <= stale_after_ms);
+            let is_claiming = self.is_claiming(zone, stale_after_ms, now_ms);
             for rates in zone.rates.values() {
                 let is_silent = rates.is_stale(stale_after_ms, now_ms) && !is_claiming;
                 uncounted.push(UncountedUse {
--- a/crates/caps/tests/caps.rs
+++ b/crates/caps/tests/caps.rs
@@ -203,7 +203,7 @@
 fn refund_of_request_not_run_returns_units() {
     let mut cap = SharedCap::new(LIMITS, 1, 0);
     assert!(cap.try_acquire(250.0, 0, 1, 0).is_ok());
-    cap.refund(250.0, 0);
+    cap.refund(250.0, 0, 0);
     assert!(cap.own_used().abs() < f64::EPSILON);
     assert!(cap.try_acquire(250.0, 0, 1, 0).is_ok());
 }
@@ -233,3 +233,15 @@
     assert!(granted as f64 <= allowed, "{granted} of {allowed}");
     assert!(granted as f64 >= allowed / 2.0, "{granted} of {allowed}");
 }
+
+// Load pattern: requests are granted, wait for upstreams that are gone, and return their units seconds later.
+#[test]
+fn refund_after_refill_adds_no_credit() {
+    let limits = CapLimits { allowance: 0.0, ..LIMITS };
+    let mut cap = SharedCap::new(limits, 1, 0);
+    assert!(cap.try_acquire(1_000.0, 0, 1, 2_000).is_ok());
+    assert!(cap.try_acquire(1.0, 0, 1, 7_000).is_ok());
+    cap.refund(1_000.0, 2_000, 7_000);
+    assert!(cap.try_acquire(999.0, 0, 1, 7_000).is_ok());
+    assert!(cap.try_acquire(250.0, 0, 1, 7_000).is_err(), "{}", cap.level());
+}
--- a/crates/caps/tests/deciders.rs
+++ b/crates/caps/tests/deciders.rs
@@ -25,7 +25,7 @@
 
 fn choices(table: &DeciderTable, now_ms: u64) -> Vec<Decider> {
     let names = (0..ORGANISATIONS).map(|number| format!("dealer-{number}"));
-    names.map(|name| table.choose(&name, "relay-0-0", now_ms)).collect()
+    names.map(|name| table.choose(&name, "relay-0-0", &[], now_ms)).collect()
 }
 
 fn name(decider: &Decider) -> &str {
@@ -39,8 +39,8 @@
 #[test]
 fn choose_nobody_heard_is_nobody() {
     let table = DeciderTable::default();
-    assert_eq!(table.choose("dealer", "relay-0-0", 0), Decider::Unheard);
-    assert_eq!(table.choose("dealer", "relay-0-0", 5_000), Decider::Nobody);
+    assert_eq!(table.choose("dealer", "relay-0-0", &[], 0), Decider::Unheard);
+    assert_eq!(table.choose("dealer", "relay-0-0", &[], 5_000), Decider::Nobody);
 }
 
 #[test]
@@ -94,25 +94,68 @@
     assert!(choices(&table, 1_500).iter().all(|choice| !name(choice).starts_with("relay-4-")));
 }
 
+// Load pattern: a decider that was gone for long is asked again now and then; each try delays one request.
+#[test]
+fn choose_lost_decider_is_suspected_again_by_one_miss() {
+    let mut table = table(0);
+    let lost = name(&choices(&table, 0)[0]).to_owned();
+    table.record_reply(&lost, false, 100);
+    table.record_reply(&lost, false, 200);
+    let before = table.choose("dealer-0", "relay-0-0", &[], 4_000);
+    assert_eq!(name(&before), lost);
+    table.record_reply(&lost, false, 4_000);
+    assert_ne!(name(&table.choose("dealer-0", "relay-0-0", &[], 4_000)), lost);
+}
+
+#[test]
+fn choose_asked_instance_is_left_out() {
+    let table = table(0);
+    let first = name(&choices(&table, 0)[0]).to_owned();
+    let second = table.choose("dealer-0", "relay-0-0", std::slice::from_ref(&first), 0);
+    assert_ne!(name(&second), first);
+}
+
+// Load pattern: the fleet goes over to other announcements; each instance hears its own one first.
+#[test]
+fn choose_after_clear_waits_for_others() {
+    let mut table = table(0);
+    table.clear(10_000);
+    table.record("relay-0-0", vec![("relay-0-0".to_owned(), address())], 10_000);
+    assert_eq!(table.choose("dealer", "relay-0-0", &[], 10_100), Decider::Unheard);
+    table.record("relay-0-1", vec![("relay-0-1".to_owned(), address())], 10_400);
+    assert_ne!(table.choose("dealer", "relay-0-0", &[], 10_400), Decider::Unheard);
+}
+
 #[test]
 fn ledger_takes_back_each_grant_once() {
     let mut ledger = GrantLedger::default();
-    let granted = GrantedUnits { organisation: "dealer".to_owned(), units: 3_000.0 };
-    ledger.record(7, granted.clone(), 0);
+    let first = granted(3_000.0, 0);
+    ledger.record(7, first.clone());
     assert!(ledger.is_granted(7));
-    assert_eq!(ledger.take(7), Some(granted.clone()));
-    assert_eq!(ledger.take(7), None);
-    ledger.record(8, granted.clone(), 0);
-    ledger.record(9, granted, 6_000);
-    assert_eq!(ledger.take(8), None, "too late");
+    assert_eq!(ledger.take(7, 0), Some(first.clone()));
+    assert_eq!(ledger.take(7, 0), None);
+    assert!(ledger.is_returned(7));
+    ledger.record(8, first);
+    ledger.record(9, granted(1.0, 6_000));
+    assert_eq!(ledger.take(8, 6_000), None, "too late");
+}
+
+#[test]
+fn ledger_return_before_claim_is_remembered() {
+    let mut ledger = GrantLedger::default();
+    assert_eq!(ledger.take(7, 0), None);
+    assert!(ledger.is_returned(7));
 }
 
 #[test]
 fn ledger_is_bounded() {
     let mut ledger = GrantLedger::default();
     for claim in 0..20_000 {
-        let granted = GrantedUnits { organisation: "dealer".to_owned(), units: 1.0 };
-        ledger.record(claim, granted, 0);
+        ledger.record(claim, granted(1.0, 0));
     }
     assert_eq!((0..20_000).filter(|claim| ledger.is_granted(*claim)).count(), 8_192);
 }
+
+fn granted(units: f64, granted_at_ms: u64) -> GrantedUnits {
+    GrantedUnits { organisation: "dealer".to_owned(), units, granted_at_ms }
+}
--- a/crates/caps/tests/support/mod.rs
+++ b/crates/caps/tests/support/mod.rs
@@ -186,6 +186,7 @@
     sequence: u64,
     own: OwnDigests,
     demand: f64,
+    deciders: DeciderTable,
 }
 
 struct Zone {
@@ -198,8 +199,6 @@
     others: BTreeMap<usize, (ZoneDigest, u64)>,
     /// Digests on their way to this zone: sender, time of sending and digest.
     incoming: Vec<(usize, u64, ZoneDigest)>,
-    /// What the instances of the zone know of those that decide.
-    deciders: DeciderTable,
 }
 
 fn limits(rate: f64, slack: f64) -> CapLimits {
@@ -259,6 +258,7 @@
         sequence: 0,
         own: OwnDigests::default(),
         demand: 0.0,
+        deciders: DeciderTable::default(),
     };
     let mut members: Vec<Member> =
         (0..instances).map(|number| new_member(number, 1, RATE, 0)).collect();
@@ -269,7 +269,6 @@
             sums: None,
             others: BTreeMap::new(),
             incoming: Vec::new(),
-            deciders: DeciderTable::default(),
         })
         .collect();
     let mut granted = Vec::new();
@@ -321,19 +320,20 @@
             }
         }
         for number in requests {
-            let is_granted = match choose_decider(pattern, &mut zones, number, now_ms) {
-                Some(decider) => {
-                    let cap = &mut members[decider].cap;
-                    if decider != number {
-                        cap.record_claim(&format!("zone-{}", number % pattern.zones), now_ms);
+            let is_granted =
+                match choose_decider(pattern, &mut members[number].deciders, number, now_ms) {
+                    Some(decider) => {
+                        let cap = &mut members[decider].cap;
+                        if decider != number {
+                            cap.record_claim(&format!("zone-{}", number % pattern.zones), now_ms);
+                        }
+                        cap.try_acquire(UNITS_PER_REQUEST, 1, instances, now_ms)
                     }
-                    cap.try_acquire(UNITS_PER_REQUEST, 1, instances, now_ms)
-                }
-                None => {
-                    let cap = &mut members[number].cap;
-                    cap.try_acquire_alone(UNITS_PER_REQUEST, 1, instances, now_ms)
-                }
-            };
+                    None => {
+                        let cap = &mut members[number].cap;
+                        cap.try_acquire_alone(UNITS_PER_REQUEST, 1, instances, now_ms)
+                    }
+                };
             if is_granted.is_ok() {
                 units += UNITS_PER_REQUEST;
             }
@@ -350,7 +350,7 @@
 /// Returns the instance that decides on a request to `number`; `None` if those that it asks don't reply.
 fn choose_decider(
     pattern: &Pattern,
-    zones: &mut [Zone],
+    deciders: &mut DeciderTable,
     number: usize,
     now_ms: u64,
 ) -> Option<usize> {
@@ -358,10 +358,10 @@
         return Some(number);
     }
     let zone = number % pattern.zones;
-    let deciders = &mut zones[zone].deciders;
+    let mut asked_before = Vec::new();
     for _ in 0..MAX_CLAIMS {
         let own = format!("relay-{number}");
-        let name = match deciders.choose(ORGANISATION, &own, now_ms) {
+        let name = match deciders.choose(ORGANISATION, &own, &asked_before, now_ms) {
             Decider::Other { name, .. } => name,
             Decider::Own | Decider::Nobody => return Some(number),
             Decider::Unheard => return None,
@@ -375,6 +375,7 @@
         if has_replied {
             return Some(asked);
         }
+        asked_before.push(name);
     }
     None
 }
@@ -385,8 +386,6 @@
             .incoming
             .extract_if(.., |(_, sent_at_ms, _)| *sent_at_ms + pattern.digest_delay_ms <= now_ms);
         for (from, sent_at_ms, digest) in arrived {
-            let source = digest.availability_zone.clone();
-            zone.deciders.record(&source, digest.deciders.clone(), sent_at_ms);
             zone.others.insert(from, (digest, sent_at_ms));
         }
     }
@@ -402,7 +401,10 @@
         zone.aggregator.record(digest, now_ms);
         let sums = sums_of(zone, zone_number, now_ms);
         let mut own_zone = sums.0.clone();
-        zone.deciders.record(&own_zone.availability_zone, own_zone.deciders.clone(), sums.1);
+        for (digest, at_ms) in zone.others.values().chain(std::iter::once(&sums)) {
+            let source = &digest.availability_zone;
+            member.deciders.record(source, digest.deciders.clone(), *at_ms);
+        }
         if member.own.subtract_from(&mut own_zone, &format!("relay-{number}")) {
             apply(&mut member.cap, &own_zone, sums.1, now_ms);
         }
--- a/crates/relay/src/cap_claims.rs
+++ b/crates/relay/src/cap_claims.rs
@@ -65,13 +65,19 @@
 pub struct CapGrant {
     organisation: String,
     units: f64,
+    granted_at_ms: u64,
     /// The claim and the instance that has granted it; `None` if it was this one.
     remote: Option<(u64, SocketAddr)>,
 }
 
 impl CapGrant {
-    fn new(request: &CapRequest<'_>, remote: Option<(u64, SocketAddr)>) -> Self {
-        Self { organisation: request.organisation.to_owned(), units: request.units, remote }
+    fn new(
+        request: &CapRequest<'_>,
+        granted_at_ms: u64,
+        remote: Option<(u64, SocketAddr)>,
+    ) -> Self {
+        let organisation = request.organisation.to_owned();
+        Self { organisation, units: request.units, granted_at_ms, remote }
     }
 }
 
@@ -115,10 +121,12 @@
         cap: &UsageCap,
     ) -> Result<CapGrant, u64> {
         let (mut outcome, mut decision) = ("unanswered", CapDecision::Alone);
-        for _ in 0..MAX_CLAIMS {
+        let mut asked = Vec::new();
+        while asked.len() < MAX_CLAIMS {
             let own = self.settings.instance.as_str();
             let now_ms = self.now_ms();
-            let decider = self.cap_deciders.lock().choose(request.organisation, own, now_ms);
+            let decider =
+                self.cap_deciders.lock().choose(request.organisation, own, &asked, now_ms);
             let (name, address) = match decider {
                 Decider::Own => {
                     (outcome, decision) = ("own", CapDecision::ForAll);
@@ -135,24 +143,25 @@
                 Decider::Other { name, address } => (name, address),
             };
             let nonce = rand::random();
-            match self.claim_units(nonce, name, address, request).await {
+            match self.claim_units(nonce, name.clone(), address, request).await {
                 Some(UnitReply::Granted) => {
                     count_claim("granted");
-                    return Ok(CapGrant::new(request, Some((nonce, address))));
+                    return Ok(CapGrant::new(request, now_ms, Some((nonce, address))));
                 }
                 Some(UnitReply::Refused { available_in_ms }) => {
                     count_claim("refused");
                     return Err(available_in_ms);
                 }
                 Some(UnitReply::Unknown) => {
-                    (outcome, decision) = ("unknown", CapDecision::Replica);
-                    break;
+                    self.cap_deciders.lock().record_unable(&name, self.now_ms());
                 }
                 None => {}
             }
+            asked.push(name);
         }
         count_claim(outcome);
-        self.acquire_cap(request, cap, decision).map(|()| CapGrant::new(request, None))
+        let now_ms = self.now_ms();
+        self.acquire_cap(request, cap, decision).map(|()| CapGrant::new(request, now_ms, None))
     }
 
     async fn claim_units(
@@ -178,7 +187,7 @@
     /// Returns units of a request that did not run. If the message is lost, they stay used.
     pub fn return_cap(&self, grant: CapGrant) {
         match grant.remote {
-            None => self.refund_cap(&grant.organisation, grant.units),
+            None => self.refund_cap(&grant.organisation, grant.units, grant.granted_at_ms),
             Some((nonce, address)) => {
                 let message = CapMessage::Return { nonce, address };
                 let is_sent =
@@ -201,8 +210,15 @@
 
     /// Decides on the claim of another instance.
     pub fn handle_unit_claim(&self, nonce: u64, claim: &UnitClaim) -> UnitReply {
-        if self.cap_grants.lock().is_granted(nonce) {
-            return UnitReply::Granted;
+        {
+            let grants = self.cap_grants.lock();
+            if grants.is_granted(nonce) {
+                return UnitReply::Granted;
+            }
+            // The claim is late: its sender has decided otherwise.
+            if grants.is_returned(nonce) {
+                return UnitReply::Unknown;
+            }
         }
         let Some(table) = self.route_table() else { return UnitReply::Unknown };
         let mut organisations = table.document().organisations.iter().flatten();
@@ -224,8 +240,9 @@
             Err(available_in_ms) => UnitReply::Refused { available_in_ms },
             Ok(()) => {
                 let organisation = claim.organisation.clone();
-                let granted = GrantedUnits { organisation, units: claim.units };
-                self.cap_grants.lock().record(nonce, granted, self.now_ms());
+                let granted_at_ms = self.now_ms();
+                let granted = GrantedUnits { organisation, units: claim.units, granted_at_ms };
+                self.cap_grants.lock().record(nonce, granted);
                 UnitReply::Granted
             }
         }
@@ -233,9 +250,9 @@
 
     /// Takes back a grant to another instance that was not used.
     pub fn take_back_units(&self, nonce: u64) {
-        let granted = self.cap_grants.lock().take(nonce);
+        let granted = self.cap_grants.lock().take(nonce, self.now_ms());
         if let Some(granted) = granted {
-            self.refund_cap(&granted.organisation, granted.units);
+            self.refund_cap(&granted.organisation, granted.units, granted.granted_at_ms);
         }
     }
 }
@@ -278,10 +295,12 @@
         let received = self.request(address, &message, nonce, CLAIM_TIMEOUT).await;
         let now_ms = self.relay.now_ms();
         self.relay.cap_deciders.lock().record_reply(&decider, received.is_some(), now_ms);
-        if let Some(Message::GrantUnits { reply: received, .. }) = received
-            && reply.send(received).is_err()
-        {
-            // The caller has left meanwhile.
+        let is_used = match received {
+            Some(Message::GrantUnits { reply: received, .. }) => reply.send(received).is_ok(),
+            _ => false,
+        };
+        // Nobody waits for the units, also if they are granted later.
+        if !is_used {
             self.send_all(&Message::ReturnUnits { nonce }, &[address]).await;
         }
     }
--- a/crates/relay/src/state/limits.rs
+++ b/crates/relay/src/state/limits.rs
@@ -131,10 +131,10 @@
     }
 
     /// Returns units of a request that did not run.
-    pub fn refund_cap(&self, organisation: &str, units: f64) {
+    pub fn refund_cap(&self, organisation: &str, units: f64, granted_at_ms: u64) {
         let now_ms = self.now_ms();
         if let Some(shared) = self.caps.lock().get_mut(organisation) {
-            shared.refund(units, now_ms);
+            shared.refund(units, granted_at_ms, now_ms);
         }
     }
 
@@ -170,7 +170,7 @@
         for shared in self.caps.lock().values_mut() {
             shared.clear_rates();
         }
-        self.cap_deciders.lock().clear();
+        self.cap_deciders.lock().clear(self.now_ms());
         for (_, placement_table) in self.placement_tables() {
             placement_table.lock().clear_peers();
         }
