Readers are ranked apart from aggregators

Both roles fell to the same two instances of a zone, as they were ranked alike: a reply to a follower waits behind sums of tens of kilobytes to each member, and a member that misses replies suspects its reader, too, which changes the readers. select_readers_are_rarely_aggregators fails before: 200 of 200 were. Followers of earlier builds ask instances that no longer read at first; those then read for two seconds.

--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -5,7 +5,9 @@
 //! readers in each availability zone watch the store; the others follow a reader, and read the store
 //! themselves only while no reader's word is fresh enough.
 
-use hickorycourse_digest::rank_aggregators;
+use std::cmp::Reverse;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Largest number of instances of an availability zone that read the store; the second one covers the
 /// loss of the first.
@@ -13,6 +15,9 @@
 /// Instances of an availability zone up to which one reader is enough: when it is lost, they read the
 /// store themselves until there is another, which are few calls.
 const ONE_READER_MAX_INSTANCES: usize = 5;
+/// Seed of the ranking. Aggregators are ranked otherwise: their replies can fill their links, and what waits behind
+/// them is late.
+const RANKING_SEED: u64 = 1;
 /// Interval between two queries of a follower, in percent of the shortest bound within which changes
 /// must be applied.
 const QUERY_INTERVAL_PERCENT: u64 = 10;
@@ -34,7 +39,10 @@
 /// Selects the readers among the instances of one availability zone. The loss of an instance changes the
 /// selection only if it was selected.
 pub fn select_readers<'a>(instances: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
-    let mut ranked = rank_aggregators(instances);
+    let mut ranked: Vec<&str> = instances.collect();
+    let rank = |name: &str| Reverse(xxh3_64_with_seed(name.as_bytes(), RANKING_SEED));
+    ranked.sort_unstable_by_key(|name| (rank(name), *name));
+    ranked.dedup();
     ranked.truncate(match ranked.len() <= ONE_READER_MAX_INSTANCES {
         true => 1,
         false => MAX_READERS_PER_ZONE,
--- a/crates/relay/tests/readers.rs
+++ b/crates/relay/tests/readers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use hickorycourse_digest::{AGGREGATORS_PER_ZONE, rank_aggregators};
 use hickorycourse_relay::{
     Bounds, FollowTimings, LastHeard, MAX_READERS_PER_ZONE, StoreChange, ViewChanges, ViewCursor,
     ViewGate, ViewLog, ViewQuery, ViewReply, join_pieces, select_readers,
@@ -33,6 +34,20 @@
     }
 }
 
+// Load pattern: an aggregator of a large zone sends so much that its replies are late. Whoever follows the store through it
+// would hear of departures late, too.
+#[test]
+fn select_readers_are_rarely_aggregators() {
+    let zones = (0..100).map(|zone| {
+        let names: Vec<String> = (0..50).map(|number| format!("relay-{zone}-{number}")).collect();
+        let readers = select_readers(names.iter().map(String::as_str));
+        let aggregators = rank_aggregators(names.iter().map(String::as_str));
+        readers.iter().filter(|name| aggregators[..AGGREGATORS_PER_ZONE].contains(name)).count()
+    });
+    let both: usize = zones.sum();
+    assert!(both <= 20, "{both} of 200 readers are aggregators");
+}
+
 #[test]
 fn select_readers_loss_of_other_instance_changes_nothing() {
     let names = names(50);
