--- a/crates/entry/src/caller/connections.rs
+++ b/crates/entry/src/caller/connections.rs
@@ -34,7 +34,7 @@
 }
 
 /// Waits until callers have no open connection, at most for `limit`. A server that closes an idle
-/// connection can't know whether a request is already on its way on it.
+/// connection can't know whether a request is already in flight on it.
 pub async fn wait_until_closed(entry: &Entry, limit: Duration) {
     let limit_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
     let started_at_ms = entry.clock.now_ms();
--- a/crates/model/src/crashes/exchange.rs
+++ b/crates/model/src/crashes/exchange.rs
@@ -17,7 +17,7 @@
 /// Time after which the digest of another zone is no longer forwarded.
 const MAX_ZONE_AGE_MS: u64 = 10_000;
 
-/// A digest on its way.
+/// A digest in flight.
 pub struct Delivery {
     from: usize,
     to: usize,
--- a/crates/model/src/partitions.rs
+++ b/crates/model/src/partitions.rs
@@ -82,7 +82,7 @@
     pub mean_carried: f64,
     /// Requests a second that the busiest peer carried.
     pub most_carried: f64,
-    /// Share of the asked peers that refused for want of room.
+    /// Share of the queried peers that refused as they were full.
     pub busy_share: f64,
     /// Time from the begin of the cut until half of the instances knew of it.
     pub p50_detected_ms: u64,
--- a/crates/model/src/partitions/simulation.rs
+++ b/crates/model/src/partitions/simulation.rs
@@ -29,7 +29,7 @@
 /// Random peers that are drawn before all are looked through.
 const MAX_DRAWS: usize = 32;
 
-/// A request on its way.
+/// A request in flight.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Request {
     instance: usize,
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -73,7 +73,7 @@
         }
     }
 
-    /// Records that an attempt, begun at `started_at_ms`, has waited in vain for longer than expected,
+    /// Records that an attempt, begun at `started_at_ms`, has timed out,
     /// whether or not it is given up.
     pub fn record_silence(&mut self, started_at_ms: u64, now_ms: u64) {
         if self.silence.record(started_at_ms, now_ms) {
--- a/crates/placement/src/silence.rs
+++ b/crates/placement/src/silence.rs
@@ -23,7 +23,7 @@
 }
 
 impl Silence {
-    /// Records that an attempt, begun at `started_at_ms`, has waited in vain for longer than expected.
+    /// Records that an attempt, begun at `started_at_ms`, has timed out.
     /// Returns whether that is new evidence: the first of a silence, or that of a probe.
     pub fn record(&mut self, started_at_ms: u64, now_ms: u64) -> bool {
         let is_probe =
--- a/crates/placement/src/slot_use.rs
+++ b/crates/placement/src/slot_use.rs
@@ -9,7 +9,7 @@
 /// Span in which the requests that were turned away are counted: a second, and differences of the time that
 /// responses take.
 const REJECTION_WINDOW_MS: u64 = 1_250;
-/// Time for which an upstream that has turned a request away is taken for full, unless it reports otherwise;
+/// Time for which an upstream that has turned a request away is considered full, unless it reports otherwise;
 /// doubles with each further one.
 const FULL_MS: u64 = 200;
 /// Time for which an upstream may still be at work on a request that was given up.
@@ -169,7 +169,7 @@
         self.turned_away_at_ms.iter().filter(is_recent).count() as u64
     }
 
-    /// Time since which the upstream is taken for full, unless a later load report says otherwise.
+    /// Time since which the upstream is considered full, unless a later load report says otherwise.
     pub(crate) fn full_since_ms(&self, now_ms: u64) -> Option<u64> {
         let doublings = self.count_turned_away(now_ms).saturating_sub(1).min(3);
         let latest = self.turned_away_at_ms.last().copied();
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -465,7 +465,7 @@
         upstream.end_request(placement, has_first_byte, outcome, now_ms);
     }
 
-    /// Records that an attempt waits in vain for longer than expected. It may still go on.
+    /// Records that an attempt has timed out. It may still go on.
     pub fn record_silence(&mut self, placement: &Placement, now_ms: u64) {
         if let Some(upstream) = self.upstreams.get_mut(&placement.upstream) {
             upstream.health.record_silence(placement.placed_at_ms, now_ms);
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -18,7 +18,7 @@
 const PREFIX_INDEX_CAPACITY: usize = 4_096;
 /// Age at which a load report, of the upstream itself or of a peer instance, is stale.
 const REPORT_STALE_AFTER_MS: u64 = 1_500;
-/// Age up to which the upstream's own report tells the free slots.
+/// Age up to which the upstream's own report advertises the free slots.
 const MAX_SLOT_REPORT_AGE_MS: u64 = 300;
 
 /// Requests whose first byte is still outstanding.
--- a/crates/reach/src/link_table.rs
+++ b/crates/reach/src/link_table.rs
@@ -346,7 +346,7 @@
         }
     }
 
-    /// Records that a direct dial has succeeded. While dials of its scopes fail, that says nothing of any link:
+    /// Records that a direct dial has succeeded. While dials of its scopes fail, no link is known to work by it:
     /// it may accept connections and reset them.
     pub fn record_dial_success(&mut self, upstream: &UpstreamView<'_>, now_ms: u64) {
         let mut has_failed = false;
@@ -384,7 +384,7 @@
     }
 
     /// Records that a response has begun on a direct connection that was dialled at `dialled_at_ms`, or that a
-    /// probe's connection has stayed open for [`HOLD_MS`]. One from before a cut says nothing of new
+    /// probe's connection has stayed open for [`HOLD_MS`]. One from before a cut does not imply anything for new
     /// connections.
     pub fn record_response(
         &mut self,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -162,7 +162,7 @@
         if self.first_byte_at_ms.is_none() {
             let now_ms = self.relay.now_ms();
             self.first_byte_at_ms = Some(now_ms);
-            // What a silence lasts says nothing of how long a queue or a prefill takes.
+            // The length of a silence is not the length of a queue or a prefill.
             let measured_at_ms = self.waited_until_ms.unwrap_or(now_ms);
             self.placement_table.lock().record_first_byte(&self.placement, measured_at_ms);
         }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -152,7 +152,7 @@
         self.relay.record_stream_origin(self.stream_key, &origin);
     }
 
-    /// Ends an attempt whose connection broke. The end of a peer that carried it says nothing of the upstream.
+    /// Ends an attempt whose connection broke. The end of a carrying peer is not that of the upstream.
     pub fn record_broken(&self, attempt: Attempt, connection: &UpstreamConnection) {
         if connection.carrier().is_some_and(Carrier::is_broken) {
             attempt.end(AttemptOutcome::Cancelled);
--- a/crates/relay/src/late_replies.rs
+++ b/crates/relay/src/late_replies.rs
@@ -42,7 +42,7 @@
     }
 
     /// Adds a part. When the reply is complete, returns the name of the aggregator and the digests. The
-    /// reply may have been on its way since the report was sent, which is added to the ages.
+    /// reply may have been in flight since the report was sent, which is added to the ages.
     pub fn add(
         &mut self,
         nonce: u64,
