--- a/crates/caps/tests/deciding_instance.rs
+++ b/crates/caps/tests/deciding_instance.rs
@@ -62,7 +62,7 @@
     let is_frozen = |number: usize, now_ms: u64| {
         number.is_multiple_of(2) && now_ms >= 6_000 && now_ms % 6_000 < 2_000
     };
-    assert_kept(|_| Pattern { is_frozen, ..flood() }, 0.8);
+    assert_kept(|_| Pattern { is_frozen, ..flood() }, 0.9);
 }
 
 // Load pattern: a zone is cut off; its instances decide with its share of the rate.
@@ -140,3 +140,14 @@
     let most = play_history(History { demand, troubles }, 2);
     assert!(most <= 1.0, "{most}");
 }
+
+// Load pattern: found by the random histories with another seed. Every other zone is cut off from all others while demand
+// grows to thirty times the rate.
+#[test]
+fn cut_of_half_of_the_zones_in_flood_stays_within_cap() {
+    let mut demand = vec![0.0; 20];
+    demand[4..13].copy_from_slice(&[1.427, 0.3, 0.315, 1.015, 0.3, 4.444, 30.0, 3.658, 2.0]);
+    let troubles = vec![(Trouble::Cut, 8_901, 2_400, 2, 1)];
+    let most = play_history(History { demand, troubles }, 2);
+    assert!(most <= 1.0, "{most}");
+}
