Review: streams can't be taken up again after two kills within their life

What began a stream is told once to instances that keep it in memory. When those are killed and restarted, and the instance that serves the stream is killed 4.5 s later, each consumer that takes its stream up again is refused, while new streams begin.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -312,9 +312,9 @@
 class Engine:
     """An engine that answers after `work_ms`, and registers itself in the store."""
 
-    def __init__(self, record, store, name, service, zone, work_ms=10):
+    def __init__(self, record, store, name, service, zone, work_ms=10, version="v1"):
         self.record, self.store, self.name, self.service, self.zone = record, store, name, service, zone
-        self.work_ms = work_ms
+        self.work_ms, self.version = work_ms, version
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.runs = []  # (time, attempt id, headers)
@@ -338,7 +338,7 @@
     def register(self):
         self.sequence += 1
         self.store.put(f"servers/{self.name}", {
-            "backend": self.service, "address": self.address, "zone": self.zone, "version": "v1",
+            "backend": self.service, "address": self.address, "zone": self.zone, "version": self.version,
             "batchSlots": 64, "phase": self.phase, "warmupLeftMs": 0, "seq": self.sequence, "born": self.born,
         })
 
@@ -372,6 +372,42 @@
         handler.answer(200, base + seal, answer)
 
 
+class StreamEngine(Engine):
+    """An engine whose answers are streams of `events` events, one each `pause_ms`; goes on after Last-Event-Id."""
+
+    def __init__(self, *arguments, events=100, pause_ms=100, **options):
+        self.events, self.pause_ms = events, pause_ms
+        super().__init__(*arguments, **options)
+
+    def run(self, handler, attempt, base, body):
+        last = int(handler.headers.get("Last-Event-Id", 0))
+        with self.lock:
+            self.active += 1
+            self.runs.append((time.monotonic(), attempt,
+                              {name.lower(): value for name, value in handler.headers.items()}))
+        self.record.write(f"{self.name}: runs {attempt} {handler.command} {handler.path} after event {last}")
+        try:
+            handler.send_response(200)
+            for name, value in base + [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"),
+                                       ("X-Response-Seal", f"seal-{attempt}"),
+                                       ("X-Server-Load", f"{self.active},0,64")]:
+                handler.send_header(name, value)
+            handler.end_headers()
+            for event in range(last + 1, self.events + 1):
+                time.sleep(self.pause_ms / 1000)
+                text = f"id: {event}\ndata: {self.name} piece {event}\n\n".encode()
+                handler.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
+                handler.wfile.flush()
+            handler.wfile.write(b"0\r\n\r\n")
+            handler.wfile.flush()
+        except OSError:
+            handler.close_connection = True
+            self.record.write(f"{self.name}: the connection of {attempt} has ended")
+        finally:
+            with self.lock:
+                self.active -= 1
+
+
 def render(template, fields):
     """Fills in a template of settings as DEPLOY.md tells."""
     def find(name, scopes):
@@ -542,6 +578,49 @@
         connection.close()
 
 
+class Stream:
+    """A consumer's stream: reads events until the last chunk, or until the connection breaks."""
+
+    def __init__(self, address, path, attempt, key, deadline_ms, resumes=None, last=0):
+        self.attempt, self.last, self.resumes = attempt, last, resumes
+        self.status, self.headers, self.is_complete, self.events, self.failure = 0, {}, False, [], ""
+        host, port = address.split(":")
+        lines = [f"POST {path} HTTP/1.1", "Host: desk.example", f"X-Attempt-Id: {attempt}",
+                 f"X-Deadline-Ms: {deadline_ms}", f"Authorization: Bearer {key}", "Content-Length: 2"]
+        if resumes:
+            lines += [f"Last-Event-Id: {last}", f"Resumes: {resumes}"]
+        try:
+            with socket.create_connection((host, int(port)), timeout=deadline_ms / 1000) as connection:
+                connection.sendall("\r\n".join(lines).encode() + b"\r\n\r\n{}")
+                with connection.makefile("rb") as reader:
+                    self.read(reader)
+        except (OSError, ValueError) as error:
+            self.failure = repr(error)
+
+    def read(self, reader):
+        self.status = int(reader.readline().split()[1])
+        while (line := reader.readline().strip()):
+            name, _, value = line.decode().partition(":")
+            self.headers[name.lower()] = value.strip()
+        if self.status != 200:
+            self.failure = reader.read(int(self.headers.get("content-length", 0))).decode()
+            return
+        buffer = b""
+        while True:
+            size = int(reader.readline(), 16)
+            part = reader.read(size)
+            if len(part) < size or reader.readline() != b"\r\n":
+                raise ValueError("the connection ended within a chunk")
+            buffer += part
+            while b"\n\n" in buffer:
+                event, buffer = buffer.split(b"\n\n", 1)
+                self.events.append(event.decode())
+                self.last = int(re.search(rb"id: (\d+)", event)[1])
+            if size == 0:
+                self.is_complete = not buffer
+                return
+
+
 def main(case):
     """Runs a case; exit status 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     site = None
