--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -33,6 +33,8 @@
     "usageDelayS": 10, "recoveryS": 12, "eventDelayMs": 120, "reuseWindowS": 10,
 }
 HEARTBEAT_S = 1.2
+# Ports that this process has given to a relay.
+TAKEN_PORTS = set()
 # The names of the duties `metering` and `autoscale` after deploy/wire.toml.
 DUTIES = ["usage", "capacity"]
 
@@ -63,14 +65,16 @@
     ports = []
     while len(ports) < count:
         port = random.randrange(12000, 30000)
+        if port in TAKEN_PORTS:
+            continue
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
             try:
                 tcp.bind((HOST, port))
                 udp.bind((HOST, port))
             except OSError:
                 continue
-        if port not in ports:
-            ports.append(port)
+        TAKEN_PORTS.add(port)
+        ports.append(port)
     return ports
 
 
@@ -483,12 +487,14 @@
         return self
 
     def is_ready(self):
+        connection = http.client.HTTPConnection(self.ready, timeout=1)
         try:
-            connection = http.client.HTTPConnection(self.ready, timeout=1)
             connection.request("GET", "/readyz")
             return connection.getresponse().status == 200
-        except OSError:
+        except (OSError, http.client.HTTPException):
             return False
+        finally:
+            connection.close()
 
     def signal(self, number):
         self.site.record.write(f"{self.name}: signal {signal.Signals(number).name}")
