Review: streams go on at another software version after an engine's new start

Streams that begin at an engine which has just started again under its id with another version are taken for streams of the earlier version, as its entry becomes known up to half a second later; when the engine crashes again, they are resumed at that earlier version.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -383,6 +383,9 @@
         self.events, self.pause_ms = events, pause_ms
         super().__init__(*arguments, **options)
 
+    def event_text(self, event):
+        return f"id: {event}\ndata: {self.name} piece {event}\n\n"
+
     def run(self, handler, attempt, base, body):
         last = int(handler.headers.get("Last-Event-Id", 0))
         with self.lock:
@@ -399,7 +402,7 @@
             handler.end_headers()
             for event in range(last + 1, self.events + 1):
                 time.sleep(self.pause_ms / 1000)
-                text = f"id: {event}\ndata: {self.name} piece {event}\n\n".encode()
+                text = self.event_text(event).encode()
                 handler.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
                 handler.wfile.flush()
             handler.wfile.write(b"0\r\n\r\n")
