--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -18,6 +18,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -632,6 +633,11 @@
 
 def main(case):
     """Runs a case; exit status 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
+    def stop(*_):
+        raise CannotRun("it was stopped, or took too long")
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     site = None
     try:
         folder = os.environ["CASE_FOLDER"]
@@ -640,6 +646,9 @@
     except CannotRun as error:
         print(f"could not run: {error}")
         return 2
+    except Exception:
+        traceback.print_exc()
+        return 2
     finally:
         if site:
             site.close()
