Origins: instances that start know what began a stream

Cause: what began a stream is told once, when it begins, and is kept in the memory of at most five processes. The exception for a service with one version did not hold either at a process that had run for less than the route's timeout. Ordinary restarts, one after the other, are enough.

Change: the fleet's first responsive instance keeps a record in the platform's store of the versions that are listed, and since when this is complete; it is written when a version appears or goes, and each 20 s. An instance that starts merges it once, so a sole version is believed at once. While a service has several versions, each instance writes the origins of its own streams in batches (segments under a lease). An instance that finds no origin at itself, its peers or in the versions lists the segments, one listing for all that wait, and holds the request meanwhile; without the store, for 2 s at most. A version is never guessed.

--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -5,16 +5,24 @@
 //! [`choose_holders`] from the stream's [`StreamKey`]. An instance that is to resume a stream asks the same
 //! ones. An origin that none of them knows is unknown, and such a stream is not resumed, unless
 //! [`ListedVersions`] shows that only one version can have begun it.
+//!
+//! What instances remember ends with them. While a service has several versions, each instance therefore
+//! writes the origins in its [`OriginJournal`] to the platform's store, and one writes the [`VersionRecord`] of
+//! what has been listed, from which instances that start know the same.
 
 mod holders;
+mod journal;
+mod records;
 mod table;
 mod versions;
 
 /// Types that most users of this crate need.
 pub mod prelude {
-    pub use crate::{ListedVersions, OriginTable, StreamKey, StreamOrigin};
+    pub use crate::{ListedVersions, OriginJournal, OriginTable, StreamKey, StreamOrigin};
 }
 
 pub use holders::choose_holders;
+pub use journal::{OriginJournal, SegmentWrite, write_interval_ms};
+pub use records::{OriginSegment, ServiceVersion, VersionRecord};
 pub use table::{OriginTable, StreamKey, StreamOrigin};
 pub use versions::ListedVersions;
--- /dev/null
+++ b/crates/origins/src/records.rs
@@ -0,0 +1,62 @@
+//! What instances write to the platform's store for those that start.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{StreamKey, StreamOrigin};
+
+/// Interval at which a [`VersionRecord`] is written again although nothing has changed.
+const VERSION_REFRESH_MS: u64 = 20_000;
+
+/// A version of a service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceVersion {
+    /// The version; `None` if it is not known.
+    #[serde(rename = "v")]
+    pub version: Option<String>,
+    /// Time since it was last listed, when the record was written; `None` if it was listed then.
+    #[serde(rename = "g")]
+    pub gone_for_ms: Option<u64>,
+}
+
+/// Versions of services that were listed lately, and for how long this is known.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VersionRecord {
+    /// Wall-clock time of the write.
+    pub written_at_wall_ms: u64,
+    /// Era of the store in which it was written.
+    pub store_era: u64,
+    /// Time up to the write of which all versions are known.
+    pub complete_for_ms: u64,
+    /// Versions by service.
+    pub services: BTreeMap<String, Vec<ServiceVersion>>,
+}
+
+impl VersionRecord {
+    /// Returns whether `newer` has to be written in the place of this record.
+    pub fn is_outdated_by(&self, newer: &Self) -> bool {
+        let age_ms = newer.written_at_wall_ms.abs_diff(self.written_at_wall_ms);
+        let listed = |record: &Self| -> Vec<(String, Option<String>)> {
+            let versions = record.services.iter().flat_map(|(service, versions)| {
+                let listed = versions.iter().filter(|seen| seen.gone_for_ms.is_none());
+                listed.map(|seen| (service.clone(), seen.version.clone()))
+            });
+            versions.collect()
+        };
+        age_ms >= VERSION_REFRESH_MS
+            || self.store_era != newer.store_era
+            || listed(self) != listed(newer)
+    }
+}
+
+/// Origins of streams that an instance has begun.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OriginSegment(pub Vec<(StreamOrigin, Vec<StreamKey>)>);
+
+impl OriginSegment {
+    /// Returns the origin of each stream.
+    pub fn origins(&self) -> impl Iterator<Item = (StreamKey, &StreamOrigin)> {
+        self.0.iter().flat_map(|(origin, keys)| keys.iter().map(move |key| (*key, origin)))
+    }
+}
--- a/crates/origins/src/table.rs
+++ b/crates/origins/src/table.rs
@@ -92,6 +92,16 @@
         }
     }
 
+    /// Records an origin that the store holds. Unlike [`record`](Self::record), it doesn't renew one that is
+    /// known, as the store is read again and again.
+    pub fn learn(&mut self, key: StreamKey, origin: &StreamOrigin, now_ms: u64) {
+        match self.entries.get_mut(&key) {
+            Some(entry) if entry.origin.as_ref() == Some(origin) => {}
+            Some(entry) => entry.origin = None,
+            None => self.record(key, origin.clone(), now_ms),
+        }
+    }
+
     /// Returns the origin of a stream; `None` if it is not known.
     pub fn find(&self, key: StreamKey, now_ms: u64) -> Option<&StreamOrigin> {
         let entry = self.entries.get(&key)?;
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -2,13 +2,24 @@
 
 use std::collections::BTreeMap;
 
+use crate::{ServiceVersion, VersionRecord};
+
 /// Time after which a version that is no longer listed is forgotten; longer than any stream lasts.
-const RETENTION_MS: u64 = 300_000;
+const RETENTION_MS: i64 = 300_000;
+/// Age up to which a record is merged. Whoever lived longer than its interval of writing would have written a
+/// newer one.
+const MAX_RECORD_AGE_MS: u64 = 60_000;
+/// Allowance for the clocks of two instances, by which what a record says is taken to be more recent.
+const CLOCK_ALLOWANCE_MS: i64 = 10_000;
 
-/// When each version of each service was last listed.
+/// When each version of each service was last listed. Times are relative to the start of the process, so those
+/// of a record can be negative.
 #[derive(Clone, Debug, Default)]
 pub struct ListedVersions {
-    services: BTreeMap<String, BTreeMap<Option<String>, u64>>,
+    /// Time since which nothing that was listed is missing here.
+    complete_since_ms: i64,
+    services: BTreeMap<String, BTreeMap<Option<String>, i64>>,
+    has_merged: bool,
 }
 
 impl ListedVersions {
@@ -18,21 +29,24 @@
             self.services.insert(service.to_owned(), BTreeMap::new());
         }
         if let Some(versions) = self.services.get_mut(service) {
-            versions.insert(version.map(str::to_owned), now_ms);
+            versions.insert(version.map(str::to_owned), now_ms as i64);
         }
     }
 
     /// Forgets versions that have not been listed for long.
     pub fn expire(&mut self, now_ms: u64) {
         for versions in self.services.values_mut() {
-            versions.retain(|_, listed_at_ms| now_ms.saturating_sub(*listed_at_ms) < RETENTION_MS);
+            versions.retain(|_, listed_at_ms| now_ms as i64 - *listed_at_ms < RETENTION_MS);
         }
         self.services.retain(|_, versions| !versions.is_empty());
     }
 
     /// Returns the version of a service that alone has been listed since `since_ms`; `None` if there were
-    /// several, or one that is not known.
-    pub fn sole_since(&self, service: &str, since_ms: u64) -> Option<&str> {
+    /// several, or one that is not known, or if what was listed is not known for as long.
+    pub fn sole_since(&self, service: &str, since_ms: i64) -> Option<&str> {
+        if since_ms < self.complete_since_ms {
+            return None;
+        }
         let versions = self.services.get(service)?;
         let mut listed = versions.iter().filter(|(_, listed_at_ms)| **listed_at_ms >= since_ms);
         match (listed.next(), listed.next()) {
@@ -40,4 +54,69 @@
             _ => None,
         }
     }
+
+    /// Returns whether several versions of a service, or one that is not known, have been listed since
+    /// `since_ms`.
+    pub fn is_mixed_since(&self, service: &str, since_ms: i64) -> bool {
+        let versions = self.services.get(service).into_iter().flatten();
+        let mut listed = versions.filter(|(_, listed_at_ms)| **listed_at_ms >= since_ms);
+        listed.next().is_some_and(|(version, _)| version.is_none() || listed.next().is_some())
+    }
+
+    /// Records that no instance has begun streams before `now_ms`, so that nothing is missing here.
+    pub fn record_first_start(&mut self, now_ms: u64) {
+        self.complete_since_ms = self.complete_since_ms.min(now_ms as i64 - RETENTION_MS);
+    }
+
+    /// Returns the record for instances that start. Those listed at `now_ms` are taken to be listed still.
+    pub fn make_record(&self, wall_ms: u64, store_era: u64, now_ms: u64) -> VersionRecord {
+        let now_ms = now_ms as i64;
+        let elapsed_ms = |at_ms: i64| now_ms.saturating_sub(at_ms).max(0) as u64;
+        let make_version = |(version, listed_at_ms): (&Option<String>, &i64)| ServiceVersion {
+            version: version.clone(),
+            gone_for_ms: (*listed_at_ms < now_ms).then(|| elapsed_ms(*listed_at_ms)),
+        };
+        let services = self.services.iter().map(|(service, versions)| {
+            (service.clone(), versions.iter().map(make_version).collect())
+        });
+        VersionRecord {
+            written_at_wall_ms: wall_ms,
+            store_era,
+            complete_for_ms: elapsed_ms(self.complete_since_ms),
+            services: services.collect(),
+        }
+    }
+
+    /// Merges the record that is found at the start of the process; later ones say nothing new. Returns whether
+    /// it was used: not if it is too old, or written before the store came back from a copy.
+    pub fn merge(
+        &mut self,
+        record: &VersionRecord,
+        wall_ms: u64,
+        store_era: u64,
+        now_ms: u64,
+    ) -> bool {
+        let age_ms = wall_ms as i64 - record.written_at_wall_ms as i64;
+        let is_valid = age_ms.unsigned_abs() <= MAX_RECORD_AGE_MS && record.store_era == store_era;
+        if self.has_merged || !is_valid {
+            return false;
+        }
+        self.has_merged = true;
+        let now_ms = now_ms as i64;
+        let at_ms = |ago_ms: u64| {
+            let ago_ms = i64::try_from(ago_ms).unwrap_or(i64::MAX / 4);
+            (now_ms - age_ms.max(0) - ago_ms + CLOCK_ALLOWANCE_MS).min(now_ms)
+        };
+        self.complete_since_ms = self.complete_since_ms.min(at_ms(record.complete_for_ms));
+        for (service, versions) in &record.services {
+            let known = self.services.entry(service.clone()).or_default();
+            for seen in versions {
+                // One that was listed may have left since.
+                let listed_at_ms = seen.gone_for_ms.map_or(now_ms, at_ms);
+                let latest = known.entry(seen.version.clone()).or_insert(listed_at_ms);
+                *latest = (*latest).max(listed_at_ms);
+            }
+        }
+        true
+    }
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -149,7 +149,7 @@
             return;
         };
         let origin = StreamOrigin { service: self.service.clone(), version: version.to_owned() };
-        self.relay.record_stream_origin(self.stream_key, &origin);
+        self.relay.record_stream_origin(self.stream_key, &origin, self.route.timeout_ms);
     }
 
     /// Ends an attempt whose connection broke. The end of a carrying peer is not that of the upstream.
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -204,7 +204,7 @@
     }
     let organisation = find_organisation(relay, &table, route, received.metadata.key.as_deref())?;
     outcome.organisation = organisation.map(|organisation| organisation.name.clone());
-    let origin = find_origin(relay, &received, route, organisation).await?;
+    let origin = find_origin(relay, &received, route, organisation, arrived_at_ms).await?;
     let service = match &origin {
         Some(origin) => origin.service.as_str(),
         None => RouteTable::choose_service(route, &outcome.request_id)
@@ -252,6 +252,7 @@
     received: &ReceivedRequest,
     route: &Route,
     organisation: Option<&Organisation>,
+    arrived_at_ms: u64,
 ) -> Result<Option<StreamOrigin>, Problem> {
     let metadata = &received.metadata;
     if !route.repeat.is_stream() || metadata.last_event_id.is_none() {
@@ -260,7 +261,9 @@
     let request_id = metadata.request_id.as_deref().unwrap_or_default();
     let organisation = organisation.map(|organisation| organisation.name.as_str());
     let resumed = metadata.resumed_request_id.as_deref();
-    relay.find_stream_origin(request_id, organisation, resumed, route).await.map(Some)
+    let deadline_at_ms = deadline_at_ms(arrived_at_ms, route, metadata);
+    let search = relay.find_stream_origin(request_id, organisation, resumed, route, deadline_at_ms);
+    search.await.map(Some)
 }
 
 fn retryable_problem(code: ErrorCode) -> Problem {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,6 +35,7 @@
 mod management;
 mod members;
 mod messages;
+mod origin_records;
 mod origins;
 mod placing;
 mod planning;
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -29,6 +29,9 @@
     pub availability_zone: String,
     /// Random identifier of its start.
     pub boot: u64,
+    /// Whether it writes the versions that are listed to the store; earlier builds don't.
+    #[serde(default)]
+    pub writes_versions: bool,
 }
 
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/crates/relay/src/origin_records.rs
@@ -0,0 +1,276 @@
+//! Origins of streams and versions of services in the platform's store, from which instances that start
+//! know them, also when all start at once.
+//!
+//! The first of the responsive instances by rendezvous hashing writes the versions that are listed. While a
+//! service has several, each instance writes the origins of its own streams; they are listed only when a caller
+//! takes up a stream that no instance knows.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hickorycourse_origins::{OriginSegment, SegmentWrite, VersionRecord, write_interval_ms};
+use hickorycourse_store::{KeyValue, KeyValueRecord, Lease, PlatformError, SwapOutcome};
+use ntex::time::{sleep, timeout};
+use serde_json::json;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::members::{MEMBER_PREFIX, MemberRecord};
+use crate::state::Relay;
+
+/// Prefix of the keys of [`OriginSegment`]s in the store.
+pub const ORIGIN_PREFIX: &str = "hickorycourse/origins/";
+/// Store key of the [`VersionRecord`].
+pub const VERSIONS_KEY: &str = "hickorycourse/versions";
+
+/// TTL of the lease on segments; longer than streams last and their callers take to return.
+const SEGMENT_TTL_MS: u64 = 90_000;
+/// Age at which a lease is replaced for the segments that are written from then on.
+const LEASE_AGE_MS: u64 = 30_000;
+/// Time after a service's last but one version has gone for which origins are written, beyond the time for which
+/// its streams last: instances that start take such a version to have gone later.
+const MIXED_GRACE_MS: u64 = 20_000;
+/// Interval at which the versions that are listed are compared with the record.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause after a failed write.
+const RETRY_DELAY: Duration = Duration::from_millis(1_000);
+/// Shortest interval between two listings of the origins in the store.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+/// Searches that wait for a listing.
+const MAX_QUEUED_SEARCHES: usize = 1_024;
+
+/// A request for a listing of the origins; the reply tells whether it has succeeded.
+pub type OriginSearch = oneshot::Sender<bool>;
+
+/// The versions as the store is known to hold them.
+#[derive(Clone, Debug, Default)]
+pub struct StoredVersions {
+    record: VersionRecord,
+    /// Revision of its write; 0 if the key is absent.
+    revision: u64,
+}
+
+impl Relay {
+    /// Applies the versions as the store holds them; `None` if they are absent.
+    pub fn apply_stored_versions(&self, item: Option<&KeyValueRecord>) {
+        let mut stored = StoredVersions::default();
+        if let Some(item) = item {
+            stored.revision = item.mod_revision;
+            match serde_json::from_slice::<VersionRecord>(&item.value) {
+                Ok(record) => stored.record = record,
+                Err(error) => self.log.write(
+                    "item_ignored",
+                    || json!({ "key": VERSIONS_KEY, "reason": error.to_string() }),
+                ),
+            }
+        }
+        let now_ms = self.now_ms();
+        let wall_ms = self.wall_clock.lock().estimate_ms(now_ms);
+        let era = self.store_era();
+        let record = &stored.record;
+        let is_merged = self.listed_versions.lock().merge(record, wall_ms, era, now_ms);
+        if is_merged {
+            self.log.write("versions_known", || {
+                json!({
+                    "complete_for_ms": record.complete_for_ms, "services": record.services,
+                    "age_ms": wall_ms.saturating_sub(record.written_at_wall_ms),
+                })
+            });
+        }
+        *self.stored_versions.lock() = stored;
+    }
+
+    /// Looks at the first listing, without the versions, whether this is the first start of the fleet: any instance of
+    /// this build that had begun streams would have written them, unless the store came back from a copy.
+    pub fn record_first_start(&self, items: &[KeyValueRecord]) {
+        let is_first =
+            items.iter().filter(|item| item.key.starts_with(MEMBER_PREFIX)).all(|item| {
+                let record = serde_json::from_slice::<MemberRecord>(&item.value);
+                record.is_ok_and(|record| record.writes_versions)
+            });
+        if is_first && self.log_attested_at_ms().is_none() {
+            self.listed_versions.lock().record_first_start(self.now_ms());
+        }
+    }
+
+    /// Applies the origins that another instance, or this one before it started, has written.
+    pub fn apply_stored_origins(&self, item: &KeyValueRecord) {
+        match ciborium::from_reader::<OriginSegment, _>(item.value.as_slice()) {
+            Ok(segment) => {
+                let now_ms = self.now_ms();
+                let mut origins = self.origins.lock();
+                for (key, origin) in segment.origins().filter(|(_, origin)| origin.is_valid()) {
+                    origins.learn(key, origin, now_ms);
+                }
+            }
+            Err(error) => self
+                .log
+                .write("item_ignored", || json!({ "key": item.key, "reason": error.to_string() })),
+        }
+    }
+
+    /// Reads the origins in the store; returns false if that fails, or takes longer than `limit`.
+    pub async fn search_stored_origins(&self, limit: Duration) -> bool {
+        let Some(searches) = self.origin_searches.get() else { return false };
+        let (reply, receiver) = oneshot::channel();
+        if searches.try_send(reply).is_err() {
+            return false;
+        }
+        matches!(timeout(limit, receiver).await, Ok(Ok(true)))
+    }
+
+    /// Returns whether a service has, or had while its present streams began, more than one version.
+    fn is_mixed(&self, service: &str) -> bool {
+        let longest_ms = self.route_table().map_or(0, |table| {
+            let streams = table.document().routes.iter().filter(|route| route.repeat.is_stream());
+            streams.map(|route| route.timeout_ms).max().unwrap_or(0)
+        });
+        let since_ms = self.now_ms() as i64 - (longest_ms + MIXED_GRACE_MS) as i64;
+        self.listed_versions.lock().is_mixed_since(service, since_ms)
+    }
+}
+
+/// Returns the queue of searches, to be passed to [`serve_origin_searches`].
+pub fn open_origin_searches(relay: &Relay) -> mpsc::Receiver<OriginSearch> {
+    let (sender, receiver) = mpsc::channel(MAX_QUEUED_SEARCHES);
+    // A process opens the queue once.
+    let _ = relay.origin_searches.set(sender);
+    receiver
+}
+
+/// Lists the origins in the store, once for all that wait, until the queue is closed.
+pub async fn serve_origin_searches(
+    relay: Arc<Relay>,
+    key_value: Rc<dyn KeyValue>,
+    mut searches: mpsc::Receiver<OriginSearch>,
+) {
+    while let Some(first) = searches.recv().await {
+        let mut waiting = vec![first];
+        while let Ok(search) = searches.try_recv() {
+            waiting.push(search);
+        }
+        let started_at_ms = relay.now_ms();
+        let listed = key_value.list(ORIGIN_PREFIX, 0).await;
+        let (segments, failure) = match &listed {
+            Ok(items) => (items.len(), None),
+            Err(error) => (0, Some(error.to_string())),
+        };
+        for item in listed.iter().flatten() {
+            relay.apply_stored_origins(item);
+        }
+        relay.log.write("origins_listed", || {
+            json!({
+                "segments": segments, "searches": waiting.len(), "failure": failure,
+                "took_ms": relay.now_ms().saturating_sub(started_at_ms),
+            })
+        });
+        for search in waiting {
+            // The caller may have left meanwhile.
+            let _ = search.send(failure.is_none());
+        }
+        sleep(SEARCH_INTERVAL).await;
+    }
+}
+
+/// Writes the versions that are listed to the store when they have changed, and now and then, until the process
+/// stops.
+pub async fn maintain_version_record(relay: Arc<Relay>, key_value: Rc<dyn KeyValue>) {
+    while !relay.drain.is_stopping() {
+        let written = write_versions_if_outdated(&relay, key_value.as_ref()).await;
+        let pause = match written {
+            Ok(()) => CHECK_INTERVAL,
+            Err(error) => {
+                let reason = error.to_string();
+                relay.log.write("versions_not_stored", || json!({ "reason": reason }));
+                RETRY_DELAY
+            }
+        };
+        sleep(pause).await;
+    }
+}
+
+async fn write_versions_if_outdated(
+    relay: &Relay,
+    key_value: &dyn KeyValue,
+) -> Result<(), PlatformError> {
+    // What this process has not listed, it can't tell.
+    if relay.log_attested_at_ms().is_none() || !relay.is_record_writer() {
+        return Ok(());
+    }
+    let now_ms = relay.now_ms();
+    relay.observe_versions(now_ms);
+    let wall_ms = relay.wall_clock.lock().estimate_ms(now_ms);
+    let record = relay.listed_versions.lock().make_record(wall_ms, relay.store_era(), now_ms);
+    let stored = relay.stored_versions.lock().clone();
+    if record.services.is_empty() || !stored.record.is_outdated_by(&record) {
+        return Ok(());
+    }
+    let value = serde_json::to_vec(&record)
+        .map_err(|error| PlatformError::InvalidResponse(error.to_string()))?;
+    let swap = key_value.compare_and_swap(VERSIONS_KEY, stored.revision, &value, None).await?;
+    match swap {
+        SwapOutcome::Swapped { mod_revision } => {
+            let stored = StoredVersions { record, revision: mod_revision };
+            *relay.stored_versions.lock() = stored;
+        }
+        // Written by another instance meanwhile.
+        SwapOutcome::Conflict { stored } => relay.apply_stored_versions(stored.as_ref()),
+    }
+    Ok(())
+}
+
+/// Writes the origins of the streams that this instance has begun to the store, until the process ends.
+pub async fn maintain_origin_segments(relay: Arc<Relay>, key_value: Rc<dyn KeyValue>) {
+    let mut lease: Option<(Lease, u64)> = None;
+    let mut era = relay.store_era();
+    loop {
+        let instances = relay.members.lock().count(relay.now_ms());
+        sleep(Duration::from_millis(write_interval_ms(instances))).await;
+        if std::mem::replace(&mut era, relay.store_era()) != era {
+            lease = None;
+            relay.origin_journal.lock().record_lost();
+        }
+        let now_ms = relay.now_ms();
+        let write =
+            relay.origin_journal.lock().next_write(now_ms, |service| relay.is_mixed(service));
+        let Some(write) = write else { continue };
+        match write_segment(&relay, key_value.as_ref(), &write, &mut lease).await {
+            Ok(revision) => relay.origin_journal.lock().record_written(revision, relay.now_ms()),
+            Err(error) => {
+                lease = None;
+                relay.origin_journal.lock().record_failed();
+                let reason = error.to_string();
+                relay.log.write("origins_not_stored", || json!({ "reason": reason }));
+            }
+        }
+    }
+}
+
+async fn write_segment(
+    relay: &Relay,
+    key_value: &dyn KeyValue,
+    write: &SegmentWrite,
+    held: &mut Option<(Lease, u64)>,
+) -> Result<u64, PlatformError> {
+    let now_ms = relay.now_ms();
+    let lease = match *held {
+        Some((lease, granted_at_ms)) if now_ms < granted_at_ms + LEASE_AGE_MS => lease,
+        _ => {
+            let ttl_ms = SEGMENT_TTL_MS.max(relay.settings.bounds.lease_least_ms);
+            let lease = key_value.grant_lease(ttl_ms).await?;
+            *held = Some((lease, now_ms));
+            lease
+        }
+    };
+    let mut value = Vec::new();
+    ciborium::into_writer(&write.segment, &mut value)
+        .map_err(|error| PlatformError::InvalidResponse(error.to_string()))?;
+    let instance = &relay.settings.instance;
+    let key = format!("{ORIGIN_PREFIX}{instance}/{:x}-{}", relay.boot, write.sequence);
+    match key_value.compare_and_swap(&key, write.revision, &value, Some(lease)).await? {
+        SwapOutcome::Swapped { mod_revision } => Ok(mod_revision),
+        SwapOutcome::Conflict { .. } => {
+            Err(PlatformError::Refused("the segment has another revision".to_owned()))
+        }
+    }
+}
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -12,6 +12,7 @@
 use hickorycourse_origins::{StreamKey, StreamOrigin, choose_holders};
 use hickorycourse_routes::{Route, UpstreamPhase};
 use ntex::rt;
+use ntex::time::sleep;
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 
@@ -26,6 +27,13 @@
 const ASKED: (usize, usize) = (3, 3);
 /// Time for the replies.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest time for which a caller takes an interrupted stream up, beyond the time for which it can last.
+const MAX_RETURN_MS: u64 = 10_000;
+/// Longest wait for the origin of a stream while the store can't be read; callers abandon a stream after a gap
+/// of that length.
+const MAX_SEARCH_MS: u64 = 2_000;
+/// Pause between two tries to read the store.
+const SEARCH_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Queries that wait to be sent.
 const MAX_QUEUED_QUERIES: usize = 256;
 
@@ -37,10 +45,13 @@
 }
 
 impl Relay {
-    /// Records what begins a stream, and tells other instances. Called before the first event is sent to the
-    /// caller: the process may end at any time after.
-    pub fn record_stream_origin(&self, key: StreamKey, origin: &StreamOrigin) {
-        self.origins.lock().record(key, origin.clone(), self.now_ms());
+    /// Records what begins a stream that lasts for `lasts_ms` at most, and tells other instances. Called before
+    /// the first event is sent to the caller: the process may end at any time after.
+    pub fn record_stream_origin(&self, key: StreamKey, origin: &StreamOrigin, lasts_ms: u64) {
+        let now_ms = self.now_ms();
+        self.origins.lock().record(key, origin.clone(), now_ms);
+        let expires_at_ms = now_ms + lasts_ms + MAX_RETURN_MS;
+        self.origin_journal.lock().record(key, origin.clone(), expires_at_ms);
         let Some(socket) = self.peer_socket.get() else { return };
         let message = Message::Origin { key, origin: origin.clone() };
         let mut bytes = Vec::new();
@@ -85,12 +96,15 @@
         organisation: Option<&str>,
         resumed: Option<&str>,
         route: &Route,
+        deadline_at_ms: u64,
     ) -> Result<StreamOrigin, Problem> {
-        let named = match resumed {
-            Some(first_id) => self.ask_stream_origin(StreamKey::new(organisation, first_id)).await,
-            None => None,
+        let origin = match resumed {
+            Some(first_id) => {
+                let key = StreamKey::new(organisation, first_id);
+                self.search_stream_origin(key, route, deadline_at_ms).await
+            }
+            None => self.sole_origin(route),
         };
-        let origin = named.or_else(|| self.sole_origin(route));
         let reason = match &origin {
             None => "no instance knows what began the stream",
             Some(origin) if !route.targets.iter().any(|t| t.service == origin.service) => {
@@ -117,6 +131,31 @@
         }
     }
 
+    /// Searches for the origin of a stream: at this instance, at its holders, among the versions that are listed
+    /// and in the store. `None` means that it is known nowhere, or that the store can't be read in time.
+    async fn search_stream_origin(
+        &self,
+        key: StreamKey,
+        route: &Route,
+        deadline_at_ms: u64,
+    ) -> Option<StreamOrigin> {
+        let give_up_at_ms = deadline_at_ms.min(self.now_ms() + MAX_SEARCH_MS);
+        loop {
+            let known = self.ask_stream_origin(key).await.or_else(|| self.sole_origin(route));
+            if known.is_some() {
+                return known;
+            }
+            let left_ms = give_up_at_ms.saturating_sub(self.now_ms());
+            if left_ms == 0 {
+                return None;
+            }
+            if self.search_stored_origins(Duration::from_millis(left_ms)).await {
+                return self.origins.lock().find(key, self.now_ms()).cloned();
+            }
+            sleep(SEARCH_RETRY_DELAY).await;
+        }
+    }
+
     async fn ask_stream_origin(&self, key: StreamKey) -> Option<StreamOrigin> {
         if let Some(origin) = self.origins.lock().find(key, self.now_ms()) {
             return Some(origin.clone());
@@ -129,12 +168,12 @@
     }
 
     /// Returns the origin of any stream of a route whose service has had one version for as long as streams
-    /// last, and for as long as this process has listed its upstreams.
+    /// last.
     fn sole_origin(&self, route: &Route) -> Option<StreamOrigin> {
         let now_ms = self.now_ms();
         let [target] = route.targets.as_slice() else { return None };
-        let since_ms = now_ms.checked_sub(route.timeout_ms)?;
-        self.observe_versions();
+        let since_ms = now_ms as i64 - i64::try_from(route.timeout_ms).ok()?;
+        self.observe_versions(now_ms);
         let versions = self.listed_versions.lock();
         let version = versions.sole_since(&target.service, since_ms)?;
         Some(StreamOrigin { service: target.service.clone(), version: version.to_owned() })
@@ -150,9 +189,8 @@
         })
     }
 
-    /// Records the versions that are listed now.
-    pub fn observe_versions(&self) {
-        let now_ms = self.now_ms();
+    /// Records the versions that are listed at `now_ms`.
+    pub fn observe_versions(&self, now_ms: u64) {
         let directory = self.directory.lock();
         let mut versions = self.listed_versions.lock();
         for entry in directory.entries() {
@@ -163,8 +201,9 @@
 
     /// Forgets the origins of streams that have ended by now.
     pub fn expire_origins(&self) {
-        self.observe_versions();
-        self.origins.lock().expire(self.now_ms());
+        let now_ms = self.now_ms();
+        self.observe_versions(now_ms);
+        self.origins.lock().expire(now_ms);
     }
 }
 
--- a/crates/relay/src/quarantine_record.rs
+++ b/crates/relay/src/quarantine_record.rs
@@ -94,8 +94,8 @@
         self.merge_quarantine(&digest, "store");
     }
 
-    /// Returns whether this instance writes the record.
-    fn is_quarantine_writer(&self) -> bool {
+    /// Returns whether this instance writes the records of what all instances know.
+    pub fn is_record_writer(&self) -> bool {
         let now_ms = self.now_ms();
         let own = self.settings.instance.as_str();
         let members = self.members.lock();
@@ -124,7 +124,7 @@
 async fn write_if_outdated(relay: &Relay, key_value: &dyn KeyValue) -> Result<(), PlatformError> {
     let stored = relay.stored_quarantine.lock().clone();
     let record = relay.make_quarantine_record();
-    if !stored.record.is_outdated_by(&record) || !relay.is_quarantine_writer() {
+    if !stored.record.is_outdated_by(&record) || !relay.is_record_writer() {
         return Ok(());
     }
     let value = serde_json::to_vec(&record)
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -21,6 +21,9 @@
 use crate::broadcast::PeerBroadcast;
 use crate::duty_tasks::DutyTasks;
 use crate::management::start_management_server;
+use crate::origin_records::{
+    maintain_origin_segments, maintain_version_record, open_origin_searches, serve_origin_searches,
+};
 use crate::quarantine_record::maintain_quarantine_record;
 use crate::settings::RelaySettings;
 use crate::state::Relay;
@@ -90,6 +93,10 @@
     ));
     rt::spawn(store_watch::maintain_membership(Arc::clone(&relay), Rc::clone(&adapter.key_value)));
     rt::spawn(maintain_quarantine_record(Arc::clone(&relay), Rc::clone(&adapter.key_value)));
+    rt::spawn(maintain_version_record(Arc::clone(&relay), Rc::clone(&adapter.key_value)));
+    rt::spawn(maintain_origin_segments(Arc::clone(&relay), Rc::clone(&adapter.key_value)));
+    let searches = open_origin_searches(&relay);
+    rt::spawn(serve_origin_searches(Arc::clone(&relay), Rc::clone(&adapter.key_value), searches));
     let duties = adapter
         .duty_client
         .map(|client| DutyTasks::new(&relay, Rc::clone(&adapter.key_value), client));
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -13,7 +13,7 @@
     DutyLease, FleetUsage, LeaseOptions, UsageSource, UsageWindows, WallClockEstimator,
     WindowCounts,
 };
-use hickorycourse_origins::{ListedVersions, OriginTable};
+use hickorycourse_origins::{ListedVersions, OriginJournal, OriginTable};
 use hickorycourse_permits::{LimitTable, PermitIssuer};
 use hickorycourse_placement::{
     AdmissionRule, AdmitAll, CostRule, ExpectedWait, LeastRequests, PlacementOptions,
@@ -40,6 +40,7 @@
 use crate::forwarding::ReachState;
 use crate::limits::RemoteClaim;
 use crate::members::MemberTable;
+use crate::origin_records::{OriginSearch, StoredVersions};
 use crate::origins::OriginQuery;
 use crate::quarantine_record::StoredQuarantine;
 use crate::settings::{AdmissionPolicy, PlacementPolicy, RelaySettings};
@@ -129,6 +130,12 @@
     pub origins: Mutex<OriginTable>,
     /// Versions of services that have been listed lately.
     pub listed_versions: Mutex<ListedVersions>,
+    /// Versions of services as the store holds them.
+    pub stored_versions: Mutex<StoredVersions>,
+    /// Origins of the streams that this instance has begun.
+    pub origin_journal: Mutex<OriginJournal>,
+    /// Queue of searches for origins in the store.
+    pub origin_searches: OnceLock<mpsc::Sender<OriginSearch>>,
     /// Queue of queries for origins.
     pub origin_queries: OnceLock<mpsc::Sender<OriginQuery>>,
     /// What is known of this instance's links to upstreams, and of peers that carry connections.
@@ -189,6 +196,9 @@
             cap_messages: OnceLock::new(),
             origins: Mutex::default(),
             listed_versions: Mutex::default(),
+            stored_versions: Mutex::default(),
+            origin_journal: Mutex::default(),
+            origin_searches: OnceLock::new(),
             origin_queries: OnceLock::new(),
             reach: Mutex::default(),
             peer_socket: OnceLock::new(),
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -27,6 +27,7 @@
 use crate::duty_tasks::{DUTY_LEASE_KEY, ERA_RECORD_KEY, USAGE_REPORT_PREFIX};
 use crate::follow::follow_until_stale;
 use crate::members::{MEMBER_PREFIX, MemberRecord};
+use crate::origin_records::{ORIGIN_PREFIX, VERSIONS_KEY};
 use crate::quarantine_record::QUARANTINE_KEY;
 use crate::state::Relay;
 use crate::view_log::StoreChange;
@@ -261,9 +262,12 @@
 }
 
 /// Returns whether followers need the changes of a key. Records of usage are read from the store by
-/// the holder of the duties.
+/// the holder of the duties, and origins of streams by whoever misses one.
 fn is_followed(key: &str) -> bool {
-    !key.is_empty() && !key.starts_with(USAGE_REPORT_PREFIX) && key != ERA_RECORD_KEY
+    !key.is_empty()
+        && !key.starts_with(USAGE_REPORT_PREFIX)
+        && !key.starts_with(ORIGIN_PREFIX)
+        && key != ERA_RECORD_KEY
 }
 
 fn into_change(item: &KeyValueRecord) -> StoreChange {
@@ -298,6 +302,10 @@
         if let Some(name) = item.key.strip_prefix(MEMBER_PREFIX) {
             members.push(name.to_owned());
         }
+        if item.key.starts_with(ORIGIN_PREFIX) {
+            relay.apply_stored_origins(item);
+            continue;
+        }
         match decode(relay, item) {
             Some(PlatformItem::Upstream(entry)) => upstreams.push(entry),
             Some(PlatformItem::Document(document)) => apply_stored_document(relay, *document),
@@ -308,6 +316,10 @@
     if !items.iter().any(|item| item.key == QUARANTINE_KEY) {
         relay.apply_stored_quarantine(None);
     }
+    if !items.iter().any(|item| item.key == VERSIONS_KEY) {
+        relay.apply_stored_versions(None);
+        relay.record_first_start(items);
+    }
     relay.replace_upstreams(upstreams);
     let now_ms = relay.now_ms();
     let mut member_table = relay.members.lock();
@@ -370,6 +382,9 @@
     if item.key == QUARANTINE_KEY {
         relay.apply_stored_quarantine(Some(item));
     }
+    if item.key == VERSIONS_KEY {
+        relay.apply_stored_versions(Some(item));
+    }
     let Some(name) = item.key.strip_prefix(MEMBER_PREFIX) else { return };
     if name == relay.settings.instance {
         return;
@@ -391,6 +406,9 @@
     if key == QUARANTINE_KEY {
         relay.apply_stored_quarantine(None);
     }
+    if key == VERSIONS_KEY {
+        relay.apply_stored_versions(None);
+    }
     if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
         relay.members.lock().mark_unlisted(name);
     }
@@ -445,6 +463,7 @@
         peer_address: settings.peer_address,
         availability_zone: settings.availability_zone.clone(),
         boot: relay.boot,
+        writes_versions: true,
     };
     let value = serde_json::to_vec(&record)
         .map_err(|error| PlatformError::InvalidResponse(error.to_string()))?;
--- a/crates/relay/tests/members.rs
+++ b/crates/relay/tests/members.rs
@@ -14,6 +14,7 @@
             peer_address: SocketAddr::from(([127, 0, 0, 1], 7_000 + number)),
             availability_zone: format!("zone-{}", number % 4),
             boot: 1,
+            writes_versions: true,
         };
         members.apply_record(&format!("relay-{number:03}"), &record, 0);
     }
