Connections: bytes that are part of no response end their connection

An engine that sent informational responses, or zeros of a chunk size, without end made the process of the instance hang: sound requests of other services got nothing, nor did its own callers by their deadline.

Cause: the HTTP library reads on for as long as there are bytes, so no timer beside it fires, and the other connections of the thread wait. All limits were on what a message brings, not on what brings nothing.

Change: a connection counts the bytes since it last brought a head or a part of a body. This is below the HTTP library, so it holds for upstreams, carried connections, the store and the platform alike.

--- a/crates/connections/src/client.rs
+++ b/crates/connections/src/client.rs
@@ -8,12 +8,12 @@
 
 use hickorycourse_clock::{Clock, SystemClock};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Bytes, Incoming};
+use hyper::body::{Body, Bytes};
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use ntex::time::timeout;
 
-use crate::{ConnectionPool, ExchangeError, UpstreamConnection};
+use crate::{ConnectionPool, ExchangeError, ResponseBody, UpstreamConnection};
 
 /// Interval at which idle connections are checked.
 const EVICTION_INTERVAL_MS: u64 = 1_000;
@@ -25,7 +25,7 @@
     /// Connection of the exchange.
     pub connection: UpstreamConnection<K>,
     /// Head of the response, with its body.
-    pub response: Response<Incoming>,
+    pub response: Response<ResponseBody>,
 }
 
 /// HTTP client of one thread. `K` identifies a server beside its address. Clones share their idle
@@ -156,7 +156,7 @@
 
 /// Returns whether the end of a response's body is marked only by the end of its connection. A server that
 /// ends after the head leaves the same as one whose body is empty.
-pub fn ends_with_connection(response: &Response<Incoming>) -> bool {
+pub fn ends_with_connection(response: &Response<ResponseBody>) -> bool {
     let mut codings = response.headers().get_all(header::TRANSFER_ENCODING).iter();
     // hyper reads only a body whose last coding is chunked in chunks.
     let last_coding = codings.next_back().and_then(|value| value.to_str().ok());
--- a/crates/connections/src/pool.rs
+++ b/crates/connections/src/pool.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::ext::on_informational;
 use hyper::{Request, Response, header};
 use hyper_util::rt::TokioIo;
 use ntex::time::timeout;
@@ -17,6 +18,9 @@
 use tokio::net::TcpStream;
 use tokio::task::{JoinHandle, spawn_local};
 
+use crate::ResponseBody;
+use crate::bounded_stream::{BoundedStream, ByteStream, Undelivered};
+
 /// Timeout for a new connection. Network latency is a few milliseconds; the retransmission of a
 /// lost SYN takes a second, so trying another upstream is faster.
 pub const DIAL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -76,6 +80,22 @@
     }
 }
 
+/// Starts the task that drives a connection over this stream.
+async fn drive(
+    stream: BoundedStream<Box<dyn ByteStream>>,
+) -> Result<(SendRequest<Full<Bytes>>, ConnectionTask), ExchangeError> {
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
+    let task = spawn_local(async move {
+        // The waiting sender receives the error too.
+        let _ = connection.await;
+    });
+    Ok((sender, ConnectionTask(task)))
+}
+
 /// A connection to an upstream. Dropping it closes it.
 #[derive(Debug)]
 pub struct UpstreamConnection<K = String> {
@@ -88,6 +108,7 @@
     dialled_at_ms: u64,
     idle_since_ms: u64,
     idle_timeout_ms: u64,
+    undelivered: Undelivered,
 }
 
 impl<K> UpstreamConnection<K> {
@@ -109,24 +130,20 @@
         carrier: Option<Rc<dyn Carrier>>,
         now_ms: u64,
     ) -> Result<Self, ExchangeError> {
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
-        let task = spawn_local(async move {
-            // The waiting sender receives the error too.
-            let _ = connection.await;
-        });
+        let undelivered = Undelivered::default();
+        let stream =
+            BoundedStream::new(Box::new(stream) as Box<dyn ByteStream>, undelivered.clone());
+        let (sender, task) = drive(stream).await?;
         Ok(Self {
             sender,
-            _task: ConnectionTask(task),
+            _task: task,
             pool_key,
             carrier,
             is_reused: false,
             dialled_at_ms: now_ms,
             idle_since_ms: 0,
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
+            undelivered,
         })
     }
 
@@ -136,16 +153,20 @@
     /// The connection must not be used again after any error.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         limit: Duration,
-    ) -> Result<Response<Incoming>, ExchangeError> {
+    ) -> Result<Response<ResponseBody>, ExchangeError> {
+        let undelivered = self.undelivered.clone();
+        on_informational(&mut request, move |_| undelivered.add_informational());
         match timeout(limit, self.sender.try_send_request(request)).await {
             Ok(Ok(response)) => {
+                self.undelivered.clear();
                 self.idle_timeout_ms = read_idle_timeout_ms(&response);
                 if self.carrier.is_some() {
                     self.idle_timeout_ms = self.idle_timeout_ms.min(MAX_TUNNEL_IDLE_MS);
                 }
-                Ok(response)
+                let undelivered = self.undelivered.clone();
+                Ok(response.map(|body| ResponseBody::new(body, undelivered)))
             }
             Ok(Err(mut error)) => {
                 let is_unsent = error.take_message().is_some();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -3,11 +3,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use hickorycourse_connections::UpstreamConnection;
+use hickorycourse_connections::{ResponseBody, UpstreamConnection};
 use hickorycourse_placement::{AttemptOutcome, Placement};
 use hickorycourse_quarantine::RequestItems;
 use http::Response;
-use hyper::body::Incoming;
 use serde_json::json;
 
 use crate::adapter::{BackoffRequest, NamedLimit, ResponseMetadata};
@@ -264,5 +263,5 @@
     /// The connection over which the body arrives.
     pub connection: UpstreamConnection,
     /// Head of the response with the unread body.
-    pub response: Response<Incoming>,
+    pub response: Response<ResponseBody>,
 }
--- a/crates/relay/src/buffered_response.rs
+++ b/crates/relay/src/buffered_response.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use hickorycourse_codes::Problem;
-use hickorycourse_connections::ends_with_connection;
+use hickorycourse_connections::{ResponseBody, ends_with_connection};
 use hickorycourse_placement::AttemptOutcome;
 use http::HeaderMap;
 use http_body_util::BodyExt;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Bytes;
 use ntex::time::timeout;
 
 use crate::attempt::{Attempt, OpenedResponse};
@@ -157,7 +157,7 @@
     TooLarge { bytes: usize },
 }
 
-async fn read_body(attempt: &mut Attempt, mut body: Incoming) -> Result<Bytes, BodyError> {
+async fn read_body(attempt: &mut Attempt, mut body: ResponseBody) -> Result<Bytes, BodyError> {
     let mut bytes = Vec::new();
     let mut reservation = BufferReservation::default();
     while let Some(frame) = body.frame().await {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -12,7 +12,7 @@
 use hickorycourse_routes::{Access, Route};
 use http::{HeaderMap, Method, Request, Response};
 use http_body_util::Full;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Bytes;
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -20,7 +20,9 @@
 use crate::attempt::{Attempt, OpenedResponse};
 use crate::in_flight::InFlightGuard;
 use crate::state::Relay;
-use hickorycourse_connections::{Carrier, ConnectionPool, ExchangeError, UpstreamConnection};
+use hickorycourse_connections::{
+    Carrier, ConnectionPool, ExchangeError, ResponseBody, UpstreamConnection,
+};
 
 /// Longest idle time of a pooled connection that is reused for a request that may run at most once.
 /// If the upstream closes the connection while the request is in transit, it is unknown whether the
@@ -249,7 +251,7 @@
         &self,
         mut connection: UpstreamConnection,
         request: Request<Full<Bytes>>,
-    ) -> (UpstreamConnection, Result<Response<Incoming>, ExchangeError>) {
+    ) -> (UpstreamConnection, Result<Response<ResponseBody>, ExchangeError>) {
         let limit = Duration::from_millis(self.remaining_ms());
         let guard = CancelledRunGuard::new(self);
         let result = connection.send(request, limit).await;
@@ -265,7 +267,7 @@
         &self,
         mut attempt: Attempt,
         connection: UpstreamConnection,
-        result: Result<Response<Incoming>, ExchangeError>,
+        result: Result<Response<ResponseBody>, ExchangeError>,
         retry_state: &mut RetryState,
     ) -> Result<OpenedResponse, String> {
         let upstream = attempt.placement.upstream.clone();
@@ -328,7 +330,7 @@
         &self,
         attempt: Attempt,
         connection: UpstreamConnection,
-        response: Response<Incoming>,
+        response: Response<ResponseBody>,
         metadata: ResponseMetadata,
         retry_state: &mut RetryState,
     ) -> Result<OpenedResponse, String> {
--- a/crates/relay/src/hedging.rs
+++ b/crates/relay/src/hedging.rs
@@ -11,9 +11,8 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use hickorycourse_codes::Problem;
-use hickorycourse_connections::{ExchangeError, UpstreamConnection};
+use hickorycourse_connections::{ExchangeError, ResponseBody, UpstreamConnection};
 use http::Response;
-use hyper::body::Incoming;
 use ntex::time::timeout;
 use serde_json::json;
 
@@ -51,7 +50,7 @@
 }
 
 /// Connection of an attempt with its result.
-type Sent = (UpstreamConnection, Result<Response<Incoming>, ExchangeError>);
+type Sent = (UpstreamConnection, Result<Response<ResponseBody>, ExchangeError>);
 
 /// An attempt that waits for the head of its response.
 struct Exchange<'a> {
--- a/crates/relay/src/stream_source.rs
+++ b/crates/relay/src/stream_source.rs
@@ -1,11 +1,10 @@
 //! The upstream's side of a relayed stream.
 
-use hickorycourse_connections::{Carrier, UpstreamConnection, ends_with_connection};
+use hickorycourse_connections::{Carrier, ResponseBody, UpstreamConnection, ends_with_connection};
 use hickorycourse_placement::AttemptOutcome;
 use http::HeaderMap;
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde_json::json;
 
 use crate::attempt::{Attempt, OpenedResponse};
@@ -32,7 +31,7 @@
     /// The attempt at the upstream.
     pub attempt: Attempt,
     connection: UpstreamConnection,
-    body: Incoming,
+    body: ResponseBody,
     is_framed: bool,
     /// Whether an end without any events is taken for a broken connection: an upstream that ends after
     /// the head of a response without a length or chunks leaves the same, and so may one that does not know
--- a/crates/upstream/src/http.rs
+++ b/crates/upstream/src/http.rs
@@ -5,11 +5,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hickorycourse_connections::{ExchangeError, HttpClient, OpenResponse, ends_with_connection};
+use hickorycourse_connections::{
+    ExchangeError, HttpClient, OpenResponse, ResponseBody, ends_with_connection,
+};
 use hickorycourse_store::LocalFuture;
 use http::header::{self, HeaderName, HeaderValue};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper::{Method, Request};
 use ntex::http::HeaderMap;
 use ntex::time::timeout;
@@ -304,7 +305,7 @@
 /// Reads a complete body. One that ends before its declared length, its last chunk, or by a reset is
 /// an error.
 async fn read_body(
-    mut incoming: Incoming,
+    mut incoming: ResponseBody,
     part_timeout: Duration,
     limit_bytes: usize,
 ) -> Result<Bytes, AttemptError> {
--- a/crates/upstream/src/stream.rs
+++ b/crates/upstream/src/stream.rs
@@ -7,10 +7,10 @@
 use eventsource_stream::{EventStream, EventStreamError, Eventsource};
 use futures_util::StreamExt;
 use futures_util::stream::LocalBoxStream;
-use hickorycourse_connections::{HttpClient, OpenResponse, UpstreamConnection};
+use hickorycourse_connections::{HttpClient, OpenResponse, ResponseBody, UpstreamConnection};
 use hickorycourse_store::LocalFuture;
 use http_body_util::BodyExt;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Bytes;
 use ntex::time::timeout;
 
 use crate::attempt::{AttemptError, AttemptErrorKind, TokenStream};
@@ -31,7 +31,7 @@
 
 /// Splits a body into events. `event_bytes` counts the bytes received since it was last reset.
 fn split_events(
-    body: Incoming,
+    body: ResponseBody,
     event_bytes: Rc<Cell<usize>>,
 ) -> EventStream<LocalBoxStream<'static, Result<Bytes, BodyError>>> {
     let parts = body.into_data_stream().map(move |part| {
