Model: streams that are taken up again after kills

Simulates kills of all instances at once, in waves, one after the other and at random, with the tables and records of the relay.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -3,8 +3,9 @@
 //! [`run`] simulates a [`LoadPattern`] with a seed: callers send requests, relays place and admit them
 //! with the same code as the relay process, engines prefill the prompts and decode the answers. The
 //! [`Report`] counts the outcomes by caller group. [`run_crashes`] simulates requests that crash engines,
-//! see [`CrashPattern`], [`run_limits`] upstreams that name rate limits, see [`LimitPattern`], and
-//! [`run_partition`] instances that are cut off from all upstreams, see [`PartitionPattern`].
+//! see [`CrashPattern`], [`run_limits`] upstreams that name rate limits, see [`LimitPattern`],
+//! [`run_partition`] instances that are cut off from all upstreams, see [`PartitionPattern`], and
+//! [`run_resumption`] streams that are taken up again after kills, see [`ResumptionPattern`].
 
 mod crashes;
 mod engine;
@@ -15,6 +16,7 @@
 mod relay;
 mod report;
 mod request;
+mod resumption;
 mod simulation;
 
 /// The types most users of this crate need.
@@ -32,4 +34,5 @@
 pub use patterns::{find_pattern, list_patterns};
 pub use relay::Policy;
 pub use report::{GroupReport, Report};
+pub use resumption::{ResumptionPattern, ResumptionReport, run_resumption};
 pub use simulation::run;
--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -3,8 +3,8 @@
 use bpaf::Bpaf;
 use hickorycourse_model::{
     CrashPolicy, CutScope, LimitPattern, LimitPolicy, LimitTrouble, LoadPattern, PartitionPattern,
-    PeerPolicy, Policy, list_crash_patterns, list_patterns, run, run_crashes, run_limits,
-    run_partition,
+    PeerPolicy, Policy, ResumptionPattern, list_crash_patterns, list_patterns, run, run_crashes,
+    run_limits, run_partition, run_resumption,
 };
 
 /// Simulates load patterns with the chosen policies and with the baseline, and prints the outcomes.
@@ -33,6 +33,8 @@
     limits: bool,
     /// Simulate instances that are cut off from all upstreams, with alternative policies too
     partitions: bool,
+    /// Simulate streams that are taken up again after instances were killed
+    resumptions: bool,
     /// Requests a second that a limited upstream takes; several limits if left out
     #[bpaf(argument("RATE"))]
     rate: Option<f64>,
@@ -50,6 +52,10 @@
         print_partitions(&options);
         return Ok(());
     }
+    if options.resumptions {
+        print_resumptions(&options);
+        return Ok(());
+    }
     if options.crashes || options.sound {
         return print_crashes(&options);
     }
@@ -136,6 +142,20 @@
     }
 }
 
+/// Simulates kills of each pattern.
+fn print_resumptions(options: &Options) {
+    let sizes = options.relays.map_or_else(|| vec![7, 60, 295, 1_100], |relays| vec![relays]);
+    for (title, pattern) in sizes.into_iter().flat_map(ResumptionPattern::list) {
+        if options.pattern.as_ref().is_some_and(|name| !title.starts_with(name.as_str())) {
+            continue;
+        }
+        for seed in 1..=options.seeds {
+            let report = run_resumption(&pattern, seed);
+            println!("{}", report.format_line(&format!("{title} seed {seed}")));
+        }
+    }
+}
+
 /// Simulates the patterns of crashing parts with each policy.
 fn print_crashes(options: &Options) -> eyre::Result<()> {
     let mut is_known = false;
