Events: those before one that is too large are passed on

Events that arrived with the start of one that is too large were recorded as passed on and then dropped with the error, so that the stream went on after them elsewhere, with a gap. They are returned now, and the next bytes give the error.

An event without line ends was searched again from its start with each part: 250 KiB in parts of 16 bytes are 2 GB of reading. Each byte is looked at once now.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -31,6 +31,8 @@
     partial: Vec<u8>,
     /// Length of the part of `partial` that is known not to contain the end of an event.
     scanned: usize,
+    /// Start of the last line in that part.
+    line_start: usize,
     last_id: Option<u64>,
     /// Events passed on since the start of the tracker.
     events: u64,
@@ -78,13 +80,13 @@
     /// Appends bytes; returns the complete new events, byte for byte.
     ///
     /// # Errors
-    /// The incomplete event exceeds the limit, or a resumed stream does not go on with the next event.
+    /// The incomplete event exceeds the limit, or a resumed stream does not go on with the next event. Complete events
+    /// that come before one that is too large are returned first.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventError> {
         self.partial.extend_from_slice(bytes);
         let mut events = Vec::new();
         let mut start = 0;
-        while let Some(length) = find_event_end(&self.partial[start..], self.scanned) {
-            self.scanned = 0;
+        while let Some(length) = self.find_event_end(start) {
             let event = &self.partial[start..start + length];
             let id = read_id(event);
             self.check_resumed(event, id)?;
@@ -96,10 +98,9 @@
             start += length;
         }
         self.partial.drain(..start);
-        // The start of the last line is scanned again, as it may continue to a blank line.
-        let last_line = self.partial.iter().rposition(|byte| *byte == b'\n');
-        self.scanned = last_line.map_or(0, |index| index + 1);
-        match self.partial.len() > MAX_EVENT_BYTES {
+        self.scanned -= start;
+        self.line_start -= start;
+        match self.partial.len() > MAX_EVENT_BYTES && events.is_empty() {
             true => Err(EventError::TooLarge),
             false => Ok(events),
         }
@@ -109,6 +110,24 @@
     pub fn drop_partial(&mut self) {
         self.partial.clear();
         self.scanned = 0;
+        self.line_start = 0;
+    }
+
+    /// Returns the length of the event that begins at `start`, including the blank line that ends it. Each byte
+    /// is looked at once, however many parts an event arrives in.
+    fn find_event_end(&mut self, start: usize) -> Option<usize> {
+        while let Some(length) = self.partial[self.scanned..].iter().position(|byte| *byte == b'\n')
+        {
+            let line = &self.partial[self.line_start..self.scanned + length];
+            let is_blank = line.is_empty() || line == b"\r";
+            self.scanned += length + 1;
+            self.line_start = self.scanned;
+            if is_blank {
+                return Some(self.scanned - start);
+            }
+        }
+        self.scanned = self.partial.len();
+        None
     }
 
     /// Returns whether an incomplete event is buffered.
@@ -129,23 +148,6 @@
     lines.all(|line| line.is_empty() || line.starts_with(b":")) && event.contains(&b':')
 }
 
-/// Returns the length of the first event, including the blank line that ends it. The search begins at
-/// the start of the line at `from`.
-fn find_event_end(bytes: &[u8], from: usize) -> Option<usize> {
-    let mut line_start = from;
-    for (index, byte) in bytes.iter().enumerate().skip(from) {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            return Some(index + 1);
-        }
-        line_start = index + 1;
-    }
-    None
-}
-
 fn read_id(event: &[u8]) -> Option<u64> {
     let value = event.split(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -111,3 +111,50 @@
     tracker.expect_next();
     assert_eq!(tracker.push(event(30).as_bytes()).unwrap(), event(30).as_bytes());
 }
+
+// Guards against events that are recorded as passed on, and lost, as they arrive with the start of one that is too
+// large.
+#[test]
+fn push_event_before_too_large_one_returned() {
+    let mut tracker = EventTracker::default();
+    let mut bytes = event(1).into_bytes();
+    bytes.extend_from_slice("data: ".as_bytes());
+    bytes.resize(300 * 1024, b'x');
+    assert_eq!(tracker.push(&bytes).unwrap(), event(1).as_bytes());
+    assert!(tracker.push(b"x").is_err());
+    assert_eq!(tracker.last_id(), Some(1));
+}
+
+// Guards against time that grows with the square of an event's size. Load pattern: an event without end in small parts.
+#[test]
+fn push_large_event_in_small_parts_is_linear() {
+    let mut tracker = EventTracker::default();
+    let started = std::time::Instant::now();
+    for _ in 0..250 * 1024 / 16 {
+        tracker.push(b"0123456789abcdef").unwrap();
+    }
+    assert!(started.elapsed() < std::time::Duration::from_secs(1), "{:?}", started.elapsed());
+    assert!(!tracker.push(b"\n\n").unwrap().is_empty());
+}
+
+proptest! {
+    // An event ends at the same byte wherever its bytes are divided.
+    #[test]
+    fn push_divided_anywhere_returns_the_same_events(
+        cuts in proptest::collection::vec(1_usize..9, 0..60),
+        crlf in any::<bool>(),
+    ) {
+        let text: String = (1..=4).map(event).collect();
+        let text = if crlf { text.replace('\n', "\r\n") } else { text };
+        let mut tracker = EventTracker::default();
+        let (mut returned, mut rest) = (Vec::new(), text.as_bytes());
+        for cut in cuts {
+            let (part, after) = rest.split_at(cut.min(rest.len()));
+            returned.extend(tracker.push(part).unwrap());
+            rest = after;
+        }
+        returned.extend(tracker.push(rest).unwrap());
+        prop_assert_eq!(returned, text.into_bytes());
+        prop_assert_eq!(tracker.last_id(), Some(4));
+    }
+}
