Relay: a killed upstream's responses are not taken for complete

A response that has neither a length nor chunks ends with its connection.

Cause: the kernel closes the connections of a killed process in order, so the end of the connection is no proof of the end of the response.

An upstream that is known to leave closes its listener after its last response; its end counts.

--- a/crates/connections/src/pool.rs
+++ b/crates/connections/src/pool.rs
@@ -300,6 +300,14 @@
         connections.pop_if(|connection| is_accepted(connection))
     }
 
+    /// Returns whether there is an idle direct connection to an upstream that was dialled before `before_ms`.
+    pub fn has_idle(&self, upstream: &K, address: SocketAddr, before_ms: u64, now_ms: u64) -> bool {
+        let pool_key = PoolKey { upstream: upstream.clone(), address, is_tunnelled: false };
+        self.idle.borrow().get(&pool_key).into_iter().flatten().any(|connection| {
+            connection.dialled_at_ms < before_ms && connection.is_reusable(now_ms)
+        })
+    }
+
     /// Opens a connection without regard to idle ones.
     ///
     /// # Errors
--- a/crates/relay/src/buffered_response.rs
+++ b/crates/relay/src/buffered_response.rs
@@ -14,6 +14,7 @@
 
 use crate::attempt::{Attempt, OpenedResponse};
 use crate::call::{Call, RetryState};
+use crate::liveness::LivenessCheck;
 
 /// Largest response body that is accepted.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -106,7 +107,13 @@
 ) -> Result<BufferedResponse, FetchError> {
     let OpenedResponse { mut attempt, connection, response } = opened;
     attempt.record_first_byte();
-    let must_have_body = response.status().is_success() && ends_with_connection(&response);
+    let is_unframed = ends_with_connection(&response);
+    let must_have_body = response.status().is_success() && is_unframed;
+    let placement = &attempt.placement;
+    let liveness = match is_unframed {
+        true => LivenessCheck::new(call, &placement.upstream, placement.address, &connection),
+        false => None,
+    };
     let (head, body) = response.into_parts();
     let limit = Duration::from_millis(call.remaining_ms().max(1));
     let body = match timeout(limit, read_body(&mut attempt, body)).await {
@@ -116,7 +123,16 @@
                 "the connection ended after the head of the response".to_owned(),
             ));
         }
-        Ok(Ok(body)) => body,
+        Ok(Ok(body)) => match liveness {
+            // A killed upstream ends its connections in order, too.
+            Some(liveness) if attempt.is_serving() && !liveness.is_alive().await => {
+                call.record_broken(attempt, &connection);
+                return Err(FetchError::Interrupted(
+                    "the upstream ended with the connection".to_owned(),
+                ));
+            }
+            _ => body,
+        },
         Ok(Err(BodyError::Broken(detail))) => {
             call.record_broken(attempt, &connection);
             return Err(FetchError::Interrupted(detail));
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -32,6 +32,7 @@
 mod in_flight;
 mod late_replies;
 mod limits;
+mod liveness;
 mod management;
 mod members;
 mod messages;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -172,7 +172,7 @@
     /// Waits for the first events of a response.
     async fn begin(&mut self, opened: OpenedResponse) -> Result<(), Loss> {
         self.events.drop_partial();
-        let (head, source) = UpstreamSource::split(opened);
+        let (head, source) = UpstreamSource::split(opened, &self.call);
         self.take_over(head, source);
         match self.next_step().await {
             StreamStep::Lost(loss) => {
--- a/crates/relay/src/stream_source.rs
+++ b/crates/relay/src/stream_source.rs
@@ -10,6 +10,7 @@
 use crate::attempt::{Attempt, OpenedResponse};
 use crate::call::Call;
 use crate::events::EventTracker;
+use crate::liveness::LivenessCheck;
 
 /// What an upstream's stream brings next.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -33,6 +34,8 @@
     connection: UpstreamConnection,
     body: ResponseBody,
     is_framed: bool,
+    /// Tells whether the end of the connection is that of the stream; absent if the stream has an end of its own.
+    liveness: Option<LivenessCheck>,
     /// Whether an end without any events is taken for a broken connection: an upstream that ends after
     /// the head of a response without a length or chunks leaves the same, and so may one that does not know
     /// the stream that it is to resume.
@@ -42,13 +45,25 @@
 
 impl UpstreamSource {
     /// Returns the head of the response and the source of its events.
-    pub fn split(opened: OpenedResponse) -> (http::response::Parts, Self) {
+    pub fn split(opened: OpenedResponse, call: &Call) -> (http::response::Parts, Self) {
         let OpenedResponse { attempt, connection, response } = opened;
         let is_framed = !ends_with_connection(&response);
         let (head, body) = response.into_parts();
         let must_have_events = !is_framed;
-        let source =
-            Self { attempt, connection, body, is_framed, must_have_events, has_events: false };
+        let placement = &attempt.placement;
+        let liveness = match is_framed {
+            true => None,
+            false => LivenessCheck::new(call, &placement.upstream, placement.address, &connection),
+        };
+        let source = Self {
+            attempt,
+            connection,
+            body,
+            is_framed,
+            liveness,
+            must_have_events,
+            has_events: false,
+        };
         (head, source)
     }
 
@@ -96,7 +111,7 @@
                     let detail = "the connection ended before the first event";
                     return SourceStep::Broken(detail.to_owned());
                 }
-                None => return SourceStep::End,
+                None => return self.confirm_end().await,
                 Some(Err(error)) => return SourceStep::Broken(error.to_string()),
                 Some(Ok(frame)) => frame,
             };
@@ -113,6 +128,17 @@
         }
     }
 
+    /// Returns the end of a stream that has ended in order. A killed upstream leaves the same where the end is that
+    /// of the connection; one that is known to leave closes it, and then can't be reached.
+    async fn confirm_end(&self) -> SourceStep {
+        match &self.liveness {
+            Some(liveness) if self.attempt.is_serving() && !liveness.is_alive().await => {
+                SourceStep::Broken("the upstream ended with the connection".to_owned())
+            }
+            _ => SourceStep::End,
+        }
+    }
+
     fn record_events(&mut self) {
         match std::mem::replace(&mut self.has_events, true) {
             true => self.attempt.record_progress(),
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -113,7 +113,7 @@
             opened.attempt.end(AttemptOutcome::Failed);
             return None;
         }
-        let (head, source) = UpstreamSource::split(opened);
+        let (head, source) = UpstreamSource::split(opened, call);
         let mut events = self.events.clone();
         let mut source = match self.headers {
             Some(_) => {
