--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -1,6 +1,9 @@
 //! Origins of streams, their holders, and versions that are listed.
 
-use hickorycourse_origins::{ListedVersions, OriginTable, StreamKey, StreamOrigin, choose_holders};
+use hickorycourse_origins::{
+    ListedVersions, OriginJournal, OriginTable, StreamKey, StreamOrigin, choose_holders,
+    write_interval_ms,
+};
 use proptest::prelude::*;
 
 fn origin(version: &str) -> StreamOrigin {
@@ -74,6 +77,127 @@
     assert_eq!(listed.sole_since("desk", 0), None);
 }
 
+const WALL_MS: u64 = 1_700_000_000_000;
+const TIMEOUT_MS: i64 = 15_000;
+
+/// Versions as an instance knows them that starts `down_ms` after this record was written.
+fn start_after(lived: &ListedVersions, lived_ms: u64, down_ms: u64, era: u64) -> ListedVersions {
+    let record = lived.make_record(WALL_MS, 0, lived_ms);
+    let mut started = ListedVersions::default();
+    started.merge(&record, WALL_MS + down_ms, era, 100);
+    started.record("desk", Some("v2"), 100);
+    started
+}
+
+// Guards against a sole version that is not believed, as all instances have started lately.
+#[test]
+fn merge_after_restart_of_all_knows_sole_version() {
+    let mut lived = ListedVersions::default();
+    lived.record("desk", Some("v2"), 40_000);
+    let started = start_after(&lived, 40_000, 700, 0);
+    assert_eq!(started.sole_since("desk", 100 - TIMEOUT_MS), Some("v2"));
+    assert!(!started.is_mixed_since("desk", 100 - TIMEOUT_MS));
+}
+
+// Guards against a guess: another version was listed when the record was written, has gone since or only lately, or
+// the record is too old, or from before the store came back from a copy.
+#[test]
+fn merge_uncertain_record_knows_no_sole_version() {
+    let mut lived = ListedVersions::default();
+    lived.record("desk", Some("v2"), 40_000);
+    let sole =
+        |started: &ListedVersions| started.sole_since("desk", 100 - TIMEOUT_MS).map(str::to_owned);
+    assert_eq!(sole(&start_after(&lived, 40_000, 61_000, 0)), None);
+    assert_eq!(sole(&start_after(&lived, 40_000, 700, 1)), None);
+    assert_eq!(sole(&start_after(&lived, 10_000, 700, 0)), None, "it is not known for long enough");
+    lived.record("desk", Some("v1"), 40_000);
+    assert_eq!(sole(&start_after(&lived, 40_000, 700, 0)), None);
+    lived.record("desk", Some("v2"), 60_000);
+    assert_eq!(sole(&start_after(&lived, 60_000, 700, 0)), None, "clocks may differ");
+    lived.record("desk", Some("v2"), 70_000);
+    assert_eq!(sole(&start_after(&lived, 70_000, 700, 0)), Some("v2".to_owned()));
+}
+
+#[test]
+fn record_first_start_knows_sole_version() {
+    let mut listed = ListedVersions::default();
+    listed.record_first_start(50);
+    listed.record("desk", Some("v1"), 100);
+    assert_eq!(listed.sole_since("desk", 100 - TIMEOUT_MS), Some("v1"));
+}
+
+#[test]
+fn is_outdated_by_change_or_age() {
+    let mut listed = ListedVersions::default();
+    listed.record("desk", Some("v1"), 1_000);
+    let record = listed.make_record(WALL_MS, 0, 1_000);
+    listed.record("desk", Some("v1"), 2_000);
+    assert!(!record.is_outdated_by(&listed.make_record(WALL_MS + 1_000, 0, 2_000)));
+    assert!(record.is_outdated_by(&listed.make_record(WALL_MS + 1_000, 1, 2_000)), "another era");
+    assert!(record.is_outdated_by(&listed.make_record(WALL_MS + 20_000, 0, 21_000)));
+    listed.record("desk", Some("v2"), 2_000);
+    assert!(record.is_outdated_by(&listed.make_record(WALL_MS + 1_000, 0, 2_000)));
+}
+
+// Load pattern: streams begin while one version is listed, then two.
+#[test]
+fn next_write_of_mixed_service_has_all_live_streams() {
+    let mut journal = OriginJournal::default();
+    let key = |number: u64| StreamKey::new(None, &number.to_string());
+    journal.record(key(1), origin("v1"), 1_000);
+    journal.record(key(2), origin("v1"), 30_000);
+    assert_eq!(journal.next_write(500, |_| false), None);
+    let write = journal.next_write(2_000, |_| true).expect("streams are unwritten");
+    assert_eq!((write.sequence, write.revision), (0, 0));
+    assert_eq!(write.segment.origins().collect::<Vec<_>>(), [(key(2), &origin("v1"))]);
+    journal.record_written(7, 2_000);
+    assert_eq!(journal.next_write(2_100, |_| true), None);
+    journal.record(key(3), origin("v2"), 30_000);
+    let write = journal.next_write(2_200, |_| true).expect("a stream is unwritten");
+    assert_eq!((write.sequence, write.revision), (0, 7));
+    assert_eq!(write.segment.origins().count(), 2, "the segment is rewritten");
+    journal.record_written(9, 13_000);
+    journal.record(key(4), origin("v2"), 30_000);
+    let write = journal.next_write(13_100, |_| true).expect("a stream is unwritten");
+    assert_eq!((write.sequence, write.revision), (1, 0), "the segment before is too old");
+    assert_eq!(write.segment.origins().count(), 1);
+}
+
+// Guards against origins that are taken for written although their write failed, or the store has lost them.
+#[test]
+fn next_write_after_failure_has_the_same_streams() {
+    let mut journal = OriginJournal::default();
+    let key = |number: u64| StreamKey::new(None, &number.to_string());
+    journal.record(key(1), origin("v1"), 30_000);
+    let first = journal.next_write(100, |_| true).expect("a stream is unwritten");
+    journal.record_failed();
+    let second = journal.next_write(200, |_| true).expect("the write has failed");
+    assert_eq!((first.sequence, second.sequence), (0, 1));
+    assert_eq!(first.segment, second.segment);
+    journal.record_written(5, 200);
+    assert_eq!(journal.next_write(300, |_| true), None);
+    journal.record_lost();
+    let third = journal.next_write(400, |_| true).expect("the store has lost it");
+    assert_eq!((third.sequence, third.revision, &third.segment), (2, 0, &first.segment));
+}
+
+#[test]
+fn learn_known_origin_is_not_renewed() {
+    let mut table = OriginTable::default();
+    let key = StreamKey::new(None, "1a");
+    table.learn(key, &origin("v1"), 0);
+    table.learn(key, &origin("v1"), 50_000);
+    assert_eq!(table.find(key, 59_000), Some(&origin("v1")));
+    assert_eq!(table.find(key, 60_000), None);
+    table.learn(key, &origin("v2"), 55_000);
+    assert_eq!(table.find(key, 56_000), None, "two origins");
+}
+
+#[test]
+fn write_interval_ms_of_large_fleet_is_longer() {
+    assert_eq!([7, 60, 295, 1_100].map(write_interval_ms), [250, 250, 250, 550]);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(200) })]
 
