--- /dev/null
+++ b/crates/starts/src/table.rs
@@ -0,0 +1,228 @@
+//! The latest starts of each upstream, and the version that a connection leads to.
+//!
+//! Load pattern: upstreams crash and start again at their addresses with another version, seconds before the platform
+//! lists that, while hundreds of streams a second begin, and crash again in their midst.
+
+use std::collections::{HashMap, VecDeque};
+
+/// Starts of an upstream that are kept; the oldest ones are forgotten first.
+const MAX_STARTS: usize = 8;
+/// Breaks of connections of an upstream that are kept.
+const MAX_BREAKS: usize = 32;
+/// Time after which an upstream that was not heard of is forgotten; longer than any stream lasts.
+const RETENTION_MS: u64 = 300_000;
+
+/// The start of an upstream that accepted a connection, as far as the connection itself tells.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Acceptance {
+    /// Wall-clock time of the start that the upstream reported on this connection, in milliseconds since the Unix
+    /// epoch; `None` if it has reported none.
+    pub reported_start_ms: Option<u64>,
+    /// Time before which the connection was not accepted.
+    pub dialled_at_ms: u64,
+    /// Time at which the connection had been accepted.
+    pub opened_at_ms: u64,
+}
+
+/// What the platform lists of a start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ListedStart<'a> {
+    /// Id of the upstream.
+    pub upstream: &'a str,
+    /// Wall-clock time of the start, in milliseconds since the Unix epoch; `None` if it is not listed.
+    pub started_at_ms: Option<u64>,
+    /// Version of its software; `None` if it is not listed.
+    pub version: Option<&'a str>,
+}
+
+/// Version of a start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum StartVersion {
+    /// The start has not been listed.
+    Unlisted,
+    Listed(Option<String>),
+    /// It was listed with several versions.
+    Ambiguous,
+}
+
+impl StartVersion {
+    fn record(&mut self, version: Option<&str>) {
+        match self {
+            Self::Unlisted => *self = Self::Listed(version.map(str::to_owned)),
+            Self::Listed(known) if known.as_deref() != version => *self = Self::Ambiguous,
+            Self::Listed(_) | Self::Ambiguous => {}
+        }
+    }
+
+    fn known(&self) -> Option<&str> {
+        match self {
+            Self::Listed(version) => version.as_deref(),
+            Self::Unlisted | Self::Ambiguous => None,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Start {
+    started_at_ms: Option<u64>,
+    version: StartVersion,
+    /// Time at which it was first heard of: it has run since then, or had ended before.
+    known_at_ms: u64,
+    /// Latest time at which it is known to have run still.
+    ran_until_ms: u64,
+    is_reported: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Upstream {
+    /// In the order in which they became known.
+    starts: VecDeque<Start>,
+    /// Times at which connections broke lately.
+    breaks_ms: VecDeque<u64>,
+    heard_at_ms: u64,
+}
+
+impl Upstream {
+    fn find(&self, started_at_ms: Option<u64>) -> Option<&Start> {
+        self.starts.iter().find(|start| start.started_at_ms == started_at_ms)
+    }
+
+    /// Returns the start, which becomes the latest one if it was not known.
+    fn find_or_add(&mut self, started_at_ms: Option<u64>, now_ms: u64) -> &mut Start {
+        self.heard_at_ms = now_ms;
+        let known = self.starts.iter().position(|start| start.started_at_ms == started_at_ms);
+        let index = known.unwrap_or_else(|| {
+            if self.starts.len() == MAX_STARTS {
+                self.starts.pop_front();
+            }
+            self.starts.push_back(Start {
+                started_at_ms,
+                version: StartVersion::Unlisted,
+                known_at_ms: now_ms,
+                ran_until_ms: 0,
+                is_reported: false,
+            });
+            self.starts.len() - 1
+        });
+        &mut self.starts[index]
+    }
+
+    fn record_run(&mut self, started_at_ms: Option<u64>, until_ms: u64, now_ms: u64) {
+        let start = self.find_or_add(started_at_ms, now_ms);
+        start.ran_until_ms = start.ran_until_ms.max(until_ms);
+    }
+
+    fn has_break(&self, after_ms: u64, until_ms: u64) -> bool {
+        self.breaks_ms.iter().any(|broke_at_ms| (after_ms + 1..=until_ms).contains(broke_at_ms))
+    }
+
+    fn version(&self, acceptance: &Acceptance) -> Option<&str> {
+        if acceptance.reported_start_ms.is_some() {
+            return self.find(acceptance.reported_start_ms)?.version.known();
+        }
+        let index = self
+            .starts
+            .iter()
+            .rposition(|start| start.known_at_ms <= acceptance.dialled_at_ms)?;
+        let start = &self.starts[index];
+        let version = start.version.known()?;
+        if start.ran_until_ms >= acceptance.opened_at_ms {
+            return Some(version);
+        }
+        // Another start may have accepted it: one that became known later, or one that never did.
+        let mut later = self.starts.range(index + 1..);
+        let is_certain = !self.has_break(start.ran_until_ms, acceptance.opened_at_ms)
+            && later.all(|next| next.version.known() == Some(version));
+        is_certain.then_some(version)
+    }
+}
+
+/// The latest starts of each upstream.
+#[derive(Clone, Debug, Default)]
+pub struct StartTable {
+    upstreams: HashMap<String, Upstream>,
+}
+
+impl StartTable {
+    /// Records what the platform lists. With `written_after_ms`, the upstream is known to have written it after that
+    /// time.
+    pub fn record_listed(
+        &mut self,
+        listed: &ListedStart<'_>,
+        written_after_ms: Option<u64>,
+        now_ms: u64,
+    ) {
+        let upstream = self.upstreams.entry(listed.upstream.to_owned()).or_default();
+        upstream.find_or_add(listed.started_at_ms, now_ms).version.record(listed.version);
+        if let Some(written_after_ms) = written_after_ms {
+            upstream.record_run(listed.started_at_ms, written_after_ms, now_ms);
+        }
+    }
+
+    /// Records a start that an upstream has reported itself when it was asked at `asked_at_ms`.
+    pub fn record_reported(
+        &mut self,
+        upstream: &str,
+        started_at_ms: u64,
+        asked_at_ms: u64,
+        now_ms: u64,
+    ) {
+        let upstream = self.upstreams.entry(upstream.to_owned()).or_default();
+        upstream.record_run(Some(started_at_ms), asked_at_ms, now_ms);
+        upstream.find_or_add(Some(started_at_ms), now_ms).is_reported = true;
+    }
+
+    /// Returns whether an upstream has reported its start itself.
+    pub fn has_reported(&self, upstream: &str) -> bool {
+        let known = self.upstreams.get(upstream);
+        known.is_some_and(|upstream| upstream.starts.iter().any(|start| start.is_reported))
+    }
+
+    /// Records that a connection has broken: the upstream may have started again since it was last known to run.
+    pub fn record_break(&mut self, upstream: &str, now_ms: u64) {
+        let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
+        if upstream.breaks_ms.len() == MAX_BREAKS {
+            upstream.breaks_ms.pop_front();
+        }
+        upstream.breaks_ms.push_back(now_ms);
+    }
+
+    /// Returns the version of the start that accepted a connection; `None` if it is not known, or not yet.
+    pub fn version(&self, upstream: &str, acceptance: &Acceptance) -> Option<&str> {
+        self.upstreams.get(upstream)?.version(acceptance)
+    }
+
+    /// Returns whether the start that the upstream reports now is the one that accepted a connection.
+    pub fn is_accepted_by(
+        &self,
+        upstream: &str,
+        acceptance: &Acceptance,
+        started_at_ms: u64,
+    ) -> bool {
+        match acceptance.reported_start_ms {
+            Some(reported_start_ms) => reported_start_ms == started_at_ms,
+            None => self
+                .upstreams
+                .get(upstream)
+                .and_then(|known| known.find(Some(started_at_ms)))
+                .is_some_and(|start| start.known_at_ms <= acceptance.dialled_at_ms),
+        }
+    }
+
+    /// Forgets upstreams that are not listed and were not heard of for long.
+    pub fn expire(&mut self, now_ms: u64, is_listed: impl Fn(&str) -> bool) {
+        self.upstreams.retain(|id, upstream| {
+            now_ms.saturating_sub(upstream.heard_at_ms) < RETENTION_MS || is_listed(id)
+        });
+    }
+
+    /// Number of upstreams.
+    pub fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/starts/tests/starts.rs
@@ -0,0 +1,217 @@
+//! Which start of an upstream accepted a connection.
+
+use hickorycourse_starts::{Acceptance, ListedStart, StartTable};
+use proptest::prelude::*;
+
+const UPSTREAM: &str = "i-1";
+
+fn listed(started_at_ms: u64, version: &str) -> ListedStart<'_> {
+    ListedStart { upstream: UPSTREAM, started_at_ms: Some(started_at_ms), version: Some(version) }
+}
+
+fn opened(dialled_at_ms: u64) -> Acceptance {
+    Acceptance { reported_start_ms: None, dialled_at_ms, opened_at_ms: dialled_at_ms + 2 }
+}
+
+fn reported(started_at_ms: u64) -> Acceptance {
+    Acceptance { reported_start_ms: Some(started_at_ms), ..opened(500) }
+}
+
+/// A table in which the first start is listed with version `v1`.
+fn listed_table() -> StartTable {
+    let mut starts = StartTable::default();
+    starts.record_listed(&listed(1, "v1"), None, 100);
+    starts
+}
+
+#[test]
+fn version_reported_start_is_that_of_its_entry() {
+    let mut starts = listed_table();
+    starts.record_listed(&listed(2, "v2"), None, 900);
+    assert_eq!(starts.version(UPSTREAM, &reported(1)), Some("v1"));
+    assert_eq!(starts.version(UPSTREAM, &reported(2)), Some("v2"));
+}
+
+// Guards against the entry of the last start being believed of the next one.
+#[test]
+fn version_reported_start_that_is_not_listed_is_unknown() {
+    let mut starts = listed_table();
+    starts.record_reported(UPSTREAM, 2, 480, 490);
+    assert_eq!(starts.version(UPSTREAM, &reported(2)), None);
+    starts.record_listed(&listed(2, "v2"), None, 900);
+    assert_eq!(starts.version(UPSTREAM, &reported(2)), Some("v2"));
+}
+
+#[test]
+fn version_start_listed_with_two_versions_is_unknown() {
+    let mut starts = listed_table();
+    starts.record_listed(&listed(1, "v2"), None, 200);
+    assert_eq!(starts.version(UPSTREAM, &reported(1)), None);
+}
+
+#[test]
+fn version_unreported_start_without_breaks_is_that_of_the_entry() {
+    assert_eq!(listed_table().version(UPSTREAM, &opened(500)), Some("v1"));
+    assert_eq!(listed_table().version(UPSTREAM, &opened(50)), None);
+    assert_eq!(listed_table().version("i-2", &opened(500)), None);
+}
+
+#[test]
+fn version_unreported_start_after_break_is_unknown_until_it_is_known_to_run() {
+    let mut starts = listed_table();
+    starts.record_break(UPSTREAM, 400);
+    assert_eq!(starts.version(UPSTREAM, &opened(300)), Some("v1"));
+    assert_eq!(starts.version(UPSTREAM, &opened(500)), None);
+    // A heartbeat that may have been written before the break proves nothing.
+    starts.record_listed(&listed(1, "v1"), Some(390), 600);
+    assert_eq!(starts.version(UPSTREAM, &opened(500)), None);
+    starts.record_listed(&listed(1, "v1"), Some(450), 700);
+    assert_eq!(starts.version(UPSTREAM, &opened(500)), Some("v1"));
+}
+
+// Guards against a start that becomes known later than the connection that it accepted.
+#[test]
+fn version_unreported_start_before_another_one_is_unknown() {
+    let mut starts = listed_table();
+    starts.record_listed(&listed(1, "v1"), Some(450), 460);
+    starts.record_listed(&listed(2, "v2"), Some(800), 900);
+    assert_eq!(starts.version(UPSTREAM, &opened(400)), Some("v1"));
+    assert_eq!(starts.version(UPSTREAM, &opened(500)), None);
+    assert_eq!(starts.version(UPSTREAM, &opened(950)), Some("v2"));
+}
+
+#[test]
+fn version_unreported_start_before_another_one_of_its_version_is_known() {
+    let mut starts = listed_table();
+    starts.record_listed(&listed(2, "v1"), Some(800), 900);
+    assert_eq!(starts.version(UPSTREAM, &opened(500)), Some("v1"));
+}
+
+#[test]
+fn is_accepted_by_reported_start_compares_it() {
+    let starts = listed_table();
+    assert!(starts.is_accepted_by(UPSTREAM, &reported(1), 1));
+    assert!(!starts.is_accepted_by(UPSTREAM, &reported(1), 2));
+}
+
+// Guards against a response that looks complete because the next start of its upstream runs.
+#[test]
+fn is_accepted_by_unreported_start_asks_for_one_known_before() {
+    let mut starts = listed_table();
+    assert!(starts.is_accepted_by(UPSTREAM, &opened(500), 1));
+    assert!(!starts.is_accepted_by(UPSTREAM, &opened(500), 2));
+    starts.record_listed(&listed(2, "v1"), None, 900);
+    assert!(!starts.is_accepted_by(UPSTREAM, &opened(500), 2));
+    assert!(starts.is_accepted_by(UPSTREAM, &opened(950), 2));
+}
+
+#[test]
+fn expire_silent_upstream_is_forgotten_unless_listed() {
+    let mut starts = listed_table();
+    starts.expire(300_000, |_| false);
+    starts.expire(300_100, |_| true);
+    assert_eq!(starts.len(), 1);
+    starts.expire(300_100, |_| false);
+    assert!(starts.is_empty());
+}
+
+/// One start of an upstream, as it really is.
+#[derive(Clone, Debug)]
+struct TrueStart {
+    begin_ms: u64,
+    end_ms: u64,
+    version: &'static str,
+    heartbeats: Vec<Heartbeat>,
+}
+
+#[derive(Clone, Debug)]
+struct Heartbeat {
+    read_at_ms: u64,
+    /// Time at which what is known of the platform was current before this was read.
+    current_at_ms: u64,
+}
+
+fn true_starts() -> impl Strategy<Value = Vec<TrueStart>> {
+    let start = (0..200_u64, 50..3_000_u64, prop::bool::ANY, 0..1_500_u64, 100..1_300_u64);
+    prop::collection::vec((start, 0..900_u64), 1..6).prop_map(|starts| {
+        let (mut now_ms, mut read_at_ms) = (1_000, 1_000);
+        let mut result = Vec::new();
+        for ((down_ms, lasts_ms, is_first, late_ms, interval_ms), lag_ms) in starts {
+            let begin_ms = now_ms + down_ms;
+            let end_ms = begin_ms + lasts_ms;
+            let mut heartbeats = Vec::new();
+            let mut written_at_ms = begin_ms + late_ms;
+            while written_at_ms < end_ms {
+                let current_at_ms = read_at_ms.min(written_at_ms);
+                read_at_ms = read_at_ms.max(written_at_ms) + lag_ms;
+                heartbeats.push(Heartbeat { read_at_ms, current_at_ms });
+                written_at_ms += interval_ms;
+            }
+            let version = if is_first { "v1" } else { "v2" };
+            result.push(TrueStart { begin_ms, end_ms, version, heartbeats });
+            now_ms = end_ms + 1;
+        }
+        result
+    })
+}
+
+proptest! {
+    // Facts arrive as late as they may; what is derived from them at any time is true or unknown.
+    #[test]
+    fn version_any_history_is_true_or_unknown(
+        starts in true_starts(),
+        dials in prop::collection::vec((0..12_000_u64, 0..20_u64, prop::bool::ANY), 1..30),
+        looks in prop::collection::vec(0..14_000_u64, 1..6),
+    ) {
+        enum Fact<'a> {
+            Listed(&'a TrueStart, &'a Heartbeat),
+            Reported(u64, u64),
+            Broke,
+        }
+        let mut facts = Vec::new();
+        for start in &starts {
+            for heartbeat in &start.heartbeats {
+                facts.push((heartbeat.read_at_ms, Fact::Listed(start, heartbeat)));
+            }
+            facts.push((start.end_ms, Fact::Broke));
+        }
+        let mut accepted = Vec::new();
+        for (dialled_at_ms, took_ms, is_reported) in dials {
+            let accepted_at_ms = dialled_at_ms + took_ms / 2;
+            let start = starts.iter().find(|start| {
+                (start.begin_ms..=start.end_ms).contains(&accepted_at_ms)
+            });
+            let Some(start) = start else { continue };
+            let opened_at_ms = dialled_at_ms + took_ms;
+            let reported_start_ms = is_reported.then_some(start.begin_ms);
+            let acceptance = Acceptance { reported_start_ms, dialled_at_ms, opened_at_ms };
+            if is_reported && opened_at_ms < start.end_ms {
+                facts.push((opened_at_ms + 1, Fact::Reported(start.begin_ms, opened_at_ms)));
+            }
+            accepted.push((acceptance, start));
+        }
+        facts.sort_by_key(|(at_ms, _)| *at_ms);
+        for look_at_ms in looks {
+            let mut table = StartTable::default();
+            for (at_ms, fact) in facts.iter().take_while(|(at_ms, _)| *at_ms <= look_at_ms) {
+                match fact {
+                    Fact::Listed(start, heartbeat) => {
+                        let known = listed(start.begin_ms, start.version);
+                        table.record_listed(&known, Some(heartbeat.current_at_ms), *at_ms);
+                    }
+                    Fact::Reported(begin_ms, asked_at_ms) => {
+                        table.record_reported(UPSTREAM, *begin_ms, *asked_at_ms, *at_ms);
+                    }
+                    Fact::Broke => table.record_break(UPSTREAM, *at_ms),
+                }
+            }
+            for (acceptance, start) in &accepted {
+                if acceptance.opened_at_ms <= look_at_ms
+                    && let Some(version) = table.version(UPSTREAM, acceptance)
+                {
+                    prop_assert_eq!(version, start.version, "{:?}", acceptance);
+                }
+            }
+        }
+    }
+}
