Logs: the version that a stream is taken to be of

No line told which version an instance took a stream to be of, so streams joined across starts of an engine could not be told from others. stream_begun and stream_ended name it, and stream_begun the upstream. No change of behaviour.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -190,6 +190,7 @@
         self.call.count_run();
         // From the first event on, only upstreams of this version may go on.
         self.call.record_origin(self.version.as_deref());
+        self.log_begin();
         Ok(())
     }
 
@@ -338,13 +339,24 @@
         self.call.route.repeat.allows_reexecution() && (!self.is_begun || is_known)
     }
 
+    fn log_begin(&self) {
+        let call = &self.call;
+        call.relay.log.write("stream_begun", || {
+            json!({
+                "request": call.request_id, "upstream": self.upstreams.last(),
+                "version": self.version,
+            })
+        });
+    }
+
     /// Logs the end of the stream and counts its outcome.
     fn log_end(&self, outcome: &str) {
         let call = &self.call;
         call.relay.log.write("stream_ended", || {
             json!({
                 "call": call.log_fields(), "outcome": outcome, "upstreams": self.upstreams,
-                "last_event": self.events.last_id(), "failure": self.retry_state.failure,
+                "last_event": self.events.last_id(), "version": self.version,
+                "failure": self.retry_state.failure,
                 "took_ms": call.relay.now_ms().saturating_sub(call.arrived_at_ms),
             })
         });
