Starts: a stream's version is that of the start that began it

What callers saw: answers with events of two software versions of an engine, within one answer or over their tries.

Cause: an instance knew an engine by its id and address. A stream got the version of the entry at its placement, whichever start accepted its connection, and that version was told to other instances; a stream was resumed at an engine by its entry as well. Entries lag behind starts. The class: what belongs to one start of a process is used for the next.

Change: crates/starts derives the version that a connection leads to from facts whose order is known. On a connection for a stream that may be resumed, the engine is asked once for its start (its report, which holds the time of its start); the version is that of this start's entry. A stream of a start that is not listed yet goes on at no version, is told to other instances as such, and is settled when the entry comes. It is resumed only on a connection whose start is of its version. Without reports, a version is told once a later entry of the same start proves it, and is not believed across breaks of connections or another start.

--- a/crates/connections/src/pool.rs
+++ b/crates/connections/src/pool.rs
@@ -5,7 +5,7 @@
 use std::hash::Hash;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -106,6 +106,9 @@
     carrier: Option<Rc<dyn Carrier>>,
     is_reused: bool,
     dialled_at_ms: u64,
+    opened_at_ms: u64,
+    /// Start of the upstream that it has reported on this connection.
+    reported_start_ms: Option<u64>,
     idle_since_ms: u64,
     idle_timeout_ms: u64,
     undelivered: Undelivered,
@@ -114,6 +117,7 @@
 impl<K> UpstreamConnection<K> {
     async fn open(pool_key: PoolKey<K>, now_ms: u64) -> Result<Self, ExchangeError> {
         let not_sent = |detail: String| ExchangeError::NotSent(detail);
+        let dialled = Instant::now();
         let stream = timeout(DIAL_TIMEOUT, TcpStream::connect(pool_key.address))
             .await
             .map_err(|()| {
@@ -121,14 +125,16 @@
             })?
             .map_err(|error| not_sent(error.to_string()))?;
         stream.set_nodelay(true).map_err(|error| not_sent(error.to_string()))?;
-        Self::open_over(stream, pool_key, None, now_ms).await
+        let opened_at_ms = now_ms + dialled.elapsed().as_millis() as u64 + 1;
+        Self::open_over(stream, pool_key, None, now_ms, opened_at_ms).await
     }
 
     async fn open_over(
         stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
         pool_key: PoolKey<K>,
         carrier: Option<Rc<dyn Carrier>>,
-        now_ms: u64,
+        dialled_at_ms: u64,
+        opened_at_ms: u64,
     ) -> Result<Self, ExchangeError> {
         let undelivered = Undelivered::default();
         let stream =
@@ -140,7 +146,9 @@
             pool_key,
             carrier,
             is_reused: false,
-            dialled_at_ms: now_ms,
+            dialled_at_ms,
+            opened_at_ms,
+            reported_start_ms: None,
             idle_since_ms: 0,
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
             undelivered,
@@ -184,6 +192,18 @@
         }
     }
 
+    /// Waits until another request can be sent after a complete response.
+    ///
+    /// # Errors
+    /// The connection has ended, or is not ready within `limit`.
+    pub async fn ready(&mut self, limit: Duration) -> Result<(), ExchangeError> {
+        match timeout(limit, self.sender.ready()).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(error)) => Err(ExchangeError::NotSent(error.to_string())),
+            Err(()) => Err(ExchangeError::NotSent("the connection is not ready".to_owned())),
+        }
+    }
+
     /// Returns whether the connection comes from the pool, so that the upstream may have closed it.
     pub fn is_reused(&self) -> bool {
         self.is_reused
@@ -194,6 +214,22 @@
         self.dialled_at_ms
     }
 
+    /// Time at which the connection had been accepted.
+    pub fn opened_at_ms(&self) -> u64 {
+        self.opened_at_ms
+    }
+
+    /// Wall-clock time of the upstream's start that it has reported on this connection, in milliseconds since the
+    /// Unix epoch; `None` if it has reported none. Only that start sends anything on the connection.
+    pub fn reported_start_ms(&self) -> Option<u64> {
+        self.reported_start_ms
+    }
+
+    /// Records the start that the upstream has reported on this connection.
+    pub fn record_reported_start(&mut self, started_at_ms: u64) {
+        self.reported_start_ms = Some(started_at_ms);
+    }
+
     /// Returns whether the connection has ended, as far as is known.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
@@ -321,7 +357,7 @@
         UpstreamConnection::open(PoolKey { upstream, address, is_tunnelled: false }, now_ms).await
     }
 
-    /// Opens a connection over a stream to the upstream that `carrier` carries.
+    /// Opens a connection over a stream to the upstream that `carrier` carries and has dialled since `dialled_at_ms`.
     ///
     /// # Errors
     /// No connection could be opened; nothing was sent.
@@ -331,10 +367,12 @@
         upstream: K,
         address: SocketAddr,
         carrier: Rc<dyn Carrier>,
+        dialled_at_ms: u64,
         now_ms: u64,
     ) -> Result<UpstreamConnection<K>, ExchangeError> {
         let pool_key = PoolKey { upstream, address, is_tunnelled: true };
-        UpstreamConnection::open_over(stream, pool_key, Some(carrier), now_ms).await
+        let carrier = Some(carrier);
+        UpstreamConnection::open_over(stream, pool_key, carrier, dialled_at_ms, now_ms).await
     }
 
     /// Returns a connection to the pool after a complete response.
--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -18,11 +18,13 @@
 
 /// Types that most users of this crate need.
 pub mod prelude {
-    pub use crate::{ListedVersions, OriginJournal, OriginTable, StreamKey, StreamOrigin};
+    pub use crate::{
+        ListedVersions, OriginJournal, OriginTable, StreamBeginning, StreamKey, StreamOrigin,
+    };
 }
 
 pub use holders::choose_holders;
 pub use journal::{OriginJournal, SegmentWrite, write_interval_ms};
 pub use records::{OriginSegment, ServiceVersion, VersionRecord};
-pub use table::{OriginTable, StreamKey, StreamOrigin};
+pub use table::{OriginTable, StreamBeginning, StreamKey, StreamOrigin};
 pub use versions::ListedVersions;
--- a/crates/origins/src/table.rs
+++ b/crates/origins/src/table.rs
@@ -15,6 +15,8 @@
 const MAX_NAME_BYTES: usize = 256;
 /// Origins that are kept; the oldest ones are forgotten first.
 const MAX_ORIGINS: usize = 65_536;
+/// Streams without a known origin that are kept; they begin only within moments of a start.
+const MAX_BEGINNINGS: usize = 4_096;
 
 /// Identifies a stream at all instances: the organisation of its caller, and the request that began it. Ids
 /// are chosen by callers, so the same id of two organisations names two streams.
@@ -51,6 +53,20 @@
     pub version: String,
 }
 
+/// Where a stream began, while the version of that start is not known.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamBeginning {
+    /// The service.
+    #[serde(rename = "s")]
+    pub service: String,
+    /// Id of the upstream.
+    #[serde(rename = "u")]
+    pub upstream: String,
+    /// Wall-clock time of its start, in milliseconds since the Unix epoch; `None` if the upstream does not report it.
+    #[serde(rename = "b")]
+    pub started_at_ms: Option<u64>,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     /// `None` if two origins have been recorded: the id was used twice.
@@ -64,6 +80,15 @@
     entries: HashMap<StreamKey, Entry>,
     /// Keys in the order of their recording, with its time.
     recorded: VecDeque<(u64, StreamKey)>,
+    /// Streams whose origin is not known yet, in the order of their recording.
+    beginnings: VecDeque<(u64, StreamKey, StreamBeginning)>,
+}
+
+impl StreamBeginning {
+    /// Returns whether the names are of a length that is believed.
+    pub fn is_valid(&self) -> bool {
+        self.service.len() <= MAX_NAME_BYTES && self.upstream.len() <= MAX_NAME_BYTES
+    }
 }
 
 impl StreamOrigin {
@@ -92,6 +117,20 @@
         }
     }
 
+    /// Records where a stream began whose origin is not known yet.
+    pub fn record_beginning(&mut self, key: StreamKey, beginning: StreamBeginning, now_ms: u64) {
+        if self.beginnings.len() == MAX_BEGINNINGS {
+            self.beginnings.pop_front();
+        }
+        self.beginnings.push_back((now_ms, key, beginning));
+    }
+
+    /// Returns where a stream began whose origin is not known.
+    pub fn find_beginning(&self, key: StreamKey) -> Option<&StreamBeginning> {
+        let found = self.beginnings.iter().rev().find(|(_, known, _)| *known == key);
+        found.filter(|_| !self.entries.contains_key(&key)).map(|(_, _, beginning)| beginning)
+    }
+
     /// Records an origin that the store holds. Unlike [`record`](Self::record), it doesn't renew one that is
     /// known, as the store is read again and again.
     pub fn learn(&mut self, key: StreamKey, origin: &StreamOrigin, now_ms: u64) {
@@ -116,6 +155,11 @@
         {
             self.forget_oldest();
         }
+        while let Some((recorded_at_ms, _, _)) = self.beginnings.front()
+            && now_ms.saturating_sub(*recorded_at_ms) >= RETENTION_MS
+        {
+            self.beginnings.pop_front();
+        }
     }
 
     /// Number of origins.
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -1,7 +1,8 @@
 //! Origins of streams, their holders, and versions that are listed.
 
 use hickorycourse_origins::{
-    ListedVersions, OriginJournal, OriginTable, StreamKey, StreamOrigin, choose_holders,
+    ListedVersions, OriginJournal, OriginTable, StreamBeginning, StreamKey, StreamOrigin,
+    choose_holders,
     write_interval_ms,
 };
 use proptest::prelude::*;
@@ -221,3 +222,23 @@
         prop_assert_eq!(&asked[..expected.len()], expected.as_slice());
     }
 }
+
+// Guards against a stream of a start that is not listed yet being taken for one of the listed version.
+#[test]
+fn find_beginning_is_known_until_the_origin_is() {
+    let mut table = OriginTable::default();
+    let key = StreamKey::new(None, "a");
+    let beginning = StreamBeginning {
+        service: "desk".to_owned(),
+        upstream: "i-1".to_owned(),
+        started_at_ms: Some(2),
+    };
+    table.record_beginning(key, beginning.clone(), 10);
+    assert_eq!((table.find(key, 20), table.find_beginning(key)), (None, Some(&beginning)));
+    table.record(key, origin("v2"), 30);
+    assert_eq!((table.find(key, 40), table.find_beginning(key)), (Some(&origin("v2")), None));
+    let other = StreamKey::new(None, "b");
+    table.record_beginning(other, beginning, 50);
+    table.expire(60_050);
+    assert_eq!(table.find_beginning(other), None);
+}
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -8,7 +8,7 @@
 use hickorycourse_placement::PromptPart;
 use hickorycourse_routes::{RouteDocument, UpstreamEntry};
 use hickorycourse_store::LocalFuture;
-use http::HeaderMap;
+use http::{HeaderMap, Request};
 
 /// Metadata in a caller's request headers.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -97,6 +97,20 @@
     Invalid(String),
 }
 
+/// What an upstream reports of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UpstreamReport {
+    /// It is the upstream that was asked, and runs since this wall-clock time in milliseconds since the Unix epoch.
+    Running {
+        /// Time of its start.
+        started_at_ms: u64,
+    },
+    /// Another upstream listens at the address.
+    OtherUpstream,
+    /// The response does not tell.
+    Unknown,
+}
+
 /// Time for which an upstream that has rejected a request wants no further ones.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum BackoffRequest {
@@ -154,6 +168,12 @@
     /// Reads the metadata in the head of an upstream's response.
     fn read_response_head(&self, status: u16, headers: &HeaderMap) -> ResponseMetadata;
 
+    /// Returns the request for the report of an upstream on itself.
+    fn make_report_request(&self, upstream: &str) -> Request<()>;
+
+    /// Reads the report of an upstream on itself.
+    fn read_report(&self, status: u16, body: &[u8]) -> UpstreamReport;
+
     /// Formats the value of a `Retry-After` header.
     fn format_retry_after(&self, retry_after_ms: u64) -> String;
 
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -308,6 +308,9 @@
             | Message::Grant { nonce, .. }
             | Message::GrantUnits { nonce, .. } => self.deliver_reply(nonce, message),
             Message::Origin { key, origin } => self.relay.apply_stream_origin(key, origin),
+            Message::Beginning { key, beginning } => {
+                self.relay.apply_stream_beginning(key, beginning);
+            }
             Message::FindOrigin { nonce, key } => {
                 self.send_all(&self.find_own_origin(nonce, key), &[source]).await;
             }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hickorycourse_codes::{ErrorCode, Problem};
-use hickorycourse_origins::{StreamKey, StreamOrigin};
+use hickorycourse_origins::{StreamBeginning, StreamKey, StreamOrigin};
 use hickorycourse_placement::{AttemptOutcome, Placement, PlacementRequest, PromptPart};
 use hickorycourse_quarantine::RequestItems;
 use hickorycourse_routes::{Access, Route};
@@ -154,6 +154,16 @@
         self.relay.record_stream_origin(self.stream_key, &origin, self.route.timeout_ms);
     }
 
+    /// Records where a stream that may be resumed began, while the version of that start is not known.
+    pub fn record_beginning(&self, upstream: &str, started_at_ms: Option<u64>) {
+        if !self.route.repeat.allows_reexecution() {
+            return;
+        }
+        let (service, upstream) = (self.service.clone(), upstream.to_owned());
+        let beginning = StreamBeginning { service, upstream, started_at_ms };
+        self.relay.record_stream_beginning(self.stream_key, &beginning);
+    }
+
     /// Ends an attempt whose connection broke. The end of a carrying peer is not that of the upstream.
     pub fn record_broken(&self, attempt: Attempt, connection: &UpstreamConnection) {
         if connection.carrier().is_some_and(Carrier::is_broken) {
@@ -161,10 +171,16 @@
             return;
         }
         self.has_broken.set(true);
+        self.record_break(&attempt.placement.upstream);
         let broken = u32::from(attempt.end_broken());
         self.broken_beginnings.set(self.broken_beginnings.get() + broken);
     }
 
+    /// Records that a connection has broken: its upstream may have started again.
+    fn record_break(&self, upstream: &str) {
+        self.relay.starts.lock().record_break(upstream, self.relay.now_ms());
+    }
+
     /// Milliseconds until the deadline.
     pub fn remaining_ms(&self) -> u64 {
         self.deadline_at_ms.saturating_sub(self.relay.now_ms())
@@ -231,7 +247,8 @@
             false => MAX_IDLE_NON_IDEMPOTENT_MS,
         };
         let target = self.dial_target(&attempt.placement);
-        let connection = match self.connect(&target, max_idle_ms).await {
+        let connected = self.connect_to_start(&target, &attempt, max_idle_ms, retry_state).await;
+        let connection = match connected {
             Ok(connection) => connection,
             Err(error) => {
                 attempt.end(error.outcome());
@@ -304,6 +321,7 @@
                     }
                     ExchangeError::Interrupted(_) => {
                         retry_state.may_have_run = true;
+                        self.record_break(&attempt.placement.upstream);
                         let is_link_cut = self.relay.record_broken_link(&target, &connection);
                         is_link_cut.then_some(AttemptOutcome::Cancelled)
                     }
--- a/crates/relay/src/datagrams.rs
+++ b/crates/relay/src/datagrams.rs
@@ -1,7 +1,7 @@
 //! Datagrams between instances.
 
 use hickorycourse_digest::{MemberDigest, PartMark, ZoneDigest};
-use hickorycourse_origins::{StreamKey, StreamOrigin};
+use hickorycourse_origins::{StreamBeginning, StreamKey, StreamOrigin};
 use hickorycourse_permits::LimitNotice;
 use hickorycourse_routes::{RouteDocument, UpstreamEntry};
 use serde::{Deserialize, Serialize};
@@ -111,6 +111,13 @@
         /// What began it.
         origin: StreamOrigin,
     },
+    /// Where a stream began whose origin is not known yet. Builds without it drop it.
+    Beginning {
+        /// Identifies the stream.
+        key: StreamKey,
+        /// Where it began.
+        beginning: StreamBeginning,
+    },
     /// Query for what began a stream.
     FindOrigin {
         /// Identifies the query.
@@ -124,6 +131,9 @@
         nonce: u64,
         /// What began the stream, if it is known.
         origin: Option<StreamOrigin>,
+        /// Where it began, if that alone is known.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        beginning: Option<StreamBeginning>,
     },
     /// Claim for a permit, to the instance that grants those of the upstream.
     Claim {
@@ -175,6 +185,7 @@
             Self::Fleet { .. } => "fleet",
             Self::Zone(_) => "zone",
             Self::Origin { .. } => "origin",
+            Self::Beginning { .. } => "beginning",
             Self::FindOrigin { .. } => "find_origin",
             Self::FoundOrigin { .. } => "found_origin",
             Self::Claim { .. } => "claim",
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -58,6 +58,16 @@
 }
 
 impl DialTarget {
+    /// Id of the upstream.
+    pub fn upstream(&self) -> &str {
+        &self.upstream
+    }
+
+    /// Address of the upstream.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// The upstream, as far as its links depend on it.
     pub fn view(&self) -> UpstreamView<'_> {
         UpstreamView {
@@ -345,8 +355,11 @@
         };
         let carrier = Rc::new(PeerCarrier { name: peer.clone(), health: stream.health() });
         let (upstream, address) = (target.upstream.clone(), target.address);
-        let opened =
-            self.connections.open_over(stream, upstream, address, carrier, relay.now_ms()).await;
+        let now_ms = relay.now_ms();
+        let opened = self
+            .connections
+            .open_over(stream, upstream, address, carrier, started_at_ms, now_ms)
+            .await;
         opened.map_err(|error| TunnelFailure {
             is_upstream_unreachable: false,
             detail: format!("{peer}: {error}"),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -53,6 +53,7 @@
 mod successor;
 mod tolerance;
 mod tunnels;
+mod upstream_reports;
 mod view_gate;
 mod view_log;
 mod view_search;
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -9,8 +9,9 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hickorycourse_codes::{ErrorCode, Problem};
-use hickorycourse_origins::{StreamKey, StreamOrigin, choose_holders};
+use hickorycourse_origins::{StreamBeginning, StreamKey, StreamOrigin, choose_holders};
 use hickorycourse_routes::{Route, UpstreamPhase};
+use hickorycourse_starts::Acceptance;
 use ntex::rt;
 use ntex::time::sleep;
 use serde_json::json;
@@ -41,7 +42,19 @@
 pub struct OriginQuery {
     key: StreamKey,
     addresses: Vec<SocketAddr>,
-    reply: oneshot::Sender<Option<StreamOrigin>>,
+    reply: oneshot::Sender<KnownOrigin>,
+}
+
+/// What is known of the origin of a stream.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum KnownOrigin {
+    /// What began it.
+    Settled(StreamOrigin),
+    /// Where it began; the version is not known yet.
+    Unsettled(StreamBeginning),
+    /// Nothing.
+    #[default]
+    Unknown,
 }
 
 impl Relay {
@@ -52,10 +65,20 @@
         self.origins.lock().record(key, origin.clone(), now_ms);
         let expires_at_ms = now_ms + lasts_ms + MAX_RETURN_MS;
         self.origin_journal.lock().record(key, origin.clone(), expires_at_ms);
+        self.tell_holders(key, &Message::Origin { key, origin: origin.clone() });
+    }
+
+    /// Records where a stream began whose origin is not known yet, and tells other instances: none may take it for one
+    /// of the version that is listed.
+    pub fn record_stream_beginning(&self, key: StreamKey, beginning: &StreamBeginning) {
+        self.origins.lock().record_beginning(key, beginning.clone(), self.now_ms());
+        self.tell_holders(key, &Message::Beginning { key, beginning: beginning.clone() });
+    }
+
+    fn tell_holders(&self, key: StreamKey, message: &Message) {
         let Some(socket) = self.peer_socket.get() else { return };
-        let message = Message::Origin { key, origin: origin.clone() };
         let mut bytes = Vec::new();
-        if ciborium::into_writer(&message, &mut bytes).is_err() {
+        if ciborium::into_writer(message, &mut bytes).is_err() {
             count_dropped("origin_unencoded");
             return;
         }
@@ -76,6 +99,34 @@
         }
     }
 
+    /// Records where a stream of another instance began.
+    pub fn apply_stream_beginning(&self, key: StreamKey, beginning: StreamBeginning) {
+        if beginning.is_valid() {
+            self.origins.lock().record_beginning(key, beginning, self.now_ms());
+        } else {
+            count_dropped("origin_invalid");
+        }
+    }
+
+    fn find_own_origin(&self, key: StreamKey) -> KnownOrigin {
+        let origins = self.origins.lock();
+        match (origins.find(key, self.now_ms()), origins.find_beginning(key)) {
+            (Some(origin), _) => KnownOrigin::Settled(origin.clone()),
+            (None, Some(beginning)) => KnownOrigin::Unsettled(beginning.clone()),
+            (None, None) => KnownOrigin::Unknown,
+        }
+    }
+
+    /// Returns the origin of a stream whose start has been listed by now.
+    fn settle_origin(&self, beginning: &StreamBeginning) -> Option<StreamOrigin> {
+        let accepted_by = Acceptance {
+            reported_start_ms: Some(beginning.started_at_ms?),
+            ..Acceptance::default()
+        };
+        let version = self.version_of(&beginning.upstream, &accepted_by, true)?;
+        Some(StreamOrigin { service: beginning.service.clone(), version })
+    }
+
     fn origin_holders(&self, key: StreamKey, counts: (usize, usize)) -> BTreeSet<SocketAddr> {
         let now_ms = self.now_ms();
         let own_zone = self.settings.availability_zone.as_str();
@@ -141,30 +192,45 @@
     ) -> Option<StreamOrigin> {
         let give_up_at_ms = deadline_at_ms.min(self.now_ms() + MAX_SEARCH_MS);
         loop {
-            let known = self.ask_stream_origin(key).await.or_else(|| self.sole_origin(route));
-            if known.is_some() {
-                return known;
+            let known = self.ask_stream_origin(key).await;
+            let origin = match &known {
+                KnownOrigin::Settled(origin) => Some(origin.clone()),
+                KnownOrigin::Unsettled(beginning) => self.settle_origin(beginning),
+                KnownOrigin::Unknown => self.sole_origin(route),
+            };
+            if origin.is_some() {
+                return origin;
             }
             let left_ms = give_up_at_ms.saturating_sub(self.now_ms());
             if left_ms == 0 {
                 return None;
             }
-            if self.search_stored_origins(Duration::from_millis(left_ms)).await {
+            if known == KnownOrigin::Unknown
+                && self.search_stored_origins(Duration::from_millis(left_ms)).await
+            {
                 return self.origins.lock().find(key, self.now_ms()).cloned();
             }
             sleep(SEARCH_RETRY_DELAY).await;
         }
     }
 
-    async fn ask_stream_origin(&self, key: StreamKey) -> Option<StreamOrigin> {
-        if let Some(origin) = self.origins.lock().find(key, self.now_ms()) {
-            return Some(origin.clone());
+    async fn ask_stream_origin(&self, key: StreamKey) -> KnownOrigin {
+        let own = self.find_own_origin(key);
+        if matches!(own, KnownOrigin::Settled(_)) {
+            return own;
         }
         let addresses: Vec<SocketAddr> = self.origin_holders(key, ASKED).into_iter().collect();
-        let queries = self.origin_queries.get().filter(|_| !addresses.is_empty())?;
+        let Some(queries) = self.origin_queries.get().filter(|_| !addresses.is_empty()) else {
+            return own;
+        };
         let (reply, receiver) = oneshot::channel();
-        queries.try_send(OriginQuery { key, addresses, reply }).ok()?;
-        receiver.await.ok()?
+        if queries.try_send(OriginQuery { key, addresses, reply }).is_err() {
+            return own;
+        }
+        match receiver.await {
+            Ok(KnownOrigin::Unknown) | Err(_) => own,
+            Ok(known) => known,
+        }
     }
 
     /// Returns the origin of any stream of a route whose service has had one version for as long as streams
@@ -203,6 +269,9 @@
     pub fn expire_origins(&self) {
         let now_ms = self.now_ms();
         self.observe_versions(now_ms);
+        let directory = self.directory.lock();
+        self.starts.lock().expire(now_ms, |id| directory.get(id).is_some());
+        drop(directory);
         self.origins.lock().expire(now_ms);
     }
 }
@@ -236,11 +305,17 @@
                 broadcast.request(*address, &message, nonce, REPLY_TIMEOUT).await
             })
             .collect();
-        let mut found = None;
+        let mut found = KnownOrigin::Unknown;
         while let Some(reply) = replies.next().await {
-            if let Some(Message::FoundOrigin { origin: Some(origin), .. }) = reply {
-                found = Some(origin);
-                break;
+            match reply {
+                Some(Message::FoundOrigin { origin: Some(origin), .. }) => {
+                    found = KnownOrigin::Settled(origin);
+                    break;
+                }
+                Some(Message::FoundOrigin { beginning: Some(beginning), .. }) => {
+                    found = KnownOrigin::Unsettled(beginning);
+                }
+                _ => {}
             }
         }
         // The caller may have left meanwhile.
@@ -249,8 +324,11 @@
 
     /// Answers the query of another instance.
     pub fn find_own_origin(&self, nonce: u64, key: StreamKey) -> Message {
-        let now_ms = self.relay.now_ms();
-        let origin = self.relay.origins.lock().find(key, now_ms).cloned();
-        Message::FoundOrigin { nonce, origin }
+        let (origin, beginning) = match self.relay.find_own_origin(key) {
+            KnownOrigin::Settled(origin) => (Some(origin), None),
+            KnownOrigin::Unsettled(beginning) => (None, Some(beginning)),
+            KnownOrigin::Unknown => (None, None),
+        };
+        Message::FoundOrigin { nonce, origin, beginning }
     }
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -24,6 +24,7 @@
     ActiveDocument, ApplyOutcome, DirectoryChange, Route, RouteDocument, RouteTable,
     UpstreamDirectory, UpstreamEntry,
 };
+use hickorycourse_starts::{ListedStart, StartTable};
 use hickorycourse_telemetry::{EventLog, Meter};
 use parking_lot::{Mutex, RwLock};
 use serde_json::json;
@@ -44,6 +45,7 @@
 use crate::origins::OriginQuery;
 use crate::quarantine_record::StoredQuarantine;
 use crate::settings::{AdmissionPolicy, PlacementPolicy, RelaySettings};
+use crate::upstream_reports::UnreportedUpstreams;
 use crate::view_gate::ViewGate;
 use crate::view_log::ViewLog;
 
@@ -138,6 +140,10 @@
     pub origin_searches: OnceLock<mpsc::Sender<OriginSearch>>,
     /// Queue of queries for origins.
     pub origin_queries: OnceLock<mpsc::Sender<OriginQuery>>,
+    /// Starts of upstreams, with their versions.
+    pub starts: Mutex<StartTable>,
+    /// Upstreams that do not report their starts.
+    pub unreported: Mutex<UnreportedUpstreams>,
     /// What is known of this instance's links to upstreams, and of peers that carry connections.
     pub reach: Mutex<ReachState>,
     /// Socket for datagrams to other instances.
@@ -200,6 +206,8 @@
             origin_journal: Mutex::default(),
             origin_searches: OnceLock::new(),
             origin_queries: OnceLock::new(),
+            starts: Mutex::default(),
+            unreported: Mutex::default(),
             reach: Mutex::default(),
             peer_socket: OnceLock::new(),
             fleet_usage: Mutex::default(),
@@ -295,10 +303,31 @@
         // An entry may be gone before all that are listed are looked at again.
         let now_ms = self.now_ms();
         self.listed_versions.lock().record(&entry.service, entry.version.as_deref(), now_ms);
+        self.record_listed_start(&entry);
         let change = self.directory.lock().put(entry);
         self.apply_changes(&[(id, change)]);
     }
 
+    /// Records the start that wrote an entry. An entry that is newer than the known one was written after the time at
+    /// which what is known of the store was current.
+    fn record_listed_start(&self, entry: &UpstreamEntry) {
+        let directory = self.directory.lock();
+        if directory.is_outdated(entry) {
+            return;
+        }
+        let is_rewritten = directory.get(&entry.id).is_some_and(|known| {
+            known.started_at_ms == entry.started_at_ms && known.sequence < entry.sequence
+        });
+        drop(directory);
+        let written_after_ms = self.log_attested_at_ms().filter(|_| is_rewritten);
+        let listed = ListedStart {
+            upstream: &entry.id,
+            started_at_ms: entry.started_at_ms,
+            version: entry.version.as_deref(),
+        };
+        self.starts.lock().record_listed(&listed, written_after_ms, self.now_ms());
+    }
+
     /// Records that an upstream has announced its departure: in a response to this instance, or to
     /// another one that has told so. `started_at_ms` limits the announcement to that start of the
     /// upstream. The other instances are told at once.
@@ -326,6 +355,9 @@
     /// Applies a complete listing of the upstreams.
     pub fn replace_upstreams(&self, entries: Vec<UpstreamEntry>) {
         let grace_until_ms = self.grace_until_ms();
+        for entry in &entries {
+            self.record_listed_start(entry);
+        }
         let changes = self.directory.lock().replace(entries, grace_until_ms);
         self.apply_changes(&changes);
     }
@@ -333,6 +365,9 @@
     /// Applies a listing of the upstreams that another instance has told. The state of the store has to be
     /// listed anew before changes to it are followed again: the other instance may have been behind.
     pub fn replace_upstreams_from_peer(&self, entries: Vec<UpstreamEntry>) {
+        for entry in &entries {
+            self.record_listed_start(entry);
+        }
         let changes = self.directory.lock().replace_from_peer(entries);
         self.apply_changes(&changes);
         self.is_listing_needed.store(true, Ordering::Relaxed);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -6,10 +6,11 @@
 use futures_util::future::{Either, select};
 use futures_util::{Stream, stream};
 use hickorycourse_codes::Problem;
+use hickorycourse_starts::Acceptance;
 use http::HeaderMap;
 use hyper::body::Bytes;
 use ntex::io::IoRef;
-use ntex::time::timeout;
+use ntex::time::{sleep, timeout};
 use serde_json::json;
 
 use crate::attempt::OpenedResponse;
@@ -29,6 +30,9 @@
 /// Shortest such time before the first event.
 const MIN_FIRST_EVENT_IDLE_TIMEOUT_MS: u64 = 1_500;
 
+/// Interval at which it is looked whether the version of a stream is known.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Response to a caller's request for a stream.
 pub enum StreamResponse {
     /// A stream whose first events have arrived.
@@ -96,7 +100,9 @@
     events: EventTracker,
     first_events: Vec<u8>,
     upstreams: Vec<String>,
-    /// Version of the upstream that brought the first event; `None` if it is not known.
+    /// The upstream that brought the first event, and what its connection tells of its start.
+    begun_by: Option<(String, Acceptance)>,
+    /// Version of that start; `None` while it is not proven.
     version: Option<String>,
     /// Whether the caller's response has begun.
     is_begun: bool,
@@ -155,14 +161,15 @@
         let version = call.origin.as_ref().map(|origin| origin.version.clone());
         Self {
             call,
-            retry_state: RetryState { version, ..RetryState::default() },
+            retry_state: RetryState { version: version.clone(), ..RetryState::default() },
             headers: HeaderMap::new(),
             status: 0,
             source: None,
             events: EventTracker::resume_after(last_event_id),
             first_events: Vec::new(),
             upstreams: Vec::new(),
-            version: None,
+            begun_by: None,
+            version,
             is_begun: false,
             is_ended: false,
             in_flight: Some(in_flight),
@@ -188,19 +195,70 @@
         }
         self.is_begun = true;
         self.call.count_run();
-        // From the first event on, only upstreams of this version may go on.
-        self.call.record_origin(self.version.as_deref());
+        match &self.version {
+            // A stream that goes on with another request's.
+            Some(version) => self.call.record_origin(Some(version)),
+            None => {
+                self.settle_version();
+                self.tell_beginning();
+            }
+        }
         self.log_begin();
         Ok(())
     }
 
+    /// Looks which version began the stream, and tells other instances as soon as it is proven. From the first event
+    /// on, only upstreams of this version may go on.
+    fn settle_version(&mut self) {
+        if self.version.is_some() || !self.is_begun {
+            return;
+        }
+        let Some((upstream, accepted_by)) = &self.begun_by else { return };
+        self.version = self.call.relay.version_of(upstream, accepted_by, true);
+        self.call.record_origin(self.version.as_deref());
+    }
+
+    /// Tells other instances of a stream that must not be taken for one of the version that is listed.
+    fn tell_beginning(&self) {
+        let Some((upstream, accepted_by)) = &self.begun_by else { return };
+        let reported_start_ms = accepted_by.reported_start_ms;
+        let is_unlisted = reported_start_ms.is_some() || self.likely_version().is_none();
+        if self.version.is_none() && is_unlisted {
+            self.call.record_beginning(upstream, reported_start_ms);
+        }
+    }
+
+    /// As [`settle_version`](Self::settle_version); waits, for as long as the stream can do without an upstream, until
+    /// the platform lists the start.
+    async fn await_version(&mut self) -> Option<String> {
+        let pause_ms = self.call.route.pause_target_ms.unwrap_or_default();
+        let until_ms = self.call.relay.now_ms() + pause_ms.min(self.call.remaining_ms());
+        loop {
+            self.settle_version();
+            let version = self.likely_version();
+            let may_wait =
+                self.call.route.repeat.allows_reexecution() && self.call.relay.now_ms() < until_ms;
+            if version.is_some() || !may_wait {
+                return version;
+            }
+            sleep(SETTLE_INTERVAL).await;
+        }
+    }
+
+    /// Returns the version that began the stream as far as nothing speaks against it now.
+    fn likely_version(&self) -> Option<String> {
+        let (upstream, accepted_by) = self.begun_by.as_ref()?;
+        let likely = || self.call.relay.version_of(upstream, accepted_by, false);
+        self.version.clone().or_else(likely)
+    }
+
     /// Reads on from this source. Before the first event, the response is that of its upstream.
     fn take_over(&mut self, head: http::response::Parts, source: UpstreamSource) {
         self.upstreams.push(source.upstream().to_owned());
         if !self.is_begun {
             self.status = head.status.as_u16();
             self.headers = head.headers;
-            self.version.clone_from(&source.attempt.placement.version);
+            self.begun_by = Some((source.upstream().to_owned(), source.accepted_by()));
         }
         self.source = Some(source);
     }
@@ -247,7 +305,7 @@
         let silent_since_ms = self.call.relay.now_ms().saturating_sub(idle_ms);
         let limit = Duration::from_millis(self.call.remaining_ms());
         if self.is_begun {
-            self.retry_state.version.clone_from(&self.version);
+            self.retry_state.version = self.likely_version();
         }
         self.retry_state.may_have_run = true;
         let Some(source) = &mut self.source else { return Some(StreamStep::End) };
@@ -335,15 +393,19 @@
 
     /// Returns whether another upstream may go on. Without the id of an event, it would begin again.
     fn can_resume(&self) -> bool {
-        let is_known = self.version.is_some() && self.events.last_id().is_some();
+        let is_known = self.events.last_id().is_some() && self.likely_version().is_some();
         self.call.route.repeat.allows_reexecution() && (!self.is_begun || is_known)
     }
 
     fn log_begin(&self) {
         let call = &self.call;
+        let accepted_by = self.begun_by.as_ref().map(|(_, accepted_by)| accepted_by);
         call.relay.log.write("stream_begun", || {
             json!({
                 "request": call.request_id, "upstream": self.upstreams.last(),
+                "reported_start_ms": accepted_by.and_then(|known| known.reported_start_ms),
+                "connection_age_ms": accepted_by
+                    .map(|known| call.relay.now_ms().saturating_sub(known.dialled_at_ms)),
                 "version": self.version,
             })
         });
@@ -372,6 +434,7 @@
         if !self.first_events.is_empty() {
             return Some(Ok(Bytes::from(std::mem::take(&mut self.first_events))));
         }
+        self.settle_version();
         loop {
             match self.next_step().await {
                 StreamStep::Events(events) => return Some(Ok(Bytes::from(events))),
@@ -407,8 +470,9 @@
         self.retry_state.may_have_run = true;
         self.retry_state.failure = Some(loss.detail().to_owned());
         self.events.drop_partial();
+        let version = self.await_version().await;
         if self.can_resume() {
-            self.retry_state.version.clone_from(&self.version);
+            self.retry_state.version = version;
             let source_loss = SourceLoss::default();
             source_loss.record(self.call.relay.now_ms());
             let search = SuccessorSearch {
--- a/crates/relay/src/stream_source.rs
+++ b/crates/relay/src/stream_source.rs
@@ -2,6 +2,7 @@
 
 use hickorycourse_connections::{Carrier, ResponseBody, UpstreamConnection, ends_with_connection};
 use hickorycourse_placement::AttemptOutcome;
+use hickorycourse_starts::Acceptance;
 use http::HeaderMap;
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
@@ -11,6 +12,7 @@
 use crate::call::Call;
 use crate::events::EventTracker;
 use crate::liveness::LivenessCheck;
+use crate::upstream_reports::acceptance;
 
 /// What an upstream's stream brings next.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -97,6 +99,11 @@
         call.relay.record_direct_response(&target, &self.connection);
     }
 
+    /// What the connection tells of the start of the upstream that has accepted it.
+    pub fn accepted_by(&self) -> Acceptance {
+        acceptance(&self.connection)
+    }
+
     /// Waits for complete events. Nothing is lost if the wait is cancelled: what has arrived is kept in
     /// `events`.
     pub async fn read_events(&mut self, events: &mut EventTracker) -> SourceStep {
--- a/crates/relay/src/upstream_reports.rs
+++ b/crates/relay/src/upstream_reports.rs
@@ -145,9 +145,16 @@
 
 impl Relay {
     /// Returns the version of the start that has accepted a connection to an upstream; `None` if it is not known, or
-    /// not yet.
-    pub fn version_of(&self, upstream: &str, acceptance: &Acceptance) -> Option<String> {
-        self.starts.lock().version(upstream, acceptance).map(str::to_owned)
+    /// not yet. With `must_be_proven`, one that only nothing speaks against is not known.
+    pub fn version_of(
+        &self,
+        upstream: &str,
+        acceptance: &Acceptance,
+        must_be_proven: bool,
+    ) -> Option<String> {
+        let starts = self.starts.lock();
+        let known = starts.version(upstream, acceptance);
+        known.filter(|known| known.is_proven || !must_be_proven).map(|known| known.version.into())
     }
 }
 
@@ -180,7 +187,7 @@
         };
         let Some(version) = &retry_state.version else { return Ok(connection) };
         let accepted_by = acceptance(&connection);
-        let found = self.relay.version_of(upstream, &accepted_by);
+        let found = self.relay.version_of(upstream, &accepted_by, false);
         if found.as_ref() == Some(version) {
             return Ok(connection);
         }
--- a/crates/routes/src/directory.rs
+++ b/crates/routes/src/directory.rs
@@ -194,6 +194,13 @@
         change
     }
 
+    /// Returns whether an entry was written before the known one, also if its upstream was removed since.
+    pub fn is_outdated(&self, entry: &UpstreamEntry) -> bool {
+        let listed = self.upstreams.get(&entry.id);
+        self.former.is_outdated(entry)
+            || listed.is_some_and(|listed| entry.is_older_than(&listed.entry))
+    }
+
     /// Returns whether an entry is only a heartbeat: it differs from the known one in nothing but its
     /// sequence number and the remaining warm-up time. The known phase may be that of an announcement,
     /// which says nothing of the entry.
--- a/crates/starts/src/lib.rs
+++ b/crates/starts/src/lib.rs
@@ -9,7 +9,7 @@
 
 /// Types that most users of this crate need.
 pub mod prelude {
-    pub use crate::{Acceptance, ListedStart, StartTable};
+    pub use crate::{Acceptance, KnownVersion, ListedStart, StartTable};
 }
 
-pub use table::{Acceptance, ListedStart, StartTable};
+pub use table::{Acceptance, KnownVersion, ListedStart, StartTable};
--- a/crates/starts/src/table.rs
+++ b/crates/starts/src/table.rs
@@ -35,6 +35,15 @@
     pub version: Option<&'a str>,
 }
 
+/// The version that a connection leads to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KnownVersion<'a> {
+    /// The version.
+    pub version: &'a str,
+    /// Whether it stays whatever becomes known later. Otherwise, nothing speaks against it yet.
+    pub is_proven: bool,
+}
+
 /// Version of a start.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum StartVersion {
@@ -116,24 +125,23 @@
         self.breaks_ms.iter().any(|broke_at_ms| (after_ms + 1..=until_ms).contains(broke_at_ms))
     }
 
-    fn version(&self, acceptance: &Acceptance) -> Option<&str> {
+    fn version(&self, acceptance: &Acceptance) -> Option<KnownVersion<'_>> {
         if acceptance.reported_start_ms.is_some() {
-            return self.find(acceptance.reported_start_ms)?.version.known();
+            let version = self.find(acceptance.reported_start_ms)?.version.known()?;
+            return Some(KnownVersion { version, is_proven: true });
         }
-        let index = self
-            .starts
-            .iter()
-            .rposition(|start| start.known_at_ms <= acceptance.dialled_at_ms)?;
+        let index =
+            self.starts.iter().rposition(|start| start.known_at_ms <= acceptance.dialled_at_ms)?;
         let start = &self.starts[index];
         let version = start.version.known()?;
         if start.ran_until_ms >= acceptance.opened_at_ms {
-            return Some(version);
+            return Some(KnownVersion { version, is_proven: true });
         }
         // Another start may have accepted it: one that became known later, or one that never did.
         let mut later = self.starts.range(index + 1..);
-        let is_certain = !self.has_break(start.ran_until_ms, acceptance.opened_at_ms)
+        let is_likely = !self.has_break(start.ran_until_ms, acceptance.opened_at_ms)
             && later.all(|next| next.version.known() == Some(version));
-        is_certain.then_some(version)
+        is_likely.then_some(KnownVersion { version, is_proven: false })
     }
 }
 
@@ -180,7 +188,8 @@
 
     /// Records that a connection has broken: the upstream may have started again since it was last known to run.
     pub fn record_break(&mut self, upstream: &str, now_ms: u64) {
-        let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
+        let upstream = self.upstreams.entry(upstream.to_owned()).or_default();
+        upstream.heard_at_ms = now_ms;
         if upstream.breaks_ms.len() == MAX_BREAKS {
             upstream.breaks_ms.pop_front();
         }
@@ -188,7 +197,7 @@
     }
 
     /// Returns the version of the start that accepted a connection; `None` if it is not known, or not yet.
-    pub fn version(&self, upstream: &str, acceptance: &Acceptance) -> Option<&str> {
+    pub fn version(&self, upstream: &str, acceptance: &Acceptance) -> Option<KnownVersion<'_>> {
         self.upstreams.get(upstream)?.version(acceptance)
     }
 
--- a/crates/starts/tests/starts.rs
+++ b/crates/starts/tests/starts.rs
@@ -1,6 +1,6 @@
 //! Which start of an upstream accepted a connection.
 
-use hickorycourse_starts::{Acceptance, ListedStart, StartTable};
+use hickorycourse_starts::{Acceptance, KnownVersion, ListedStart, StartTable};
 use proptest::prelude::*;
 
 const UPSTREAM: &str = "i-1";
@@ -24,12 +24,20 @@
     starts
 }
 
+fn proven(version: &str) -> Option<KnownVersion<'_>> {
+    Some(KnownVersion { version, is_proven: true })
+}
+
+fn likely(version: &str) -> Option<KnownVersion<'_>> {
+    Some(KnownVersion { version, is_proven: false })
+}
+
 #[test]
 fn version_reported_start_is_that_of_its_entry() {
     let mut starts = listed_table();
     starts.record_listed(&listed(2, "v2"), None, 900);
-    assert_eq!(starts.version(UPSTREAM, &reported(1)), Some("v1"));
-    assert_eq!(starts.version(UPSTREAM, &reported(2)), Some("v2"));
+    assert_eq!(starts.version(UPSTREAM, &reported(1)), proven("v1"));
+    assert_eq!(starts.version(UPSTREAM, &reported(2)), proven("v2"));
 }
 
 // Guards against the entry of the last start being believed of the next one.
@@ -39,7 +47,7 @@
     starts.record_reported(UPSTREAM, 2, 480, 490);
     assert_eq!(starts.version(UPSTREAM, &reported(2)), None);
     starts.record_listed(&listed(2, "v2"), None, 900);
-    assert_eq!(starts.version(UPSTREAM, &reported(2)), Some("v2"));
+    assert_eq!(starts.version(UPSTREAM, &reported(2)), proven("v2"));
 }
 
 #[test]
@@ -51,7 +59,7 @@
 
 #[test]
 fn version_unreported_start_without_breaks_is_that_of_the_entry() {
-    assert_eq!(listed_table().version(UPSTREAM, &opened(500)), Some("v1"));
+    assert_eq!(listed_table().version(UPSTREAM, &opened(500)), likely("v1"));
     assert_eq!(listed_table().version(UPSTREAM, &opened(50)), None);
     assert_eq!(listed_table().version("i-2", &opened(500)), None);
 }
@@ -60,13 +68,15 @@
 fn version_unreported_start_after_break_is_unknown_until_it_is_known_to_run() {
     let mut starts = listed_table();
     starts.record_break(UPSTREAM, 400);
-    assert_eq!(starts.version(UPSTREAM, &opened(300)), Some("v1"));
+    assert_eq!(starts.version(UPSTREAM, &opened(300)), likely("v1"));
     assert_eq!(starts.version(UPSTREAM, &opened(500)), None);
     // A heartbeat that may have been written before the break proves nothing.
     starts.record_listed(&listed(1, "v1"), Some(390), 600);
     assert_eq!(starts.version(UPSTREAM, &opened(500)), None);
     starts.record_listed(&listed(1, "v1"), Some(450), 700);
-    assert_eq!(starts.version(UPSTREAM, &opened(500)), Some("v1"));
+    assert_eq!(starts.version(UPSTREAM, &opened(500)), likely("v1"));
+    starts.record_listed(&listed(1, "v1"), Some(502), 1_200);
+    assert_eq!(starts.version(UPSTREAM, &opened(500)), proven("v1"));
 }
 
 // Guards against a start that becomes known later than the connection that it accepted.
@@ -75,16 +85,16 @@
     let mut starts = listed_table();
     starts.record_listed(&listed(1, "v1"), Some(450), 460);
     starts.record_listed(&listed(2, "v2"), Some(800), 900);
-    assert_eq!(starts.version(UPSTREAM, &opened(400)), Some("v1"));
+    assert_eq!(starts.version(UPSTREAM, &opened(400)), proven("v1"));
     assert_eq!(starts.version(UPSTREAM, &opened(500)), None);
-    assert_eq!(starts.version(UPSTREAM, &opened(950)), Some("v2"));
+    assert_eq!(starts.version(UPSTREAM, &opened(950)), likely("v2"));
 }
 
 #[test]
 fn version_unreported_start_before_another_one_of_its_version_is_known() {
     let mut starts = listed_table();
     starts.record_listed(&listed(2, "v1"), Some(800), 900);
-    assert_eq!(starts.version(UPSTREAM, &opened(500)), Some("v1"));
+    assert_eq!(starts.version(UPSTREAM, &opened(500)), likely("v1"));
 }
 
 #[test]
@@ -207,9 +217,9 @@
             }
             for (acceptance, start) in &accepted {
                 if acceptance.opened_at_ms <= look_at_ms
-                    && let Some(version) = table.version(UPSTREAM, acceptance)
+                    && let Some(known) = table.version(UPSTREAM, acceptance)
                 {
-                    prop_assert_eq!(version, start.version, "{:?}", acceptance);
+                    prop_assert_eq!(known.version, start.version, "{:?}", acceptance);
                 }
             }
         }
