Liveness: an address that answers is no sign that a start has lived on

What callers saw: streams that end with their connection were short and looked complete after their engine was killed, where its next start or another engine listened at its address at once.

Cause: after such an end the instance took any connection to the address for the engine's sign of life, and did not look at all where a peer carried the connection.

Change: the engine is asked for its start, on an idle connection or a new one, also through peers; the response is complete if that start has accepted its connection.

--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -2,8 +2,7 @@
 
 use hickorycourse_origins::{
     ListedVersions, OriginJournal, OriginTable, StreamBeginning, StreamKey, StreamOrigin,
-    choose_holders,
-    write_interval_ms,
+    choose_holders, write_interval_ms,
 };
 use proptest::prelude::*;
 
--- a/crates/relay/src/buffered_response.rs
+++ b/crates/relay/src/buffered_response.rs
@@ -110,10 +110,8 @@
     let is_unframed = ends_with_connection(&response);
     let must_have_body = response.status().is_success() && is_unframed;
     let placement = &attempt.placement;
-    let liveness = match is_unframed {
-        true => LivenessCheck::new(call, &placement.upstream, placement.address, &connection),
-        false => None,
-    };
+    let liveness =
+        is_unframed.then(|| LivenessCheck::new(call.dial_target(placement), &connection));
     let (head, body) = response.into_parts();
     let limit = Duration::from_millis(call.remaining_ms().max(1));
     let body = match timeout(limit, read_body(&mut attempt, body)).await {
@@ -125,7 +123,7 @@
         }
         Ok(Ok(body)) => match liveness {
             // A killed upstream ends its connections in order, too.
-            Some(liveness) if attempt.is_serving() && !liveness.is_alive().await => {
+            Some(liveness) if attempt.is_serving() && !liveness.is_alive(call).await => {
                 call.record_broken(attempt, &connection);
                 return Err(FetchError::Interrupted(
                     "the upstream ended with the connection".to_owned(),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -285,7 +285,7 @@
                 return StreamStep::Lost(Loss::Late);
             }
             let limit = Duration::from_millis(idle_timeout_ms.min(remaining_ms));
-            match timeout(limit, source.read_events(&mut self.events)).await {
+            match timeout(limit, source.read_events(&self.call, &mut self.events)).await {
                 Ok(step) => return step.into(),
                 Err(()) if idle_timeout_ms >= remaining_ms => {
                     return StreamStep::Lost(Loss::Late);
@@ -322,7 +322,7 @@
         };
         let mut loss = None;
         let found = timeout(limit, async {
-            let reading = std::pin::pin!(source.read_events(&mut self.events));
+            let reading = std::pin::pin!(source.read_events(&self.call, &mut self.events));
             let searching = std::pin::pin!(search.run(&mut self.retry_state));
             match select(reading, searching).await {
                 Either::Right((successor, _)) => Ok(successor),
--- a/crates/relay/src/stream_source.rs
+++ b/crates/relay/src/stream_source.rs
@@ -53,10 +53,8 @@
         let (head, body) = response.into_parts();
         let must_have_events = !is_framed;
         let placement = &attempt.placement;
-        let liveness = match is_framed {
-            true => None,
-            false => LivenessCheck::new(call, &placement.upstream, placement.address, &connection),
-        };
+        let liveness =
+            (!is_framed).then(|| LivenessCheck::new(call.dial_target(placement), &connection));
         let source = Self {
             attempt,
             connection,
@@ -106,7 +104,7 @@
 
     /// Waits for complete events. Nothing is lost if the wait is cancelled: what has arrived is kept in
     /// `events`.
-    pub async fn read_events(&mut self, events: &mut EventTracker) -> SourceStep {
+    pub async fn read_events(&mut self, call: &Call, events: &mut EventTracker) -> SourceStep {
         loop {
             let frame = match self.body.frame().await {
                 None if events.has_partial() => {
@@ -118,7 +116,7 @@
                     let detail = "the connection ended before the first event";
                     return SourceStep::Broken(detail.to_owned());
                 }
-                None => return self.confirm_end().await,
+                None => return self.confirm_end(call).await,
                 Some(Err(error)) => return SourceStep::Broken(error.to_string()),
                 Some(Ok(frame)) => frame,
             };
@@ -137,9 +135,9 @@
 
     /// Returns the end of a stream that has ended in order. A killed upstream leaves the same where the end is that
     /// of the connection; one that is known to leave closes it, and then can't be reached.
-    async fn confirm_end(&self) -> SourceStep {
+    async fn confirm_end(&self, call: &Call) -> SourceStep {
         match &self.liveness {
-            Some(liveness) if self.attempt.is_serving() && !liveness.is_alive().await => {
+            Some(liveness) if self.attempt.is_serving() && !liveness.is_alive(call).await => {
                 SourceStep::Broken("the upstream ended with the connection".to_owned())
             }
             _ => SourceStep::End,
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -125,7 +125,7 @@
                 source
             }
         };
-        let step = match timeout(MAX_OVERLAP, source.read_events(&mut events)).await {
+        let step = match timeout(MAX_OVERLAP, source.read_events(call, &mut events)).await {
             Err(()) => None,
             Ok(step @ (SourceStep::Events(_) | SourceStep::End)) => Some(step),
             Ok(SourceStep::NoEvents) => {
