Starts: requests are served whether or how an engine reports

A report has one limit. A stream that begins needs no report: without one it is sent on a new connection, and goes on nowhere until an entry proves its start. An answer that is no report says nothing; an upstream that has reported before is never taken for one that does not report.

--- a/crates/connections/src/pool.rs
+++ b/crates/connections/src/pool.rs
@@ -197,6 +197,7 @@
     /// # Errors
     /// The connection has ended, or is not ready within `limit`.
     pub async fn ready(&mut self, limit: Duration) -> Result<(), ExchangeError> {
+        self.is_reused = true;
         match timeout(limit, self.sender.ready()).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(error)) => Err(ExchangeError::NotSent(error.to_string())),
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -77,6 +77,14 @@
         }
     }
 
+    /// Records the start that the upstream has reported on the attempt's connection.
+    pub fn record_start(&mut self, reported_start_ms: Option<u64>) {
+        if reported_start_ms.is_some() {
+            self.upstream_started_at_ms = reported_start_ms;
+            self.upstream_start = hash_upstream_start(&self.placement.upstream, reported_start_ms);
+        }
+    }
+
     /// Returns whether the upstream still accepts the request.
     pub fn is_open(&self) -> bool {
         self.placement_table.lock().is_open(&self.placement, self.relay.now_ms())
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -20,6 +20,7 @@
 use crate::attempt::{Attempt, OpenedResponse};
 use crate::in_flight::InFlightGuard;
 use crate::state::Relay;
+use crate::upstream_reports::ConnectError;
 use hickorycourse_connections::{
     Carrier, ConnectionPool, ExchangeError, ResponseBody, UpstreamConnection,
 };
@@ -100,6 +101,8 @@
     pub sent_attempts: u32,
     /// Upstreams that are not tried again.
     pub excluded: Vec<String>,
+    /// Those of them whose version was not known yet; they may be tried again later.
+    pub unidentified: Vec<String>,
     /// Version of the upstreams that may be tried; `None` for any.
     pub version: Option<String>,
     /// Whether an upstream may have run the request.
@@ -116,6 +119,8 @@
     Rejected(Problem),
     /// The upstream could not be connected to, or has withdrawn.
     NotConnected { upstream: String, detail: String },
+    /// The version of the upstream's present start is not known yet.
+    NotIdentified { upstream: String, detail: String },
 }
 
 impl RetryState {
@@ -125,6 +130,12 @@
         self.excluded.push(upstream);
         self.failure = Some(failure);
     }
+
+    /// Allows another try at the upstreams whose version was not known yet.
+    pub fn retry_unidentified(&mut self) {
+        let unidentified = std::mem::take(&mut self.unidentified);
+        self.excluded.retain(|upstream| !unidentified.contains(upstream));
+    }
 }
 
 impl Call {
@@ -252,9 +263,15 @@
             Ok(connection) => connection,
             Err(error) => {
                 attempt.end(error.outcome());
-                return Err(BeginError::NotConnected { upstream, detail: error.to_string() });
+                let detail = error.to_string();
+                return Err(match error {
+                    ConnectError::UnknownVersion => BeginError::NotIdentified { upstream, detail },
+                    _ => BeginError::NotConnected { upstream, detail },
+                });
             }
         };
+        let mut attempt = attempt;
+        attempt.record_start(connection.reported_start_ms());
         // The upstream may have started to leave while the connection was opened.
         if !attempt.is_open() {
             let detail = "the upstream withdrew while the connection was opened".to_owned();
--- a/crates/relay/src/hedging.rs
+++ b/crates/relay/src/hedging.rs
@@ -133,6 +133,11 @@
                         break Err(self.failure_problem(retry_state));
                     }
                 }
+                Progress::Begun(Err(BeginError::NotIdentified { upstream, detail })) => {
+                    retry_state.excluded.push(upstream.clone());
+                    retry_state.unidentified.push(upstream);
+                    retry_state.failure = Some(detail);
+                }
                 Progress::Ended(index, (connection, result)) => {
                     let attempt = exchanges.swap_remove(index).attempt;
                     match self.conclude(attempt, connection, result, retry_state) {
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -238,6 +238,9 @@
     fn sole_origin(&self, route: &Route) -> Option<StreamOrigin> {
         let now_ms = self.now_ms();
         let [target] = route.targets.as_slice() else { return None };
+        if self.has_unlisted_start(&target.service) {
+            return None;
+        }
         let since_ms = now_ms as i64 - i64::try_from(route.timeout_ms).ok()?;
         self.observe_versions(now_ms);
         let versions = self.listed_versions.lock();
@@ -245,6 +248,14 @@
         Some(StreamOrigin { service: target.service.clone(), version: version.to_owned() })
     }
 
+    /// Returns whether an upstream of a service has reported a start whose version is not listed yet.
+    fn has_unlisted_start(&self, service: &str) -> bool {
+        let directory = self.directory.lock();
+        let starts = self.starts.lock();
+        let mut entries = directory.entries().filter(|entry| entry.service == service);
+        entries.any(|entry| starts.has_unlisted(&entry.id))
+    }
+
     fn serves_version(&self, origin: &StreamOrigin) -> bool {
         let directory = self.directory.lock();
         let mut entries = directory.entries();
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -87,6 +87,7 @@
                     }
                     // The version's only upstreams may be starting again, or about to be listed.
                     sleep(RESUME_INTERVAL).await;
+                    retry_state.retry_unidentified();
                 }
                 None => {
                     pacing.record_failure(now_ms);
--- a/crates/relay/src/upstream_reports.rs
+++ b/crates/relay/src/upstream_reports.rs
@@ -36,21 +36,39 @@
 /// Upstreams that do not report their starts.
 #[derive(Debug, Default)]
 pub struct UnreportedUpstreams {
-    until_ms: HashMap<String, u64>,
+    upstreams: HashMap<String, UnreportedUpstream>,
+}
+
+#[derive(Debug)]
+struct UnreportedUpstream {
+    until_ms: u64,
+    /// Whether it is silent when it is asked, rather than answering something else.
+    is_silent: bool,
 }
 
 impl UnreportedUpstreams {
-    fn record(&mut self, upstream: &str, now_ms: u64) {
-        if self.until_ms.len() >= MAX_UNREPORTED {
-            self.until_ms.retain(|_, until_ms| *until_ms > now_ms);
+    /// Records that an upstream does not report its start.
+    pub fn record(&mut self, upstream: &str, is_silent: bool, now_ms: u64) {
+        if self.upstreams.len() >= MAX_UNREPORTED {
+            self.upstreams.retain(|_, known| known.until_ms > now_ms);
         }
-        if self.until_ms.len() < MAX_UNREPORTED {
-            self.until_ms.insert(upstream.to_owned(), now_ms + UNKNOWN_PERIOD_MS);
+        if self.upstreams.len() < MAX_UNREPORTED {
+            let until_ms = now_ms + UNKNOWN_PERIOD_MS;
+            self.upstreams.insert(upstream.to_owned(), UnreportedUpstream { until_ms, is_silent });
         }
     }
 
+    fn find(&self, upstream: &str, now_ms: u64) -> Option<&UnreportedUpstream> {
+        self.upstreams.get(upstream).filter(|known| known.until_ms > now_ms)
+    }
+
     fn contains(&self, upstream: &str, now_ms: u64) -> bool {
-        self.until_ms.get(upstream).is_some_and(|until_ms| *until_ms > now_ms)
+        self.find(upstream, now_ms).is_some()
+    }
+
+    /// Returns whether an upstream was silent when it was asked lately.
+    pub fn is_silent(&self, upstream: &str, now_ms: u64) -> bool {
+        self.find(upstream, now_ms).is_some_and(|known| known.is_silent)
     }
 }
 
@@ -71,9 +89,15 @@
     /// Another upstream listens at the address.
     #[error("another upstream listens at the address")]
     OtherUpstream,
-    /// The start that has accepted the connection is not known to be of the version that is asked for.
-    #[error("the upstream has started again with another version, or its version is not known")]
+    /// The upstream closes its connections after a report.
+    #[error("the connection was closed after the report")]
+    NotKept,
+    /// The start that has accepted the connection is of another version than the one that is asked for.
+    #[error("the upstream has started again with another version")]
     OtherVersion,
+    /// The version of that start is not known, or not yet.
+    #[error("the version of the upstream's start is not known")]
+    UnknownVersion,
 }
 
 impl ConnectError {
@@ -83,11 +107,16 @@
             Self::Dial(error) => error.outcome(),
             Self::NotReported { outcome, .. } => *outcome,
             Self::OtherUpstream => AttemptOutcome::Refused,
-            Self::OtherVersion => AttemptOutcome::Cancelled,
+            Self::NotKept | Self::OtherVersion | Self::UnknownVersion => AttemptOutcome::Cancelled,
         }
     }
 }
 
+/// Returns whether the start is not known because the upstream has not answered as it should.
+fn is_unanswered(identified: &Result<UpstreamConnection, ConnectError>) -> bool {
+    matches!(identified, Err(ConnectError::NotReported { .. } | ConnectError::NotKept))
+}
+
 /// Returns what a connection tells of the start that has accepted it.
 pub fn acceptance(connection: &UpstreamConnection) -> Acceptance {
     Acceptance {
@@ -97,6 +126,15 @@
     }
 }
 
+/// A report, and whether the connection can be used for another request after it.
+#[derive(Clone, Copy, Debug)]
+pub struct ReceivedReport {
+    /// What it says.
+    pub report: UpstreamReport,
+    /// Whether the upstream has kept the connection open.
+    pub is_kept: bool,
+}
+
 /// Asks the upstream of a connection for its report.
 ///
 /// # Errors
@@ -105,17 +143,18 @@
     relay: &Relay,
     connection: &mut UpstreamConnection,
     upstream: &str,
-) -> Result<UpstreamReport, ExchangeError> {
-    let request = relay.protocol.make_report_request(upstream).map(|()| Full::<Bytes>::default());
+) -> Result<ReceivedReport, ExchangeError> {
     let asked_at_ms = relay.now_ms();
-    let response = connection.send(request, REPORT_TIMEOUT).await?;
-    let status = response.status().as_u16();
-    let body = timeout(REPORT_TIMEOUT, read_body(response))
-        .await
-        .map_err(|()| ExchangeError::TimedOut("the report is not complete".to_owned()))??;
-    let report = relay.protocol.read_report(status, &body);
+    let received = timeout(REPORT_TIMEOUT, exchange(relay, connection, upstream)).await;
+    let late = || ExchangeError::TimedOut("the report is not complete".to_owned());
+    let received = match received.unwrap_or_else(|()| Err(late())) {
+        Err(ExchangeError::InvalidResponse(_)) => {
+            ReceivedReport { report: UpstreamReport::Unknown, is_kept: false }
+        }
+        received => received?,
+    };
     let now_ms = relay.now_ms();
-    let outcome = match report {
+    let outcome = match received.report {
         UpstreamReport::Running { started_at_ms } => {
             connection.record_reported_start(started_at_ms);
             relay.starts.lock().record_reported(upstream, started_at_ms, asked_at_ms, now_ms);
@@ -125,8 +164,21 @@
         UpstreamReport::Unknown => "unknown",
     };
     metrics::counter!("hickorycourse_upstream_reports_total", "outcome" => outcome).increment(1);
-    connection.ready(REPORT_TIMEOUT).await?;
-    Ok(report)
+    Ok(received)
+}
+
+async fn exchange(
+    relay: &Relay,
+    connection: &mut UpstreamConnection,
+    upstream: &str,
+) -> Result<ReceivedReport, ExchangeError> {
+    let request = relay.protocol.make_report_request(upstream).map(|()| Full::<Bytes>::default());
+    let response = connection.send(request, REPORT_TIMEOUT).await?;
+    let status = response.status().as_u16();
+    let body = read_body(response).await?;
+    let report = relay.protocol.read_report(status, &body);
+    let is_kept = connection.ready(REPORT_TIMEOUT).await.is_ok();
+    Ok(ReceivedReport { report, is_kept })
 }
 
 async fn read_body(response: Response<ResponseBody>) -> Result<Vec<u8>, ExchangeError> {
@@ -175,15 +227,25 @@
         if self.route.repeat != RetrySemantics::ResumableStream {
             return Ok(connection);
         }
-        let is_reused = connection.is_reused();
         let upstream = attempt.placement.upstream.as_str();
-        let connection = match self.identify(connection, target, upstream).await {
-            // The upstream may have closed an idle connection, or closes it after a request that it does not know.
-            Err(ConnectError::NotReported { .. }) if is_reused || self.is_unreported(upstream) => {
-                let connection = self.connect(target, 0).await?;
-                self.identify(connection, target, upstream).await?
+        let is_reused = connection.is_reused();
+        let mut identified = self.identify(connection, target, upstream).await;
+        if is_reused && is_unanswered(&identified) {
+            // The upstream may have closed an idle connection.
+            let connection = self.connect(target, 0).await?;
+            identified = self.identify(connection, target, upstream).await;
+        }
+        let connection = match identified {
+            Ok(connection) => connection,
+            // A stream that begins needs no start; it can't be resumed before that is proven.
+            Err(_) if is_unanswered(&identified) && retry_state.version.is_none() => {
+                return Ok(self.connect(target, 0).await?);
+            }
+            Err(_) if is_unanswered(&identified) && self.is_unreported(upstream) => {
+                self.connect(target, 0).await?
             }
-            identified => identified?,
+            Err(ConnectError::NotKept) => self.connect(target, 0).await?,
+            Err(error) => return Err(error),
         };
         let Some(version) = &retry_state.version else { return Ok(connection) };
         let accepted_by = acceptance(&connection);
@@ -198,7 +260,10 @@
             })
         });
         self.connections.check_in(connection, self.relay.now_ms());
-        Err(ConnectError::OtherVersion)
+        Err(match found {
+            Some(_) => ConnectError::OtherVersion,
+            None => ConnectError::UnknownVersion,
+        })
     }
 
     fn is_unreported(&self, upstream: &str) -> bool {
@@ -216,16 +281,25 @@
             return Ok(connection);
         }
         let relay = &self.relay;
+        let is_reused = connection.is_reused();
         let asked = ask(relay, &mut connection, upstream).await;
-        if matches!(asked, Ok(UpstreamReport::Unknown)) || self.has_never_reported(&asked, upstream)
-        {
-            relay.unreported.lock().record(upstream, relay.now_ms());
+        let is_told = match &asked {
+            Ok(asked) if asked.report == UpstreamReport::Unknown => is_reused && !asked.is_kept,
+            Ok(_) => true,
+            Err(_) => is_reused,
+        };
+        if !is_told && !relay.starts.lock().has_reported(upstream) {
+            let is_silent = matches!(asked, Err(ExchangeError::TimedOut(_)));
+            relay.unreported.lock().record(upstream, is_silent, relay.now_ms());
         }
         match asked {
-            Ok(UpstreamReport::OtherUpstream) => Err(ConnectError::OtherUpstream),
-            Ok(UpstreamReport::Running { .. } | UpstreamReport::Unknown) => {
+            Ok(ReceivedReport { report: UpstreamReport::OtherUpstream, .. }) => {
+                relay.starts.lock().record_break(upstream, relay.now_ms());
+                Err(ConnectError::OtherUpstream)
+            }
+            Ok(ReceivedReport { is_kept, .. }) => {
                 relay.record_direct_response(target, &connection);
-                Ok(connection)
+                if is_kept { Ok(connection) } else { Err(ConnectError::NotKept) }
             }
             Err(error) => {
                 let is_link_cut = match error {
@@ -243,14 +317,4 @@
             }
         }
     }
-
-    /// Returns whether an upstream is silent when it is asked for a report, and has never sent one.
-    fn has_never_reported(
-        &self,
-        asked: &Result<UpstreamReport, ExchangeError>,
-        upstream: &str,
-    ) -> bool {
-        matches!(asked, Err(ExchangeError::TimedOut(_)))
-            && !self.relay.starts.lock().has_reported(upstream)
-    }
 }
--- a/crates/starts/src/table.rs
+++ b/crates/starts/src/table.rs
@@ -57,7 +57,11 @@
 impl StartVersion {
     fn record(&mut self, version: Option<&str>) {
         match self {
-            Self::Unlisted => *self = Self::Listed(version.map(str::to_owned)),
+            Self::Unlisted | Self::Listed(None) => {
+                *self = Self::Listed(version.map(str::to_owned));
+            }
+            // An entry without a version says nothing of it.
+            Self::Listed(_) if version.is_none() => {}
             Self::Listed(known) if known.as_deref() != version => *self = Self::Ambiguous,
             Self::Listed(_) | Self::Ambiguous => {}
         }
@@ -121,8 +125,24 @@
         start.ran_until_ms = start.ran_until_ms.max(until_ms);
     }
 
+    fn has_reported(&self) -> bool {
+        self.starts.iter().any(|start| start.is_reported)
+    }
+
+    fn record_break(&mut self, now_ms: u64) {
+        if self.breaks_ms.len() == MAX_BREAKS {
+            let ran_until_ms = self.starts.back().map_or(0, |start| start.ran_until_ms);
+            self.breaks_ms.retain(|broke_at_ms| *broke_at_ms > ran_until_ms);
+        }
+        if self.breaks_ms.len() == MAX_BREAKS {
+            self.breaks_ms.pop_back();
+        }
+        self.breaks_ms.push_back(now_ms);
+    }
+
     fn has_break(&self, after_ms: u64, until_ms: u64) -> bool {
-        self.breaks_ms.iter().any(|broke_at_ms| (after_ms + 1..=until_ms).contains(broke_at_ms))
+        let is_between = |broke_at_ms: &u64| *broke_at_ms > after_ms && *broke_at_ms <= until_ms;
+        self.breaks_ms.iter().any(is_between)
     }
 
     fn version(&self, acceptance: &Acceptance) -> Option<KnownVersion<'_>> {
@@ -137,9 +157,11 @@
         if start.ran_until_ms >= acceptance.opened_at_ms {
             return Some(KnownVersion { version, is_proven: true });
         }
-        // Another start may have accepted it: one that became known later, or one that never did.
+        // Another start may have accepted it: one that became known later, or one that never did. An upstream that
+        // reports its starts was not asked on this connection, or has not answered.
         let mut later = self.starts.range(index + 1..);
-        let is_likely = !self.has_break(start.ran_until_ms, acceptance.opened_at_ms)
+        let is_likely = !self.has_reported()
+            && !self.has_break(start.ran_until_ms, acceptance.opened_at_ms)
             && later.all(|next| next.version.known() == Some(version));
         is_likely.then_some(KnownVersion { version, is_proven: false })
     }
@@ -183,17 +205,26 @@
     /// Returns whether an upstream has reported its start itself.
     pub fn has_reported(&self, upstream: &str) -> bool {
         let known = self.upstreams.get(upstream);
-        known.is_some_and(|upstream| upstream.starts.iter().any(|start| start.is_reported))
+        known.is_some_and(Upstream::has_reported)
+    }
+
+    /// Returns whether an upstream has reported a start that is not listed yet.
+    pub fn has_unlisted(&self, upstream: &str) -> bool {
+        let latest = self.upstreams.get(upstream).and_then(|known| known.starts.back());
+        latest.is_some_and(|start| start.version == StartVersion::Unlisted)
     }
 
     /// Records that a connection has broken: the upstream may have started again since it was last known to run.
     pub fn record_break(&mut self, upstream: &str, now_ms: u64) {
         let upstream = self.upstreams.entry(upstream.to_owned()).or_default();
         upstream.heard_at_ms = now_ms;
-        if upstream.breaks_ms.len() == MAX_BREAKS {
-            upstream.breaks_ms.pop_front();
-        }
-        upstream.breaks_ms.push_back(now_ms);
+        upstream.record_break(now_ms);
+    }
+
+    /// Returns whether a connection has broken after this time.
+    pub fn has_break_after(&self, upstream: &str, at_ms: u64) -> bool {
+        let known = self.upstreams.get(upstream);
+        known.is_some_and(|upstream| upstream.has_break(at_ms, u64::MAX))
     }
 
     /// Returns the version of the start that accepted a connection; `None` if it is not known, or not yet.
--- a/crates/starts/tests/starts.rs
+++ b/crates/starts/tests/starts.rs
@@ -225,3 +225,46 @@
         }
     }
 }
+
+// Guards against a guess where the upstream would have told, had it been asked.
+#[test]
+fn version_unreported_connection_of_reporting_upstream_is_known_once_proven() {
+    let mut starts = listed_table();
+    starts.record_reported(UPSTREAM, 1, 300, 310);
+    assert_eq!(starts.version(UPSTREAM, &opened(500)), None);
+    starts.record_reported(UPSTREAM, 1, 600, 610);
+    assert_eq!(starts.version(UPSTREAM, &opened(500)), proven("v1"));
+}
+
+#[test]
+fn version_start_listed_without_version_is_that_of_a_later_entry() {
+    let mut starts = StartTable::default();
+    let unnamed = ListedStart { version: None, ..listed(1, "") };
+    starts.record_listed(&unnamed, None, 100);
+    assert_eq!(starts.version(UPSTREAM, &reported(1)), None);
+    starts.record_listed(&listed(1, "v1"), None, 200);
+    starts.record_listed(&unnamed, None, 300);
+    assert_eq!(starts.version(UPSTREAM, &reported(1)), proven("v1"));
+}
+
+// Guards against many breaks that push out the first one.
+#[test]
+fn version_unreported_start_after_many_breaks_is_unknown() {
+    let mut starts = listed_table();
+    starts.record_break(UPSTREAM, 400);
+    for broke_at_ms in 600..700 {
+        starts.record_break(UPSTREAM, broke_at_ms);
+    }
+    assert_eq!(starts.version(UPSTREAM, &opened(500)), None);
+    assert_eq!(starts.version(UPSTREAM, &opened(800)), None);
+}
+
+#[test]
+fn has_unlisted_start_ends_with_its_entry() {
+    let mut starts = listed_table();
+    assert!(!starts.has_unlisted(UPSTREAM));
+    starts.record_reported(UPSTREAM, 2, 480, 490);
+    assert!(starts.has_unlisted(UPSTREAM));
+    starts.record_listed(&listed(2, "v2"), None, 900);
+    assert!(!starts.has_unlisted(UPSTREAM));
+}
