Routes: an entry with another version is that of another start

What callers saw: nothing that was traced. Instances kept what they know of a start (links, limits, tolerances, prompts at its placement) for the next one where an entry differs in its version alone.

Cause: `UpstreamDirectory::put` compared the address, the service and the time of the start, and not the version, although `DirectoryChange::Restarted` and `UpstreamEntry::is_same_start` name it.

Change: `put` asks `is_same_start`.

Result: put_entry_with_another_version_reports_restart failed before and passes.

--- a/crates/routes/src/directory.rs
+++ b/crates/routes/src/directory.rs
@@ -175,13 +175,7 @@
         let change = match self.upstreams.get(&entry.id).map(|listed| &listed.entry) {
             None => DirectoryChange::Added,
             Some(known) if entry.is_older_than(known) => return DirectoryChange::None,
-            Some(known)
-                if known.address != entry.address
-                    || known.service != entry.service
-                    || known.started_at_ms != entry.started_at_ms =>
-            {
-                DirectoryChange::Restarted
-            }
+            Some(known) if !known.is_same_start(&entry) => DirectoryChange::Restarted,
             Some(known)
                 if known.phase == UpstreamPhase::Ready && entry.phase == UpstreamPhase::Leaving =>
             {
--- a/crates/routes/tests/directory.rs
+++ b/crates/routes/tests/directory.rs
@@ -37,6 +37,22 @@
     assert_eq!(directory.entries().next().map(|entry| entry.phase), Some(UpstreamPhase::Ready));
 }
 
+// Guards against the connections, limits and prompts of an earlier start that are kept for the next one.
+#[test]
+fn put_entry_with_another_version_reports_restart() {
+    let with_version = |sequence: u64, version: &str| UpstreamEntry {
+        version: Some(version.to_owned()),
+        ..entry("a", 100, sequence)
+    };
+    let mut directory = UpstreamDirectory::default();
+    directory.put(with_version(1, "v1"));
+    assert_eq!(directory.put(with_version(2, "v1")), DirectoryChange::None);
+    assert_eq!(directory.put(with_version(3, "v2")), DirectoryChange::Restarted);
+    assert_eq!(directory.put(leaving(with_version(4, "v3"))), DirectoryChange::Restarted);
+    assert_eq!(directory.put(with_version(2, "v1")), DirectoryChange::None);
+    assert_eq!(directory.get("a").and_then(|entry| entry.version.as_deref()), Some("v3"));
+}
+
 #[test]
 fn remove_without_outage_removes_upstream() {
     let mut directory = UpstreamDirectory::default();
