Freshness: a peer's newer document is applied whatever the age of its proof

Cause: the instance read the older document, asked a peer for the newer one and dropped the reply: times count from the start of the process, and a proof from before it can't be expressed. The document was dropped with the proof.

Change: the document is applied before the time of the proof is derived.

How soon the instance hears of its peers is not changed.

--- a/crates/relay/src/freshness.rs
+++ b/crates/relay/src/freshness.rs
@@ -90,13 +90,10 @@
     /// Applies the reply to a freshness query.
     pub fn apply_attestation(&self, attestation: FreshnessAttestation, peer: SocketAddr) {
         let relay = &self.relay;
-        // The response was made after the query was sent. Whatever the network delay was, the
-        // version was therefore still the newest at the time of the query minus the reported age.
         let Some(queried_at_ms) = self.pending_queries.lock().get(&attestation.nonce).copied()
         else {
             return;
         };
-        let Some(attested_at_ms) = queried_at_ms.checked_sub(attestation.age_ms) else { return };
         self.observe_peer_era(attestation.store_era);
         if attestation.store_era < relay.store_era() {
             return;
@@ -105,6 +102,10 @@
         if let Some(document) = attestation.document {
             relay.apply_document(document, "peer");
         }
+        // The response was made after the query was sent. Whatever the network delay was, the
+        // version was therefore still the newest at the time of the query minus the reported age,
+        // which may be before the start of this process.
+        let Some(attested_at_ms) = queried_at_ms.checked_sub(attestation.age_ms) else { return };
         let now_ms = relay.now_ms();
         let own_age_ms = relay.active_document.read().staleness_bound_ms(now_ms);
         let is_fresher =
