Wire: contents of Message::Beginning; two builds beside a release of engines

`Message::Beginning` and the field `beginning` of `FoundOrigin` had no contents, so the next build would not be compared with them.

--- a/crates/relay/tests/wire/values.rs
+++ b/crates/relay/tests/wire/values.rs
@@ -5,13 +5,14 @@
 
 use hickorycourse_digest::{MemberDigest, ServiceDigest, ZoneDigest};
 use hickorycourse_duties::WindowCounts;
-use hickorycourse_origins::StreamOrigin;
+use hickorycourse_origins::{StreamBeginning, StreamOrigin};
 use hickorycourse_permits::LimitNotice;
 use hickorycourse_quarantine::QuarantineDigest;
 use hickorycourse_relay::wire::{Message, PermitReply, QuarantineRecord, WantedReply};
 use hickorycourse_tunnel::OpenRequest;
+use serde::Deserialize;
 
-use super::samples::{RECORDED, read_samples};
+use super::samples::{RECORDED, read_samples, write_samples};
 
 /// Builds without tolerances.
 const WITHOUT_TOLERANCES: [&str; 1] = ["b5291c1"];
@@ -253,6 +254,65 @@
     }
 }
 
+/// Returns the message that this build writes for a content.
+fn written_message(content: &str) -> (Vec<u8>, Message) {
+    let name = format!("message {content}");
+    let samples = read_samples(&write_samples());
+    let sample = samples.into_iter().find(|sample| sample.name == name);
+    let bytes = sample.unwrap_or_else(|| panic!("no content {name}")).bytes;
+    let message = ciborium::from_reader(bytes.as_slice()).expect("a message is invalid");
+    (bytes, message)
+}
+
+// Earlier builds reply without the field, and ignore it.
+#[test]
+fn decode_beginnings() {
+    let beginning = |started_at_ms| StreamBeginning {
+        service: "desk".to_owned(),
+        upstream: "i-1".to_owned(),
+        started_at_ms,
+    };
+    for (content, started_at_ms) in [("beginning_full", Some(3)), ("beginning_least", None)] {
+        let (_, message) = written_message(content);
+        let Message::Beginning { key, beginning: decoded } = message else { unexpected(&message) };
+        let expected = ("StreamKey(1, 2)".to_owned(), beginning(started_at_ms));
+        assert_eq!((format!("{key:?}"), decoded), expected);
+    }
+    let (_, message) = written_message("found_origin_beginning");
+    let Message::FoundOrigin { origin, beginning: decoded, .. } = message else {
+        unexpected(&message)
+    };
+    assert_eq!((origin, decoded), (None, Some(beginning(Some(2)))));
+    for content in ["found_origin_full", "found_origin_least"] {
+        for_each_message(content, |_, message| {
+            let Message::FoundOrigin { beginning, .. } = message else { unexpected(&message) };
+            assert_eq!(beginning, None);
+        });
+    }
+}
+
+/// The messages for origins as the builds b5291c1 and aba43bf know them.
+#[derive(Debug, Deserialize)]
+enum EarlierMessage {
+    Origin { origin: StreamOrigin },
+    FoundOrigin { nonce: u64, origin: Option<StreamOrigin> },
+}
+
+#[test]
+fn beginnings_known_to_no_earlier_build() {
+    let decode = |content: &str| {
+        ciborium::from_reader::<EarlierMessage, _>(written_message(content).0.as_slice())
+    };
+    for content in ["beginning_full", "beginning_least"] {
+        assert!(decode(content).is_err(), "{content} is taken for another message");
+    }
+    let reply = decode("found_origin_beginning").expect("the reply is lost");
+    let EarlierMessage::FoundOrigin { nonce: 1, origin: None } = reply else { unexpected(&reply) };
+    let told = decode("origin").expect("the origin is lost");
+    let EarlierMessage::Origin { origin } = told else { unexpected(&told) };
+    assert_eq!(origin, StreamOrigin { service: "desk".to_owned(), version: "v1".to_owned() });
+}
+
 #[test]
 fn decode_permits() {
     for_each_message("claim", |_, message| {
