Streams: a caller's resumption is checked at its first event

What callers saw: a stream taken up with `Last-Event-Id: 6` at an engine that answered with an error document or an error event got it as events; one that answered from the start, or with event 6 once more, had its events up to 6 dropped and the rest of another run joined. All of these came with status 200 and the end of a complete response. Beside it, a stream whose engine broke off after the first event since the caller's resumption went on after a gap.

Cause: `EventTracker::resume_after` did not expect the next event, as `expect_next` does for a resumption within a response, and the caller's last id did not count as one that is known.

Change: the first event after a caller's last id has a later id, or its attempt fails before the response begins: another engine is asked if the route allows it, and else the caller gets 502. With the caller's last id and one event, two ids are known, and a gap after them is noticed. A single id does not tell whether ids are consecutive, so a later one is accepted. A block that only has a time to reconnect is no event.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -10,7 +10,7 @@
     /// It exceeds the limit.
     #[error("an event exceeds the limit of {MAX_EVENT_BYTES} bytes")]
     TooLarge,
-    /// The first event after a resumption is not the next one.
+    /// The first event of a resumed stream is not the next one.
     #[error("the resumed stream begins with event {found:?} after event {last}")]
     NotNext {
         /// The last event before.
@@ -20,7 +20,7 @@
     },
 }
 
-/// Events with consecutive ids after which the next id is expected to be consecutive, too.
+/// Consecutive ids after which the next one is expected to be consecutive, too.
 const MIN_CONSECUTIVE: u64 = 2;
 
 /// Splits the bytes of a stream into complete events and drops events that were received before. An
@@ -34,18 +34,27 @@
     /// Start of the last line in that part.
     line_start: usize,
     last_id: Option<u64>,
-    /// Events passed on since the start of the tracker.
-    events: u64,
-    /// Whether the id of each of them was the next number.
+    /// Ids known of the stream: those of the events passed on, and the one after which the caller resumes.
+    known_ids: u64,
+    /// Whether each of them is the next number.
     is_consecutive: bool,
     /// Whether the next event is the first one after a resumption.
     is_resuming: bool,
 }
 
 impl EventTracker {
-    /// Creates a tracker for a stream that resumes after the event with this id.
+    /// Creates a tracker for a stream that its caller resumes after the event with this id; without one, for a stream
+    /// that begins. The first event is checked as after [`expect_next`](Self::expect_next), except that one id does
+    /// not tell whether ids are consecutive.
     pub fn resume_after(last_id: Option<u64>) -> Self {
-        Self { last_id, ..Self::default() }
+        let is_resuming = last_id.is_some();
+        Self {
+            last_id,
+            known_ids: u64::from(is_resuming),
+            is_consecutive: is_resuming,
+            is_resuming,
+            ..Self::default()
+        }
     }
 
     /// Expects that the stream goes on, at another upstream, with the event after the last one. An error
@@ -56,11 +65,11 @@
     }
 
     fn check_resumed(&self, event: &[u8], id: Option<u64>) -> Result<(), EventError> {
-        let Some(last) = self.last_id.filter(|_| self.is_resuming && !is_comment(event)) else {
+        let Some(last) = self.last_id.filter(|_| self.is_resuming && !is_eventless(event)) else {
             return Ok(());
         };
-        // Ids rise; whether by one is known from those that were passed on.
-        let must_be_consecutive = self.is_consecutive && self.events >= MIN_CONSECUTIVE;
+        // Ids rise; whether by one is seen from those that are known.
+        let must_be_consecutive = self.is_consecutive && self.known_ids >= MIN_CONSECUTIVE;
         let is_next = id.is_some_and(|id| match must_be_consecutive {
             true => Some(id) == last.checked_add(1),
             false => id > last,
@@ -71,8 +80,8 @@
     fn record(&mut self, id: Option<u64>) {
         let Some(id) = id else { return };
         let is_next = self.last_id.is_none_or(|last| Some(id) == last.checked_add(1));
-        self.is_consecutive = is_next && (self.events == 0 || self.is_consecutive);
-        self.events += 1;
+        self.is_consecutive = is_next && (self.known_ids == 0 || self.is_consecutive);
+        self.known_ids += 1;
         self.last_id = Some(id);
         self.is_resuming = false;
     }
@@ -142,10 +151,12 @@
     }
 }
 
-/// Returns whether an event only has comments, as upstreams send to keep a connection open.
-fn is_comment(event: &[u8]) -> bool {
-    let mut lines = event.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii_end);
-    lines.all(|line| line.is_empty() || line.starts_with(b":")) && event.contains(&b':')
+/// Returns whether a block only has comments, as upstreams send to keep a connection open, or a time to reconnect.
+fn is_eventless(block: &[u8]) -> bool {
+    let mut lines = block.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii_end);
+    let is_eventless =
+        |line: &[u8]| line.is_empty() || line.starts_with(b":") || line.starts_with(b"retry:");
+    lines.all(is_eventless) && block.contains(&b':')
 }
 
 fn read_id(event: &[u8]) -> Option<u64> {
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -112,6 +112,48 @@
     assert_eq!(tracker.push(event(30).as_bytes()).unwrap(), event(30).as_bytes());
 }
 
+// Guards against the rest of another run, the text of an error and an event that the caller has, where an upstream does
+// not go on after the caller's last event.
+#[test]
+fn push_for_caller_that_resumes_takes_only_a_later_event() {
+    let wrong = [
+        event(1),
+        event(6),
+        format!(": wait\n\n{}", event(5)),
+        "data: no id\n\n".to_owned(),
+        "event: error\ndata: wrong\n\n".to_owned(),
+        "{\"error\":\"wrong\"}\n\n".to_owned(),
+    ];
+    for first in wrong {
+        let mut tracker = EventTracker::resume_after(Some(6));
+        let pushed = tracker.push(format!("{first}{}", event(7)).as_bytes());
+        assert!(pushed.is_err(), "{first:?}");
+        // Another upstream goes on.
+        tracker.drop_partial();
+        assert_eq!(tracker.push(event(7).as_bytes()).unwrap(), event(7).as_bytes(), "{first:?}");
+    }
+    // Ids need not be consecutive, and a time to reconnect is no event.
+    for first in [event(7), event(30), format!(": wait\n\nretry: 500\n\n{}", event(7))] {
+        let mut tracker = EventTracker::resume_after(Some(6));
+        assert_eq!(tracker.push(first.as_bytes()).unwrap(), first.as_bytes());
+    }
+}
+
+// Guards against a gap where an upstream breaks off after the first event since the caller has resumed: with the caller's
+// last event, two ids are known.
+#[test]
+fn push_after_one_event_of_a_resumed_stream_takes_only_the_next_event() {
+    let resume = |last: u64, first: u64, next: u64| {
+        let mut tracker = EventTracker::resume_after(Some(last));
+        tracker.push(event(first).as_bytes()).unwrap();
+        tracker.expect_next();
+        tracker.push(event(next).as_bytes())
+    };
+    assert!(resume(6, 7, 9).is_err());
+    assert_eq!(resume(6, 7, 8).unwrap(), event(8).as_bytes());
+    assert_eq!(resume(20, 30, 40).unwrap(), event(40).as_bytes());
+}
+
 // Guards against events that are recorded as passed on, and lost, as they arrive with the start of one that is too
 // large.
 #[test]
