Streams: a resumed stream that ends after a comment is not complete

What callers saw: a stream whose engine broke off, resumed at one that wrote a comment and then ended in order (as one that does not know the stream may), came with the end of a complete response and without its last events.

Cause: any complete block counted as an event of the resumed stream, though comments are not checked to be its next event.

Change: an end is the stream's end only after an event of it.

Measured: `bad_answer_to_a_resumption_does_not_reach_the_caller` with the new answer: 2 of 2 responses complete after event 4 before, none after.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -139,6 +139,11 @@
         None
     }
 
+    /// Returns whether the first event after a resumption has yet to come.
+    pub fn is_resuming(&self) -> bool {
+        self.is_resuming
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
--- a/crates/relay/src/stream_source.rs
+++ b/crates/relay/src/stream_source.rs
@@ -124,7 +124,8 @@
             match events.push(&data) {
                 Ok(complete_events) if complete_events.is_empty() => {}
                 Ok(complete_events) => {
-                    self.must_have_events = false;
+                    // Comments are no events.
+                    self.must_have_events &= events.is_resuming();
                     self.record_events();
                     return SourceStep::Events(complete_events);
                 }
