Liveness: only upstreams that have announced their departure are exempt

Cause: the end was not checked for an upstream that was leaving or not listed, as such a one closes its listener after its last response; an entry also goes when it expires.

Change: each end is checked. Another start or upstream at the address means a short response; if nothing is reached, the response is complete only where the upstream has announced its departure. The check holds the end back for 0.4 s at most.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -90,11 +90,6 @@
         self.placement_table.lock().is_open(&self.placement, self.relay.now_ms())
     }
 
-    /// Returns whether the upstream is listed and has not announced that it leaves.
-    pub fn is_serving(&self) -> bool {
-        self.placement_table.lock().is_serving(&self.placement)
-    }
-
     /// Records that the request is sent now, which uses up its permit.
     pub fn record_sent(&mut self) {
         let now_ms = self.relay.now_ms();
--- a/crates/relay/src/buffered_response.rs
+++ b/crates/relay/src/buffered_response.rs
@@ -123,7 +123,7 @@
         }
         Ok(Ok(body)) => match liveness {
             // A killed upstream ends its connections in order, too.
-            Some(liveness) if !liveness.is_complete(call, attempt.is_serving()).await => {
+            Some(liveness) if !liveness.is_complete(call).await => {
                 call.record_broken(attempt, &connection);
                 return Err(FetchError::Interrupted(
                     "the upstream ended with the connection".to_owned(),
--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -19,6 +19,9 @@
 /// Time in which the ends of all connections of a killed process arrive.
 const SETTLE_TIME: Duration = Duration::from_millis(20);
 
+/// Time for which the end of a response is held back while its upstream is silent.
+const MAX_CHECK_TIME: Duration = Duration::from_millis(400);
+
 /// Tells whether the start of an upstream that sent a response has outlived the connection.
 pub struct LivenessCheck {
     target: DialTarget,
@@ -48,25 +51,26 @@
     }
 
     /// Returns whether the response is complete: the start that sent it still runs, as the upstream reports it. Without
-    /// reports, an idle connection that stays open, or else a new one, has to do. One that `is_serving` no more closes
-    /// its listener after its last response.
-    pub async fn is_complete(&self, call: &Call, is_serving: bool) -> bool {
+    /// reports, an idle connection that stays open, or else a new one, has to do. One that has announced its departure
+    /// closes its listener after its last response.
+    pub async fn is_complete(&self, call: &Call) -> bool {
         let ended_at_ms = call.relay.now_ms();
-        let limit = Duration::from_millis(call.remaining_ms().max(1));
+        let limit = MAX_CHECK_TIME.min(Duration::from_millis(call.remaining_ms().max(1)));
+        let is_leaving = call.relay.directory.lock().is_leaving(self.target.upstream());
         let liveness = timeout(limit, self.ask(call)).await.unwrap_or(Liveness::Unreachable);
         call.relay.log.write("response_end_checked", || {
             json!({
                 "request": call.request_id, "upstream": self.target.upstream(),
                 "reported_start_ms": self.accepted_by.reported_start_ms,
                 "liveness": format!("{liveness:?}"), "is_carried": self.is_carried,
-                "is_serving": is_serving,
+                "is_leaving": is_leaving,
                 "took_ms": call.relay.now_ms().saturating_sub(ended_at_ms),
             })
         });
         match liveness {
             Liveness::Running => true,
             Liveness::Replaced => false,
-            Liveness::Unreachable | Liveness::Unknown if !is_serving => true,
+            Liveness::Unreachable | Liveness::Unknown if is_leaving => true,
             Liveness::Unreachable => false,
             Liveness::Unknown => {
                 timeout(limit, self.is_reached(call, ended_at_ms)).await.unwrap_or(false)
--- a/crates/relay/src/stream_source.rs
+++ b/crates/relay/src/stream_source.rs
@@ -138,7 +138,7 @@
     /// of the connection; one that is known to leave closes it, and then can't be reached.
     async fn confirm_end(&self, call: &Call) -> SourceStep {
         match &self.liveness {
-            Some(liveness) if !liveness.is_complete(call, self.attempt.is_serving()).await => {
+            Some(liveness) if !liveness.is_complete(call).await => {
                 SourceStep::Broken("the upstream ended with the connection".to_owned())
             }
             _ => SourceStep::End,
--- a/crates/routes/src/directory.rs
+++ b/crates/routes/src/directory.rs
@@ -315,6 +315,13 @@
         self.upstreams.get(id).is_some_and(|listed| listed.entry.started_at_ms == started_at_ms)
     }
 
+    /// Returns whether an upstream has announced its departure, also if it was removed since.
+    pub fn is_leaving(&self, id: &str) -> bool {
+        let listed = self.upstreams.get(id).map(|listed| &listed.entry);
+        let entry = listed.or_else(|| self.former.entries.get(id));
+        entry.is_some_and(|entry| entry.phase == UpstreamPhase::Leaving)
+    }
+
     /// Returns the entry of an upstream; `None` if it is not listed.
     pub fn get(&self, id: &str) -> Option<&UpstreamEntry> {
         Some(&self.upstreams.get(id)?.entry)
