--- a/crates/relay/src/upstream_reports.rs
+++ b/crates/relay/src/upstream_reports.rs
@@ -10,7 +10,7 @@
     Carrier, DIAL_TIMEOUT, ExchangeError, ResponseBody, UpstreamConnection,
 };
 use hickorycourse_placement::AttemptOutcome;
-use hickorycourse_routes::RetrySemantics;
+use hickorycourse_routes::{RetrySemantics, UpstreamPhase};
 use hickorycourse_starts::Acceptance;
 use http::Response;
 use http_body_util::{BodyExt, Full};
@@ -238,7 +238,12 @@
         let connection = match identified {
             Ok(connection) => connection,
             // A stream that begins needs no start; it can't be resumed before that is proven.
-            Err(_) if is_unanswered(&identified) && retry_state.version.is_none() => {
+            Err(ConnectError::NotKept) if retry_state.version.is_none() => {
+                return Ok(self.connect(target, 0).await?);
+            }
+            Err(ConnectError::NotReported { .. })
+                if retry_state.version.is_none() && !self.has_other(upstream, retry_state) =>
+            {
                 return Ok(self.connect(target, 0).await?);
             }
             Err(_) if is_unanswered(&identified) && self.is_unreported(upstream) => {
@@ -266,6 +271,18 @@
         })
     }
 
+    /// Returns whether another upstream may be tried.
+    fn has_other(&self, upstream: &str, retry_state: &RetryState) -> bool {
+        let directory = self.relay.directory.lock();
+        let mut entries = directory.entries();
+        entries.any(|entry| {
+            entry.service == self.service
+                && entry.phase == UpstreamPhase::Ready
+                && entry.id != upstream
+                && !retry_state.excluded.contains(&entry.id)
+        })
+    }
+
     fn is_unreported(&self, upstream: &str) -> bool {
         self.relay.unreported.lock().contains(upstream, self.relay.now_ms())
     }
