Liveness: a check may take longer than one report

Found in the read-through: the check of an end and one report had the same limit, so which of two timers fired first decided whether a silent upstream counted as one that does not report, or its sound response as cut. The check has 0.1 s more.

--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -14,13 +14,14 @@
 use crate::adapter::UpstreamReport;
 use crate::call::Call;
 use crate::forwarding::DialTarget;
-use crate::upstream_reports::{ReceivedReport, acceptance, ask};
+use crate::upstream_reports::{REPORT_TIMEOUT, ReceivedReport, acceptance, ask};
 
 /// Time in which the ends of all connections of a killed process arrive.
 const SETTLE_TIME: Duration = Duration::from_millis(20);
 
-/// Time for which the end of a response is held back while its upstream is silent.
-const MAX_CHECK_TIME: Duration = Duration::from_millis(400);
+/// Time for which the end of a response is held back while its upstream is silent; longer than one report may take,
+/// so that an upstream that never reports is told from one that is silent.
+const MAX_CHECK_TIME: Duration = REPORT_TIMEOUT.saturating_add(Duration::from_millis(100));
 
 /// Tells whether the start of an upstream that sent a response has outlived the connection.
 pub struct LivenessCheck {
--- a/crates/relay/src/upstream_reports.rs
+++ b/crates/relay/src/upstream_reports.rs
@@ -25,7 +25,7 @@
 use crate::state::Relay;
 
 /// Time for a report.
-const REPORT_TIMEOUT: Duration = DIAL_TIMEOUT;
+pub const REPORT_TIMEOUT: Duration = DIAL_TIMEOUT;
 /// Largest body of a report.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 /// Time for which an upstream that has not reported its start is not asked again.
