--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -16,6 +16,7 @@
 use hickorycourse_starts::Acceptance;
 use ntex::rt;
 use ntex::time::sleep;
+use serde::Serialize;
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 
@@ -58,6 +59,18 @@
     reply: oneshot::Sender<KnownOrigin>,
 }
 
+/// How the origin of a stream became known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum OriginSource {
+    /// An instance that was told it.
+    Instance,
+    /// A listing of the origins in the store.
+    Store,
+    /// The only service and version that can have begun the stream.
+    OnlyVersion,
+}
+
 /// What is known of the origin of a stream.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub enum KnownOrigin {
@@ -191,7 +204,8 @@
     ) -> Result<StreamOrigin, Problem> {
         let route = routed.route;
         let key = resumed.map(|first_id| StreamKey::new(organisation, first_id));
-        let origin = self.search_stream_origin(key, routed, deadline_at_ms).await;
+        let found = self.search_stream_origin(key, routed, deadline_at_ms).await;
+        let (origin, source) = found.unzip();
         let reason = match &origin {
             None => "no instance knows what began the stream",
             Some(origin) if !route.targets.iter().any(|t| t.service == origin.service) => {
@@ -206,7 +220,8 @@
         metrics::counter!("hickorycourse_resumptions_total", "outcome" => outcome).increment(1);
         self.log.write("stream_taken_up", || {
             json!({
-                "request": request_id, "resumes": resumed, "origin": origin, "route": route.name,
+                "request": request_id, "resumes": resumed, "origin": origin, "found_by": source,
+                "route": route.name,
                 "rejected": (!reason.is_empty()).then_some(reason),
             })
         });
@@ -226,7 +241,7 @@
         key: Option<StreamKey>,
         routed: RoutedPath<'_>,
         deadline_at_ms: u64,
-    ) -> Option<StreamOrigin> {
+    ) -> Option<(StreamOrigin, OriginSource)> {
         let give_up_at_ms = deadline_at_ms.min(self.now_ms() + MAX_SEARCH_MS);
         loop {
             let known = match key {
@@ -234,19 +249,22 @@
                 None => KnownOrigin::Unknown,
             };
             let is_listing_recent = self.is_listing_recent();
-            let origin = match &known {
-                KnownOrigin::Settled(origin) => Some(origin.clone()),
+            let (origin, source) = match &known {
+                KnownOrigin::Settled(origin) => (Some(origin.clone()), OriginSource::Instance),
                 KnownOrigin::Unsettled(beginning) => {
                     let known = std::iter::once((key, beginning));
                     let known = known.filter_map(|(key, beginning)| Some((key?, beginning)));
                     self.origins.lock().learn_beginnings(known, self.now_ms());
-                    key.and_then(|key| self.settle_origin(key, beginning))
+                    let origin = key.and_then(|key| self.settle_origin(key, beginning));
+                    (origin, OriginSource::Instance)
+                }
+                KnownOrigin::Unknown if is_listing_recent => {
+                    (self.sole_origin(routed), OriginSource::OnlyVersion)
                 }
-                KnownOrigin::Unknown if is_listing_recent => self.sole_origin(routed),
-                KnownOrigin::Unknown => None,
+                KnownOrigin::Unknown => (None, OriginSource::OnlyVersion),
             };
-            if origin.is_some() {
-                return origin;
+            if let Some(origin) = origin {
+                return Some((origin, source));
             }
             let left_ms = give_up_at_ms.saturating_sub(self.now_ms());
             if left_ms == 0 {
@@ -259,7 +277,7 @@
                 && self.search_stored_origins(Duration::from_millis(left_ms)).await
             {
                 match self.find_own_origin(key) {
-                    KnownOrigin::Settled(origin) => return Some(origin),
+                    KnownOrigin::Settled(origin) => return Some((origin, OriginSource::Store)),
                     KnownOrigin::Unsettled(_) => {}
                     KnownOrigin::Unknown if is_listing_recent => return None,
                     KnownOrigin::Unknown => {}
