Origins: no version is taken for the only one of an unknown past

Until the past is known for as long as former streams are taken up, each instance writes the origins of its streams, as while several versions are listed, so that streams go on after a kill of all instances soon after the first start.

The test that a first start knows the sole version asserted the fault; the one in its place asserts the opposite. The random kills of the model are played with a known past, too, as they were before in effect.

--- a/crates/model/src/resumption.rs
+++ b/crates/model/src/resumption.rs
@@ -23,6 +23,8 @@
 const MIXED_MS: i64 = 35_000;
 const TOLD: (usize, usize) = (2, 2);
 const ASKED: (usize, usize) = (3, 3);
+/// Time that a fleet has lived whose past is known.
+const PAST_MS: u64 = 600_000;
 const WALL_START_MS: u64 = 1_700_000_000_000;
 
 /// Kills and versions of a simulation.
@@ -38,6 +40,8 @@
     pub kills: Vec<(u64, Vec<usize>)>,
     /// Time from which each version is listed.
     pub versions: Vec<u64>,
+    /// Whether the store says what was listed before, as the fleet has lived for long; else this is its first start.
+    pub is_past_known: bool,
 }
 
 /// Outcome of a simulation.
@@ -119,14 +123,17 @@
             ("waves", waves.collect()),
             ("rolling", rolling.collect()),
         ];
+        let versions =
+            [("one", vec![0], true), ("two", vec![0, 0], true), ("first", vec![0], false)];
         let patterns = kills.into_iter().flat_map(|(name, kills)| {
-            [("one", vec![0]), ("two", vec![0, 0])].map(|(versions_name, versions)| {
+            versions.clone().map(|(versions_name, versions, is_past_known)| {
                 let pattern = Self {
                     instances,
                     zones: 4,
                     streams_per_s: if instances > 100 { 2.0 } else { 4.0 },
                     kills: kills.clone(),
                     versions,
+                    is_past_known,
                 };
                 (format!("{name} {versions_name} {instances}"), pattern)
             })
@@ -167,6 +174,15 @@
     }
 }
 
+/// Returns the record of a fleet that has lived for long with the versions that are listed from the beginning.
+fn record_of_past(pattern: &ResumptionPattern) -> VersionRecord {
+    let mut versions = ListedVersions::default();
+    for (version, _) in pattern.versions.iter().enumerate().filter(|(_, from_ms)| **from_ms == 0) {
+        versions.record(SERVICE, Some(&version.to_string()), PAST_MS);
+    }
+    versions.make_record(WALL_START_MS, 0, PAST_MS)
+}
+
 impl<'a> Simulation<'a> {
     fn new(pattern: &'a ResumptionPattern, seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -180,7 +196,11 @@
             random,
             instances,
             streams: Vec::new(),
-            store: Store { versions: None, segments: BTreeMap::new(), writes: BTreeMap::new() },
+            store: Store {
+                versions: pattern.is_past_known.then(|| record_of_past(pattern)),
+                segments: BTreeMap::new(),
+                writes: BTreeMap::new(),
+            },
         }
     }
 
@@ -242,11 +262,8 @@
         self.observe(index, now_ms);
         let instance = &mut self.instances[index];
         let age_ms = instance.age_ms(now_ms);
-        match &self.store.versions {
-            Some(record) => {
-                instance.versions.merge(record, WALL_START_MS + now_ms, 0, age_ms);
-            }
-            None => instance.versions.record_first_start(age_ms),
+        if let Some(record) = &self.store.versions {
+            instance.versions.merge(record, WALL_START_MS + now_ms, 0, age_ms);
         }
     }
 
@@ -310,8 +327,11 @@
         let instance = &mut self.instances[index];
         let age_ms = instance.age_ms(now_ms);
         let versions = &instance.versions;
-        let is_mixed = |service: &str| versions.is_mixed_since(service, age_ms as i64 - MIXED_MS);
-        let Some(write) = instance.journal.next_write(age_ms, is_mixed) else { return };
+        let since_ms = age_ms as i64 - MIXED_MS;
+        let is_needed = |service: &str| {
+            versions.is_mixed_since(service, since_ms) || !versions.is_complete_since(since_ms)
+        };
+        let Some(write) = instance.journal.next_write(age_ms, is_needed) else { return };
         instance.journal.record_written(1, age_ms);
         self.store.segments.insert((index, instance.starts, write.sequence), write.segment);
         *self.store.writes.entry(now_ms / 1_000).or_default() += 1;
--- a/crates/model/tests/resumption.rs
+++ b/crates/model/tests/resumption.rs
@@ -33,7 +33,9 @@
 ) -> impl Strategy<Value = (ResumptionPattern, u64)> {
     let kill = (300_u64..900, 1_usize..8, 0_usize..8);
     let kills = proptest::collection::vec(kill, 1..6);
-    (7_usize..80, kills, versions, any::<u64>()).prop_map(|(instances, kills, versions, seed)| {
+    let fleet = (7_usize..80, any::<bool>());
+    (fleet, kills, versions, any::<u64>()).prop_map(|(fleet, kills, versions, seed)| {
+        let (instances, is_past_known) = fleet;
         let kills = kills.into_iter().map(|(at, modulus, part)| {
             let killed = (0..instances).filter(|index| index % modulus == part % modulus);
             (at * 10, killed.collect())
@@ -44,6 +46,7 @@
             streams_per_s: 280.0 / instances as f64,
             kills: kills.collect(),
             versions,
+            is_past_known,
         };
         (pattern, seed)
     })
@@ -59,7 +62,7 @@
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(40) })]
 
-    // Kills of any instances at any times, with one or several versions.
+    // Kills of any instances at any times, with one or several versions, soon after the first start or later.
     #[test]
     fn run_resumption_of_any_kills_goes_on(
         (pattern, seed) in any_pattern((1_usize..4).prop_map(|versions| vec![0; versions])),
--- a/crates/origins/src/routes.rs
+++ b/crates/origins/src/routes.rs
@@ -59,7 +59,7 @@
     /// Returns the service that alone has received the requests for a path since `since_ms`; `None` if there were
     /// several, or if the routes are not known for as long.
     pub fn sole_since(&self, host: &str, path: &str, since_ms: i64) -> Option<&str> {
-        if since_ms < self.complete_since_ms? {
+        if !self.is_complete_since(since_ms) {
             return None;
         }
         let name = make_prefix(host, path);
@@ -101,9 +101,9 @@
         services
     }
 
-    /// Records that no instance has begun streams before `now_ms`, so that nothing is missing here.
-    pub fn record_first_start(&mut self, now_ms: u64) {
-        self.extend_to(now_ms as i64 - RETENTION_MS);
+    /// Returns whether no target that a route has had since `since_ms` is missing here.
+    pub fn is_complete_since(&self, since_ms: i64) -> bool {
+        self.complete_since_ms.is_some_and(|complete_since_ms| since_ms >= complete_since_ms)
     }
 
     fn extend_to(&mut self, since_ms: i64) {
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -14,6 +14,9 @@
 
 /// When each version of each service was last listed. Times are relative to the start of the process, so those
 /// of a record can be negative.
+///
+/// A store without a record says nothing of the past: it may have come back from a copy of before the first start of the
+/// fleet, which can't be told from that start.
 #[derive(Clone, Debug, Default)]
 pub struct ListedVersions {
     /// Time since which nothing that was listed is missing here.
@@ -44,7 +47,7 @@
     /// Returns the version of a service that alone has been listed since `since_ms`; `None` if there were
     /// several, or one that is not known, or if what was listed is not known for as long.
     pub fn sole_since(&self, service: &str, since_ms: i64) -> Option<&str> {
-        if since_ms < self.complete_since_ms {
+        if !self.is_complete_since(since_ms) {
             return None;
         }
         let versions = self.services.get(service)?;
@@ -63,9 +66,15 @@
         listed.next().is_some_and(|(version, _)| version.is_none() || listed.next().is_some())
     }
 
-    /// Records that no instance has begun streams before `now_ms`, so that nothing is missing here.
-    pub fn record_first_start(&mut self, now_ms: u64) {
-        self.complete_since_ms = self.complete_since_ms.min(now_ms as i64 - RETENTION_MS);
+    /// Returns the services of which several versions, or one that is not known, have been listed since `since_ms`.
+    pub fn mixed_since(&self, since_ms: i64) -> Vec<&str> {
+        let services = self.services.keys().map(String::as_str);
+        services.filter(|service| self.is_mixed_since(service, since_ms)).collect()
+    }
+
+    /// Returns whether nothing that has been listed since `since_ms` is missing here.
+    pub fn is_complete_since(&self, since_ms: i64) -> bool {
+        since_ms >= self.complete_since_ms
     }
 
     /// Returns the record for instances that start. Those listed at `now_ms` are taken to be listed still.
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -181,7 +181,6 @@
 #[test]
 fn merge_mark_of_unknown_version_knows_no_sole_version() {
     let mut lived = ListedVersions::default();
-    lived.record_first_start(0);
     lived.record("desk", Some("v2"), 40_000);
     assert!(!lived.make_record(WALL_MS, 0, 40_000).has_unknown_version("desk", 0, WALL_MS));
     lived.record("desk", None, 40_000);
@@ -211,7 +210,6 @@
     marking.record("desk", None, 40_000);
     let mark = marking.make_record(WALL_MS, 0, 40_000);
     let mut other = ListedVersions::default();
-    other.record_first_start(0);
     other.merge(&VersionRecord::default(), 0, 0, 0);
     other.record("desk", Some("v1"), 70_000);
     other.merge_unknown(&mark, WALL_MS, 1, 70_000);
@@ -243,19 +241,25 @@
     marking.record("desk", Some("v1"), 45_000);
     let record = marking.make_record(WALL_MS, 0, 45_000);
     let mut other = ListedVersions::default();
-    other.record_first_start(0);
     other.record("desk", Some("v1"), 70_000);
     other.merge_unknown(&record, WALL_MS, 0, 70_000);
     assert_eq!(other.sole_since("desk", 65_000), None);
     assert_eq!(other.sole_since("desk", 65_001), Some("v1"));
 }
 
+// Guards against a store that has come back from a copy of before the fleet's first start: no record says what was listed
+// before, which is no proof that nothing was.
 #[test]
-fn record_first_start_knows_sole_version() {
+fn sole_since_start_without_record_knows_no_sole_version_of_the_past() {
     let mut listed = ListedVersions::default();
-    listed.record_first_start(50);
     listed.record("desk", Some("v1"), 100);
-    assert_eq!(listed.sole_since("desk", 100 - TIMEOUT_MS), Some("v1"));
+    assert_eq!(listed.sole_since("desk", 100 - TIMEOUT_MS), None);
+    assert!(!listed.is_complete_since(100 - TIMEOUT_MS), "origins have to be written");
+    listed.record("desk", Some("v1"), 100 + TIMEOUT_MS as u64);
+    assert_eq!(listed.sole_since("desk", 100), Some("v1"));
+    assert!(listed.is_complete_since(100));
+    let started = start_after(&listed, 100 + TIMEOUT_MS as u64, 700, 0);
+    assert_eq!(started.sole_since("desk", 100 - TIMEOUT_MS), None, "nor do those that start later");
 }
 
 #[test]
--- a/crates/relay/src/origin_records.rs
+++ b/crates/relay/src/origin_records.rs
@@ -2,8 +2,9 @@
 //! know them, also when all start at once.
 //!
 //! The first of the responsive instances by rendezvous hashing writes the versions that are listed. While a
-//! service has several, or shares paths with another one, each instance writes the origins of its own streams; they are
-//! listed only when a caller takes up a stream that no instance knows.
+//! service has several, or shares paths with another one, or the past is not known for as long as streams are taken up, each
+//! instance writes the origins of its own streams; they are listed only when a caller takes up a stream that no instance
+//! knows.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -17,7 +18,6 @@
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::members::{MEMBER_PREFIX, MemberRecord};
 use crate::state::Relay;
 
 /// Prefix of the keys of [`OriginSegment`]s in the store.
@@ -58,6 +58,24 @@
     pub revision: u64,
 }
 
+/// Services that may have begun a stream at one of several versions, or whose paths may have led to others.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum AmbiguousServices {
+    /// All, as the past is not known for long enough.
+    All,
+    /// Those of which that is known.
+    Some(BTreeSet<String>),
+}
+
+impl AmbiguousServices {
+    pub(crate) fn contains(&self, service: &str) -> bool {
+        match self {
+            Self::All => true,
+            Self::Some(services) => services.contains(service),
+        }
+    }
+}
+
 impl Relay {
     /// Applies the versions as the store holds them; `None` if they are absent.
     pub fn apply_stored_versions(&self, item: Option<&KeyValueRecord>) {
@@ -97,21 +115,6 @@
         *self.stored_versions.lock() = stored;
     }
 
-    /// Looks at the first listing, without the versions, whether this is the first start of the fleet: any instance of
-    /// this build that had begun streams would have written them, unless the store came back from a copy.
-    pub fn record_first_start(&self, items: &[KeyValueRecord]) {
-        let is_first =
-            items.iter().filter(|item| item.key.starts_with(MEMBER_PREFIX)).all(|item| {
-                let record = serde_json::from_slice::<MemberRecord>(&item.value);
-                record.is_ok_and(|record| record.writes_versions)
-            });
-        if is_first && self.log_attested_at_ms().is_none() {
-            let now_ms = self.now_ms();
-            self.listed_versions.lock().record_first_start(now_ms);
-            self.route_targets.lock().record_first_start(now_ms);
-        }
-    }
-
     /// Returns the record of what is known at `now_ms`.
     pub(crate) fn make_version_record(&self, now_ms: u64) -> VersionRecord {
         let wall_ms = self.wall_clock.lock().estimate_ms(now_ms);
@@ -163,20 +166,24 @@
         matches!(timeout(limit, receiver).await, Ok(Ok(true)))
     }
 
-    /// Returns whether a service has, or had while its present streams began, more than one version.
-    pub(crate) fn is_mixed(&self, service: &str) -> bool {
-        let since_ms = self.now_ms() as i64 - (self.longest_stream_ms() + MIXED_GRACE_MS) as i64;
-        self.listed_versions.lock().is_mixed_since(service, since_ms)
-    }
-
-    /// Returns the services that share paths with others, or did while their present streams began.
-    pub(crate) fn shared_services(&self) -> BTreeSet<String> {
+    /// Returns the services whose streams can't be told by their path alone, for the times in which those began that can
+    /// be taken up now.
+    pub(crate) fn ambiguous_services(&self) -> AmbiguousServices {
         let now_ms = self.now_ms();
         self.observe_routes(now_ms);
-        let lasts_ms = self.longest_stream_ms() + self.former_routes_ms() + MIXED_GRACE_MS;
-        let targets = self.route_targets.lock();
-        let services = targets.shared_since(now_ms as i64 - lasts_ms as i64);
-        services.into_iter().map(str::to_owned).collect()
+        let now_ms = now_ms as i64;
+        let versions_since_ms = now_ms - (self.longest_stream_ms() + MIXED_GRACE_MS) as i64;
+        let routes_since_ms = versions_since_ms - self.former_routes_ms() as i64;
+        let versions = self.listed_versions.lock();
+        let routes = self.route_targets.lock();
+        let is_past_known = versions.is_complete_since(versions_since_ms)
+            && routes.is_complete_since(routes_since_ms);
+        if !is_past_known {
+            return AmbiguousServices::All;
+        }
+        let shared = routes.shared_since(routes_since_ms).into_iter();
+        let mixed = versions.mixed_since(versions_since_ms).into_iter();
+        AmbiguousServices::Some(shared.chain(mixed).map(str::to_owned).collect())
     }
 
     fn longest_stream_ms(&self) -> u64 {
@@ -300,8 +307,8 @@
             relay.log.write("beginnings_not_stored", || json!({ "reason": reason }));
         }
         let now_ms = relay.now_ms();
-        let shared = relay.shared_services();
-        let is_needed = |service: &str| relay.is_mixed(service) || shared.contains(service);
+        let ambiguous = relay.ambiguous_services();
+        let is_needed = |service: &str| ambiguous.contains(service);
         let write = relay.origin_journal.lock().next_write(now_ms, is_needed);
         let Some(write) = write else { continue };
         let name = write.sequence.to_string();
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -105,9 +105,8 @@
         let now_ms = self.now_ms();
         self.origins.lock().record_beginning(key, beginning.clone(), now_ms);
         let is_presumed = || {
-            let service = beginning.service.as_str();
             beginning.presumed_start_ms.is_some()
-                && (self.is_mixed(service) || self.shared_services().contains(service))
+                && self.ambiguous_services().contains(&beginning.service)
         };
         // One whose start is not known could not be settled by whoever reads it.
         if beginning.started_at_ms.is_some() || is_presumed() {
