Origins: a store in era 0 shows the first start of the fleet

The era of the store rises with each return from a copy, so that a store in era 0, or one that names none, has never come back from one: there an absent record shows the first start, as before. In any other era the past stays unknown.

--- a/crates/origins/src/routes.rs
+++ b/crates/origins/src/routes.rs
@@ -101,6 +101,11 @@
         services
     }
 
+    /// Records that no instance has begun streams before `now_ms`, so that nothing is missing here.
+    pub fn record_first_start(&mut self, now_ms: u64) {
+        self.extend_to(now_ms as i64 - RETENTION_MS);
+    }
+
     /// Returns whether no target that a route has had since `since_ms` is missing here.
     pub fn is_complete_since(&self, since_ms: i64) -> bool {
         self.complete_since_ms.is_some_and(|complete_since_ms| since_ms >= complete_since_ms)
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -16,7 +16,7 @@
 /// of a record can be negative.
 ///
 /// A store without a record says nothing of the past: it may have come back from a copy of before the first start of the
-/// fleet, which can't be told from that start.
+/// fleet. Only one that has never come back from a copy shows that this is the first start.
 #[derive(Clone, Debug, Default)]
 pub struct ListedVersions {
     /// Time since which nothing that was listed is missing here.
@@ -72,6 +72,11 @@
         services.filter(|service| self.is_mixed_since(service, since_ms)).collect()
     }
 
+    /// Records that no instance has begun streams before `now_ms`, so that nothing is missing here.
+    pub fn record_first_start(&mut self, now_ms: u64) {
+        self.complete_since_ms = self.complete_since_ms.min(now_ms as i64 - RETENTION_MS);
+    }
+
     /// Returns whether nothing that has been listed since `since_ms` is missing here.
     pub fn is_complete_since(&self, since_ms: i64) -> bool {
         since_ms >= self.complete_since_ms
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -262,6 +262,14 @@
     assert_eq!(started.sole_since("desk", 100 - TIMEOUT_MS), None, "nor do those that start later");
 }
 
+#[test]
+fn record_first_start_knows_sole_version() {
+    let mut listed = ListedVersions::default();
+    listed.record_first_start(50);
+    listed.record("desk", Some("v1"), 100);
+    assert_eq!(listed.sole_since("desk", 100 - TIMEOUT_MS), Some("v1"));
+}
+
 #[test]
 fn is_outdated_by_change_or_age() {
     let mut listed = ListedVersions::default();
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -29,8 +29,7 @@
     pub availability_zone: String,
     /// Random identifier of its start.
     pub boot: u64,
-    /// Whether it writes the versions that are listed to the store. Builds before this one take an absent record for the
-    /// fleet's first start if all members do.
+    /// Whether it writes the versions that are listed to the store; earlier builds don't.
     #[serde(default)]
     pub writes_versions: bool,
 }
--- a/crates/relay/src/origin_records.rs
+++ b/crates/relay/src/origin_records.rs
@@ -18,6 +18,7 @@
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::members::{MEMBER_PREFIX, MemberRecord};
 use crate::state::Relay;
 
 /// Prefix of the keys of [`OriginSegment`]s in the store.
@@ -115,6 +116,28 @@
         *self.stored_versions.lock() = stored;
     }
 
+    /// Looks at the first listing, without the versions, whether this is the first start of the fleet: any instance of
+    /// this build that had begun streams would have written them, unless the store came back from a copy. Its era rises
+    /// with each return, so that there was none before era 1.
+    pub fn record_first_start(&self, items: &[KeyValueRecord]) {
+        let mut members = items.iter().filter(|item| item.key.starts_with(MEMBER_PREFIX));
+        let is_writer = |item: &KeyValueRecord| {
+            let record = serde_json::from_slice::<MemberRecord>(&item.value);
+            record.is_ok_and(|record| record.writes_versions)
+        };
+        if self.log_attested_at_ms().is_some() {
+            return;
+        }
+        let era = self.store_era();
+        let is_first = era == 0 && members.all(is_writer);
+        if is_first {
+            let now_ms = self.now_ms();
+            self.listed_versions.lock().record_first_start(now_ms);
+            self.route_targets.lock().record_first_start(now_ms);
+        }
+        self.log.write("versions_absent", || json!({ "era": era, "is_first_start": is_first }));
+    }
+
     /// Returns the record of what is known at `now_ms`.
     pub(crate) fn make_version_record(&self, now_ms: u64) -> VersionRecord {
         let wall_ms = self.wall_clock.lock().estimate_ms(now_ms);
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -321,6 +321,7 @@
     }
     if !items.iter().any(|item| item.key == VERSIONS_KEY) {
         relay.apply_stored_versions(None);
+        relay.record_first_start(items);
     }
     relay.replace_upstreams(upstreams);
     let now_ms = relay.now_ms();
