Origins: refuse streams at once whose start has ended unproven

Callers that took a stream up waited for 2 s, or until their time budget ran out, before they got 503 (3006): the stream's start had reported nothing, had ended before anything proved it, and the next one was listed already, so that no heartbeat and no response could prove it any more. Streams that lost such a start waited as long before they were cut, and so did connections whose start another one had followed.

StartTable tells both now: a start that was listed can't be proven once another one is listed after it (entries are read in the order of their writing), nor one that is not listed once a later one is listed and has run since; a connection can't if no start had been listed before it was dialled, or another one has been since. A stream that is taken up is refused when this holds in two rounds, as holders that are behind may still read its last heartbeat. Nothing is believed that was not before; only waits end earlier. What may still be proven waits as it did: starts whose entry is on the way, and a store that is away.

Of generated histories, what is said to be unprovable is proven by no later entry.

--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -179,6 +179,16 @@
         Some(StreamOrigin { service: beginning.service.clone(), version })
     }
 
+    /// Returns whether the start that began a stream has ended, and nothing can tell its version any more.
+    fn has_ended_unproven(&self, key: StreamKey, beginning: &StreamBeginning) -> bool {
+        let started_at_ms = beginning.started_at_ms.or(beginning.presumed_start_ms);
+        let known_at_ms = self.origins.lock().beginning_known_at_ms(key);
+        let (Some(started_at_ms), Some(known_at_ms)) = (started_at_ms, known_at_ms) else {
+            return false;
+        };
+        self.starts.lock().has_ended_unproven(&beginning.upstream, started_at_ms, known_at_ms)
+    }
+
     fn origin_holders(&self, key: StreamKey, counts: (usize, usize)) -> BTreeSet<SocketAddr> {
         let now_ms = self.now_ms();
         let own_zone = self.settings.availability_zone.as_str();
@@ -242,6 +252,7 @@
         deadline_at_ms: u64,
     ) -> Option<(StreamOrigin, OriginSource)> {
         let give_up_at_ms = deadline_at_ms.min(self.now_ms() + MAX_SEARCH_MS);
+        let mut has_ended_unproven = false;
         loop {
             let known = match key {
                 Some(key) => self.ask_stream_origin(key).await,
@@ -272,6 +283,13 @@
             if key.is_none() && is_listing_recent {
                 return None;
             }
+            if let (Some(key), KnownOrigin::Unsettled(beginning)) = (key, &known)
+                && self.has_ended_unproven(key, beginning)
+                // Instances that were behind have been asked once more.
+                && std::mem::replace(&mut has_ended_unproven, true)
+            {
+                return None;
+            }
             if let Some(key) = key.filter(|_| known == KnownOrigin::Unknown)
                 && self.search_stored_origins(Duration::from_millis(left_ms)).await
             {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -253,8 +253,9 @@
         let until_ms = self.call.relay.now_ms() + wait_ms;
         loop {
             self.settle_version();
-            let may_wait =
-                self.call.route.repeat.allows_reexecution() && self.call.relay.now_ms() < until_ms;
+            let may_wait = self.call.route.repeat.allows_reexecution()
+                && self.call.relay.now_ms() < until_ms
+                && !self.is_version_unprovable();
             if self.version.is_some() || !may_wait {
                 return self.version.clone();
             }
@@ -262,6 +263,12 @@
         }
     }
 
+    fn is_version_unprovable(&self) -> bool {
+        let starts = self.call.relay.starts.lock();
+        let begun_by = self.begun_by.as_ref();
+        begun_by.is_some_and(|(upstream, accepted_by)| starts.is_unprovable(upstream, accepted_by))
+    }
+
     /// The upstream that brings the stream now; empty after its end.
     pub fn upstream(&self) -> &str {
         self.source.as_ref().map(UpstreamSource::upstream).unwrap_or_default()
--- a/crates/relay/src/upstream_reports.rs
+++ b/crates/relay/src/upstream_reports.rs
@@ -360,7 +360,8 @@
     /// another connection.
     async fn await_proof(&self, upstream: &str, accepted_by: &Acceptance) -> Option<String> {
         let until_ms = self.relay.now_ms() + MAX_PROOF_WAIT_MS.min(self.remaining_ms());
-        while self.relay.now_ms() < until_ms {
+        let is_unprovable = || self.relay.starts.lock().is_unprovable(upstream, accepted_by);
+        while self.relay.now_ms() < until_ms && !is_unprovable() {
             sleep(PROOF_INTERVAL).await;
             let found = self.relay.version_of(upstream, accepted_by);
             if found.is_some() {
--- a/crates/starts/src/table.rs
+++ b/crates/starts/src/table.rs
@@ -77,6 +77,12 @@
     is_reported: bool,
 }
 
+impl Start {
+    fn is_listed(&self) -> bool {
+        self.version != StartVersion::Unlisted
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Upstream {
     /// In the order in which they became known.
@@ -88,14 +94,17 @@
 
 impl Upstream {
     fn find(&self, started_at_ms: Option<u64>) -> Option<&Start> {
-        self.starts.iter().find(|start| start.started_at_ms == started_at_ms)
+        self.find_position(started_at_ms).map(|index| &self.starts[index])
+    }
+
+    fn find_position(&self, started_at_ms: Option<u64>) -> Option<usize> {
+        self.starts.iter().position(|start| start.started_at_ms == started_at_ms)
     }
 
     /// Returns the start, which becomes the latest one if it was not known.
     fn find_or_add(&mut self, started_at_ms: Option<u64>, now_ms: u64) -> &mut Start {
         self.heard_at_ms = now_ms;
-        let known = self.starts.iter().position(|start| start.started_at_ms == started_at_ms);
-        let index = known.unwrap_or_else(|| {
+        let index = self.find_position(started_at_ms).unwrap_or_else(|| {
             if self.starts.len() == MAX_STARTS {
                 self.starts.pop_front();
             }
@@ -136,14 +145,23 @@
         self.breaks_ms.iter().any(is_between)
     }
 
+    /// Returns the latest start that was known before a connection was dialled.
+    fn presumed_position(&self, acceptance: &Acceptance) -> Option<usize> {
+        self.starts.iter().rposition(|start| start.known_at_ms <= acceptance.dialled_at_ms)
+    }
+
+    /// Returns whether another start has been listed since this one became known.
+    fn is_followed(&self, position: Option<usize>) -> bool {
+        position.is_some_and(|index| self.starts.iter().skip(index + 1).any(Start::is_listed))
+    }
+
     /// Returns the start that accepted a connection, as far as it is proven.
     fn accepting_start(&self, acceptance: &Acceptance) -> Option<usize> {
         if acceptance.reported_start_ms.is_some() {
             let is_reported = |start: &Start| start.started_at_ms == acceptance.reported_start_ms;
             return self.starts.iter().position(is_reported);
         }
-        let index =
-            self.starts.iter().rposition(|start| start.known_at_ms <= acceptance.dialled_at_ms)?;
+        let index = self.presumed_position(acceptance)?;
         // Otherwise, another one may have accepted it: one that became known later, or one that never did.
         (self.starts[index].ran_until_ms >= acceptance.opened_at_ms).then_some(index)
     }
@@ -266,6 +284,37 @@
         (start.ran_until_ms >= at_ms).then(|| start.version.known()).flatten()
     }
 
+    /// Returns whether a start that had been listed, or has been reported, before `at_ms` can't become known any more to have
+    /// run then or later, with its version.
+    pub fn has_ended_unproven(&self, upstream: &str, started_at_ms: u64, at_ms: u64) -> bool {
+        let Some(upstream) = self.upstreams.get(upstream) else { return false };
+        let position = upstream.find_position(Some(started_at_ms));
+        let ends_unproven = |start: &Start| match start.version {
+            StartVersion::Ambiguous => true,
+            StartVersion::Listed(_) => start.ran_until_ms < at_ms && upstream.is_followed(position),
+            StartVersion::Unlisted => false,
+        };
+        if position.is_some_and(|index| ends_unproven(&upstream.starts[index])) {
+            return true;
+        }
+        // One that has run since is the next one, as starts follow each other; their entries are read in that order.
+        let mut later = upstream.starts.iter().skip(position.map_or(0, |index| index + 1));
+        upstream.find(Some(started_at_ms)).is_none_or(|start| !start.is_listed())
+            && later.any(|start| start.is_listed() && start.ran_until_ms >= at_ms)
+    }
+
+    /// Returns whether the start that accepted a connection can't be proven any more.
+    pub fn is_unprovable(&self, upstream: &str, acceptance: &Acceptance) -> bool {
+        if acceptance.reported_start_ms.is_some() {
+            return false;
+        }
+        let Some(upstream) = self.upstreams.get(upstream) else { return false };
+        let presumed = upstream.presumed_position(acceptance);
+        let is_proven = presumed
+            .is_some_and(|index| upstream.starts[index].ran_until_ms >= acceptance.opened_at_ms);
+        !is_proven && (presumed.is_none() || upstream.is_followed(presumed))
+    }
+
     /// Returns whether the start that the upstream reports now is the one that accepted a connection.
     pub fn is_accepted_by(
         &self,
--- a/crates/starts/tests/starts.rs
+++ b/crates/starts/tests/starts.rs
@@ -96,6 +96,65 @@
     assert_eq!(starts.presumed_start_ms(UPSTREAM, &opened(1_100)), Some(2));
 }
 
+// Guards against callers that wait for the proof of a start that another one has followed.
+#[test]
+fn has_ended_unproven_start_before_another_one_is_known_to() {
+    let mut starts = listed_table();
+    starts.record_listed(&listed(1, "v1"), Some(690), 800);
+    assert!(!starts.has_ended_unproven(UPSTREAM, 1, 700), "a heartbeat may follow");
+    starts.record_reported(UPSTREAM, 2, 900, 910);
+    assert!(!starts.has_ended_unproven(UPSTREAM, 1, 700), "one from before may be on the way");
+    starts.record_listed(&listed(2, "v2"), None, 1_000);
+    assert!(starts.has_ended_unproven(UPSTREAM, 1, 700));
+    assert!(!starts.has_ended_unproven(UPSTREAM, 1, 690), "it is proven");
+    assert!(!starts.has_ended_unproven(UPSTREAM, 2, 1_100));
+    assert!(!starts.has_ended_unproven("i-2", 1, 700), "its entry is not read yet");
+}
+
+// Guards against an entry that is older than the start, as an instance reads it that is behind.
+#[test]
+fn has_ended_unproven_unknown_start_asks_for_another_one_that_has_run_since() {
+    let mut starts = listed_table();
+    assert!(!starts.has_ended_unproven(UPSTREAM, 2, 700));
+    starts.record_listed(&listed(1, "v1"), Some(699), 800);
+    assert!(!starts.has_ended_unproven(UPSTREAM, 2, 700));
+    starts.record_listed(&listed(3, "v1"), None, 900);
+    assert!(!starts.has_ended_unproven(UPSTREAM, 2, 700), "the order of 2 and 3 is not known");
+    starts.record_listed(&listed(3, "v1"), Some(950), 1_000);
+    assert!(starts.has_ended_unproven(UPSTREAM, 2, 700));
+}
+
+// Guards against a former start that still answers, as it leaves, while the reported one is not listed yet.
+#[test]
+fn has_ended_unproven_unlisted_start_beside_former_one_is_not() {
+    let mut starts = listed_table();
+    starts.record_reported(UPSTREAM, 2, 480, 490);
+    starts.record_listed(&listed(1, "v1"), Some(900), 950);
+    assert!(!starts.has_ended_unproven(UPSTREAM, 2, 700));
+    starts.record_listed(&listed(3, "v1"), Some(990), 1_000);
+    assert!(starts.has_ended_unproven(UPSTREAM, 2, 700));
+}
+
+#[test]
+fn has_ended_unproven_start_of_two_versions_is_known_to() {
+    let mut starts = listed_table();
+    starts.record_listed(&listed(1, "v2"), Some(900), 950);
+    assert!(starts.has_ended_unproven(UPSTREAM, 1, 700), "no entry tells its version any more");
+}
+
+// Guards against streams whose connection was accepted by a start that can't be told any more.
+#[test]
+fn is_unprovable_connection_of_start_before_another_one_is() {
+    let mut starts = listed_table();
+    assert!(starts.is_unprovable(UPSTREAM, &opened(50)), "nothing was listed before it");
+    assert!(!starts.is_unprovable(UPSTREAM, &opened(500)), "a heartbeat may follow");
+    assert!(!starts.is_unprovable(UPSTREAM, &reported(2)), "its entry may follow");
+    starts.record_listed(&listed(2, "v2"), None, 900);
+    assert!(starts.is_unprovable(UPSTREAM, &opened(500)));
+    assert!(!starts.is_unprovable(UPSTREAM, &opened(950)));
+    assert!(!starts.is_unprovable(UPSTREAM, &reported(1)), "it is listed");
+}
+
 // Guards against a start that becomes known later than the connection that it accepted.
 #[test]
 fn version_unreported_start_before_another_one_is_unknown() {
@@ -286,6 +345,57 @@
     }
 }
 
+proptest! {
+    // What can't be proven any more is proven by no later entry.
+    #[test]
+    fn is_unprovable_any_history_stays_so(
+        starts in true_starts(),
+        dials in prop::collection::vec((0..12_000_u64, 0..20_u64), 1..30),
+        looks in prop::collection::vec(0..14_000_u64, 1..6),
+    ) {
+        let mut entries = Vec::new();
+        for start in &starts {
+            entries.extend(start.heartbeats.iter().map(|heartbeat| (start, heartbeat)));
+        }
+        let replay = |until_ms: u64| {
+            let mut table = StartTable::default();
+            for (start, heartbeat) in &entries {
+                if heartbeat.read_at_ms <= until_ms {
+                    let known = listed(start.begin_ms, start.version);
+                    let current_at_ms = Some(heartbeat.current_at_ms);
+                    table.record_listed(&known, current_at_ms, heartbeat.read_at_ms);
+                }
+            }
+            table
+        };
+        let last = replay(u64::MAX);
+        for look_at_ms in looks {
+            let table = replay(look_at_ms);
+            for (dialled_at_ms, took_ms) in &dials {
+                let opened_at_ms = dialled_at_ms + took_ms;
+                let accepted_by =
+                    Acceptance { reported_start_ms: None, dialled_at_ms: *dialled_at_ms, opened_at_ms };
+                if opened_at_ms <= look_at_ms && table.is_unprovable(UPSTREAM, &accepted_by) {
+                    prop_assert_eq!(last.version(UPSTREAM, &accepted_by), None);
+                }
+            }
+            let known_before = starts.iter().filter(|start| {
+                start.heartbeats.first().is_some_and(|first| first.read_at_ms <= look_at_ms)
+            });
+            for (start, (at_ms, _)) in known_before.flat_map(|start| dials.iter().map(move |dial| (start, dial))) {
+                let is_listed_before =
+                    start.heartbeats.first().is_some_and(|first| first.read_at_ms <= *at_ms);
+                if is_listed_before
+                    && *at_ms <= look_at_ms
+                    && table.has_ended_unproven(UPSTREAM, start.begin_ms, *at_ms)
+                {
+                    prop_assert_eq!(last.version_of_run(UPSTREAM, start.begin_ms, *at_ms), None);
+                }
+            }
+        }
+    }
+}
+
 // Guards against a guess where the upstream would have told, had it been asked.
 #[test]
 fn version_unreported_connection_of_reporting_upstream_is_known_once_proven() {
