Reports: one late answer does not mark an upstream as silent

Callers of an upstream that reports no start and closes idle connections got streams that were cut at their end, twelve in a row or all at once, for 30 s after one report that took longer than 400 ms.

The time-out marked the upstream as one that never answers, even where another connection had had its answer since the report was asked for. Witness connections of such an upstream are not asked, so it closed them as idle before the responses ended.

A time-out no longer outweighs an answer that came after the report was asked for. An upstream that is taken for silent is asked again in the background, on a connection of its own, while a response needs it; an answer ends the mark, and so does a start that it reports. An upstream that never answers loses no witness by this.

--- a/crates/relay/src/carried_witness.rs
+++ b/crates/relay/src/carried_witness.rs
@@ -94,7 +94,7 @@
         let asked = ask(relay, &mut open, upstream).await;
         match &asked {
             Ok(asked) if asked.report == UpstreamReport::Unknown => {
-                relay.record_other_answer(upstream, &Ok(*asked));
+                relay.record_other_answer(upstream, &Ok(*asked), asked_at_ms);
             }
             Ok(_) => {}
             // The end of a carrying peer is not that of the upstream.
--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -134,6 +134,7 @@
             };
             let Some(mut connection) = connected else { return (Liveness::Unreachable, "none") };
             let may_be_closed = std::mem::take(&mut max_idle_ms) > 0 && connection.is_reused();
+            let asked_at_ms = relay.now_ms();
             let asked = ask(relay, &mut connection, upstream).await;
             match asked {
                 Err(_) if may_be_closed => {}
@@ -143,14 +144,14 @@
                 Err(ExchangeError::Interrupted(_)) if !std::mem::replace(&mut has_failed, true) => {
                 }
                 Err(_) if !relay.starts.lock().has_reported(upstream) => {
-                    relay.record_other_answer(upstream, &asked);
+                    relay.record_other_answer(upstream, &asked, asked_at_ms);
                     return (Liveness::Unknown, "new");
                 }
                 Err(ExchangeError::TimedOut(_)) => {}
                 Err(_) => return (Liveness::Unreachable, "none"),
                 Ok(ReceivedReport { report, is_kept }) => {
                     if report == UpstreamReport::Unknown {
-                        relay.record_other_answer(upstream, &asked);
+                        relay.record_other_answer(upstream, &asked, asked_at_ms);
                     }
                     let opened_at_ms = connection.opened_at_ms();
                     if is_kept {
--- a/crates/relay/src/upstream_reports.rs
+++ b/crates/relay/src/upstream_reports.rs
@@ -27,6 +27,8 @@
 
 /// Time for a report.
 pub const REPORT_TIMEOUT: Duration = DIAL_TIMEOUT;
+/// Time for a report that nothing waits for: a sound upstream may fall silent for a second or so.
+pub const LATE_REPORT_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Largest body of a report.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 /// Time for which an upstream that has not reported its start is not asked again.
@@ -46,6 +48,7 @@
 
 #[derive(Debug)]
 struct UnreportedUpstream {
+    recorded_at_ms: u64,
     until_ms: u64,
     answer: OtherAnswer,
 }
@@ -72,17 +75,32 @@
 }
 
 impl UnreportedUpstreams {
-    /// Records that an upstream does not report its start.
-    pub fn record(&mut self, upstream: &str, answer: OtherAnswer, now_ms: u64) {
+    /// Records that an upstream does not report its start, as it has answered, or has not, when it was asked at
+    /// `asked_at_ms`. Silence says nothing of an upstream that has answered another report since then.
+    pub fn record(&mut self, upstream: &str, answer: OtherAnswer, asked_at_ms: u64, now_ms: u64) {
+        let is_answered_since = |known: &UnreportedUpstream| {
+            known.answer == OtherAnswer::Kept && known.recorded_at_ms >= asked_at_ms
+        };
+        if answer == OtherAnswer::Silent
+            && self.upstreams.get(upstream).is_some_and(is_answered_since)
+        {
+            return;
+        }
         if self.upstreams.len() >= MAX_UNREPORTED {
             self.upstreams.retain(|_, known| known.until_ms > now_ms);
         }
         if self.upstreams.len() < MAX_UNREPORTED {
             let until_ms = now_ms + UNKNOWN_PERIOD_MS;
-            self.upstreams.insert(upstream.to_owned(), UnreportedUpstream { until_ms, answer });
+            let known = UnreportedUpstream { recorded_at_ms: now_ms, until_ms, answer };
+            self.upstreams.insert(upstream.to_owned(), known);
         }
     }
 
+    /// Records that an upstream has reported its start.
+    pub fn forget(&mut self, upstream: &str) {
+        self.upstreams.remove(upstream);
+    }
+
     /// Returns what an upstream has answered lately in place of its report; `None` if it has not been asked, or has
     /// reported its start.
     pub fn answer(&self, upstream: &str, now_ms: u64) -> Option<OtherAnswer> {
@@ -167,9 +185,22 @@
     relay: &Relay,
     connection: &mut UpstreamConnection,
     upstream: &str,
+) -> Result<ReceivedReport, ExchangeError> {
+    ask_within(relay, connection, upstream, REPORT_TIMEOUT).await
+}
+
+/// As [`ask`], with another limit.
+///
+/// # Errors
+/// The connection must not be used again.
+pub async fn ask_within(
+    relay: &Relay,
+    connection: &mut UpstreamConnection,
+    upstream: &str,
+    limit: Duration,
 ) -> Result<ReceivedReport, ExchangeError> {
     let asked_at_ms = relay.now_ms();
-    let received = timeout(REPORT_TIMEOUT, exchange(relay, connection, upstream)).await;
+    let received = timeout(limit, exchange(relay, connection, upstream, limit)).await;
     let late = || ExchangeError::TimedOut("the report is not complete".to_owned());
     let received = match received.unwrap_or_else(|()| Err(late())) {
         Err(ExchangeError::InvalidResponse(_)) => {
@@ -182,6 +213,7 @@
         UpstreamReport::Running { started_at_ms } => {
             connection.record_reported_start(started_at_ms);
             relay.starts.lock().record_reported(upstream, started_at_ms, asked_at_ms, now_ms);
+            relay.unreported.lock().forget(upstream);
             "running"
         }
         UpstreamReport::OtherUpstream => "other_upstream",
@@ -195,13 +227,14 @@
     relay: &Relay,
     connection: &mut UpstreamConnection,
     upstream: &str,
+    limit: Duration,
 ) -> Result<ReceivedReport, ExchangeError> {
     let request = relay.protocol.make_report_request(upstream).map(|()| Full::<Bytes>::default());
-    let response = connection.send(request, REPORT_TIMEOUT).await?;
+    let response = connection.send(request, limit).await?;
     let status = response.status().as_u16();
     let body = read_body(response).await?;
     let report = relay.protocol.read_report(status, &body);
-    let is_kept = connection.ready(REPORT_TIMEOUT).await.is_ok();
+    let is_kept = connection.ready(limit).await.is_ok();
     Ok(ReceivedReport { report, is_kept })
 }
 
@@ -240,14 +273,17 @@
         self.unreported.lock().answer(upstream, self.now_ms())
     }
 
-    /// Records what an upstream that has never reported its start has answered in place of its report.
+    /// Records what an upstream that has never reported its start has answered in place of its report, for which it was
+    /// asked at `asked_at_ms`.
     pub fn record_other_answer(
         &self,
         upstream: &str,
         asked: &Result<ReceivedReport, ExchangeError>,
+        asked_at_ms: u64,
     ) {
         if !self.starts.lock().has_reported(upstream) {
-            self.unreported.lock().record(upstream, OtherAnswer::of(asked), self.now_ms());
+            let answer = OtherAnswer::of(asked);
+            self.unreported.lock().record(upstream, answer, asked_at_ms, self.now_ms());
             self.witness_needed.notify_waiters();
         }
     }
@@ -407,6 +443,7 @@
         }
         let relay = &self.relay;
         let is_reused = connection.is_reused();
+        let asked_at_ms = relay.now_ms();
         let asked = ask(relay, &mut connection, upstream).await;
         let is_told = match &asked {
             Ok(asked) if asked.report == UpstreamReport::Unknown => is_reused && !asked.is_kept,
@@ -414,7 +451,7 @@
             Err(_) => is_reused,
         };
         if !is_told {
-            relay.record_other_answer(upstream, &asked);
+            relay.record_other_answer(upstream, &asked, asked_at_ms);
         }
         match asked {
             Ok(ReceivedReport { report: UpstreamReport::OtherUpstream, .. }) => {
--- a/crates/relay/src/witness.rs
+++ b/crates/relay/src/witness.rs
@@ -30,7 +30,9 @@
 use crate::carried_witness::CarriedWitnessTable;
 use crate::forwarding::DialTarget;
 use crate::state::Relay;
-use crate::upstream_reports::{OtherAnswer, ReceivedReport, acceptance, ask};
+use crate::upstream_reports::{
+    LATE_REPORT_TIMEOUT, OtherAnswer, ReceivedReport, acceptance, ask, ask_within,
+};
 
 /// Shortest interval between two checks of the connection.
 const MIN_CHECK_INTERVAL_MS: u64 = MIN_ASK_INTERVAL_MS / 4;
@@ -100,6 +102,8 @@
     probe: RefCell<Option<IdleProbe>>,
     /// Time before which no connection is opened to learn the idle time.
     probe_after_ms: Cell<u64>,
+    /// Time before which an upstream that was silent is not asked again.
+    ask_again_after_ms: Cell<u64>,
     table: WitnessTable,
     /// Identifies it in the table.
     destination: String,
@@ -152,7 +156,7 @@
             }
         }
         if let Ok(ReceivedReport { report: UpstreamReport::Unknown, is_kept: true }) = asked {
-            relay.record_other_answer(self.target.upstream(), &asked);
+            relay.record_other_answer(self.target.upstream(), &asked, asked_at_ms);
         }
         let report = asked.ok()?.report;
         if report != UpstreamReport::OtherUpstream {
@@ -282,6 +286,31 @@
         });
     }
 
+    /// Asks an upstream that was silent when it was asked, on a connection of its own: one that only was late is then known
+    /// not to be silent, while one that never answers does not take the witness.
+    fn ask_again(&self, relay: &Arc<Relay>, connections: &ConnectionPool) {
+        let now_ms = relay.now_ms();
+        if relay.other_answer(self.target.upstream()) != Some(OtherAnswer::Silent)
+            || now_ms < self.ask_again_after_ms.get()
+        {
+            return;
+        }
+        self.ask_again_after_ms.set(now_ms + LATE_REPORT_TIMEOUT.as_millis() as u64);
+        let (relay, connections) = (Arc::clone(relay), connections.clone());
+        let (target, changed) = (self.target.clone(), Rc::clone(&self.changed));
+        spawn_local(async move {
+            let upstream = target.upstream();
+            let asked_at_ms = relay.now_ms();
+            let opened = connections.open(upstream.to_owned(), target.address(), asked_at_ms).await;
+            let Ok(mut connection) = opened else { return };
+            let asked = ask_within(&relay, &mut connection, upstream, LATE_REPORT_TIMEOUT).await;
+            if let Ok(ReceivedReport { report: UpstreamReport::Unknown, is_kept: true }) = asked {
+                relay.record_other_answer(upstream, &asked, asked_at_ms);
+                changed.notify_one();
+            }
+        });
+    }
+
     fn record_used_up(&self) {
         self.opened_at_ms.set(None);
         self.changed.notify_one();
@@ -361,6 +390,7 @@
             task: RefCell::default(),
             probe: RefCell::default(),
             probe_after_ms: Cell::default(),
+            ask_again_after_ms: Cell::default(),
             table: self.clone(),
             destination: destination.clone(),
             has_place: Cell::default(),
@@ -419,6 +449,7 @@
         attended.refresh(&relay, attended.is_in_use(0)).await;
         let is_in_use = attended.is_in_use(0);
         if is_in_use {
+            attended.ask_again(&relay, &connections);
             attended.open(&relay, &connections).await;
             attended.start_probe(&relay, &connections);
         }
