Witnesses: a late report does not close the connection

Callers of an upstream that reports no start had all streams in progress cut at their ends when one of its answers in place of a report took longer than 400 ms in their midst.

The time-out closed the connection on which the report was asked for, as the cancellation of a check did, and counted as a break. That connection had been opened before these requests, and nothing else proves their ends.

The exchange now runs in a task of its own. Who asks waits for 400 ms as before; the answer is read for up to 2 s, and the connection is kept if it comes. Until then the end of a response is not proven by it: checks wait for it within their limit and fail as before. A break is recorded once the connection breaks or those 2 s are over.

--- a/crates/relay/src/witness.rs
+++ b/crates/relay/src/witness.rs
@@ -31,7 +31,7 @@
 use crate::forwarding::DialTarget;
 use crate::state::Relay;
 use crate::upstream_reports::{
-    LATE_REPORT_TIMEOUT, OtherAnswer, ReceivedReport, acceptance, ask, ask_within,
+    LATE_REPORT_TIMEOUT, OtherAnswer, REPORT_TIMEOUT, ReceivedReport, acceptance, ask, ask_within,
 };
 
 /// Shortest interval between two checks of the connection.
@@ -123,8 +123,19 @@
 
 impl Witness {
     /// Returns what the upstream reports, now or at any time after `ended_at_ms`; `None` if there is no connection, or no
-    /// answer.
-    pub async fn ask(&self, relay: &Relay, ended_at_ms: u64) -> Option<WitnessedReport> {
+    /// answer in time. A late answer is still waited for in the background, as the connection proves the ends of other
+    /// responses.
+    pub async fn ask(
+        self: &Rc<Self>,
+        relay: &Arc<Relay>,
+        ended_at_ms: u64,
+    ) -> Option<WitnessedReport> {
+        let (witness, relay) = (Rc::clone(self), Arc::clone(relay));
+        let asked = spawn_local(async move { witness.ask_patiently(&relay, ended_at_ms).await });
+        timeout(REPORT_TIMEOUT, asked).await.ok()?.ok()?
+    }
+
+    async fn ask_patiently(&self, relay: &Relay, ended_at_ms: u64) -> Option<WitnessedReport> {
         let mut connection = self.connection.lock().await;
         // The report that another response has waited for.
         let latest = self.latest.get().filter(|latest| latest.asked_at_ms > ended_at_ms);
@@ -141,7 +152,8 @@
             return None;
         };
         let asked_at_ms = relay.now_ms();
-        let asked = ask(relay, &mut open, self.target.upstream()).await;
+        let upstream = self.target.upstream();
+        let asked = ask_within(relay, &mut open, upstream, LATE_REPORT_TIMEOUT).await;
         let accepted_by = acceptance(&open);
         match &asked {
             Ok(asked) if asked.is_kept => *connection = Some(open),
@@ -171,7 +183,7 @@
 
     /// Asks, as [`ask`](Self::ask), if the start that has accepted the connection is proven: the answer proves the start of
     /// connections that had been accepted by `accepted_at_ms`, too.
-    async fn prove(&self, relay: &Relay, accepted_at_ms: u64) {
+    async fn prove(self: &Rc<Self>, relay: &Arc<Relay>, accepted_at_ms: u64) {
         let accepted_by = self.connection.lock().await.as_ref().map(acceptance);
         let Some(accepted_by) = accepted_by else { return };
         if relay.starts.lock().version(self.target.upstream(), &accepted_by).is_some() {
@@ -180,7 +192,7 @@
     }
 
     /// Asks an upstream that does not report its start, if it is time, so that it does not close the connection as idle.
-    async fn refresh(&self, relay: &Relay, is_in_use: bool) {
+    async fn refresh(self: &Rc<Self>, relay: &Arc<Relay>, is_in_use: bool) {
         let is_due = match self.connection.try_lock().as_deref() {
             Ok(Some(open)) => self.ask_at_ms(open, is_in_use) <= relay.now_ms(),
             Ok(None) | Err(_) => false,
