--- a/crates/relay/src/witness.rs
+++ b/crates/relay/src/witness.rs
@@ -30,7 +30,9 @@
 use crate::carried_witness::CarriedWitnessTable;
 use crate::forwarding::DialTarget;
 use crate::state::Relay;
-use crate::upstream_reports::{OtherAnswer, ReceivedReport, acceptance, ask};
+use crate::upstream_reports::{
+    LATE_REPORT_TIMEOUT, OtherAnswer, REPORT_TIMEOUT, ReceivedReport, acceptance, ask, ask_within,
+};
 
 /// Shortest interval between two checks of the connection.
 const MIN_CHECK_INTERVAL_MS: u64 = MIN_ASK_INTERVAL_MS / 4;
@@ -100,6 +102,8 @@
     probe: RefCell<Option<IdleProbe>>,
     /// Time before which no connection is opened to learn the idle time.
     probe_after_ms: Cell<u64>,
+    /// Time before which an upstream that was silent is not asked again.
+    ask_again_after_ms: Cell<u64>,
     table: WitnessTable,
     /// Identifies it in the table.
     destination: String,
@@ -119,8 +123,19 @@
 
 impl Witness {
     /// Returns what the upstream reports, now or at any time after `ended_at_ms`; `None` if there is no connection, or no
-    /// answer.
-    pub async fn ask(&self, relay: &Relay, ended_at_ms: u64) -> Option<WitnessedReport> {
+    /// answer in time. A late answer is still waited for in the background, as the connection proves the ends of other
+    /// responses.
+    pub async fn ask(
+        self: &Rc<Self>,
+        relay: &Arc<Relay>,
+        ended_at_ms: u64,
+    ) -> Option<WitnessedReport> {
+        let (witness, relay) = (Rc::clone(self), Arc::clone(relay));
+        let asked = spawn_local(async move { witness.ask_patiently(&relay, ended_at_ms).await });
+        timeout(REPORT_TIMEOUT, asked).await.ok()?.ok()?
+    }
+
+    async fn ask_patiently(&self, relay: &Relay, ended_at_ms: u64) -> Option<WitnessedReport> {
         let mut connection = self.connection.lock().await;
         // The report that another response has waited for.
         let latest = self.latest.get().filter(|latest| latest.asked_at_ms > ended_at_ms);
@@ -137,7 +152,8 @@
             return None;
         };
         let asked_at_ms = relay.now_ms();
-        let asked = ask(relay, &mut open, self.target.upstream()).await;
+        let upstream = self.target.upstream();
+        let asked = ask_within(relay, &mut open, upstream, LATE_REPORT_TIMEOUT).await;
         let accepted_by = acceptance(&open);
         match &asked {
             Ok(asked) if asked.is_kept => *connection = Some(open),
@@ -152,7 +168,7 @@
             }
         }
         if let Ok(ReceivedReport { report: UpstreamReport::Unknown, is_kept: true }) = asked {
-            relay.record_other_answer(self.target.upstream(), &asked);
+            relay.record_other_answer(self.target.upstream(), &asked, asked_at_ms);
         }
         let report = asked.ok()?.report;
         if report != UpstreamReport::OtherUpstream {
@@ -167,7 +183,7 @@
 
     /// Asks, as [`ask`](Self::ask), if the start that has accepted the connection is proven: the answer proves the start of
     /// connections that had been accepted by `accepted_at_ms`, too.
-    async fn prove(&self, relay: &Relay, accepted_at_ms: u64) {
+    async fn prove(self: &Rc<Self>, relay: &Arc<Relay>, accepted_at_ms: u64) {
         let accepted_by = self.connection.lock().await.as_ref().map(acceptance);
         let Some(accepted_by) = accepted_by else { return };
         if relay.starts.lock().version(self.target.upstream(), &accepted_by).is_some() {
@@ -176,7 +192,7 @@
     }
 
     /// Asks an upstream that does not report its start, if it is time, so that it does not close the connection as idle.
-    async fn refresh(&self, relay: &Relay, is_in_use: bool) {
+    async fn refresh(self: &Rc<Self>, relay: &Arc<Relay>, is_in_use: bool) {
         let is_due = match self.connection.try_lock().as_deref() {
             Ok(Some(open)) => self.ask_at_ms(open, is_in_use) <= relay.now_ms(),
             Ok(None) | Err(_) => false,
@@ -282,6 +298,31 @@
         });
     }
 
+    /// Asks an upstream that was silent when it was asked, on a connection of its own: one that only was late is then known
+    /// not to be silent, while one that never answers does not take the witness.
+    fn ask_again(&self, relay: &Arc<Relay>, connections: &ConnectionPool) {
+        let now_ms = relay.now_ms();
+        if relay.other_answer(self.target.upstream()) != Some(OtherAnswer::Silent)
+            || now_ms < self.ask_again_after_ms.get()
+        {
+            return;
+        }
+        self.ask_again_after_ms.set(now_ms + LATE_REPORT_TIMEOUT.as_millis() as u64);
+        let (relay, connections) = (Arc::clone(relay), connections.clone());
+        let (target, changed) = (self.target.clone(), Rc::clone(&self.changed));
+        spawn_local(async move {
+            let upstream = target.upstream();
+            let asked_at_ms = relay.now_ms();
+            let opened = connections.open(upstream.to_owned(), target.address(), asked_at_ms).await;
+            let Ok(mut connection) = opened else { return };
+            let asked = ask_within(&relay, &mut connection, upstream, LATE_REPORT_TIMEOUT).await;
+            if let Ok(ReceivedReport { report: UpstreamReport::Unknown, is_kept: true }) = asked {
+                relay.record_other_answer(upstream, &asked, asked_at_ms);
+                changed.notify_one();
+            }
+        });
+    }
+
     fn record_used_up(&self) {
         self.opened_at_ms.set(None);
         self.changed.notify_one();
@@ -361,6 +402,7 @@
             task: RefCell::default(),
             probe: RefCell::default(),
             probe_after_ms: Cell::default(),
+            ask_again_after_ms: Cell::default(),
             table: self.clone(),
             destination: destination.clone(),
             has_place: Cell::default(),
@@ -419,6 +461,7 @@
         attended.refresh(&relay, attended.is_in_use(0)).await;
         let is_in_use = attended.is_in_use(0);
         if is_in_use {
+            attended.ask_again(&relay, &connections);
             attended.open(&relay, &connections).await;
             attended.start_probe(&relay, &connections);
         }
