Streams: another response ends a stream without framing

Callers saw events of another response in a stream, and its head as an event: an engine that sends an extra response after a stream that ends with its connection had it passed on as a part of the stream, which looked complete. Events of the extra response with ids that come next were passed on as well, on routes that may be resumed and on others.

Cause: without a length or chunks all bytes up to the end of the connection are the body, and the head of a response is a block without an id, which no check rejects.

A status line is no line of an event, so a block that begins with one begins another response. The stream ends before it, unproven: it is resumed after its last event, or interrupted where it may not be resumed. Framed streams are unchanged, as their bodies belong to them.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -26,6 +26,9 @@
 /// Consecutive ids after which the next one is expected to be consecutive, too.
 const MIN_CONSECUTIVE: u64 = 2;
 
+/// Begins the status line of a response, which is no line of an event.
+const STATUS_LINE: &[u8] = b"HTTP/1.";
+
 /// Splits the bytes of a stream into complete events and drops events that were received before. An
 /// incomplete event is buffered until its rest arrives, so that a stream that resumes at another
 /// upstream never joins parts of two runs.
@@ -49,6 +52,8 @@
     is_consecutive: bool,
     /// Whether the next event is the first one after a resumption.
     is_resuming: bool,
+    /// Whether another response has followed the events of the present upstream.
+    has_other_response: bool,
 }
 
 impl Default for EventTracker {
@@ -64,6 +69,7 @@
             known_ids: 0,
             is_consecutive: false,
             is_resuming: false,
+            has_other_response: false,
         }
     }
 }
@@ -119,11 +125,32 @@
     /// The incomplete event exceeds the limit, or a resumed stream does not go on with the next event. Complete events
     /// that come before one that is too large are returned first.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventError> {
+        self.push_of(bytes, true)
+    }
+
+    /// As [`push`](Self::push), for a response without framing: a status line between two events begins another
+    /// response, whose bytes are dropped.
+    ///
+    /// # Errors
+    /// The same.
+    pub fn push_unframed(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventError> {
+        self.push_of(bytes, false)
+    }
+
+    fn push_of(&mut self, bytes: &[u8], is_framed: bool) -> Result<Vec<u8>, EventError> {
+        if self.has_other_response {
+            return Ok(Vec::new());
+        }
         self.partial.extend_from_slice(bytes);
         let mut events = Vec::new();
         let mut start = 0;
         while let Some(length) = self.find_event_end(start) {
             let block = &self.partial[start..start + length];
+            if !is_framed && block.starts_with(STATUS_LINE) {
+                self.drop_partial();
+                self.has_other_response = true;
+                return Ok(events);
+            }
             let is_at_start = std::mem::take(&mut self.is_at_start);
             let event = match block.strip_prefix(BYTE_ORDER_MARK) {
                 Some(event) if is_at_start => event,
@@ -155,6 +182,7 @@
         self.line_start = 0;
         self.has_bare_return = false;
         self.is_at_start = true;
+        self.has_other_response = false;
     }
 
     /// Returns the length of the event that begins at `start`, including the blank line that ends it. A line ends
@@ -189,6 +217,11 @@
         self.is_resuming
     }
 
+    /// Returns whether another response has followed the events, so that the stream can't be read on.
+    pub fn has_other_response(&self) -> bool {
+        self.has_other_response
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
--- a/crates/relay/src/stream_source.rs
+++ b/crates/relay/src/stream_source.rs
@@ -107,6 +107,10 @@
     /// `events`.
     pub async fn read_events(&mut self, call: &Call, events: &mut EventTracker) -> SourceStep {
         loop {
+            if events.has_other_response() {
+                let detail = "another response follows the events";
+                return SourceStep::Unproven(detail.to_owned());
+            }
             let frame = match self.body.frame().await {
                 None if events.has_partial() => {
                     let detail = "the upstream ended the stream within an event";
@@ -122,7 +126,11 @@
                 Some(Ok(frame)) => frame,
             };
             let Ok(data) = frame.into_data() else { continue };
-            match events.push(&data) {
+            let pushed = match self.is_framed {
+                true => events.push(&data),
+                false => events.push_unframed(&data),
+            };
+            match pushed {
                 Ok(complete_events) if complete_events.is_empty() => {}
                 Ok(complete_events) => {
                     // Comments are no events.
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -35,6 +35,24 @@
     assert_eq!(tracker.last_id(), Some(4));
 }
 
+// Guards against events of another response that are taken for those of a stream without framing.
+#[test]
+fn push_unframed_other_response_dropped() {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    let bytes = format!("{}{head}{}", event(1), event(2));
+    for cut in 0..=bytes.len() {
+        let mut tracker = EventTracker::default();
+        let (first, second) = bytes.split_at(cut);
+        let mut passed = tracker.push_unframed(first.as_bytes()).unwrap();
+        passed.extend(tracker.push_unframed(second.as_bytes()).unwrap());
+        assert_eq!(passed, event(1).as_bytes(), "cut at {cut}");
+        assert!(tracker.has_other_response(), "cut at {cut}");
+        assert_eq!(tracker.last_id(), Some(1), "cut at {cut}");
+        tracker.drop_partial();
+        assert_eq!(tracker.push(event(2).as_bytes()).unwrap(), event(2).as_bytes());
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(128) })]
 
