Ends: late bytes of another response are no proof

Callers saw a short stream that looked complete: its engine had ended in its midst, and bytes that it had sent before on another, older connection arrived when the instance asked there whether the engine still runs.

Cause: whatever came in place of the report on a connection older than the request was taken for an answer of the same process, at that moment. The bytes of an extra response are one, but were sent at an earlier time.

The request for a report has no id, so a response with one isn't its answer, and the connection is not used again. An upstream that has reported its start proves an end by a report only; it is asked again on a new connection.

--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -139,6 +139,9 @@
                 Err(_) if may_be_closed => {}
                 Ok(ReceivedReport { report: UpstreamReport::Unknown, is_kept: false })
                     if may_be_closed && connection.opened_at_ms() > self.sent_at_ms => {}
+                // Late bytes of an earlier response may stand in place of the report.
+                Ok(ReceivedReport { report: UpstreamReport::Unknown, .. })
+                    if may_be_closed && relay.starts.lock().has_reported(upstream) => {}
                 // One that was killed accepts no other connection, or has started again.
                 Err(ExchangeError::Interrupted(_)) if !std::mem::replace(&mut has_failed, true) => {
                 }
@@ -168,6 +171,10 @@
         let upstream = self.target.upstream();
         match report {
             UpstreamReport::OtherUpstream => Liveness::Replaced,
+            // An upstream that reports its start has not answered.
+            UpstreamReport::Unknown if call.relay.starts.lock().has_reported(upstream) => {
+                Liveness::Unknown
+            }
             // The request was sent later, and answered: by the same process.
             UpstreamReport::Unknown if self.is_accepted_before(opened_at_ms) => Liveness::Running,
             UpstreamReport::Unknown => Liveness::Unknown,
--- a/crates/relay/src/upstream_reports.rs
+++ b/crates/relay/src/upstream_reports.rs
@@ -199,6 +199,11 @@
     let request = relay.protocol.make_report_request(upstream).map(|()| Full::<Bytes>::default());
     let response = connection.send(request, REPORT_TIMEOUT).await?;
     let status = response.status().as_u16();
+    let metadata = relay.protocol.read_response_head(status, response.headers());
+    if metadata.request_id.is_some_and(|id| !id.is_empty()) {
+        // The request for a report has no id. Nothing tells when this response was sent.
+        return Err(ExchangeError::Interrupted("the response is that of a request".to_owned()));
+    }
     let body = read_body(response).await?;
     let report = relay.protocol.read_report(status, &body);
     let is_kept = connection.ready(REPORT_TIMEOUT).await.is_ok();
