Tests: starts of a clock that was set back

A start with a smaller time than the one before is the latest, and one that names the time of another start with another version has no known version. Both held before.

--- a/crates/starts/tests/starts.rs
+++ b/crates/starts/tests/starts.rs
@@ -329,3 +329,30 @@
     starts.record_listed(&listed(2, "v2"), None, 900);
     assert!(!starts.has_unlisted(UPSTREAM));
 }
+
+// Guards against an earlier start that is taken for the latest one because a clock has been set back.
+#[test]
+fn version_start_with_smaller_time_than_the_one_before_is_the_latest() {
+    let mut starts = StartTable::default();
+    starts.record_listed(&listed(900, "v1"), Some(90), 100);
+    starts.record_listed(&listed(20, "v2"), Some(400), 410);
+    assert_eq!(starts.version(UPSTREAM, &reported(20)), Some("v2"));
+    assert_eq!(starts.version(UPSTREAM, &opened(500)), None);
+    starts.record_listed(&listed(20, "v2"), Some(600), 610);
+    assert_eq!(starts.version(UPSTREAM, &opened(500)), Some("v2"));
+    assert_eq!(starts.latest_run(UPSTREAM), Some((Some(20), 600)));
+    assert!(!starts.is_accepted_by(UPSTREAM, &reported(900), 20));
+    assert!(!starts.is_accepted_by(UPSTREAM, &opened(300), 20));
+}
+
+// Guards against a version that is guessed where two starts name the same time.
+#[test]
+fn version_two_starts_with_same_time_and_other_versions_is_unknown() {
+    let mut starts = listed_table();
+    starts.record_listed(&listed(2, "v2"), Some(200), 210);
+    starts.record_listed(&listed(1, "v3"), Some(400), 410);
+    assert_eq!(starts.version(UPSTREAM, &reported(1)), None);
+    starts.record_listed(&listed(1, "v3"), Some(600), 610);
+    assert_eq!(starts.version(UPSTREAM, &reported(1)), None);
+    assert_eq!(starts.version(UPSTREAM, &opened(500)), None);
+}
