Response ends: a witness behind another peer does not prove an end by silence

Callers of an instance that reaches an upstream only through its peers received short streams that looked complete: 9 of 20 events, where the upstream closes the connections on which it is asked for its report, one peer was suspended and the upstream was killed.

Cause: such an upstream can't be asked, so an end is believed if the witness connection stays open for 100 ms. The witness of a thread may be carried by another peer than the response. That one was suspended and couldn't pass on the end of the witness.

Now a witness that can't be asked counts only through the peer that has passed on the end of the response. Witnesses that can be asked are as before: an answer proves the same through any peer.

Cost: a response of such an upstream whose witness another peer carries is interrupted.

--- a/crates/relay/src/carried_witness.rs
+++ b/crates/relay/src/carried_witness.rs
@@ -116,6 +116,8 @@
 pub struct OpenCarriedWitness {
     witness: Rc<CarriedWitness>,
     number: u64,
+    /// The peer that carries the connection of the request.
+    carrier: String,
 }
 
 impl OpenCarriedWitness {
@@ -124,11 +126,14 @@
         self.witness.ask(relay, self.number, ended_at_ms).await
     }
 
-    /// Returns whether the connection is still open.
+    /// Returns whether the connection is still open, as far as the peer tells that has passed on the end of the response.
+    /// Another peer may be suspended.
     pub async fn is_open(&self) -> bool {
         let connection = self.witness.connection.lock().await;
+        let open = connection.as_ref().filter(|open| !open.is_closed());
         self.witness.number.get() == self.number
-            && connection.as_ref().is_some_and(|open| !open.is_closed())
+            && open.and_then(UpstreamConnection::carrier).map(Carrier::name)
+                == Some(self.carrier.as_str())
     }
 }
 
@@ -168,14 +173,12 @@
         connection: &UpstreamConnection,
     ) -> Option<OpenCarriedWitness> {
         let has_reported = self.relay.starts.lock().has_reported(target.upstream());
-        if connection.carrier().is_none() || has_reported {
-            return None;
-        }
+        let carrier = connection.carrier().filter(|_| !has_reported)?.name().to_owned();
         let witness = self.witnesses.carried.get(target);
         if witness.open_number().is_none() {
             let _ = timeout(PREPARE_TIMEOUT, witness.open(self)).await;
         }
         let number = witness.open_number()?;
-        Some(OpenCarriedWitness { witness, number })
+        Some(OpenCarriedWitness { witness, number, carrier })
     }
 }
