Origins: the only version is believed on what is read after the caller's return

Callers got a stream that another instance had begun after a release, or after the move of its route, continued by the former version or service: an instance that knows nothing of the stream believed what it had listed up to 2 s before.

The only service and version are believed now once all changes in the store up to the caller's return are known: what the beginning instance had read before the first event was in the store by then. A reader of the store abandons its long poll for one that returns at once, every 100 ms at most; followers wait for their readers. Without the store the try is refused after 2 s, as before.

--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -241,7 +241,8 @@
         routed: RoutedPath<'_>,
         deadline_at_ms: u64,
     ) -> Option<(StreamOrigin, OriginSource)> {
-        let give_up_at_ms = deadline_at_ms.min(self.now_ms() + MAX_SEARCH_MS);
+        let started_at_ms = self.now_ms();
+        let give_up_at_ms = deadline_at_ms.min(started_at_ms + MAX_SEARCH_MS);
         loop {
             let known = match key {
                 Some(key) => self.ask_stream_origin(key).await,
@@ -257,10 +258,10 @@
                     let origin = key.and_then(|key| self.settle_origin(key, beginning));
                     (origin, OriginSource::Instance)
                 }
-                KnownOrigin::Unknown if is_listing_recent => {
-                    (self.sole_origin(routed), OriginSource::OnlyVersion)
+                KnownOrigin::Unknown => {
+                    let origin = self.find_sole_origin(routed, started_at_ms, give_up_at_ms).await;
+                    (origin, OriginSource::OnlyVersion)
                 }
-                KnownOrigin::Unknown => (None, OriginSource::OnlyVersion),
             };
             if let Some(origin) = origin {
                 return Some((origin, source));
@@ -305,6 +306,20 @@
         }
     }
 
+    /// Returns the only origin that a stream can have whose caller returned at `since_ms`. What its instance had read from
+    /// the store before the first event has to be known here, too.
+    async fn find_sole_origin(
+        &self,
+        routed: RoutedPath<'_>,
+        since_ms: u64,
+        give_up_at_ms: u64,
+    ) -> Option<StreamOrigin> {
+        // Others need no reading.
+        self.sole_origin(routed)?;
+        let is_known = self.wait_for_log(since_ms, give_up_at_ms).await;
+        self.sole_origin(routed).filter(|_| is_known)
+    }
+
     /// Returns whether a version that is listed for longer than its propagation takes is known here.
     fn is_listing_recent(&self) -> bool {
         let propagation_ms = self.settings.bounds.change_propagation_ms();
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -112,6 +112,10 @@
     pub view_searched: Notify,
     /// Triggers a new registration of this instance in the store.
     pub registration_requested: Notify,
+    /// Notified when the changes in the store have to be known up to the present.
+    pub reading_requested: Notify,
+    /// Notified when the changes in the store are known up to a later time.
+    pub log_attested: Notify,
     /// Usage reports that were committed in the store before they were sent, by window. A store that
     /// is restored from a backup may lack them.
     pub committed_usage: Mutex<BTreeMap<u64, BTreeMap<String, u64>>>,
@@ -211,6 +215,8 @@
             view_search_requested: Notify::new(),
             view_searched: Notify::new(),
             registration_requested: Notify::new(),
+            reading_requested: Notify::new(),
+            log_attested: Notify::new(),
             committed_usage: Mutex::default(),
             quarantine: Mutex::new(PartQuarantine::new(QuarantineOptions::default())),
             stored_quarantine: Mutex::default(),
--- a/crates/relay/src/state/store.rs
+++ b/crates/relay/src/state/store.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use hickorycourse_digest::rank_aggregators;
 use hickorycourse_duties::WindowCounts;
+use ntex::time::timeout;
 use rand::seq::{IndexedRandom, SliceRandom};
 use serde_json::json;
 
@@ -125,6 +127,7 @@
         store.log_attested_at_ms = store.log_attested_at_ms.max(Some(at_ms));
         store.read_at_ms = store.read_at_ms.map(|read_at_ms| read_at_ms.max(at_ms));
         drop(store);
+        self.log_attested.notify_waiters();
         if !self.is_listing_needed.load(Ordering::Relaxed) {
             self.attest_view(at_ms);
         }
@@ -136,6 +139,23 @@
         self.store.lock().log_attested_at_ms
     }
 
+    /// Waits until all changes in the store up to `since_ms` are known; returns false if they are not at `give_up_at_ms`.
+    /// If this instance reads the store, it reads at once.
+    pub async fn wait_for_log(&self, since_ms: u64, give_up_at_ms: u64) -> bool {
+        let is_known = || self.log_attested_at_ms().is_some_and(|at_ms| at_ms >= since_ms);
+        loop {
+            let attested = self.log_attested.notified();
+            if is_known() {
+                return true;
+            }
+            self.reading_requested.notify_one();
+            let left_ms = give_up_at_ms.saturating_sub(self.now_ms());
+            if timeout(Duration::from_millis(left_ms), attested).await.is_err() {
+                return is_known();
+            }
+        }
+    }
+
     /// Returns the time until other instances are asked for changes, unless newer ones become known.
     pub fn until_view_late_ms(&self, now_ms: u64) -> u64 {
         let attested_at_ms = self.log_attested_at_ms().unwrap_or(now_ms);
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -6,6 +6,7 @@
 //! upstreams arrive in one response; the pause is a part of the shortest bound within which changes
 //! must be applied.
 
+use std::future::pending;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -43,6 +44,8 @@
 const INSTANCES_PER_DELAY_PERCENT: u64 = 4;
 /// That percentage for an instance that other instances follow.
 const READER_BATCH_DELAY_PERCENT: u64 = 18;
+/// Shortest interval between two readings that callers wait for.
+const REQUESTED_READING_INTERVAL: Duration = Duration::from_millis(100);
 /// Range of the backoff after a failure; randomized so that instances don't reconnect at the same
 /// time.
 const BACKOFF_MS: std::ops::Range<u64> = 100..400;
@@ -126,6 +129,7 @@
         None => list_and_watch(relay, key_value, broadcast).await?,
     };
     let mut has_polled = relay.view_current_at_ms().is_some();
+    let mut is_requested = false;
     loop {
         let now_ms = relay.now_ms();
         if has_polled
@@ -142,14 +146,21 @@
         key_value.raise_era(relay.store_era());
         let bounds = &relay.settings.bounds;
         let poll_timeout_ms = match relay.has_followers(now_ms) {
+            _ if is_requested => 0,
             true => bounds.followed_watch_timeout_ms(),
             false => bounds.watch_timeout_ms(),
         };
         watch.set_poll_timeout_ms(poll_timeout_ms);
         let searching = pin!(search_while_late(relay, broadcast, poll_timeout_ms));
-        let events = match select(watch.next(), searching).await {
+        let requested = pin!(wait_for_reading_request(relay, is_requested));
+        let events = match select(watch.next(), select(searching, requested)).await {
             Either::Left((events, _)) => events,
-            Either::Right((never, _)) => match never {},
+            Either::Right((Either::Left((never, _)), _)) => match never {},
+            // The abandoned poll has changed nothing.
+            Either::Right((Either::Right(_), _)) => {
+                is_requested = true;
+                continue;
+            }
         };
         let Some(events) = events else { return Ok(WatchEnd::Closed) };
         let events = events?;
@@ -166,12 +177,25 @@
         record_freshness(relay, started_at_ms);
         has_polled = true;
         relay.expire_upstreams();
+        if std::mem::take(&mut is_requested) {
+            sleep(REQUESTED_READING_INTERVAL).await;
+        }
         if !events.is_empty() {
-            sleep(Duration::from_millis(batch_delay_ms(relay, propagation_ms))).await;
+            let delay = pin!(sleep(Duration::from_millis(batch_delay_ms(relay, propagation_ms))));
+            let requested = pin!(relay.reading_requested.notified());
+            is_requested = matches!(select(delay, requested).await, Either::Right(_));
         }
     }
 }
 
+/// Waits until the store has to be read at once; for ever if `is_served`, as it is being read so.
+async fn wait_for_reading_request(relay: &Relay, is_served: bool) {
+    if is_served {
+        pending::<()>().await;
+    }
+    relay.reading_requested.notified().await;
+}
+
 /// Returns a watch that goes on after the changes that are known; `None` if the store has to be listed.
 async fn resume_watch(
     relay: &Relay,
