Origins: the only version is listed for as long as callers return

Callers got a stream of a former version continued by the next one, where no instance knew the stream and its caller came back later than the route's time-out after a release: the only version had to be listed for the time-out alone, not for the 10 s in which callers return and the time for which another instance may have used the former listing.

Both windows are one now, that of the only service, and origins are written for as long after a release.

The model of resumptions still has the former windows.

--- a/crates/relay/src/origin_records.rs
+++ b/crates/relay/src/origin_records.rs
@@ -172,17 +172,17 @@
         let now_ms = self.now_ms();
         self.observe_routes(now_ms);
         let now_ms = now_ms as i64;
-        let versions_since_ms = now_ms - (self.longest_stream_ms() + MIXED_GRACE_MS) as i64;
-        let routes_since_ms = versions_since_ms - self.former_routes_ms() as i64;
+        let lasts_ms = self.longest_stream_ms() + self.former_listing_ms() + MIXED_GRACE_MS;
+        let since_ms = now_ms - lasts_ms as i64;
         let versions = self.listed_versions.lock();
         let routes = self.route_targets.lock();
-        let is_past_known = versions.is_complete_since(versions_since_ms)
-            && routes.is_complete_since(routes_since_ms);
+        let is_past_known =
+            versions.is_complete_since(since_ms) && routes.is_complete_since(since_ms);
         if !is_past_known {
             return AmbiguousServices::All;
         }
-        let shared = routes.shared_since(routes_since_ms).into_iter();
-        let mixed = versions.mixed_since(versions_since_ms).into_iter();
+        let shared = routes.shared_since(since_ms).into_iter();
+        let mixed = versions.mixed_since(since_ms).into_iter();
         AmbiguousServices::Some(shared.chain(mixed).map(str::to_owned).collect())
     }
 
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -335,7 +335,7 @@
         if self.has_unlisted_start(&service) {
             return None;
         }
-        let since_ms = now_ms as i64 - i64::try_from(routed.route.timeout_ms).ok()?;
+        let since_ms = self.earliest_beginning_ms(routed.route, now_ms)?;
         self.observe_versions(now_ms);
         let versions = self.listed_versions.lock();
         let version = versions.sole_since(&service, since_ms)?.to_owned();
@@ -344,17 +344,23 @@
 
     /// Returns the service that alone can have begun a stream of a path that is taken up at `now_ms`.
     fn sole_service(&self, routed: RoutedPath<'_>, now_ms: u64) -> Option<String> {
-        let lasts_ms = routed.route.timeout_ms.saturating_add(self.former_routes_ms());
-        let since_ms = now_ms as i64 - i64::try_from(lasts_ms).ok()?;
+        let since_ms = self.earliest_beginning_ms(routed.route, now_ms)?;
         self.observe_routes(now_ms);
         let targets = self.route_targets.lock();
         targets.sole_since(routed.host, routed.path, since_ms).map(str::to_owned)
     }
 
-    /// Returns the time for which streams that former routes have led are taken up, beyond that for which they last.
-    pub(crate) fn former_routes_ms(&self) -> u64 {
+    /// Returns the earliest time at which what was listed can have begun a stream that is taken up at `now_ms`.
+    fn earliest_beginning_ms(&self, route: &Route, now_ms: u64) -> Option<i64> {
+        let lasts_ms = route.timeout_ms.saturating_add(self.former_listing_ms());
+        Some(now_ms as i64 - i64::try_from(lasts_ms).ok()?)
+    }
+
+    /// Returns the time for which streams are taken up that were begun by routes and versions which are no longer listed,
+    /// beyond that for which they last.
+    pub(crate) fn former_listing_ms(&self) -> u64 {
         let bounds = &self.settings.bounds;
-        // Another instance may have been led by them for longer than this one.
+        // Another instance may have used them for longer than this one.
         MAX_RETURN_MS + bounds.change_propagation_ms().max(bounds.max_staleness_ms())
     }
 
