--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -251,7 +251,8 @@
         routed: RoutedPath<'_>,
         deadline_at_ms: u64,
     ) -> Option<(StreamOrigin, OriginSource)> {
-        let give_up_at_ms = deadline_at_ms.min(self.now_ms() + MAX_SEARCH_MS);
+        let started_at_ms = self.now_ms();
+        let give_up_at_ms = deadline_at_ms.min(started_at_ms + MAX_SEARCH_MS);
         let mut has_ended_unproven = false;
         loop {
             let known = match key {
@@ -268,10 +269,10 @@
                     let origin = key.and_then(|key| self.settle_origin(key, beginning));
                     (origin, OriginSource::Instance)
                 }
-                KnownOrigin::Unknown if is_listing_recent => {
-                    (self.sole_origin(routed), OriginSource::OnlyVersion)
+                KnownOrigin::Unknown => {
+                    let origin = self.find_sole_origin(routed, started_at_ms, give_up_at_ms).await;
+                    (origin, OriginSource::OnlyVersion)
                 }
-                KnownOrigin::Unknown => (None, OriginSource::OnlyVersion),
             };
             if let Some(origin) = origin {
                 return Some((origin, source));
@@ -323,6 +324,20 @@
         }
     }
 
+    /// Returns the only origin that a stream can have whose caller returned at `since_ms`. What its instance had read from
+    /// the store before the first event has to be known here, too.
+    async fn find_sole_origin(
+        &self,
+        routed: RoutedPath<'_>,
+        since_ms: u64,
+        give_up_at_ms: u64,
+    ) -> Option<StreamOrigin> {
+        // Others need no reading.
+        self.sole_origin(routed)?;
+        let is_known = self.wait_for_log(since_ms, give_up_at_ms).await;
+        self.sole_origin(routed).filter(|_| is_known)
+    }
+
     /// Returns whether a version that is listed for longer than its propagation takes is known here.
     fn is_listing_recent(&self) -> bool {
         let propagation_ms = self.settings.bounds.change_propagation_ms();
@@ -338,7 +353,7 @@
         if self.has_unlisted_start(&service) {
             return None;
         }
-        let since_ms = now_ms as i64 - i64::try_from(routed.route.timeout_ms).ok()?;
+        let since_ms = self.earliest_beginning_ms(routed.route, now_ms)?;
         self.observe_versions(now_ms);
         let versions = self.listed_versions.lock();
         let version = versions.sole_since(&service, since_ms)?.to_owned();
@@ -347,17 +362,23 @@
 
     /// Returns the service that alone can have begun a stream of a path that is taken up at `now_ms`.
     fn sole_service(&self, routed: RoutedPath<'_>, now_ms: u64) -> Option<String> {
-        let lasts_ms = routed.route.timeout_ms.saturating_add(self.former_routes_ms());
-        let since_ms = now_ms as i64 - i64::try_from(lasts_ms).ok()?;
+        let since_ms = self.earliest_beginning_ms(routed.route, now_ms)?;
         self.observe_routes(now_ms);
         let targets = self.route_targets.lock();
         targets.sole_since(routed.host, routed.path, since_ms).map(str::to_owned)
     }
 
-    /// Returns the time for which streams that former routes have led are taken up, beyond that for which they last.
-    pub(crate) fn former_routes_ms(&self) -> u64 {
+    /// Returns the earliest time at which what was listed can have begun a stream that is taken up at `now_ms`.
+    fn earliest_beginning_ms(&self, route: &Route, now_ms: u64) -> Option<i64> {
+        let lasts_ms = route.timeout_ms.saturating_add(self.former_listing_ms());
+        Some(now_ms as i64 - i64::try_from(lasts_ms).ok()?)
+    }
+
+    /// Returns the time for which streams are taken up that were begun by routes and versions which are no longer listed,
+    /// beyond that for which they last.
+    pub(crate) fn former_listing_ms(&self) -> u64 {
         let bounds = &self.settings.bounds;
-        // Another instance may have been led by them for longer than this one.
+        // Another instance may have used them for longer than this one.
         MAX_RETURN_MS + bounds.change_propagation_ms().max(bounds.max_staleness_ms())
     }
 
