Ends: an upstream that reports its start proves no end by silence

Callers saw a short stream that looked complete: bytes of an earlier response had come in place of the report on an idle connection of an engine that had ended, a new connection gave no report either, and the end was believed as another idle connection was still open 100 ms later.

An upstream that has reported its start proves an end by a report alone. late_bytes_of_ended_engine_beside_open_connections_do_not_prove_end failed before and passes; extra_bytes (5), late_ends (6), late_reports (3) and reports (12) pass. Found by a review.

--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -122,7 +122,7 @@
         if let Some(witness) = &self.carried_witness
             && let Some(report) = witness.ask(relay, ended_at_ms).await
         {
-            return (self.judge(call, report, self.sent_at_ms), "witness");
+            return (self.conclude(call, report, self.sent_at_ms), "witness");
         }
         // An idle connection may have been closed; a new one tells more.
         let mut max_idle_ms = u64::MAX;
@@ -161,12 +161,23 @@
                         call.connections.check_in(connection, call.relay.now_ms());
                     }
                     let asked_on = if opened_at_ms > ended_at_ms { "new" } else { "idle" };
-                    return (self.judge(call, report, opened_at_ms), asked_on);
+                    return (self.conclude(call, report, opened_at_ms), asked_on);
                 }
             }
         }
     }
 
+    /// Judges a report as [`judge`](Self::judge) does, if the upstream is not asked again: one that has reported its start
+    /// proves nothing by connections that stay open.
+    fn conclude(&self, call: &Call, report: UpstreamReport, opened_at_ms: u64) -> Liveness {
+        match self.judge(call, report, opened_at_ms) {
+            Liveness::Unknown if call.relay.starts.lock().has_reported(self.target.upstream()) => {
+                Liveness::Unreachable
+            }
+            liveness => liveness,
+        }
+    }
+
     /// Judges a report on a connection that had been accepted at `opened_at_ms`.
     fn judge(&self, call: &Call, report: UpstreamReport, opened_at_ms: u64) -> Liveness {
         let upstream = self.target.upstream();
