Streams: another response within an event ends a stream without framing

A stream that its engine cuts within an event, and that another response follows on the connection, was passed on with the head of that response in the event, and with its events: only a block that begins with a status line ended the stream. Each line is looked at now.

push_unframed_other_response_within_event_dropped failed before. Found by a review.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -128,8 +128,8 @@
         self.push_of(bytes, true)
     }
 
-    /// As [`push`](Self::push), for a response without framing: a status line between two events begins another
-    /// response, whose bytes are dropped.
+    /// As [`push`](Self::push), for a response without framing: a status line begins another response. Its bytes are dropped
+    /// with those of an event that it cuts.
     ///
     /// # Errors
     /// The same.
@@ -146,7 +146,9 @@
         let mut start = 0;
         while let Some(length) = self.find_event_end(start) {
             let block = &self.partial[start..start + length];
-            if !is_framed && block.starts_with(STATUS_LINE) {
+            // The event before it may have been cut.
+            let mut lines = block.split(|byte| matches!(byte, b'\n' | b'\r'));
+            if !is_framed && lines.any(|line| line.starts_with(STATUS_LINE)) {
                 self.drop_partial();
                 self.has_other_response = true;
                 return Ok(events);
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -53,6 +53,17 @@
     }
 }
 
+// Guards against the same where the stream has been cut within an event.
+#[test]
+fn push_unframed_other_response_within_event_dropped() {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    let bytes = format!("{}id: 2\n{head}{}", event(1), event(2));
+    let mut tracker = EventTracker::default();
+    assert_eq!(tracker.push_unframed(bytes.as_bytes()).unwrap(), event(1).as_bytes());
+    assert!(tracker.has_other_response());
+    assert_eq!(tracker.last_id(), Some(1));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(128) })]
 
