Origins: tests of a known first start are back

The tests that had a first start before it could not be told from a return from a copy have it again, beside the one of an unknown past.

--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -181,6 +181,7 @@
 #[test]
 fn merge_mark_of_unknown_version_knows_no_sole_version() {
     let mut lived = ListedVersions::default();
+    lived.record_first_start(0);
     lived.record("desk", Some("v2"), 40_000);
     assert!(!lived.make_record(WALL_MS, 0, 40_000).has_unknown_version("desk", 0, WALL_MS));
     lived.record("desk", None, 40_000);
@@ -210,6 +211,7 @@
     marking.record("desk", None, 40_000);
     let mark = marking.make_record(WALL_MS, 0, 40_000);
     let mut other = ListedVersions::default();
+    other.record_first_start(0);
     other.merge(&VersionRecord::default(), 0, 0, 0);
     other.record("desk", Some("v1"), 70_000);
     other.merge_unknown(&mark, WALL_MS, 1, 70_000);
@@ -241,6 +243,7 @@
     marking.record("desk", Some("v1"), 45_000);
     let record = marking.make_record(WALL_MS, 0, 45_000);
     let mut other = ListedVersions::default();
+    other.record_first_start(0);
     other.record("desk", Some("v1"), 70_000);
     other.merge_unknown(&record, WALL_MS, 0, 70_000);
     assert_eq!(other.sole_since("desk", 65_000), None);
--- a/crates/origins/tests/routes.rs
+++ b/crates/origins/tests/routes.rs
@@ -29,6 +29,7 @@
 /// Targets as an instance knows them that has lived for long, and observes these routes now.
 fn lived(routes: Routes<'_>) -> RouteTargets {
     let mut targets = RouteTargets::default();
+    targets.record_first_start(0);
     observe(&mut targets, routes, 0);
     observe(&mut targets, routes, 100_000);
     targets
@@ -205,7 +206,8 @@
         let (mut now_ms, mut boot_ms) = (0, 0);
         let mut in_force = vec![(0, 0)];
         let mut targets = RouteTargets::default();
-            observe(&mut targets, CONFIGURATIONS[0], 0);
+        targets.record_first_start(0);
+        observe(&mut targets, CONFIGURATIONS[0], 0);
         for (configuration, pause_ms, is_kill) in steps {
             let former = in_force[in_force.len() - 1].1;
             now_ms += pause_ms;
