Witnesses: bytes that are no report prove no start

Found by a review, without a test with processes: late bytes on the witness of an upstream that reports its start, or a response after which it closed the connection, counted as an answer of the process at the time of the question. A connection that the next start had accepted by then was taken for one of the former start. A proof also waited for up to 2 s for a late report.

An absent record of versions is no first start either where origins are stored.

--- a/crates/relay/src/origin_records.rs
+++ b/crates/relay/src/origin_records.rs
@@ -116,9 +116,9 @@
         *self.stored_versions.lock() = stored;
     }
 
-    /// Looks at the first listing, without the versions, whether this is the first start of the fleet: any instance of
-    /// this build that had begun streams would have written them, unless the store came back from a copy. Its era rises
-    /// with each return, so that there was none before era 1.
+    /// Looks at the first listing, without the versions, whether this is the first start of the fleet: an instance of
+    /// this build that lives writes them, unless the store came back from a copy. Its era rises with each return, so that
+    /// there was none before era 1. Origins show that instances had begun streams.
     pub fn record_first_start(&self, items: &[KeyValueRecord]) {
         let mut members = items.iter().filter(|item| item.key.starts_with(MEMBER_PREFIX));
         let is_writer = |item: &KeyValueRecord| {
@@ -129,7 +129,8 @@
             return;
         }
         let era = self.store_era();
-        let is_first = era == 0 && members.all(is_writer);
+        let has_origins = items.iter().any(|item| item.key.starts_with(ORIGIN_PREFIX));
+        let is_first = era == 0 && !has_origins && members.all(is_writer);
         if is_first {
             let now_ms = self.now_ms();
             self.listed_versions.lock().record_first_start(now_ms);
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -253,7 +253,7 @@
     ) -> Option<(StreamOrigin, OriginSource)> {
         let started_at_ms = self.now_ms();
         let give_up_at_ms = deadline_at_ms.min(started_at_ms + MAX_SEARCH_MS);
-        let mut has_ended_unproven = false;
+        let mut was_unprovable = false;
         loop {
             let known = match key {
                 Some(key) => self.ask_stream_origin(key).await,
@@ -287,7 +287,7 @@
             if let (Some(key), KnownOrigin::Unsettled(beginning)) = (key, &known)
                 && self.has_ended_unproven(key, beginning)
                 // Instances that were behind have been asked once more.
-                && std::mem::replace(&mut has_ended_unproven, true)
+                && std::mem::replace(&mut was_unprovable, true)
             {
                 return None;
             }
--- a/crates/relay/src/witness.rs
+++ b/crates/relay/src/witness.rs
@@ -170,11 +170,20 @@
         if let Ok(ReceivedReport { report: UpstreamReport::Unknown, is_kept: true }) = asked {
             relay.record_other_answer(self.target.upstream(), &asked, asked_at_ms);
         }
-        let report = asked.ok()?.report;
-        if report != UpstreamReport::OtherUpstream {
-            let (upstream, now_ms) = (self.target.upstream(), relay.now_ms());
-            relay.starts.lock().record_response(upstream, &accepted_by, asked_at_ms, now_ms);
+        let asked = asked.ok()?;
+        let report = asked.report;
+        let (upstream, now_ms) = (self.target.upstream(), relay.now_ms());
+        let mut starts = relay.starts.lock();
+        // Bytes that are no report may have been sent before the question.
+        let is_answer = match report {
+            UpstreamReport::Running { .. } => true,
+            UpstreamReport::Unknown => asked.is_kept && !starts.has_reported(upstream),
+            UpstreamReport::OtherUpstream => false,
+        };
+        if is_answer {
+            starts.record_response(upstream, &accepted_by, asked_at_ms, now_ms);
         }
+        drop(starts);
         let witnessed =
             WitnessedReport { report, opened_at_ms: accepted_by.opened_at_ms, asked_at_ms };
         self.latest.set(Some(witnessed));
@@ -184,7 +193,10 @@
     /// Asks, as [`ask`](Self::ask), if the start that has accepted the connection is proven: the answer proves the start of
     /// connections that had been accepted by `accepted_at_ms`, too.
     async fn prove(self: &Rc<Self>, relay: &Arc<Relay>, accepted_at_ms: u64) {
-        let accepted_by = self.connection.lock().await.as_ref().map(acceptance);
+        // A late report holds the connection for longer than a stream can wait.
+        let Ok(connection) = timeout(REPORT_TIMEOUT, self.connection.lock()).await else { return };
+        let accepted_by = connection.as_ref().map(acceptance);
+        drop(connection);
         let Some(accepted_by) = accepted_by else { return };
         if relay.starts.lock().version(self.target.upstream(), &accepted_by).is_some() {
             self.ask(relay, accepted_at_ms).await;
