Versions: a gap in the log is not proof that nothing was listed

Callers saw a stream go on at another version, or at another service: one that had been listed, or routed to, only while the instance that they came back to could not read the store.

A gap that is longer than a change takes to become known now ends what is known of the past, for readers and for those that follow them, until a record of versions that was written after it is merged. Until then no version or service is believed to have been the only one, and origins are written to the store.

--- a/crates/origins/src/routes.rs
+++ b/crates/origins/src/routes.rs
@@ -106,6 +106,13 @@
         self.extend_to(now_ms as i64 - RETENTION_MS);
     }
 
+    /// Records that routes may have had targets until `now_ms` that are missing here.
+    pub fn record_gap(&mut self, now_ms: u64) {
+        if let Some(complete_since_ms) = &mut self.complete_since_ms {
+            *complete_since_ms = now_ms as i64;
+        }
+    }
+
     /// Returns whether no target that a route has had since `since_ms` is missing here.
     pub fn is_complete_since(&self, since_ms: i64) -> bool {
         self.complete_since_ms.is_some_and(|complete_since_ms| since_ms >= complete_since_ms)
@@ -137,8 +144,8 @@
         })
     }
 
-    /// Merges the record that is found at the start of the process, once. `age_ms` is its age by the clocks of the two
-    /// instances.
+    /// Merges the record that is found at the start of the process, or after a gap, once. `age_ms` is its age by the
+    /// clocks of the two instances.
     pub fn merge(&mut self, record: &RouteRecord, age_ms: i64, now_ms: u64) {
         let now_ms = now_ms as i64;
         let at_ms = |ago_ms: u64| {
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -77,6 +77,13 @@
         self.complete_since_ms = self.complete_since_ms.min(now_ms as i64 - RETENTION_MS);
     }
 
+    /// Records that versions may have been listed and have gone until `now_ms` that are missing here. The next record
+    /// is merged again.
+    pub fn record_gap(&mut self, now_ms: u64) {
+        self.complete_since_ms = now_ms as i64;
+        self.has_merged = false;
+    }
+
     /// Returns whether nothing that has been listed since `since_ms` is missing here.
     pub fn is_complete_since(&self, since_ms: i64) -> bool {
         since_ms >= self.complete_since_ms
@@ -102,8 +109,8 @@
         }
     }
 
-    /// Merges the record that is found at the start of the process; later ones say nothing new. Returns whether
-    /// it was used: not if it is too old, or written before the store came back from a copy.
+    /// Merges the record that is found at the start of the process, or after a gap; later ones say nothing new. Returns
+    /// whether it was used: not if it is too old, or written before the store came back from a copy.
     pub fn merge(
         &mut self,
         record: &VersionRecord,
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -265,6 +265,38 @@
     assert_eq!(started.sole_since("desk", 100 - TIMEOUT_MS), None, "nor do those that start later");
 }
 
+// Guards against a version that was listed only while the log had a gap being taken for one that never was.
+#[test]
+fn record_gap_knows_sole_version_once_another_instance_tells() {
+    let mut listed = ListedVersions::default();
+    listed.record_first_start(0);
+    listed.record("desk", Some("v1"), 100_000);
+    let own = listed.make_record(WALL_MS, 0, 100_000);
+    assert!(listed.merge(&own, WALL_MS, 0, 100_000), "the first record");
+    listed.record_gap(130_000);
+    listed.record("desk", Some("v1"), 130_000);
+    let since_ms = 130_000 - TIMEOUT_MS;
+    assert_eq!(listed.sole_since("desk", since_ms), None);
+    assert!(!listed.is_complete_since(since_ms), "origins have to be written");
+    assert_eq!(listed.sole_since("desk", 130_000), Some("v1"));
+    // One that has read all changes has seen another version.
+    let mut other = ListedVersions::default();
+    other.record_first_start(0);
+    other.record("desk", Some("v1"), 130_000);
+    let sound = other.make_record(WALL_MS + 30_000, 0, 130_000);
+    other.record("desk", Some("v2"), 128_000);
+    let mixed = other.make_record(WALL_MS + 30_000, 0, 130_000);
+    for (record, sole) in [(sound, Some("v1")), (mixed, None)] {
+        let mut told = listed.clone();
+        assert!(
+            told.merge(&record, WALL_MS + 30_000, 0, 130_000),
+            "the first record after the gap"
+        );
+        assert!(told.is_complete_since(since_ms));
+        assert_eq!(told.sole_since("desk", since_ms), sole);
+    }
+}
+
 #[test]
 fn record_first_start_knows_sole_version() {
     let mut listed = ListedVersions::default();
--- a/crates/origins/tests/routes.rs
+++ b/crates/origins/tests/routes.rs
@@ -143,6 +143,26 @@
     assert_eq!(shared(&targets, 90_000), ["files"], "a new route may have begun none");
 }
 
+// Guards against a service that a route has led to only while the log had a gap being taken for one that it never led to.
+#[test]
+fn record_gap_knows_sole_service_once_another_instance_tells() {
+    let mut targets = lived(DESK);
+    targets.record_gap(130_000);
+    observe(&mut targets, DESK, 130_000);
+    assert_eq!(sole(&targets, 130_000), None);
+    assert_eq!(targets.sole_since(HOST, PATH, 130_000), Some("desk"));
+    let mut other = lived(FILES);
+    observe(&mut other, DESK, 129_000);
+    let moved = other.make_record(130_000).expect("the routes are known");
+    let unmoved = lived(DESK).make_record(130_000).expect("the routes are known");
+    for (record, service) in [(moved, None), (unmoved, Some("desk"))] {
+        let mut told = targets.clone();
+        told.merge(&record, 0, 130_000);
+        observe(&mut told, DESK, 130_000);
+        assert_eq!(sole(&told, 130_000), service);
+    }
+}
+
 // Guards against the absence of what an earlier build does not write being taken for proof that nothing has moved.
 #[test]
 fn version_record_of_earlier_build_has_no_routes() {
--- a/crates/relay/src/origin_records.rs
+++ b/crates/relay/src/origin_records.rs
@@ -95,10 +95,12 @@
         let wall_ms = self.wall_clock.lock().estimate_ms(now_ms);
         let era = self.store_era();
         let record = &stored.record;
+        // One that was there before a gap in the log says nothing of it.
+        let is_new = stored.revision != self.stored_versions.lock().revision;
         let is_merged = {
             let mut versions = self.listed_versions.lock();
             versions.merge_unknown(record, wall_ms, era, now_ms);
-            versions.merge(record, wall_ms, era, now_ms)
+            is_new && versions.merge(record, wall_ms, era, now_ms)
         };
         if let Some(routes) = record.routes.as_ref().filter(|_| is_merged) {
             let age_ms = wall_ms as i64 - record.written_at_wall_ms as i64;
@@ -139,6 +141,19 @@
         self.log.write("versions_absent", || json!({ "era": era, "is_first_start": is_first }));
     }
 
+    /// Records that the changes in the store after `known_until_ms` have become known as differences of a listing. A version
+    /// or a route that came and went meanwhile is missing, unless it was there for less than a change takes to become known.
+    pub fn record_log_gap(&self, known_until_ms: u64) {
+        let now_ms = self.now_ms();
+        let missed_ms = now_ms.saturating_sub(known_until_ms);
+        if missed_ms <= self.settings.bounds.change_propagation_ms() {
+            return;
+        }
+        self.listed_versions.lock().record_gap(now_ms);
+        self.route_targets.lock().record_gap(now_ms);
+        self.log.write("log_gap", || json!({ "missed_ms": missed_ms }));
+    }
+
     /// Returns the record of what is known at `now_ms`.
     pub(crate) fn make_version_record(&self, now_ms: u64) -> VersionRecord {
         let wall_ms = self.wall_clock.lock().estimate_ms(now_ms);
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -225,6 +225,7 @@
     let watch = key_value.watch("").await?;
     relay.observe_store_era(key_value.era(), "store");
     let started_at_ms = relay.now_ms();
+    let known_until_ms = relay.log_attested_at_ms();
     let was_needed = relay.is_listing_needed.swap(false, Ordering::Relaxed);
     let listed = key_value.list("", 0).await;
     if listed.is_err() && was_needed {
@@ -233,6 +234,9 @@
     let items = listed?;
     relay.observe_store_era(key_value.era(), "store");
     log_listing(relay, &items, watch.revision());
+    if let Some(known_until_ms) = known_until_ms {
+        relay.record_log_gap(known_until_ms);
+    }
     apply_listing(relay, &items);
     // Before the listing proves keys.
     broadcast.begin_version_check();
--- a/crates/relay/src/view_search.rs
+++ b/crates/relay/src/view_search.rs
@@ -108,8 +108,16 @@
     }
     let changes = join_pieces(&reply, &mut telling.begun)?;
     let (gaps, held) = (&reply.gaps, &mut telling.held);
-    let taken = relay.view_log.lock().take_told(changes, gaps, reply.revision, held);
+    let (taken, has_gap) = {
+        let mut view_log = relay.view_log.lock();
+        let missed = view_log.revision() + 1..=reply.revision;
+        let has_gap = gaps.iter().any(|gap| missed.contains(&gap.listed_at));
+        (view_log.take_told(changes, gaps, reply.revision, held), has_gap)
+    };
     let Some(changes) = taken else { return Some(FollowStep::Relist) };
+    if has_gap && let Some(known_until_ms) = relay.log_attested_at_ms() {
+        relay.record_log_gap(known_until_ms);
+    }
     for change in changes {
         apply_event(relay, &into_event(change));
     }
