Timers: a wait is not longer by an interruption before it

Callers of an instance that had been suspended for a while were refused ("can't prove that its list of keys is current") for as long again.

The timers of ntex-util count a wait from the last expiry before it, as long as their own task has not run since. A task that is woken first after the process has been suspended, or its thread has not run, thus waits longer by that whole time: a reader of the store did not look at it again, reports to other instances came late, limits did not end.

Waits use the timers of tokio now, over hickorycourse_clock.

--- a/crates/body/src/lib.rs
+++ b/crates/body/src/lib.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use hickorycourse_clock::timeout;
 use hickorycourse_codes::{ErrorCode, Problem};
-use ntex::time::timeout;
 use ntex::web::types::Payload;
 
 /// Types that most users of this crate need.
@@ -24,7 +24,7 @@
 ) -> Result<Vec<u8>, Problem> {
     match timeout(time_limit, read_chunks(payload, limit_bytes)).await {
         Ok(result) => result,
-        Err(()) => Err(ErrorCode::SlowRequest.into()),
+        Err(_) => Err(ErrorCode::SlowRequest.into()),
     }
 }
 
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Decision logic never reads a clock; it receives the current time as `now_ms`. Processes read it
 //! from a [`Clock`], tests from a [`ManualClock`]. Periodic tasks subscribe to the
-//! [`TimerService`]; dropping the subscription cancels it.
+//! [`TimerService`]; dropping the subscription cancels it. Tasks limit their waits with [`sleep`] and
+//! [`timeout`].
 //!
 //! ```
 //! use hickorycourse_clock::prelude::*;
@@ -13,6 +14,7 @@
 //! ```
 
 mod clock;
+mod sleep;
 mod timer;
 
 /// The types most users of this crate need.
@@ -21,4 +23,5 @@
 }
 
 pub use clock::{Clock, ManualClock, SystemClock};
+pub use sleep::{Sleep, sleep, timeout};
 pub use timer::{Tick, TimerService};
--- a/crates/connections/src/client.rs
+++ b/crates/connections/src/client.rs
@@ -7,12 +7,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hickorycourse_clock::timeout;
 use hickorycourse_clock::{Clock, SystemClock};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes};
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Version};
-use ntex::time::timeout;
 
 use crate::{ConnectionPool, ExchangeError, ResponseBody, UpstreamConnection};
 
@@ -237,7 +237,7 @@
     limit: Duration,
     exchange: impl Future<Output = Result<T, ExchangeError>>,
 ) -> Result<T, ExchangeError> {
-    timeout(limit, exchange).await.unwrap_or_else(|()| {
+    timeout(limit, exchange).await.unwrap_or_else(|_| {
         Err(ExchangeError::TimedOut(format!("no response within {} ms", limit.as_millis())))
     })
 }
--- a/crates/connections/src/pool.rs
+++ b/crates/connections/src/pool.rs
@@ -7,13 +7,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use hickorycourse_clock::timeout;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::ext::on_informational;
 use hyper::{Request, Response, header};
 use hyper_util::rt::TokioIo;
-use ntex::time::timeout;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::{JoinHandle, spawn_local};
@@ -120,9 +120,7 @@
         let dialled = Instant::now();
         let stream = timeout(DIAL_TIMEOUT, TcpStream::connect(pool_key.address))
             .await
-            .map_err(|()| {
-                not_sent(format!("no connection within {} ms", DIAL_TIMEOUT.as_millis()))
-            })?
+            .map_err(|_| not_sent(format!("no connection within {} ms", DIAL_TIMEOUT.as_millis())))?
             .map_err(|error| not_sent(error.to_string()))?;
         stream.set_nodelay(true).map_err(|error| not_sent(error.to_string()))?;
         let opened_at_ms = now_ms + dialled.elapsed().as_millis() as u64 + 1;
@@ -186,7 +184,7 @@
                     false => ExchangeError::Interrupted(detail),
                 })
             }
-            Err(()) => {
+            Err(_) => {
                 Err(ExchangeError::TimedOut(format!("no response within {} ms", limit.as_millis())))
             }
         }
@@ -201,7 +199,7 @@
         match timeout(limit, self.sender.ready()).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(error)) => Err(ExchangeError::NotSent(error.to_string())),
-            Err(()) => Err(ExchangeError::NotSent("the connection is not ready".to_owned())),
+            Err(_) => Err(ExchangeError::NotSent("the connection is not ready".to_owned())),
         }
     }
 
--- a/crates/entry/src/caller/async_jobs.rs
+++ b/crates/entry/src/caller/async_jobs.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use hickorycourse_clock::timeout;
 use hickorycourse_codes::{ErrorCode, Execution, Problem};
 use hickorycourse_jobs::{JobCopy, JobState};
 use hickorycourse_peer::PeerMessage;
-use ntex::time::timeout;
 use ntex::web::HttpResponse;
 use serde_json::json;
 use tokio::sync::oneshot;
--- a/crates/entry/src/caller/at_most_once.rs
+++ b/crates/entry/src/caller/at_most_once.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickorycourse_clock::sleep;
 use hickorycourse_codes::{ErrorCode, Execution, Problem};
 use hickorycourse_idempotency::{
     ClaimKey, ClaimOutcome, ClaimToken, OrderId, StoredResponse, digest_request,
@@ -20,7 +21,6 @@
 use hickorycourse_upstream::{AttemptErrorKind, ServiceResponse};
 use hickorycourse_usage::UsageCount;
 use ntex::http::{HeaderMap, header};
-use ntex::time::sleep;
 use ntex::util::Bytes;
 use ntex::web::HttpResponse;
 use tokio::sync::{mpsc, oneshot};
--- a/crates/entry/src/caller/connections.rs
+++ b/crates/entry/src/caller/connections.rs
@@ -6,8 +6,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hickorycourse_clock::sleep;
 use ntex::io::IoRef;
-use ntex::time::sleep;
 
 use crate::state::Entry;
 
--- a/crates/entry/src/caller/plain.rs
+++ b/crates/entry/src/caller/plain.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hickorycourse_body::read_body;
+use hickorycourse_clock::sleep;
 use hickorycourse_codes::{ErrorCode, Execution, Problem};
 use hickorycourse_routing::{PrefixBlocks, draw_backoff_ms};
 use hickorycourse_settings::{RetryKind, ServiceKind, Site};
@@ -13,7 +14,6 @@
 };
 use hickorycourse_usage::UsageCount;
 use ntex::http::{HeaderMap, StatusCode, header};
-use ntex::time::sleep;
 use ntex::util::Bytes;
 use ntex::web::{HttpRequest, HttpResponse, types};
 
--- a/crates/entry/src/caller/response_body.rs
+++ b/crates/entry/src/caller/response_body.rs
@@ -1,13 +1,15 @@
 //! Response bodies that keep their request in flight until the last byte is in the socket.
 
 use std::error::Error;
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use hickorycourse_clock::{Sleep, sleep};
 use ntex::http::body::{Body, BodySize, MessageBody};
 use ntex::io::IoRef;
-use ntex::time::{Sleep, sleep};
 use ntex::util::Bytes;
 
 use crate::state::InFlightGuard;
@@ -20,7 +22,7 @@
 pub struct FlushedBody {
     body: Body,
     io: IoRef,
-    flush_timer: Option<Sleep>,
+    flush_timer: Option<Pin<Box<Sleep>>>,
     is_body_sent: bool,
     _guard: InFlightGuard,
 }
@@ -48,8 +50,9 @@
 
     fn poll_flush(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         while !self.is_flushed() {
-            let timer = self.flush_timer.get_or_insert_with(|| sleep(FLUSH_POLL_INTERVAL));
-            ready!(timer.poll_elapsed(cx));
+            let timer =
+                self.flush_timer.get_or_insert_with(|| Box::pin(sleep(FLUSH_POLL_INTERVAL)));
+            ready!(timer.as_mut().poll(cx));
             self.flush_timer = None;
         }
         Poll::Ready(())
--- a/crates/entry/src/caller/session.rs
+++ b/crates/entry/src/caller/session.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickorycourse_clock::sleep;
 use hickorycourse_codes::{ErrorCode, Execution, Problem};
 use hickorycourse_routing::{BYTES_PER_TOKEN, PrefixBlocks, draw_backoff_ms};
 use hickorycourse_settings::RetryKind;
@@ -19,7 +20,6 @@
     HttpUpstreams, TokenStream,
 };
 use hickorycourse_usage::{UsageCount, UsageKey};
-use ntex::time::sleep;
 use serde_json::{Map, Value, json};
 use tokio::sync::oneshot;
 
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -13,8 +13,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickorycourse_clock::sleep;
 use hickorycourse_peer::PeerMessage;
-use ntex::time::sleep;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickorycourse_clock::sleep;
 use hickorycourse_jobs::{FleetView, HolderId, JobAction, JobCopy};
 use hickorycourse_peer::PeerMessage;
-use ntex::time::sleep;
 use tokio::sync::mpsc;
 
 use crate::caller;
--- a/crates/entry/src/operator/settings.rs
+++ b/crates/entry/src/operator/settings.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use hickorycourse_body::read_body;
+use hickorycourse_clock::sleep;
 use hickorycourse_codes::{ErrorCode, Execution, Problem};
 use hickorycourse_membership::VersionedDocument;
 use hickorycourse_settings::document::{Document, DocumentName, Edit, EditError};
 use hickorycourse_settings::{Organisation, Site, parse_document};
 use hickorycourse_store::{KeyValue, PlatformError, SwapOutcome};
 use ntex::http::Method;
-use ntex::time::sleep;
 use ntex::web::{HttpRequest, HttpResponse, types};
 
 use super::key_value_client;
--- a/crates/entry/src/platform_tasks.rs
+++ b/crates/entry/src/platform_tasks.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use hickorycourse_clock::Tick;
+use hickorycourse_clock::{sleep, timeout};
 use hickorycourse_membership::VersionedDocument;
 use hickorycourse_settings::document::{Document, DocumentName, KEY_PREFIX};
 use hickorycourse_store::{
     Fleet, FleetInstance, InstanceState, KeyValue, KeyValueRecord, PlatformError, WatchEvent,
 };
-use ntex::time::{sleep, timeout};
 use tokio::sync::mpsc;
 
 use crate::drain;
--- a/crates/entry/src/spans.rs
+++ b/crates/entry/src/spans.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use hickorycourse_clock::Tick;
+use hickorycourse_clock::timeout;
 use hickorycourse_store::build_client;
-use ntex::time::timeout;
 use tokio::sync::mpsc;
 
 use crate::state::Entry;
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -7,12 +7,13 @@
 
 use eyre::WrapErr;
 use hickorycourse_clock::TimerService;
+use hickorycourse_clock::sleep;
 use hickorycourse_peer::{PeerHandler, PeerMesh, PeerMessage, PeerOptions};
 use hickorycourse_settings::{LogFormat, LogLevel, ProcessSettings};
 use hickorycourse_store::{Fleet, FleetClient, GatewayClient, KeyValue};
 use hickorycourse_telemetry::{LogOptions, Meter, init_logging};
 use ntex::http::{HttpServiceConfig, KeepAlive};
-use ntex::time::{Seconds, sleep};
+use ntex::time::Seconds;
 use ntex::web::{self, App, HttpServer};
 use ntex::{SharedCfg, rt};
 use tokio::signal::unix::{Signal, SignalKind, signal};
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -13,10 +13,10 @@
 
 use futures_util::future::select;
 use hickorycourse_caps::UsageReport;
+use hickorycourse_clock::sleep;
 use hickorycourse_digest::{MemberDigest, PartMark, ServiceDigest, split};
 use hickorycourse_duties::{UsageSource, WindowCounts};
 use hickorycourse_placement::{TokenDemand, UpstreamLoad, WaitingRequests};
-use ntex::time::sleep;
 use parking_lot::Mutex;
 use serde_json::json;
 use tokio::net::UdpSocket;
--- a/crates/relay/src/buffered_response.rs
+++ b/crates/relay/src/buffered_response.rs
@@ -4,13 +4,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use hickorycourse_clock::timeout;
 use hickorycourse_codes::Problem;
 use hickorycourse_connections::{ResponseBody, ends_with_connection};
 use hickorycourse_placement::AttemptOutcome;
 use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
-use ntex::time::timeout;
 
 use crate::attempt::{Attempt, OpenedResponse};
 use crate::call::{Call, RetryState};
@@ -138,7 +138,7 @@
             attempt.end(AttemptOutcome::Failed);
             return Err(FetchError::Interrupted(error.to_string()));
         }
-        Err(()) => {
+        Err(_) => {
             attempt.end(AttemptOutcome::Silent);
             return Err(FetchError::Interrupted(
                 "the response body was not complete at the deadline".to_owned(),
--- a/crates/relay/src/carried_witness.rs
+++ b/crates/relay/src/carried_witness.rs
@@ -8,8 +8,8 @@
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
 
+use hickorycourse_clock::timeout;
 use hickorycourse_connections::{Carrier, UpstreamConnection};
-use ntex::time::timeout;
 use tokio::sync::Mutex;
 
 use crate::adapter::UpstreamReport;
--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use hickorycourse_clock::sleep;
 use ntex::io::IoRef;
-use ntex::time::sleep;
 use parking_lot::Mutex;
 use serde_json::json;
 use tokio::sync::Notify;
--- a/crates/relay/src/duty_tasks.rs
+++ b/crates/relay/src/duty_tasks.rs
@@ -6,12 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickorycourse_clock::sleep;
 use hickorycourse_duties::{
     CapacityOrder, CapacityPlanner, LeaseAction, WindowCounts, ZoneCapacity,
 };
 use hickorycourse_routes::{Service, UpstreamPhase};
 use hickorycourse_store::{KeyValue, Lease, PlatformError, SwapOutcome};
-use ntex::time::sleep;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -4,8 +4,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hickorycourse_clock::sleep;
 use hickorycourse_store::{KeyValue, split_revision};
-use ntex::time::sleep;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use futures_util::future::{Either, select};
+use hickorycourse_clock::sleep;
 use hickorycourse_connections::{
     Carrier, ConnectionPool, DIAL_TIMEOUT, ExchangeError, UpstreamConnection,
 };
@@ -17,7 +18,6 @@
 use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
 use hickorycourse_tunnel::{OpenError, OpenRequest, PROTOCOL_VERSION, RefusalReason, TunnelHealth};
 use ntex::rt;
-use ntex::time::sleep;
 use serde_json::json;
 
 use crate::call::Call;
--- a/crates/relay/src/freshness.rs
+++ b/crates/relay/src/freshness.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickorycourse_clock::sleep;
 use ntex::rt;
-use ntex::time::sleep;
 use rand::seq::IndexedRandom;
 use serde_json::json;
 
--- a/crates/relay/src/hedging.rs
+++ b/crates/relay/src/hedging.rs
@@ -10,10 +10,10 @@
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use hickorycourse_clock::timeout;
 use hickorycourse_codes::Problem;
 use hickorycourse_connections::{ExchangeError, ResponseBody, UpstreamConnection};
 use http::Response;
-use ntex::time::timeout;
 use serde_json::json;
 
 use crate::attempt::{Attempt, OpenedResponse};
@@ -218,7 +218,7 @@
         let limit = Duration::from_millis(wait_ms.min(self.remaining_ms().max(1)));
         match timeout(limit, next_sent(exchanges)).await {
             Ok((index, sent)) => Progress::Ended(index, sent),
-            Err(()) => Progress::Due,
+            Err(_) => Progress::Due,
         }
     }
 
--- a/crates/relay/src/origin_records.rs
+++ b/crates/relay/src/origin_records.rs
@@ -11,9 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickorycourse_clock::{sleep, timeout};
 use hickorycourse_origins::{BeginningSegment, OriginSegment, VersionRecord, write_interval_ms};
 use hickorycourse_store::{KeyValue, KeyValueRecord, Lease, PlatformError, SwapOutcome};
-use ntex::time::{sleep, timeout};
 use serde::Serialize;
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -8,6 +8,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use hickorycourse_clock::sleep;
 use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_origins::{
     StreamBeginning, StreamKey, StreamOrigin, choose_holders, make_prefix,
@@ -15,7 +16,6 @@
 use hickorycourse_routes::{Route, UpstreamPhase};
 use hickorycourse_starts::Acceptance;
 use ntex::rt;
-use ntex::time::sleep;
 use serde::Serialize;
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
--- a/crates/relay/src/placing.rs
+++ b/crates/relay/src/placing.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickorycourse_clock::sleep;
 use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_permits::Claim;
 use hickorycourse_placement::{
     Admission, LimitedUpstream, Placement, PlacementRequest, PlacementTable,
 };
 use ntex::rt;
-use ntex::time::sleep;
 use serde_json::json;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -30,7 +30,7 @@
 /// requests away.
 const SLOT_WAIT_DIVISOR: u64 = 8;
 /// Interval at which it is looked for a slot.
-const SLOT_POLL: Duration = Duration::from_millis(3);
+const SLOT_POLL: Duration = Duration::from_millis(16);
 
 /// Permit to send a request to a limited upstream.
 struct Permit {
--- a/crates/relay/src/quarantine_record.rs
+++ b/crates/relay/src/quarantine_record.rs
@@ -9,10 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickorycourse_clock::sleep;
 use hickorycourse_digest::rank_aggregators;
 use hickorycourse_quarantine::QuarantineDigest;
 use hickorycourse_store::{KeyValue, KeyValueRecord, PlatformError, SwapOutcome};
-use ntex::time::sleep;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
--- a/crates/relay/src/replies.rs
+++ b/crates/relay/src/replies.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use hickorycourse_clock::timeout;
 use hickorycourse_digest::{FleetParts, PartMark, ZoneDigest};
-use ntex::time::timeout;
 use tokio::sync::mpsc;
 
 use crate::broadcast::{PeerBroadcast, count_dropped};
--- a/crates/relay/src/state/store.rs
+++ b/crates/relay/src/state/store.rs
@@ -4,9 +4,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hickorycourse_clock::timeout;
 use hickorycourse_digest::rank_aggregators;
 use hickorycourse_duties::WindowCounts;
-use ntex::time::timeout;
 use rand::seq::{IndexedRandom, SliceRandom};
 use serde_json::json;
 
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -14,12 +14,12 @@
 use std::time::Duration;
 
 use futures_util::future::{Either, select};
+use hickorycourse_clock::sleep;
 use hickorycourse_routes::{RouteDocument, UpstreamEntry};
 use hickorycourse_store::{
     KeyValue, KeyValueRecord, Lease, PlatformError, SwapOutcome, Watch, WatchEvent,
 };
 use ntex::rt;
-use ntex::time::sleep;
 use rand::Rng;
 use serde_json::json;
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -5,12 +5,12 @@
 
 use futures_util::future::{Either, select};
 use futures_util::{Stream, stream};
+use hickorycourse_clock::{sleep, timeout};
 use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_starts::Acceptance;
 use http::HeaderMap;
 use hyper::body::Bytes;
 use ntex::io::IoRef;
-use ntex::time::{sleep, timeout};
 use serde_json::json;
 
 use crate::attempt::OpenedResponse;
@@ -311,10 +311,10 @@
                 // Its framing shows that nothing was lost on the way.
                 Ok(SourceStep::NoEvents) if self.may_be_complete => return StreamStep::End,
                 Ok(step) => return step.into(),
-                Err(()) if idle_timeout_ms >= remaining_ms => {
+                Err(_) if idle_timeout_ms >= remaining_ms => {
                     return StreamStep::Lost(Loss::Late);
                 }
-                Err(()) => {}
+                Err(_) => {}
             }
             if let Some(step) = self.wait_beside_successor(idle_timeout_ms).await {
                 return step;
@@ -365,7 +365,7 @@
         })
         .await;
         let (step, went_on) = match found {
-            Err(()) => (Some(StreamStep::Lost(loss.unwrap_or(Loss::Late))), None),
+            Err(_) => (Some(StreamStep::Lost(loss.unwrap_or(Loss::Late))), None),
             Ok(Err(step)) => {
                 // Other upstreams may have recovered by the time that one is needed.
                 self.retry_state.excluded.truncate(excluded_before);
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -3,9 +3,9 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use hickorycourse_clock::{sleep, timeout};
 use hickorycourse_placement::AttemptOutcome;
 use http::HeaderMap;
-use ntex::time::{sleep, timeout};
 use serde_json::json;
 use tokio::sync::Notify;
 
@@ -129,7 +129,7 @@
             }
         };
         let step = match timeout(MAX_OVERLAP, source.read_events(call, &mut events)).await {
-            Err(()) => None,
+            Err(_) => None,
             Ok(step @ (SourceStep::Events(_) | SourceStep::End)) => Some(step),
             // Its framing shows that nothing was lost on the way.
             Ok(SourceStep::NoEvents) if self.source_loss.is_unproven_end.get() => {
--- a/crates/relay/src/tunnels.rs
+++ b/crates/relay/src/tunnels.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use futures_util::future::{Either, select};
+use hickorycourse_clock::{sleep, timeout};
 use hickorycourse_connections::ConnectionPool;
 use hickorycourse_reach::{DialPlan, LinkScope, UpstreamView};
 use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
@@ -15,7 +16,6 @@
     OpenRequest, RefusalReason, TunnelActivity, TunnelEnd, accept, carry, refuse,
 };
 use ntex::rt;
-use ntex::time::{sleep, timeout};
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 
--- a/crates/relay/src/unlisted_starts.rs
+++ b/crates/relay/src/unlisted_starts.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hickorycourse_clock::sleep;
 use hickorycourse_routes::UpstreamEntry;
-use ntex::time::sleep;
 
 use crate::call::{Call, RetryState};
 use crate::state::Relay;
--- a/crates/relay/src/upstream_reports.rs
+++ b/crates/relay/src/upstream_reports.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use hickorycourse_clock::{sleep, timeout};
 use hickorycourse_connections::{
     Carrier, DIAL_TIMEOUT, ExchangeError, ResponseBody, UpstreamConnection,
 };
@@ -15,7 +16,6 @@
 use http::Response;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
-use ntex::time::{sleep, timeout};
 use serde_json::json;
 
 use crate::adapter::UpstreamReport;
@@ -202,7 +202,7 @@
     let asked_at_ms = relay.now_ms();
     let received = timeout(limit, exchange(relay, connection, upstream, limit)).await;
     let late = || ExchangeError::TimedOut("the report is not complete".to_owned());
-    let received = match received.unwrap_or_else(|()| Err(late())) {
+    let received = match received.unwrap_or_else(|_| Err(late())) {
         Err(ExchangeError::InvalidResponse(_)) => {
             ReceivedReport { report: UpstreamReport::Unknown, is_kept: false }
         }
--- a/crates/relay/src/version_marks.rs
+++ b/crates/relay/src/version_marks.rs
@@ -9,8 +9,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hickorycourse_clock::{sleep, timeout};
 use hickorycourse_store::{KeyValue, PlatformError, SwapOutcome};
-use ntex::time::{sleep, timeout};
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 
--- a/crates/relay/src/view_gate.rs
+++ b/crates/relay/src/view_gate.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use ntex::time::timeout;
+use hickorycourse_clock::timeout;
 use serde_json::json;
 
 use crate::state::Relay;
--- a/crates/relay/src/view_search.rs
+++ b/crates/relay/src/view_search.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use hickorycourse_clock::sleep;
 use hickorycourse_store::{KeyValueRecord, WatchEvent};
 use ntex::rt;
-use ntex::time::sleep;
 
 use crate::broadcast::PeerBroadcast;
 use crate::follow::{ViewQuery, ViewReply};
--- a/crates/relay/src/witness.rs
+++ b/crates/relay/src/witness.rs
@@ -17,11 +17,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickorycourse_clock::timeout;
 use hickorycourse_connections::{ConnectionPool, ExchangeError, UpstreamConnection};
 use hickorycourse_starts::{
     Admission, IdleTime, MAX_ASK_INTERVAL_MS, MIN_ASK_INTERVAL_MS, WitnessPlan,
 };
-use ntex::time::timeout;
 use tokio::sync::{Mutex, Notify};
 use tokio::task::{JoinHandle, spawn_local, yield_now};
 
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -11,6 +11,7 @@
 
 use bpaf::Bpaf;
 use hickorycourse_clock::{Clock, SystemClock};
+use hickorycourse_clock::{sleep, timeout};
 use hickorycourse_settings::document::{Document, DocumentName};
 use hickorycourse_settings::{
     MachineClass, ProcessSettings, Site, UpstreamSettings, parse_document, read_document,
@@ -22,7 +23,6 @@
 };
 use hickorycourse_telemetry::{LogOptions, init_logging};
 use ntex::client::Client;
-use ntex::time::{sleep, timeout};
 use serde_json::json;
 
 /// Sends engines their desired state and replaces leaving instances of one availability zone.
--- a/crates/store/src/fleet.rs
+++ b/crates/store/src/fleet.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hickorycourse_clock::timeout;
 use hickorycourse_connections::{ExchangeError, HttpClient};
 use http::request::Builder;
 use http::{Request, header};
 use http_body_util::Full;
-use ntex::time::timeout;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -128,7 +128,7 @@
         };
         match timeout(limit, exchange).await {
             Ok(result) => result,
-            Err(()) => Err(PlatformError::Uncertain("no response within the timeout".to_owned())),
+            Err(_) => Err(PlatformError::Uncertain("no response within the timeout".to_owned())),
         }
     }
 }
--- a/crates/store/src/gateway.rs
+++ b/crates/store/src/gateway.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hickorycourse_clock::timeout;
 use hickorycourse_connections::{ExchangeError, HttpClient, OpenResponse};
 use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use ntex::time::timeout;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
@@ -69,7 +69,7 @@
         let limit = Duration::from_millis(self.timeout_ms);
         let response = timeout(limit, self.client.read_to_end(open, MAX_RESPONSE_BYTES))
             .await
-            .map_err(|()| {
+            .map_err(|_| {
                 PlatformError::Uncertain(
                     "the response body was not complete within the timeout".to_owned(),
                 )
--- a/crates/tunnel/src/client.rs
+++ b/crates/tunnel/src/client.rs
@@ -8,7 +8,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use ntex::time::timeout;
+use hickorycourse_clock::timeout;
 use tokio::io::{AsyncRead, AsyncWrite, BufReader, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -83,7 +83,7 @@
             OpenReply::Refused(reason) => Err(OpenError::Refused(reason)),
         }
     };
-    timeout(limit, exchange).await.unwrap_or_else(|()| {
+    timeout(limit, exchange).await.unwrap_or_else(|_| {
         Err(OpenError::Failed(format!("no reply within {} ms", limit.as_millis())))
     })
 }
--- a/crates/tunnel/src/server.rs
+++ b/crates/tunnel/src/server.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use futures_util::future::{Either, select};
-use ntex::time::{sleep, timeout};
+use hickorycourse_clock::{sleep, timeout};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -32,7 +32,7 @@
 pub async fn accept(stream: &mut TcpStream) -> Result<OpenRequest, String> {
     let request: OpenRequest = timeout(REQUEST_TIMEOUT, read_message(stream))
         .await
-        .map_err(|()| format!("no request within {} ms", REQUEST_TIMEOUT.as_millis()))?
+        .map_err(|_| format!("no request within {} ms", REQUEST_TIMEOUT.as_millis()))?
         .map_err(|error: MessageError| error.to_string())?;
     match request.protocol_version {
         PROTOCOL_VERSION => Ok(request),
--- a/crates/upstream/src/http.rs
+++ b/crates/upstream/src/http.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use hickorycourse_clock::timeout;
 use hickorycourse_connections::{
     ExchangeError, HttpClient, OpenResponse, ResponseBody, UpstreamConnection,
     ends_with_connection, keeps_connection,
@@ -14,7 +15,6 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request};
 use ntex::http::HeaderMap;
-use ntex::time::timeout;
 use ntex::util::{Bytes, BytesMut};
 use serde_json::Value;
 
@@ -440,7 +440,7 @@
 ) -> Result<Bytes, AttemptError> {
     let mut body = BytesMut::new();
     loop {
-        let frame = timeout(part_timeout, incoming.frame()).await.map_err(|()| {
+        let frame = timeout(part_timeout, incoming.frame()).await.map_err(|_| {
             AttemptError::new(AttemptErrorKind::TimedOut, "the body stopped coming")
         })?;
         let Some(frame) = frame else { return Ok(body.freeze()) };
--- a/crates/upstream/src/stream.rs
+++ b/crates/upstream/src/stream.rs
@@ -7,11 +7,11 @@
 use eventsource_stream::{EventStream, EventStreamError, Eventsource};
 use futures_util::StreamExt;
 use futures_util::stream::LocalBoxStream;
+use hickorycourse_clock::timeout;
 use hickorycourse_connections::{HttpClient, OpenResponse, ResponseBody, UpstreamConnection};
 use hickorycourse_store::LocalFuture;
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
-use ntex::time::timeout;
 
 use crate::attempt::{AttemptError, AttemptErrorKind, TokenStream};
 use crate::chat::{Chunk, EngineEvent};
