--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -23,5 +23,5 @@
 }
 
 pub use clock::{Clock, ManualClock, SystemClock};
-pub use sleep::{Sleep, sleep, timeout};
+pub use sleep::{Elapsed, Sleep, Timeout, sleep, timeout};
 pub use timer::{Tick, TimerService};
--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -43,7 +43,7 @@
 /// Rounds in which a worker thread polls its connections after the drain, and the time between them: what
 /// had arrived by then is read in the first, and answered before the last.
 const POLL_ROUNDS: u32 = 3;
-const POLL_ROUND_INTERVAL: Duration = Duration::from_millis(20);
+const POLL_ROUND_INTERVAL: Duration = Duration::from_millis(32);
 /// Longest wait for the worker threads' rounds.
 const POLL_ROUNDS_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Lines about single requests that the end of a drain writes.
--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -25,7 +25,7 @@
 
 /// The same for a witness that can't be asked: nothing but its end tells of that of its process, which may be preempted
 /// while it ends.
-const WITNESS_SETTLE_TIME: Duration = Duration::from_millis(100);
+const WITNESS_SETTLE_TIME: Duration = Duration::from_millis(116);
 
 /// Time for which the end of a response is held back while its upstream is silent; longer than one report may take,
 /// so that an upstream that never reports is told from one that is silent.
--- a/crates/upstream/src/stream.rs
+++ b/crates/upstream/src/stream.rs
@@ -115,7 +115,7 @@
 }
 
 /// Timeout for reading the remainder of the body; after it the connection is closed.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(32);
 
 impl TokenStream for HttpTokenStream {
     fn next(&mut self) -> LocalFuture<'_, Result<EngineEvent, AttemptError>> {
