Starts: a heartbeat that is told late does not prove that a start still runs

Callers got streams of two versions at upstreams that report no start, where one started again with another version before the platform listed it.

Followers are not told heartbeats, but for the last one before an entry's deletion, which has the deletion's revision. The start that had written it was taken to have run until the follower's latest reading, by which time another start had accepted connections; their streams were taken for ones of the deleted entry's version, also by instances that were told so. The differences of a listing have its revision, too.

What an instance is told proves no run any more; followers ask readers for such proofs, with the time at which they were read.

--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -339,20 +339,19 @@
         self.refresh_caps();
     }
 
-    /// Adds or updates an upstream from its entry in the store.
-    pub fn put_upstream(&self, entry: UpstreamEntry) {
+    /// Adds or updates an upstream from its entry in the store, which was written after `written_after_ms` if that is known.
+    pub fn put_upstream(&self, entry: UpstreamEntry, written_after_ms: Option<u64>) {
         let id = entry.id.clone();
         // An entry may be gone before all that are listed are looked at again.
         let now_ms = self.now_ms();
         self.listed_versions.lock().record(&entry.service, entry.version.as_deref(), now_ms);
-        self.record_listed_start(&entry, self.log_attested_at_ms());
+        self.record_listed_start(&entry, written_after_ms);
         let change = self.directory.lock().put(entry);
         self.apply_changes(&[(id, change)]);
     }
 
-    /// Records the start that wrote an entry. One that is newer than the known entry was written after `known_until_ms`, up to
-    /// which all changes are known. A listing has heartbeats that are older, too.
-    fn record_listed_start(&self, entry: &UpstreamEntry, known_until_ms: Option<u64>) {
+    /// Records the start that wrote an entry. Heartbeats alone prove that it has run since it started.
+    fn record_listed_start(&self, entry: &UpstreamEntry, written_after_ms: Option<u64>) {
         let directory = self.directory.lock();
         if directory.is_outdated(entry) {
             return;
@@ -361,7 +360,7 @@
             known.started_at_ms == entry.started_at_ms && known.sequence < entry.sequence
         });
         drop(directory);
-        let written_after_ms = known_until_ms.filter(|_| is_rewritten);
+        let written_after_ms = written_after_ms.filter(|_| is_rewritten);
         let listed = ListedStart {
             upstream: &entry.id,
             started_at_ms: entry.started_at_ms,
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -171,7 +171,7 @@
         };
         for event in events.iter().filter(|event| revision_of(event) > known_revision) {
             log_event(relay, event);
-            apply_event(relay, event);
+            apply_event(relay, event, relay.log_attested_at_ms());
         }
         relay.view_log.lock().advance(watch.revision());
         record_freshness(relay, started_at_ms);
@@ -366,11 +366,11 @@
     }
 }
 
-/// Applies a change in the store.
-pub fn apply_event(relay: &Relay, event: &WatchEvent) {
+/// Applies a change in the store, which was written after `written_after_ms` if that is known.
+pub fn apply_event(relay: &Relay, event: &WatchEvent, written_after_ms: Option<u64>) {
     match event {
         WatchEvent::Put(item) => match decode(relay, item) {
-            Some(PlatformItem::Upstream(entry)) => relay.put_upstream(entry),
+            Some(PlatformItem::Upstream(entry)) => relay.put_upstream(entry, written_after_ms),
             Some(PlatformItem::Document(document)) => apply_stored_document(relay, *document),
             Some(PlatformItem::Other) => apply_relay_item(relay, item),
             None => {
--- a/crates/relay/src/view_search.rs
+++ b/crates/relay/src/view_search.rs
@@ -119,7 +119,8 @@
         relay.record_log_gap(known_until_ms);
     }
     for change in changes {
-        apply_event(relay, &into_event(change));
+        // Heartbeats are told late, with the revision of a later change.
+        apply_event(relay, &into_event(change), None);
     }
     relay.view_log.lock().advance(reply.revision);
     if !reply.is_complete {
