Versions: what an instance with a gap in its log writes does not end the gap of others

Callers could still get streams of two versions after an instance had lost the store for long: it wrote the record of versions before it had listed the store again, as if it knew all of the past, and others, or itself, merged that.

While changes may be missing, no record is written but marks, and those say nothing of the past. After a gap a record counts that was written after the listing which ended it, and that tells more than is known; one that does not no longer stands in for the next. A listing's versions are recorded as it is applied, before the next change replaces an entry.

--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -109,8 +109,8 @@
         }
     }
 
-    /// Merges the record that is found at the start of the process, or after a gap; later ones say nothing new. Returns
-    /// whether it was used: not if it is too old, or written before the store came back from a copy.
+    /// Merges the first record after the start of the process, or after a gap, that tells more of the past than is known
+    /// here. Returns whether it was used: not if it is too old, or written before the store came back from a copy.
     pub fn merge(
         &mut self,
         record: &VersionRecord,
@@ -123,13 +123,17 @@
         if self.has_merged || !is_valid {
             return false;
         }
-        self.has_merged = true;
         let now_ms = now_ms as i64;
         let at_ms = |ago_ms: u64| {
             let ago_ms = i64::try_from(ago_ms).unwrap_or(i64::MAX / 4);
             (now_ms - age_ms.max(0) - ago_ms + CLOCK_ALLOWANCE_MS).min(now_ms)
         };
-        self.complete_since_ms = self.complete_since_ms.min(at_ms(record.complete_for_ms));
+        let complete_since_ms = at_ms(record.complete_for_ms);
+        if complete_since_ms >= self.complete_since_ms {
+            return false;
+        }
+        self.has_merged = true;
+        self.complete_since_ms = complete_since_ms;
         for (service, versions) in &record.services {
             let known = self.services.entry(service.clone()).or_default();
             for seen in versions {
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -268,11 +268,13 @@
 // Guards against a version that was listed only while the log had a gap being taken for one that never was.
 #[test]
 fn record_gap_knows_sole_version_once_another_instance_tells() {
+    let mut lived = ListedVersions::default();
+    lived.record_first_start(0);
+    lived.record("desk", Some("v1"), 100_000);
+    let known = lived.make_record(WALL_MS, 0, 100_000);
     let mut listed = ListedVersions::default();
-    listed.record_first_start(0);
     listed.record("desk", Some("v1"), 100_000);
-    let own = listed.make_record(WALL_MS, 0, 100_000);
-    assert!(listed.merge(&own, WALL_MS, 0, 100_000), "the first record");
+    assert!(listed.merge(&known, WALL_MS, 0, 100_000), "the first record");
     listed.record_gap(130_000);
     listed.record("desk", Some("v1"), 130_000);
     let since_ms = 130_000 - TIMEOUT_MS;
@@ -286,6 +288,9 @@
     let sound = other.make_record(WALL_MS + 30_000, 0, 130_000);
     other.record("desk", Some("v2"), 128_000);
     let mixed = other.make_record(WALL_MS + 30_000, 0, 130_000);
+    // One that has the gap, too, tells nothing, and does not stand in for the next one.
+    let incomplete = listed.make_record(WALL_MS + 30_000, 0, 130_000);
+    assert!(!listed.merge(&incomplete, WALL_MS + 30_000, 0, 130_000));
     for (record, sole) in [(sound, Some("v1")), (mixed, None)] {
         let mut told = listed.clone();
         assert!(
--- a/crates/relay/src/origin_records.rs
+++ b/crates/relay/src/origin_records.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hickorycourse_clock::{sleep, timeout};
@@ -95,8 +96,8 @@
         let wall_ms = self.wall_clock.lock().estimate_ms(now_ms);
         let era = self.store_era();
         let record = &stored.record;
-        // One that was there before a gap in the log says nothing of it.
-        let is_new = stored.revision != self.stored_versions.lock().revision;
+        // One that was written before the end of a gap in the log does not tell all of it.
+        let is_new = stored.revision > self.log_gap_revision.load(Ordering::Relaxed);
         let is_merged = {
             let mut versions = self.listed_versions.lock();
             versions.merge_unknown(record, wall_ms, era, now_ms);
@@ -141,27 +142,36 @@
         self.log.write("versions_absent", || json!({ "era": era, "is_first_start": is_first }));
     }
 
-    /// Records that the changes in the store after `known_until_ms` have become known as differences of a listing. A version
-    /// or a route that came and went meanwhile is missing, unless it was there for less than a change takes to become known.
-    pub fn record_log_gap(&self, known_until_ms: u64) {
+    /// Records that the changes in the store after `known_until_ms` have become known as differences of a listing at
+    /// `revision`. A version or a route that came and went meanwhile is missing, unless it was there for less than a change
+    /// takes to become known.
+    pub fn record_log_gap(&self, known_until_ms: u64, revision: u64) {
         let now_ms = self.now_ms();
         let missed_ms = now_ms.saturating_sub(known_until_ms);
         if missed_ms <= self.settings.bounds.change_propagation_ms() {
             return;
         }
+        self.log_gap_revision.fetch_max(revision, Ordering::Relaxed);
         self.listed_versions.lock().record_gap(now_ms);
         self.route_targets.lock().record_gap(now_ms);
         self.log.write("log_gap", || json!({ "missed_ms": missed_ms }));
     }
 
-    /// Returns the record of what is known at `now_ms`.
+    /// Returns the record of what is known at `now_ms`. While changes may be missing, it says nothing of the past.
     pub(crate) fn make_version_record(&self, now_ms: u64) -> VersionRecord {
         let wall_ms = self.wall_clock.lock().estimate_ms(now_ms);
         let era = self.store_era();
-        VersionRecord {
-            routes: self.route_targets.lock().make_record(now_ms),
-            ..self.listed_versions.lock().make_record(wall_ms, era, now_ms)
+        let known = self.listed_versions.lock().make_record(wall_ms, era, now_ms);
+        if !self.is_log_current(now_ms) {
+            return VersionRecord { complete_for_ms: 0, ..known };
         }
+        VersionRecord { routes: self.route_targets.lock().make_record(now_ms), ..known }
+    }
+
+    /// Returns whether all changes that have taken longer to become known than they may are known.
+    pub(crate) fn is_log_current(&self, now_ms: u64) -> bool {
+        let propagation_ms = self.settings.bounds.change_propagation_ms();
+        self.log_attested_at_ms().is_some_and(|at_ms| now_ms <= at_ms + propagation_ms)
     }
 
     /// Applies the origins that another instance, or this one before it started, has written.
@@ -296,11 +306,11 @@
     relay: &Relay,
     key_value: &dyn KeyValue,
 ) -> Result<(), PlatformError> {
+    let now_ms = relay.now_ms();
     // What this process has not listed, it can't tell.
-    if relay.log_attested_at_ms().is_none() || !relay.is_record_writer() {
+    if !relay.is_log_current(now_ms) || !relay.is_record_writer() {
         return Ok(());
     }
-    let now_ms = relay.now_ms();
     relay.observe_versions(now_ms);
     relay.observe_routes(now_ms);
     let record = relay.make_version_record(now_ms);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -147,6 +147,8 @@
     pub route_targets: Mutex<RouteTargets>,
     /// Versions of services as the store holds them.
     pub stored_versions: Mutex<StoredVersions>,
+    /// Revision at the end of the latest gap in the changes that are known; 0 if there was none.
+    pub log_gap_revision: AtomicU64,
     /// Origins of the streams that this instance has begun.
     pub origin_journal: Mutex<OriginJournal>,
     /// Beginnings of the streams of this instance whose origins are not known yet.
@@ -232,6 +234,7 @@
             listed_versions: Mutex::default(),
             route_targets: Mutex::default(),
             stored_versions: Mutex::default(),
+            log_gap_revision: AtomicU64::new(0),
             origin_journal: Mutex::default(),
             beginning_journal: Mutex::default(),
             origin_searches: OnceLock::new(),
@@ -342,14 +345,25 @@
     /// Adds or updates an upstream from its entry in the store, which was written after `written_after_ms` if that is known.
     pub fn put_upstream(&self, entry: UpstreamEntry, written_after_ms: Option<u64>) {
         let id = entry.id.clone();
-        // An entry may be gone before all that are listed are looked at again.
-        let now_ms = self.now_ms();
-        self.listed_versions.lock().record(&entry.service, entry.version.as_deref(), now_ms);
+        self.record_listed_version(&entry);
         self.record_listed_start(&entry, written_after_ms);
         let change = self.directory.lock().put(entry);
         self.apply_changes(&[(id, change)]);
     }
 
+    fn record_listed(&self, entries: &[UpstreamEntry]) {
+        for entry in entries {
+            self.record_listed_version(entry);
+            self.record_listed_start(entry, None);
+        }
+    }
+
+    /// Records the version of an entry, which may be gone before all that are listed are looked at again.
+    fn record_listed_version(&self, entry: &UpstreamEntry) {
+        let now_ms = self.now_ms();
+        self.listed_versions.lock().record(&entry.service, entry.version.as_deref(), now_ms);
+    }
+
     /// Records the start that wrote an entry. Heartbeats alone prove that it has run since it started.
     fn record_listed_start(&self, entry: &UpstreamEntry, written_after_ms: Option<u64>) {
         let directory = self.directory.lock();
@@ -396,9 +410,7 @@
     /// Applies a complete listing of the upstreams.
     pub fn replace_upstreams(&self, entries: Vec<UpstreamEntry>) {
         let grace_until_ms = self.grace_until_ms();
-        for entry in &entries {
-            self.record_listed_start(entry, None);
-        }
+        self.record_listed(&entries);
         let changes = self.directory.lock().replace(entries, grace_until_ms);
         self.apply_changes(&changes);
     }
@@ -406,9 +418,7 @@
     /// Applies a listing of the upstreams that another instance has told. The state of the store has to be
     /// listed anew before changes to it are followed again: the other instance may have been behind.
     pub fn replace_upstreams_from_peer(&self, entries: Vec<UpstreamEntry>) {
-        for entry in &entries {
-            self.record_listed_start(entry, None);
-        }
+        self.record_listed(&entries);
         let changes = self.directory.lock().replace_from_peer(entries);
         self.apply_changes(&changes);
         self.is_listing_needed.store(true, Ordering::Relaxed);
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -235,7 +235,7 @@
     relay.observe_store_era(key_value.era(), "store");
     log_listing(relay, &items, watch.revision());
     if let Some(known_until_ms) = known_until_ms {
-        relay.record_log_gap(known_until_ms);
+        relay.record_log_gap(known_until_ms, watch.revision());
     }
     apply_listing(relay, &items);
     // Before the listing proves keys.
--- a/crates/relay/src/view_search.rs
+++ b/crates/relay/src/view_search.rs
@@ -108,15 +108,16 @@
     }
     let changes = join_pieces(&reply, &mut telling.begun)?;
     let (gaps, held) = (&reply.gaps, &mut telling.held);
-    let (taken, has_gap) = {
+    let (taken, gap_end) = {
         let mut view_log = relay.view_log.lock();
         let missed = view_log.revision() + 1..=reply.revision;
-        let has_gap = gaps.iter().any(|gap| missed.contains(&gap.listed_at));
-        (view_log.take_told(changes, gaps, reply.revision, held), has_gap)
+        let ends = gaps.iter().map(|gap| gap.listed_at).filter(|end| missed.contains(end));
+        let gap_end = ends.max();
+        (view_log.take_told(changes, gaps, reply.revision, held), gap_end)
     };
     let Some(changes) = taken else { return Some(FollowStep::Relist) };
-    if has_gap && let Some(known_until_ms) = relay.log_attested_at_ms() {
-        relay.record_log_gap(known_until_ms);
+    if let (Some(revision), Some(known_until_ms)) = (gap_end, relay.log_attested_at_ms()) {
+        relay.record_log_gap(known_until_ms, revision);
     }
     for change in changes {
         // Heartbeats are told late, with the revision of a later change.
