Origins: a cut-off instance begins streams by former routes for long

Callers saw a stream go on at another service or version: it had begun at an instance that had lost the store before the route moved, or before the release, and that was killed later.

Where revocation is not strict, or a route needs no key, an instance that is cut off from the store goes on beginning streams by its former routes and list of upstreams for as long as the cut lasts. Others believed the only service and version after the return time of callers and the staleness bound, which holds only where keys are refused once the configuration is stale.

Routes that are served without the store are open now. There a service or version has to have been the only one for 280 s, and origins are written for 300 s, as long as both are remembered (LISTING_RETENTION_MS). When a route was last open is remembered and in the record of versions, as the one that is cut off may serve a path by an open route that is there no more. Services of other routes keep their windows. The first start of a fleet counts as known for longer than the retention, as each merge of a record takes 10 s from it. Cut-offs longer than that remain a limit.

--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -31,8 +31,9 @@
 pub use holders::choose_holders;
 pub use journal::{OriginJournal, SegmentWrite, write_interval_ms};
 pub use records::{
-    BeginningSegment, OriginSegment, RouteRecord, RouteTargetRecord, ServiceVersion, VersionRecord,
+    BeginningSegment, OpenRouteRecord, OriginSegment, RouteRecord, RouteTargetRecord,
+    ServiceVersion, VersionRecord,
 };
-pub use routes::{RouteTargets, make_prefix};
+pub use routes::{PresentRoute, RouteTargets, make_prefix};
 pub use table::{OriginTable, StreamBeginning, StreamKey, StreamOrigin};
-pub use versions::ListedVersions;
+pub use versions::{LISTING_RETENTION_MS, ListedVersions};
--- a/crates/origins/src/records.rs
+++ b/crates/origins/src/records.rs
@@ -34,6 +34,17 @@
     pub gone_for_ms: Option<u64>,
 }
 
+/// A route that instances serve, or have served, while they are cut off from the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OpenRouteRecord {
+    /// The host and the path prefix of the route.
+    #[serde(rename = "p")]
+    pub prefix: String,
+    /// Time since it last was open, when the record was written; `None` if it was open then.
+    #[serde(default, rename = "g", skip_serializing_if = "Option::is_none")]
+    pub gone_for_ms: Option<u64>,
+}
+
 /// Services to which routes have led lately, and for how long this is known.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RouteRecord {
@@ -41,6 +52,9 @@
     pub complete_for_ms: u64,
     /// Targets by the host and the path prefix of the route.
     pub prefixes: BTreeMap<String, Vec<RouteTargetRecord>>,
+    /// Routes that were open; earlier builds neither write nor read them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub open: Vec<OpenRouteRecord>,
 }
 
 impl RouteRecord {
@@ -52,7 +66,11 @@
             });
             targets.collect()
         };
-        present(self) != present(other)
+        let open = |record: &Self| -> BTreeSet<String> {
+            let open = record.open.iter().filter(|route| route.gone_for_ms.is_none());
+            open.map(|route| route.prefix.clone()).collect()
+        };
+        present(self) != present(other) || open(self) != open(other)
     }
 }
 
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -4,8 +4,12 @@
 
 use crate::{ServiceVersion, VersionRecord};
 
-/// Time after which a version that is no longer listed is forgotten; longer than any stream lasts.
-pub(crate) const RETENTION_MS: i64 = 300_000;
+/// Time for which a version that is no longer listed, or a target that a route no longer has, is remembered; longer than
+/// any stream lasts. What is asked of an earlier time may be missing.
+pub const LISTING_RETENTION_MS: i64 = 300_000;
+/// Time before the first start of a fleet that is known. Each merge takes the allowance for clocks from it, so that it is
+/// longer than the retention.
+pub(crate) const FIRST_START_KNOWN_MS: i64 = 86_400_000;
 /// Age up to which a record is merged. Whoever lived longer than its interval of writing would have written a
 /// newer one.
 const MAX_RECORD_AGE_MS: u64 = 60_000;
@@ -39,7 +43,8 @@
     /// Forgets versions that have not been listed for long.
     pub fn expire(&mut self, now_ms: u64) {
         for versions in self.services.values_mut() {
-            versions.retain(|_, listed_at_ms| now_ms as i64 - *listed_at_ms < RETENTION_MS);
+            versions
+                .retain(|_, listed_at_ms| now_ms as i64 - *listed_at_ms <= LISTING_RETENTION_MS);
         }
         self.services.retain(|_, versions| !versions.is_empty());
     }
@@ -74,7 +79,7 @@
 
     /// Records that no instance has begun streams before `now_ms`, so that nothing is missing here.
     pub fn record_first_start(&mut self, now_ms: u64) {
-        self.complete_since_ms = self.complete_since_ms.min(now_ms as i64 - RETENTION_MS);
+        self.complete_since_ms = self.complete_since_ms.min(now_ms as i64 - FIRST_START_KNOWN_MS);
     }
 
     /// Records that versions may have been listed and have gone until `now_ms` that are missing here. The next record
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -1,8 +1,8 @@
 //! Origins of streams, their holders, and versions that are listed.
 
 use hickorycourse_origins::{
-    BeginningJournal, ListedVersions, OriginJournal, OriginTable, StreamBeginning, StreamKey,
-    StreamOrigin, VersionRecord, choose_holders, write_interval_ms,
+    BeginningJournal, LISTING_RETENTION_MS, ListedVersions, OriginJournal, OriginTable,
+    StreamBeginning, StreamKey, StreamOrigin, VersionRecord, choose_holders, write_interval_ms,
 };
 use proptest::prelude::*;
 
@@ -305,6 +305,28 @@
     assert_eq!(listed.sole_since("desk", 100 - TIMEOUT_MS), Some("v1"));
 }
 
+// Guards against a former version that is forgotten while instances that are cut off from the store can begin streams there,
+// and against windows that are never known.
+#[test]
+fn sole_since_retention_is_known_after_first_start_and_restarts() {
+    let since_ms = |now_ms: u64| now_ms as i64 - LISTING_RETENTION_MS;
+    let mut listed = ListedVersions::default();
+    listed.record_first_start(50);
+    for _ in 0..20 {
+        listed.record("desk", Some("v2"), 100);
+        assert_eq!(listed.sole_since("desk", since_ms(100)), Some("v2"));
+        listed = start_after(&listed, 100, 700, 0);
+    }
+    listed.record("desk", Some("v2"), 1_000);
+    let gone_at_ms = 1_000 + LISTING_RETENTION_MS as u64;
+    for (now_ms, sole) in [(gone_at_ms, None), (gone_at_ms + 1, Some("v3"))] {
+        listed.record("desk", Some("v3"), now_ms);
+        listed.expire(now_ms);
+        assert_eq!(listed.sole_since("desk", since_ms(now_ms)), sole);
+        assert_eq!(listed.is_mixed_since("desk", since_ms(now_ms)), sole.is_none());
+    }
+}
+
 #[test]
 fn is_outdated_by_change_or_age() {
     let mut listed = ListedVersions::default();
--- a/crates/origins/tests/routes.rs
+++ b/crates/origins/tests/routes.rs
@@ -1,6 +1,10 @@
 //! Services that paths have led to, also where all instances are killed beside moves of routes.
 
-use hickorycourse_origins::{ListedVersions, RouteTargets, VersionRecord, make_prefix};
+use std::collections::BTreeSet;
+
+use hickorycourse_origins::{
+    LISTING_RETENTION_MS, ListedVersions, PresentRoute, RouteTargets, VersionRecord, make_prefix,
+};
 use proptest::prelude::*;
 
 const HOST: &str = "desk.example";
@@ -17,7 +21,16 @@
 const OTHER: Routes<'_> = &[("/draft/", "desk"), ("/look/", "files")];
 
 fn observe(targets: &mut RouteTargets, routes: Routes<'_>, now_ms: u64) {
-    let routes = routes.iter().map(|(prefix, service)| (make_prefix(HOST, prefix), *service));
+    observe_open(targets, routes, &[], now_ms);
+}
+
+/// Observes routes of which those with the prefixes `open` are open.
+fn observe_open(targets: &mut RouteTargets, routes: Routes<'_>, open: &[&str], now_ms: u64) {
+    let routes = routes.iter().map(|(prefix, service)| PresentRoute {
+        prefix: make_prefix(HOST, prefix),
+        service,
+        is_open: open.contains(prefix),
+    });
     targets.observe(routes, now_ms);
     targets.expire(now_ms);
 }
@@ -188,6 +201,117 @@
     }
 }
 
+// Guards against a former service that is forgotten while instances that are cut off from the store can begin streams
+// there, and against windows that are never known.
+#[test]
+fn sole_since_retention_is_known_after_first_start_and_restarts() {
+    let since_ms = |now_ms: u64| now_ms as i64 - LISTING_RETENTION_MS;
+    let mut targets = lived(DESK);
+    assert_eq!(targets.sole_since(HOST, PATH, since_ms(100_000)), Some("desk"));
+    for _ in 0..20 {
+        targets = start_after(&targets, 700, DESK, true);
+        assert_eq!(targets.sole_since(HOST, PATH, since_ms(100)), Some("desk"));
+        observe(&mut targets, DESK, 100_000);
+    }
+    let gone_at_ms = 100_000 + LISTING_RETENTION_MS as u64;
+    observe(&mut targets, FILES, gone_at_ms);
+    assert_eq!(targets.sole_since(HOST, PATH, since_ms(gone_at_ms)), None);
+    observe(&mut targets, FILES, gone_at_ms + 1);
+    assert_eq!(targets.sole_since(HOST, PATH, since_ms(gone_at_ms + 1)), Some("files"));
+}
+
+fn open_services(targets: &RouteTargets, since_ms: i64) -> Vec<&str> {
+    targets.open_since(since_ms).into_iter().collect()
+}
+
+// Guards against streams of instances that are cut off from the store being overlooked: they begin by a former route that
+// was open, or shorter, also where the present one is not.
+#[test]
+fn is_open_since_former_route_is_known() {
+    let is_open =
+        |targets: &RouteTargets, since_ms: i64| targets.is_open_since(HOST, PATH, since_ms);
+    let mut targets = RouteTargets::default();
+    observe_open(&mut targets, DESK, &["/draft/"], 100);
+    observe(&mut targets, DESK, 200);
+    assert!(is_open(&targets, 100) && !is_open(&targets, 101));
+    assert_eq!(open_services(&targets, 100), ["desk"]);
+    assert!(open_services(&targets, 101).is_empty());
+    let mut targets = RouteTargets::default();
+    observe_open(&mut targets, DESK, &["/draft/"], 100);
+    observe_open(&mut targets, LONGER, &["/draft/"], 200);
+    assert!(is_open(&targets, 200), "the longer route has come at 200");
+    assert_eq!(open_services(&targets, 200), ["desk", "files"]);
+    observe_open(&mut targets, LONGER, &["/draft/"], 300);
+    assert!(!is_open(&targets, 201), "the open route no longer applies");
+    assert_eq!(open_services(&targets, 201), ["desk"]);
+    assert!(!targets.is_open_since("other.example", PATH, 0));
+    observe(&mut targets, DESK, 300 + LISTING_RETENTION_MS as u64);
+    assert!(targets.is_open_since(HOST, "/draft/2", 300));
+    observe(&mut targets, DESK, 301 + LISTING_RETENTION_MS as u64);
+    assert!(!targets.is_open_since(HOST, "/draft/2", 300), "it is forgotten");
+}
+
+// Guards against the windows of open routes at services that have none.
+#[test]
+fn open_since_routes_that_need_keys_are_not_open() {
+    for routes in [DESK, FILES, SPLIT, LONGER, OTHER] {
+        assert!(open_services(&lived(routes), 0).is_empty(), "{routes:?}");
+        assert!(!lived(routes).is_open_since(HOST, PATH, 0), "{routes:?}");
+    }
+    let mut targets = RouteTargets::default();
+    observe_open(&mut targets, OTHER, &["/look/"], 100);
+    assert_eq!(open_services(&targets, 100), ["files"]);
+    assert!(!targets.is_open_since(HOST, PATH, 0));
+}
+
+// Guards against open routes that are forgotten as all instances are killed.
+#[test]
+fn merge_open_route_is_known() {
+    let mut lived = RouteTargets::default();
+    observe_open(&mut lived, DESK, &["/draft/"], 50_000);
+    let known = lived.make_record(50_000).expect("the routes are known");
+    for has_routes_first in [false, true] {
+        let started = start_after(&lived, 700, DESK, has_routes_first);
+        // It went 50 s before the record and 0.7 s before the start, but for the allowance for clocks.
+        assert!(started.is_open_since(HOST, PATH, 50 - 40_700), "{has_routes_first}");
+        assert!(!started.is_open_since(HOST, PATH, 51 - 40_700), "{has_routes_first}");
+    }
+    observe(&mut lived, DESK, 50_001);
+    let closed = lived.make_record(50_001).expect("the routes are known");
+    let record = |routes| VersionRecord { routes: Some(routes), ..VersionRecord::default() };
+    assert!(record(known).is_outdated_by(&record(closed)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(500) })]
+
+    // Load pattern: an instance that is cut off begins streams by any former configuration; where one of them is open for the
+    // path, the path is, and all services that it may have led to are.
+    #[test]
+    fn is_open_since_random_moves_is_complete(
+        steps in proptest::collection::vec((0..CONFIGURATIONS.len(), 1_u64..20_000, any::<[bool; 3]>()), 1..12),
+    ) {
+        let prefixes = ["/draft/", "/draft/1/", "/look/"];
+        let (mut now_ms, mut targets) = (0, RouteTargets::default());
+        let mut possible = BTreeSet::new();
+        let mut is_open = false;
+        for (configuration, pause_ms, open) in steps {
+            let open: Vec<&str> =
+                prefixes.iter().zip(open).filter(|(_, open)| *open).map(|(prefix, _)| *prefix).collect();
+            let routes = CONFIGURATIONS[configuration];
+            observe_open(&mut targets, routes, &open, now_ms);
+            let longest = routes.iter().filter(|(prefix, _)| PATH.starts_with(prefix));
+            let longest = longest.map(|(prefix, _)| *prefix).max().expect("a route");
+            is_open |= open.contains(&longest);
+            possible.extend(services(routes));
+            now_ms += pause_ms;
+            observe_open(&mut targets, routes, &open, now_ms);
+            prop_assert!(!is_open || targets.is_open_since(HOST, PATH, 0));
+            prop_assert!(!is_open || possible.is_subset(&targets.open_since(0)));
+        }
+    }
+}
+
 #[test]
 fn expire_removed_route_is_forgotten() {
     let mut targets = lived(LONGER);
--- a/crates/relay/src/origin_records.rs
+++ b/crates/relay/src/origin_records.rs
@@ -12,7 +12,9 @@
 use std::time::Duration;
 
 use hickorycourse_clock::{sleep, timeout};
-use hickorycourse_origins::{BeginningSegment, OriginSegment, VersionRecord, write_interval_ms};
+use hickorycourse_origins::{
+    BeginningSegment, LISTING_RETENTION_MS, OriginSegment, VersionRecord, write_interval_ms,
+};
 use hickorycourse_store::{KeyValue, KeyValueRecord, Lease, PlatformError, SwapOutcome};
 use serde::Serialize;
 use serde_json::json;
@@ -34,7 +36,7 @@
 const LEASE_AGE_MS: u64 = 30_000;
 /// Time after a service's last but one version has gone for which origins are written, beyond the time for which
 /// its streams last: instances that start take such a version to have gone later.
-const MIXED_GRACE_MS: u64 = 20_000;
+pub(crate) const MIXED_GRACE_MS: u64 = 20_000;
 /// Interval at which the versions that are listed are compared with the record.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Pause after a failed write.
@@ -215,14 +217,24 @@
         let since_ms = now_ms - lasts_ms as i64;
         let versions = self.listed_versions.lock();
         let routes = self.route_targets.lock();
-        let is_past_known =
-            versions.is_complete_since(since_ms) && routes.is_complete_since(since_ms);
-        if !is_past_known {
+        let is_past_known = |since_ms: i64| {
+            versions.is_complete_since(since_ms) && routes.is_complete_since(since_ms)
+        };
+        if !is_past_known(since_ms) {
             return AmbiguousServices::All;
         }
-        let shared = routes.shared_since(since_ms).into_iter();
-        let mixed = versions.mixed_since(since_ms).into_iter();
-        AmbiguousServices::Some(shared.chain(mixed).map(str::to_owned).collect())
+        let mut services = routes.shared_since(since_ms);
+        services.extend(versions.mixed_since(since_ms));
+        let open_since_ms = since_ms.min(now_ms - LISTING_RETENTION_MS);
+        let mut open = routes.open_since(open_since_ms);
+        if !open.is_empty() && is_past_known(open_since_ms) {
+            let shared = routes.shared_since(open_since_ms);
+            open.retain(|service| {
+                shared.contains(service) || versions.is_mixed_since(service, open_since_ms)
+            });
+        }
+        services.extend(open);
+        AmbiguousServices::Some(services.into_iter().map(str::to_owned).collect())
     }
 
     fn longest_stream_ms(&self) -> u64 {
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -11,7 +11,8 @@
 use hickorycourse_clock::sleep;
 use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_origins::{
-    StreamBeginning, StreamKey, StreamOrigin, choose_holders, make_prefix,
+    LISTING_RETENTION_MS, PresentRoute, StreamBeginning, StreamKey, StreamOrigin, choose_holders,
+    make_prefix,
 };
 use hickorycourse_routes::{Route, UpstreamPhase};
 use hickorycourse_starts::Acceptance;
@@ -22,6 +23,7 @@
 
 use crate::broadcast::{PeerBroadcast, count_dropped};
 use crate::datagrams::Message;
+use crate::origin_records::MIXED_GRACE_MS;
 use crate::state::Relay;
 
 /// Instances of the own availability zone that are told the origin of a stream, and instances of the whole
@@ -33,6 +35,9 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Longest time for which a caller takes an interrupted stream up, beyond the time for which it can last.
 const MAX_RETURN_MS: u64 = 10_000;
+/// Time before a caller's return within which streams of open routes can have begun by former routes and listings, by
+/// which an instance that is cut off from the store serves them. Origins are written for longer.
+const OPEN_LISTING_MS: i64 = LISTING_RETENTION_MS - MIXED_GRACE_MS as i64;
 /// Longest wait for the origin of a stream while the store can't be read; callers abandon a stream after a gap
 /// of that length.
 const MAX_SEARCH_MS: u64 = 2_000;
@@ -349,33 +354,36 @@
     /// long as streams last.
     fn sole_origin(&self, routed: RoutedPath<'_>) -> Option<StreamOrigin> {
         let now_ms = self.now_ms();
-        let service = self.sole_service(routed, now_ms)?;
+        let since_ms = self.earliest_beginning_ms(routed, now_ms)?;
+        let service = self.sole_service(routed, since_ms)?;
         if self.has_unlisted_start(&service) {
             return None;
         }
-        let since_ms = self.earliest_beginning_ms(routed.route, now_ms)?;
         self.observe_versions(now_ms);
         let versions = self.listed_versions.lock();
         let version = versions.sole_since(&service, since_ms)?.to_owned();
         Some(StreamOrigin { service, version })
     }
 
-    /// Returns the service that alone can have begun a stream of a path that is taken up at `now_ms`.
-    fn sole_service(&self, routed: RoutedPath<'_>, now_ms: u64) -> Option<String> {
-        let since_ms = self.earliest_beginning_ms(routed.route, now_ms)?;
-        self.observe_routes(now_ms);
+    /// Returns the service that alone can have begun a stream of a path since `since_ms`.
+    fn sole_service(&self, routed: RoutedPath<'_>, since_ms: i64) -> Option<String> {
         let targets = self.route_targets.lock();
         targets.sole_since(routed.host, routed.path, since_ms).map(str::to_owned)
     }
 
     /// Returns the earliest time at which what was listed can have begun a stream that is taken up at `now_ms`.
-    fn earliest_beginning_ms(&self, route: &Route, now_ms: u64) -> Option<i64> {
-        let lasts_ms = route.timeout_ms.saturating_add(self.former_listing_ms());
-        Some(now_ms as i64 - i64::try_from(lasts_ms).ok()?)
+    fn earliest_beginning_ms(&self, routed: RoutedPath<'_>, now_ms: u64) -> Option<i64> {
+        let lasts_ms = routed.route.timeout_ms.saturating_add(self.former_listing_ms());
+        let since_ms = now_ms as i64 - i64::try_from(lasts_ms).ok()?;
+        let open_since_ms = since_ms.min(now_ms as i64 - OPEN_LISTING_MS);
+        self.observe_routes(now_ms);
+        let targets = self.route_targets.lock();
+        let is_open = targets.is_open_since(routed.host, routed.path, open_since_ms);
+        Some(if is_open { open_since_ms } else { since_ms })
     }
 
     /// Returns the time for which streams are taken up that were begun by routes and versions which are no longer listed,
-    /// beyond that for which they last.
+    /// beyond that for which they last; not those of open routes.
     pub(crate) fn former_listing_ms(&self) -> u64 {
         let bounds = &self.settings.bounds;
         // Another instance may have used them for longer than this one.
@@ -385,9 +393,17 @@
     /// Records the routes that are in force at `now_ms`.
     pub fn observe_routes(&self, now_ms: u64) {
         let Some(table) = self.route_table() else { return };
-        let routes = table.document().routes.iter().flat_map(|route| {
-            let targets = route.targets.iter();
-            targets.map(|target| (make_prefix(&route.host, &route.path_prefix), &*target.service))
+        let document = table.document();
+        // Else instances that are cut off from the store begin streams by a document of any age.
+        let are_keys_checked =
+            self.settings.bounds.is_revocation_strict && document.organisations.is_some();
+        let routes = document.routes.iter().flat_map(|route| {
+            let is_open = route.repeat.is_stream() && (route.is_public || !are_keys_checked);
+            route.targets.iter().map(move |target| PresentRoute {
+                prefix: make_prefix(&route.host, &route.path_prefix),
+                service: &target.service,
+                is_open,
+            })
         });
         let mut targets = self.route_targets.lock();
         targets.observe(routes, now_ms);
