--- a/crates/relay/src/origin_records.rs
+++ b/crates/relay/src/origin_records.rs
@@ -67,15 +67,15 @@
 pub(crate) enum AmbiguousServices {
     /// All, as the past is not known for long enough.
     All,
-    /// Those of which that is known.
-    Some(BTreeSet<String>),
+    /// These, and no others.
+    Known(BTreeSet<String>),
 }
 
 impl AmbiguousServices {
     pub(crate) fn contains(&self, service: &str) -> bool {
         match self {
             Self::All => true,
-            Self::Some(services) => services.contains(service),
+            Self::Known(services) => services.contains(service),
         }
     }
 }
@@ -244,7 +244,7 @@
             });
         }
         services.extend(open);
-        AmbiguousServices::Some(services.into_iter().map(str::to_owned).collect())
+        AmbiguousServices::Known(services.into_iter().map(str::to_owned).collect())
     }
 
     fn longest_stream_ms(&self) -> u64 {
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -265,22 +265,22 @@
                 None => KnownOrigin::Unknown,
             };
             let is_listing_recent = self.is_log_current(self.now_ms());
-            let (origin, source) = match &known {
-                KnownOrigin::Settled(origin) => (Some(origin.clone()), OriginSource::Instance),
+            let found = match &known {
+                KnownOrigin::Settled(origin) => Some((origin.clone(), OriginSource::Instance)),
                 KnownOrigin::Unsettled(beginning) => {
                     let known = std::iter::once((key, beginning));
                     let known = known.filter_map(|(key, beginning)| Some((key?, beginning)));
                     self.origins.lock().learn_beginnings(known, self.now_ms());
                     let origin = key.and_then(|key| self.settle_origin(key, beginning));
-                    (origin, OriginSource::Instance)
+                    origin.map(|origin| (origin, OriginSource::Instance))
                 }
                 KnownOrigin::Unknown => {
                     let origin = self.find_sole_origin(routed, started_at_ms, give_up_at_ms).await;
-                    (origin, OriginSource::OnlyVersion)
+                    origin.map(|origin| (origin, OriginSource::OnlyVersion))
                 }
             };
-            if let Some(origin) = origin {
-                return Some((origin, source));
+            if found.is_some() {
+                return found;
             }
             let left_ms = give_up_at_ms.saturating_sub(self.now_ms());
             if left_ms == 0 {
