Versions: a record tells for how long its writer had not read the store

Where bounds are short, callers that took up streams after a restart of all instances would have been refused: the record of versions had grown too old to be believed.

Since no record was written while the latest reading was older than a change takes to become known.

The record is written as before and says for how long its writer had not read the store. It is believed for 60 s from that reading, and ends a gap only if that reading was after it.

The log line of a gap is `changes_missed` now.

--- a/crates/origins/src/records.rs
+++ b/crates/origins/src/records.rs
@@ -81,8 +81,12 @@
     pub written_at_wall_ms: u64,
     /// Era of the store in which it was written.
     pub store_era: u64,
-    /// Time up to the write of which all versions are known.
+    /// Time up to the write of which all versions are known, but for `unread_for_ms`.
     pub complete_for_ms: u64,
+    /// Time before the write in which the writer had not read the store, so that it may miss changes; earlier builds
+    /// neither write nor read it.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unread_for_ms: u64,
     /// Versions by service.
     pub services: BTreeMap<String, Vec<ServiceVersion>>,
     /// Targets of routes; `None` if the writer does not know them or is of an earlier build.
@@ -90,6 +94,10 @@
     pub routes: Option<RouteRecord>,
 }
 
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
 impl VersionRecord {
     /// Returns whether instances that start learn from this record that a version of the service was not known at
     /// `wall_ms`.
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -25,6 +25,8 @@
 pub struct ListedVersions {
     /// Time since which nothing that was listed is missing here.
     complete_since_ms: i64,
+    /// End of the latest gap; `None` if there was none.
+    gap_end_ms: Option<i64>,
     services: BTreeMap<String, BTreeMap<Option<String>, i64>>,
     has_merged: bool,
 }
@@ -82,10 +84,11 @@
         self.complete_since_ms = self.complete_since_ms.min(now_ms as i64 - FIRST_START_KNOWN_MS);
     }
 
-    /// Records that versions may have been listed and have gone until `now_ms` that are missing here. The next record
-    /// is merged again.
+    /// Records that versions may have been listed and have gone until `now_ms` that are missing here. A record whose writer
+    /// knew what has been listed until then is merged again.
     pub fn record_gap(&mut self, now_ms: u64) {
         self.complete_since_ms = now_ms as i64;
+        self.gap_end_ms = Some(now_ms as i64);
         self.has_merged = false;
     }
 
@@ -109,6 +112,7 @@
             written_at_wall_ms: wall_ms,
             store_era,
             complete_for_ms: elapsed_ms(self.complete_since_ms),
+            unread_for_ms: 0,
             services: services.collect(),
             routes: None,
         }
@@ -124,11 +128,15 @@
         now_ms: u64,
     ) -> bool {
         let age_ms = wall_ms as i64 - record.written_at_wall_ms as i64;
-        let is_valid = age_ms.unsigned_abs() <= MAX_RECORD_AGE_MS && record.store_era == store_era;
+        let unread_for_ms = i64::try_from(record.unread_for_ms).unwrap_or(i64::MAX / 4);
+        let known_ago_ms = age_ms + unread_for_ms;
+        let now_ms = now_ms as i64;
+        let is_valid = known_ago_ms.unsigned_abs() <= MAX_RECORD_AGE_MS
+            && record.store_era == store_era
+            && self.gap_end_ms.is_none_or(|gap_end_ms| now_ms - known_ago_ms >= gap_end_ms);
         if self.has_merged || !is_valid {
             return false;
         }
-        let now_ms = now_ms as i64;
         let at_ms = |ago_ms: u64| {
             let ago_ms = i64::try_from(ago_ms).unwrap_or(i64::MAX / 4);
             (now_ms - age_ms.max(0) - ago_ms + CLOCK_ALLOWANCE_MS).min(now_ms)
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -265,6 +265,20 @@
     assert_eq!(started.sole_since("desk", 100 - TIMEOUT_MS), None, "nor do those that start later");
 }
 
+// Guards against a record of a writer that had not read the store for as long as records are believed.
+#[test]
+fn merge_unread_record_knows_no_sole_version() {
+    let mut lived = ListedVersions::default();
+    lived.record_first_start(0);
+    lived.record("desk", Some("v2"), 100_000);
+    let record = lived.make_record(WALL_MS, 0, 100_000);
+    for (unread_for_ms, is_merged) in [(0, true), (59_000, true), (61_000, false)] {
+        let record = VersionRecord { unread_for_ms, ..record.clone() };
+        let merged = ListedVersions::default().merge(&record, WALL_MS + 700, 0, 100);
+        assert_eq!(merged, is_merged, "{unread_for_ms}");
+    }
+}
+
 // Guards against a version that was listed only while the log had a gap being taken for one that never was.
 #[test]
 fn record_gap_knows_sole_version_once_another_instance_tells() {
@@ -288,6 +302,9 @@
     let sound = other.make_record(WALL_MS + 30_000, 0, 130_000);
     other.record("desk", Some("v2"), 128_000);
     let mixed = other.make_record(WALL_MS + 30_000, 0, 130_000);
+    // One whose writer had not read the store since before the end of the gap tells nothing of it.
+    let unread = VersionRecord { unread_for_ms: 1, ..sound.clone() };
+    assert!(!listed.merge(&unread, WALL_MS + 30_000, 0, 130_000));
     // One that has the gap, too, tells nothing, and does not stand in for the next one.
     let incomplete = listed.make_record(WALL_MS + 30_000, 0, 130_000);
     assert!(!listed.merge(&incomplete, WALL_MS + 30_000, 0, 130_000));
--- a/crates/relay/src/origin_records.rs
+++ b/crates/relay/src/origin_records.rs
@@ -156,24 +156,18 @@
         self.log_gap_revision.fetch_max(revision, Ordering::Relaxed);
         self.listed_versions.lock().record_gap(now_ms);
         self.route_targets.lock().record_gap(now_ms);
-        self.log.write("log_gap", || json!({ "missed_ms": missed_ms }));
+        self.log.write("changes_missed", || json!({ "missed_ms": missed_ms }));
     }
 
-    /// Returns the record of what is known at `now_ms`. While changes may be missing, it says nothing of the past.
+    /// Returns the record of what is known at `now_ms`.
     pub(crate) fn make_version_record(&self, now_ms: u64) -> VersionRecord {
         let wall_ms = self.wall_clock.lock().estimate_ms(now_ms);
         let era = self.store_era();
-        let known = self.listed_versions.lock().make_record(wall_ms, era, now_ms);
-        if !self.is_log_current(now_ms) {
-            return VersionRecord { complete_for_ms: 0, ..known };
+        VersionRecord {
+            routes: self.route_targets.lock().make_record(now_ms),
+            unread_for_ms: now_ms.saturating_sub(self.log_attested_at_ms().unwrap_or(0)),
+            ..self.listed_versions.lock().make_record(wall_ms, era, now_ms)
         }
-        VersionRecord { routes: self.route_targets.lock().make_record(now_ms), ..known }
-    }
-
-    /// Returns whether all changes that have taken longer to become known than they may are known.
-    pub(crate) fn is_log_current(&self, now_ms: u64) -> bool {
-        let propagation_ms = self.settings.bounds.change_propagation_ms();
-        self.log_attested_at_ms().is_some_and(|at_ms| now_ms <= at_ms + propagation_ms)
     }
 
     /// Applies the origins that another instance, or this one before it started, has written.
@@ -318,11 +312,11 @@
     relay: &Relay,
     key_value: &dyn KeyValue,
 ) -> Result<(), PlatformError> {
-    let now_ms = relay.now_ms();
     // What this process has not listed, it can't tell.
-    if !relay.is_log_current(now_ms) || !relay.is_record_writer() {
+    if relay.log_attested_at_ms().is_none() || !relay.is_record_writer() {
         return Ok(());
     }
+    let now_ms = relay.now_ms();
     relay.observe_versions(now_ms);
     relay.observe_routes(now_ms);
     let record = relay.make_version_record(now_ms);
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -264,7 +264,7 @@
                 Some(key) => self.ask_stream_origin(key).await,
                 None => KnownOrigin::Unknown,
             };
-            let is_listing_recent = self.is_log_current(self.now_ms());
+            let is_listing_recent = self.is_listing_recent();
             let found = match &known {
                 KnownOrigin::Settled(origin) => Some((origin.clone(), OriginSource::Instance)),
                 KnownOrigin::Unsettled(beginning) => {
@@ -343,6 +343,13 @@
         self.sole_origin(routed).filter(|_| is_known)
     }
 
+    /// Returns whether a version that is listed for longer than its propagation takes is known here.
+    fn is_listing_recent(&self) -> bool {
+        let propagation_ms = self.settings.bounds.change_propagation_ms();
+        let attested_at_ms = self.log_attested_at_ms();
+        attested_at_ms.is_some_and(|at_ms| self.now_ms() <= at_ms + propagation_ms)
+    }
+
     /// Returns the origin of any stream of a path that has led to one service alone, which has had one version for as
     /// long as streams last.
     fn sole_origin(&self, routed: RoutedPath<'_>) -> Option<StreamOrigin> {
