Versions: nothing is known of the time before the first listing

A stream could go on at another version at an instance that had started while it could not reach the store: the start of the process counted as the time since which all versions are known, and what peers told until then as all routes.

The first listing is that time now, unless a record in it tells more. Found by reading; record_first_listing_* shows the decision, an instance in that state was not played.

--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -84,6 +84,11 @@
         self.complete_since_ms = self.complete_since_ms.min(now_ms as i64 - FIRST_START_KNOWN_MS);
     }
 
+    /// Records the first listing: what was listed before is not known, unless a record tells it.
+    pub fn record_first_listing(&mut self, now_ms: u64) {
+        self.complete_since_ms = self.complete_since_ms.max(now_ms as i64);
+    }
+
     /// Records that versions may have been listed and have gone until `now_ms` that are missing here. A record whose writer
     /// knew what has been listed until then is merged again.
     pub fn record_gap(&mut self, now_ms: u64) {
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -265,6 +265,16 @@
     assert_eq!(started.sole_since("desk", 100 - TIMEOUT_MS), None, "nor do those that start later");
 }
 
+// Guards against versions of before the first listing being taken for known, as the process had started earlier.
+#[test]
+fn record_first_listing_knows_nothing_of_before() {
+    let mut listed = ListedVersions::default();
+    listed.record_first_listing(40_000);
+    listed.record("desk", Some("v1"), 40_000);
+    assert_eq!(listed.sole_since("desk", 39_999), None);
+    assert_eq!(listed.sole_since("desk", 40_000), Some("v1"));
+}
+
 // Guards against a record of a writer that had not read the store for as long as records are believed.
 #[test]
 fn merge_unread_record_knows_no_sole_version() {
--- a/crates/relay/src/origin_records.rs
+++ b/crates/relay/src/origin_records.rs
@@ -144,6 +144,13 @@
         self.log.write("versions_absent", || json!({ "era": era, "is_first_start": is_first }));
     }
 
+    /// Records the first listing of the store. What other instances have told before was not all that was listed.
+    pub fn record_first_listing(&self) {
+        let now_ms = self.now_ms();
+        self.listed_versions.lock().record_first_listing(now_ms);
+        self.route_targets.lock().record_gap(now_ms);
+    }
+
     /// Records that the changes in the store after `known_until_ms` have become known as differences of a listing at
     /// `revision`. A version or a route that came and went meanwhile is missing, unless it was there for less than a change
     /// takes to become known.
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -234,8 +234,9 @@
     let items = listed?;
     relay.observe_store_era(key_value.era(), "store");
     log_listing(relay, &items, watch.revision());
-    if let Some(known_until_ms) = known_until_ms {
-        relay.record_log_gap(known_until_ms, watch.revision());
+    match known_until_ms {
+        Some(known_until_ms) => relay.record_log_gap(known_until_ms, watch.revision()),
+        None => relay.record_first_listing(),
     }
     apply_listing(relay, &items);
     // Before the listing proves keys.
