Ends: breaks of the same moment are those of 20 ms again

It is the time before an end in which the break of another connection counts for the same, which does not depend on timers: more sound ends than before were refused.

--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -21,7 +21,7 @@
 use crate::witness::{OpenWitness, Witness};
 
 /// Time in which the ends of all connections of a killed process arrive.
-const SETTLE_TIME: Duration = Duration::from_millis(32);
+const SETTLE_TIME: Duration = Duration::from_millis(20);
 
 /// The same for a witness that can't be asked: nothing but its end tells of that of its process, which may be preempted
 /// while it ends.
