--- a/crates/clock/src/sleep.rs
+++ b/crates/clock/src/sleep.rs
@@ -1,9 +1,8 @@
-//! Waits of asynchronous tasks.
+//! Waits of asynchronous tasks, for processes that may be suspended and threads that may not run for seconds.
 //!
-//! A process may be suspended, or a thread may not run for seconds. The timers of ntex count the time of those that are set
-//! before its timer task has run again from the last expiry before, so that they last longer by the whole interruption.
-//! Those of tokio expire before the input that has arrived meanwhile is read, so that a wait which ends late is followed by a
-//! short one.
+//! They use the timers of tokio. ntex measures a new timer from the last expiry of an earlier one until its timer task has run
+//! again, so that a wait which begins right after an interruption lasts longer by its whole length. tokio lets a timer expire
+//! before it reads the input that has arrived during the interruption, so a wait that ends late is extended for that.
 
 use std::future::Future;
 use std::pin::Pin;
@@ -12,12 +11,12 @@
 
 use pin_project_lite::pin_project;
 
-/// Time by which a wait ends late if its thread has not run.
-const INTERRUPTED: Duration = Duration::from_millis(30);
-/// Time in which input that has arrived is read.
-const INPUT: Duration = Duration::from_millis(10);
+/// Lateness above which a wait counts as interrupted.
+const MAX_LATENESS: Duration = Duration::from_millis(30);
+/// Extension of an interrupted wait, in which pending input is read.
+const INPUT_GRACE: Duration = Duration::from_millis(10);
 
-/// A limit has passed.
+/// The limit of a [`timeout`] has passed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("the time limit has passed")]
 pub struct Elapsed;
@@ -39,11 +38,11 @@
     fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
         let mut this = self.project();
         ready!(this.timer.as_mut().poll(cx));
-        let is_interrupted = this.started.elapsed() > this.duration.saturating_add(INTERRUPTED);
+        let is_interrupted = this.started.elapsed() > this.duration.saturating_add(MAX_LATENESS);
         if !is_interrupted || std::mem::replace(this.is_extended, true) {
             return Poll::Ready(());
         }
-        this.timer.as_mut().reset(tokio::time::Instant::now() + INPUT);
+        this.timer.as_mut().reset(tokio::time::Instant::now() + INPUT_GRACE);
         this.timer.poll(cx)
     }
 }
@@ -70,14 +69,14 @@
     }
 }
 
-/// Waits for a time. What has arrived by its end has been read then, also if the thread has not run meanwhile.
+/// Waits for `duration`. Input that has arrived by the end has been read then, even if the thread did not run meanwhile.
 pub fn sleep(duration: Duration) -> Sleep {
     let timer = tokio::time::sleep(duration);
     Sleep { timer, started: Instant::now(), duration, is_extended: false }
 }
 
-/// Waits for a future up to a limit; ends with an error if it is not ready by then. What has arrived by then counts, also
-/// if the thread has not run meanwhile.
+/// Waits for `future`, for `limit` at most, and returns [`Elapsed`] if it is not ready by then. Input that has arrived by then
+/// counts, even if the thread did not run meanwhile.
 pub fn timeout<F: Future>(limit: Duration, future: F) -> Timeout<F> {
     Timeout { future, limit: sleep(limit) }
 }
--- a/crates/connections/src/client.rs
+++ b/crates/connections/src/client.rs
@@ -7,8 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hickorycourse_clock::timeout;
-use hickorycourse_clock::{Clock, SystemClock};
+use hickorycourse_clock::{Clock, SystemClock, timeout};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes};
 use hyper::header::{self, HeaderValue};
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hickorycourse_clock::timeout;
 use hickorycourse_store::build_client;
 use ntex::client::{Client, ClientRequest};
-use ntex::time::timeout;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -4,13 +4,13 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bpaf::Bpaf;
+use hickorycourse_clock::sleep;
 use hickorycourse_relay::RelaySettings;
 use hickorycourse_settings::document::{Document, DocumentName, Edit, to_document_text};
 use hickorycourse_settings::{
     EffectivePolicy, Organisation, ProcessSettings, SettingsTree, Site, ValidationError,
     parse_document,
 };
-use ntex::time::sleep;
 use serde_json::Value;
 
 use crate::client::OperatorClient;
--- a/crates/entry/src/platform_tasks.rs
+++ b/crates/entry/src/platform_tasks.rs
@@ -6,8 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use hickorycourse_clock::Tick;
-use hickorycourse_clock::{sleep, timeout};
+use hickorycourse_clock::{Tick, sleep, timeout};
 use hickorycourse_membership::VersionedDocument;
 use hickorycourse_settings::document::{Document, DocumentName, KEY_PREFIX};
 use hickorycourse_store::{
--- a/crates/entry/src/spans.rs
+++ b/crates/entry/src/spans.rs
@@ -3,8 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hickorycourse_clock::Tick;
-use hickorycourse_clock::timeout;
+use hickorycourse_clock::{Tick, timeout};
 use hickorycourse_store::build_client;
 use tokio::sync::mpsc;
 
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -6,8 +6,7 @@
 use std::sync::Arc;
 
 use eyre::WrapErr;
-use hickorycourse_clock::TimerService;
-use hickorycourse_clock::sleep;
+use hickorycourse_clock::{TimerService, sleep};
 use hickorycourse_peer::{PeerHandler, PeerMesh, PeerMessage, PeerOptions};
 use hickorycourse_settings::{LogFormat, LogLevel, ProcessSettings};
 use hickorycourse_store::{Fleet, FleetClient, GatewayClient, KeyValue};
--- a/crates/load/src/call.rs
+++ b/crates/load/src/call.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use futures_util::StreamExt;
+use hickorycourse_clock::timeout;
 use ntex::client::Client;
-use ntex::time::timeout;
 use serde_json::Value;
 
 /// Outcome of a call.
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -7,9 +7,9 @@
 use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
+use hickorycourse_clock::sleep;
 use hickorycourse_store::build_client;
 use ntex::client::Client;
-use ntex::time::sleep;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -10,8 +10,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use hickorycourse_clock::{Clock, SystemClock};
-use hickorycourse_clock::{sleep, timeout};
+use hickorycourse_clock::{Clock, SystemClock, sleep, timeout};
 use hickorycourse_settings::document::{Document, DocumentName};
 use hickorycourse_settings::{
     MachineClass, ProcessSettings, Site, UpstreamSettings, parse_document, read_document,
--- a/crates/tunnel/tests/tunnel.rs
+++ b/crates/tunnel/tests/tunnel.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hickorycourse_clock::timeout;
 use hickorycourse_tunnel::{
     ChunkReader, OpenError, OpenReply, OpenRequest, PROTOCOL_VERSION, RefusalReason,
     TunnelActivity, TunnelEnd, accept, carry, open, refuse, write_message,
 };
 use ntex::rt;
-use ntex::time::timeout;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
--- a/crates/upstream/tests/connections.rs
+++ b/crates/upstream/tests/connections.rs
@@ -9,9 +9,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use hickorycourse_clock::{sleep, timeout};
 use hickorycourse_codes::Execution;
 use hickorycourse_upstream::prelude::*;
-use ntex::time::{sleep, timeout};
 use support::{AfterResponse, PlainCall, RawUpstream};
 
 const FRAMED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
--- a/crates/upstream/tests/support/mod.rs
+++ b/crates/upstream/tests/support/mod.rs
@@ -147,7 +147,7 @@
             if self.record.lock().unwrap().closed.contains(&connection) {
                 return true;
             }
-            ntex::time::sleep(Duration::from_millis(5)).await;
+            hickorycourse_clock::sleep(Duration::from_millis(5)).await;
         }
         false
     }
