Facts: load of upstreams in a crate of its own

Admission, even load, completion times and capacity planning need the same figures of an upstream: its load with the age of each source, and its speed. They were fields of placement's private type. They move to hickorycourse_facts unchanged, so that the new parts share one table instead of keeping copies.

--- a/crates/placement/src/fragile.rs
+++ b/crates/placement/src/fragile.rs
@@ -171,8 +171,11 @@
         if claimants > 0 && now_ms < counted_at_ms + TURN_MS {
             return claimants;
         }
-        let mut peers: Vec<&str> =
-            self.upstreams.values().flat_map(|upstream| upstream.loading_peers(now_ms)).collect();
+        let mut peers: Vec<&str> = self
+            .upstreams
+            .values()
+            .flat_map(|upstream| upstream.facts.load.loading_peers(now_ms))
+            .collect();
         peers.sort_unstable();
         peers.dedup();
         let others: usize = peers.into_iter().map(|peer| self.count_peer_instances(peer)).sum();
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -36,6 +36,8 @@
     };
 }
 
+pub use hickorycourse_facts::{UpstreamLoad, WaitingRequests};
+
 pub use admission::{Admission, AdmissionRule, AdmitAll, Forecast, TargetAdmission};
 pub use backoff::Backoff;
 pub use cost::{CostComponents, CostRule, ExpectedWait, LeastRequests};
@@ -47,4 +49,3 @@
 pub use silence::Silence;
 pub use table::{Placement, PlacementOptions, PlacementTable, TokenDemand};
 pub use token_rate::{RankedRates, TokenRateMeter};
-pub use upstream::{UpstreamLoad, WaitingRequests};
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
+use hickorycourse_facts::{LoadEstimate, UpstreamLoad};
 use hickorycourse_routes::UpstreamEntry;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -15,7 +16,7 @@
 use crate::request::PlacementRequest;
 use crate::retry_schedule::RetrySchedule;
 use crate::token_rate::{RankedRates, TokenRateMeter};
-use crate::upstream::{LoadEstimate, Upstream, UpstreamLoad};
+use crate::upstream::Upstream;
 
 /// Upper bound of the share of prefill throughput attributed to more urgent ranks; keeps forecasts
 /// finite.
@@ -366,7 +367,7 @@
         let cached = upstream.estimate_cached_tokens(request, affinity_upstream == Some(id));
         let uncached = request.prompt_tokens.saturating_sub(cached);
         let shared = request.shared_tokens().saturating_sub(cached) as f64;
-        let load = upstream.estimate_load(request.urgency, rate, now_ms);
+        let load = upstream.facts.load.estimate(request.urgency, rate, upstream.slots, now_ms);
         let (running, slots) = (load.running as f64, upstream.slots as f64);
         let overflow = (running + 1.0 - slots).max(0.0) / slots;
         let pace = upstream.pace.factor(now_ms);
@@ -430,10 +431,7 @@
     ) {
         let Some(upstream) = self.upstreams.get_mut(&placement.upstream) else { return };
         self.sent_meter.add(placement.urgency, placement.uncached_tokens, now_ms);
-        upstream.begin_request(placement.is_lent, now_ms);
-        let waiting = upstream.waiting.entry(placement.urgency).or_default();
-        waiting.requests += 1;
-        waiting.tokens += placement.uncached_tokens;
+        upstream.begin_request(placement, now_ms);
         let hashes: Vec<u64> = request.parts.iter().map(|part| part.hash).collect();
         upstream.prefix_index.add(&hashes);
     }
@@ -495,10 +493,7 @@
 
     fn remove_waiting(&mut self, placement: &Placement) {
         let Some(upstream) = self.upstreams.get_mut(&placement.upstream) else { return };
-        if let Some(waiting) = upstream.waiting.get_mut(&placement.urgency) {
-            waiting.requests = waiting.requests.saturating_sub(1);
-            waiting.tokens = waiting.tokens.saturating_sub(placement.uncached_tokens);
-        }
+        upstream.facts.load.end_wait(placement.urgency, placement.uncached_tokens);
     }
 
     /// Records a load report of the upstream itself.
@@ -519,21 +514,22 @@
     /// Records the load that a peer instance reported for an upstream.
     pub fn set_peer_load(&mut self, peer: &str, upstream: &str, load: UpstreamLoad, now_ms: u64) {
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
-            upstream.set_peer_load(peer, load, now_ms);
+            upstream.facts.load.set_peer(peer, load, now_ms);
         }
     }
 
     /// Discards the load and demand reported by a peer instance, before its next report is applied.
     pub fn clear_peer(&mut self, peer: &str) {
         for upstream in self.upstreams.values_mut() {
-            upstream.clear_peer(peer);
+            upstream.facts.load.clear_peer(peer);
         }
         self.peer_demand.remove(peer);
     }
 
     /// This instance's load by upstream; upstreams without load are left out.
     pub fn own_loads(&self) -> impl Iterator<Item = (&str, UpstreamLoad)> {
-        let loaded = self.upstreams.iter().filter(|(_, upstream)| upstream.running > 0);
+        let loaded =
+            self.upstreams.iter().filter(|(_, upstream)| upstream.facts.load.running() > 0);
         loaded.map(|(id, upstream)| (id.as_str(), upstream.load()))
     }
 
@@ -568,7 +564,7 @@
     /// Discards the load and demand reported by all peers.
     pub fn clear_peers(&mut self) {
         for upstream in self.upstreams.values_mut() {
-            upstream.clear_peers();
+            upstream.facts.load.clear_peers();
         }
         self.peer_demand.clear();
     }
@@ -580,7 +576,7 @@
 
     /// Requests of all instances whose first byte has arrived.
     pub fn count_answering(&self, now_ms: u64) -> u64 {
-        self.upstreams.values().map(|upstream| upstream.count_answering(now_ms)).sum()
+        self.upstreams.values().map(|upstream| upstream.facts.load.count_answering(now_ms)).sum()
     }
 
     /// Whether any instance has received a request with uncached prompt tokens within the rate window.
