Connections: a status above 599 is no response

Cause: hyper accepts any three digits from 100 on, so that a response with status 600 or 999 was passed on to the caller with the upstream's seal. Change: the client that reads all responses (upstreams, witnesses, tunnels, store, duties) treats such a head as an invalid response; its connection is not used again.

--- a/crates/connections/src/pool.rs
+++ b/crates/connections/src/pool.rs
@@ -33,6 +33,8 @@
 const MAX_TUNNEL_IDLE_MS: u64 = 1_000;
 /// Largest head of a response; one that never ends must not fill the memory.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Highest status of a response (RFC 9110, section 15).
+const MAX_STATUS: u16 = 599;
 /// Idle connections in the pool for each upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 64;
 
@@ -166,6 +168,11 @@
         on_informational(&mut request, move |_| undelivered.add_informational());
         match timeout(limit, self.sender.try_send_request(request)).await {
             Ok(Ok(response)) => {
+                let status = response.status().as_u16();
+                if status > MAX_STATUS {
+                    let detail = format!("{status} is no status of HTTP");
+                    return Err(ExchangeError::InvalidResponse(detail));
+                }
                 self.undelivered.clear();
                 self.idle_timeout_ms = read_idle_timeout_ms(&response);
                 if self.carrier.is_some() {
