Capacity: planned from arriving work and the reclaims seen

Cause: the load was measured by responses in progress, which a shortage lengthens, so that orders followed the backlog in steps; in calm three upstreams ran for each that the load needs.

Change: a planner behind a trait, beside the baseline: Little's law with the residence learned while there is room, a model of reclaims that go together, one step to what is missing, slow removal. On for services with a price for reclaimable upstreams (policy.capacity_planner).

--- a/crates/relay/src/duty_tasks.rs
+++ b/crates/relay/src/duty_tasks.rs
@@ -8,9 +8,9 @@
 
 use hickorycourse_clock::sleep;
 use hickorycourse_duties::{
-    CapacityOrder, CapacityPlanner, LeaseAction, WindowCounts, ZoneCapacity,
+    CapacityOrder, LeaseAction, PlanCapacity, PlanInputs, ReclaimModel, WindowCounts, ZoneCapacity,
 };
-use hickorycourse_routes::{Service, UpstreamPhase};
+use hickorycourse_routes::{CapacityLimits, UpstreamPhase};
 use hickorycourse_store::{KeyValue, Lease, PlatformError, SwapOutcome};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -30,6 +30,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between two runs of the capacity planner.
 const PLANNING_INTERVAL_MS: u64 = 1_000;
+/// Plans in a row that are made while orders are refused.
+const MAX_PLANS: u32 = 3;
 /// Time after the end of a usage window for which the report waits for the counts of all instances,
 /// in percent of `usage_delay_ms`.
 const REPORT_WAIT_PERCENT: u64 = 55;
@@ -59,7 +61,9 @@
     /// First window that was not yet due when the store's data in this era began. The records of
     /// earlier reports may be gone; `None` until it has been read from the store.
     first_recorded_window: Option<u64>,
-    planners: BTreeMap<String, CapacityPlanner>,
+    planners: BTreeMap<String, Box<dyn PlanCapacity>>,
+    /// Reclaims by service, kept by instances that don't hold the lease too.
+    reclaims: BTreeMap<String, ReclaimModel>,
     planned_at_ms: u64,
 }
 
@@ -78,6 +82,7 @@
             reported_windows: BTreeSet::new(),
             first_recorded_window: None,
             planners: BTreeMap::new(),
+            reclaims: BTreeMap::new(),
             planned_at_ms: 0,
         }
     }
@@ -86,6 +91,11 @@
     pub async fn run(mut self) {
         while !self.relay.drain.is_stopping() {
             self.maintain_lease().await;
+            let has_new_reclaim = self.observe_reclaims();
+            if has_new_reclaim {
+                // What is lost is replaced without waiting for the next plan.
+                self.planned_at_ms = 0;
+            }
             if self.fencing_token().is_some() {
                 self.run_due_duties().await;
             }
@@ -312,32 +322,78 @@
         Ok(counts)
     }
 
+    /// Records zones whose reclaimable upstreams are all leaving; returns whether there is a new one.
+    fn observe_reclaims(&mut self) -> bool {
+        if !self.relay.settings.duties.contains(&Duty::Capacity) {
+            return false;
+        }
+        let Some(table) = self.relay.route_table() else { return false };
+        let now_ms = self.relay.now_ms();
+        let services = &table.document().services;
+        self.reclaims.retain(|name, _| services.contains_key(name));
+        let mut has_new = false;
+        for (name, service) in services {
+            let Some(limits) = &service.capacity else { continue };
+            let leaving = self.list_reclaimed_zones(name);
+            if leaving.is_empty() {
+                continue;
+            }
+            let zones = self.count_ready_by_zone(name, limits.zone_prices.keys());
+            let reclaims = self.reclaims.entry(name.clone()).or_default();
+            for zone in leaving.into_iter().collect::<BTreeSet<_>>() {
+                if zones.get(&zone).is_some_and(|zone| zone.ready.reclaimable == 0) {
+                    has_new |= reclaims.observe(&zone, limits.start_ms, now_ms);
+                }
+            }
+        }
+        has_new
+    }
+
     async fn order_capacity(&mut self) {
         let Some(table) = self.relay.route_table() else { return };
         for (name, service) in &table.document().services {
-            for order in self.plan_capacity(name, service) {
-                self.send_order(name, &order).await;
+            let Some(limits) = &service.capacity else { continue };
+            for _ in 0..MAX_PLANS {
+                let mut is_refused = false;
+                for order in self.plan_capacity(name, limits) {
+                    is_refused |= self.send_order(name, &order).await;
+                }
+                let replans =
+                    self.planners.get(name).is_some_and(|planner| planner.replans_after_refusal());
+                if !is_refused || !replans {
+                    break;
+                }
             }
         }
     }
 
-    fn plan_capacity(&mut self, name: &str, service: &Service) -> Vec<CapacityOrder> {
-        let Some(limits) = &service.capacity else { return Vec::new() };
+    fn plan_capacity(&mut self, name: &str, limits: &CapacityLimits) -> Vec<CapacityOrder> {
         let now_ms = self.relay.now_ms();
         let demand = planning::measure_demand(&self.relay, name, now_ms);
         let zones = self.count_ready_by_zone(name, limits.zone_prices.keys());
+        let present = zones.values().map(|zone| zone.ready.total()).sum();
         let reclaimed = self.list_reclaimed_zones(name);
-        let options = self.relay.settings.policy.capacity;
-        let planner =
-            self.planners.entry(name.to_owned()).or_insert_with(|| CapacityPlanner::new(options));
+        let policy = &self.relay.settings.policy;
+        let planner = self
+            .planners
+            .entry(name.to_owned())
+            .or_insert_with(|| planning::new_planner(policy, limits));
         for zone in reclaimed {
             planner.record_reclaimed(&zone);
         }
-        let orders = planner.plan(limits, &zones, demand, now_ms);
+        let orders = planner.plan(&PlanInputs {
+            limits,
+            zones: &zones,
+            demand,
+            arrivals: planning::measure_arrivals(&self.relay, name, present, now_ms),
+            reclaims: self.reclaims.entry(name.to_owned()).or_default(),
+            now_ms,
+        });
         if !orders.is_empty() {
             self.relay.log.write("capacity_planned", || {
                 json!({
                     "service": name, "busy_upstreams": demand.busy_upstreams,
+                    "reason": planner.reason(),
                     "estimates": planning::describe_estimates(&self.relay, name),
                     "zones": format!("{zones:?}"), "orders": format!("{orders:?}"),
                 })
@@ -378,8 +434,9 @@
         leaving.map(|entry| entry.availability_zone.clone()).collect()
     }
 
-    async fn send_order(&mut self, service: &str, order: &CapacityOrder) {
-        let Some(fencing_token) = self.fencing_token() else { return };
+    /// Sends an order; returns whether it was refused because no capacity was available.
+    async fn send_order(&mut self, service: &str, order: &CapacityOrder) -> bool {
+        let Some(fencing_token) = self.fencing_token() else { return false };
         let relay = &self.relay;
         let holder = DutyHolder { instance: &relay.settings.instance, fencing_token };
         let result = self.client.order_capacity(holder, service, order).await;
@@ -389,13 +446,21 @@
                 "outcome": result.as_ref().err().map(ToString::to_string),
             })
         });
+        let outcome = match result {
+            Ok(()) => "accepted",
+            Err(DutyError::Unavailable) => "unavailable",
+            Err(DutyError::Refused(_)) => "refused",
+            Err(DutyError::Uncertain(_)) => "uncertain",
+        };
+        metrics::counter!("hickorycourse_capacity_orders_total", "outcome" => outcome).increment(1);
         let now_ms = relay.now_ms();
-        let Some(planner) = self.planners.get_mut(service) else { return };
+        let Some(planner) = self.planners.get_mut(service) else { return false };
         match result {
             Ok(()) => planner.record_accepted(order, now_ms),
             Err(DutyError::Unavailable) => planner.record_refused(order, now_ms),
             // Retried with the next plan.
             Err(DutyError::Refused(_) | DutyError::Uncertain(_)) => {}
         }
+        outcome == "unavailable"
     }
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use hickorycourse_duties::CapacityPlannerOptions;
+use hickorycourse_duties::{ArrivalPlannerOptions, CapacityPlannerOptions};
 use hickorycourse_placement::PlacementOptions;
 use hickorycourse_settings::{Check, ValidationError};
 use serde::{Deserialize, Serialize};
@@ -209,6 +209,20 @@
     Aggregated,
 }
 
+/// Which planner orders the capacity of a service.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CapacityPolicy {
+    /// By arrivals where the service has a price for reclaimable upstreams, by responses in progress
+    /// elsewhere.
+    #[default]
+    Auto,
+    /// From arriving work and the reclaims that were seen.
+    Arrivals,
+    /// From the responses in progress; the baseline.
+    InProgress,
+}
+
 /// Admission, placement and capacity planning.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -235,8 +249,12 @@
     /// Largest fraction of an engine's time that can go into prefill: prompts arrive in bursts, and
     /// each delays the events of concurrent streams.
     pub reading_fill: f64,
-    /// Options of the capacity planner.
+    /// Which planner orders capacity.
+    pub capacity_planner: CapacityPolicy,
+    /// Options of the planner by responses in progress.
     pub capacity: CapacityPlannerOptions,
+    /// Options of the planner by arrivals.
+    pub arrival_capacity: ArrivalPlannerOptions,
 }
 
 impl Default for PolicySettings {
@@ -253,7 +271,9 @@
             shared_weight: placement.shared_weight,
             places_fill: 0.7,
             reading_fill: 0.75,
+            capacity_planner: CapacityPolicy::default(),
             capacity: CapacityPlannerOptions::default(),
+            arrival_capacity: ArrivalPlannerOptions::default(),
         }
     }
 }
