Completion: placement looks at the end of a stream, not its first byte alone

Long drafts that begin soon at a slow upstream are still being generated at their deadline. The speed of each upstream is learned from the time between events (facts), told in the digests and forgotten at a new start; the length of a response from the route's earlier ones and the caller's hint, with its error. The probability of a late end is a cost of placement, by policy.completion and where upstreams differ.

--- a/crates/digest/src/aggregator.rs
+++ b/crates/digest/src/aggregator.rs
@@ -40,6 +40,10 @@
 const USAGE_WINDOWS: u64 = 10;
 /// Departures and committed reports in a digest.
 const MAX_NOTICES: usize = 32;
+/// Speeds of upstreams in one digest, by service.
+const SPEEDS_PER_DIGEST: usize = 16;
+/// Spreads sequence numbers, whatever their steps (Knuth, The Art of Computer Programming, 6.4).
+const TURN_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// Units by organisation and epoch.
 type CapSums<'a> = BTreeMap<&'a str, BTreeMap<u16, CapTotals>>;
@@ -191,8 +195,9 @@
         digest.deciders = self.choose_deciders(now_ms);
         digest.windows = self.usage.newest_totals(WINDOWS_PER_DIGEST);
         let services = services.into_iter();
-        digest.services =
-            services.map(|(service, sums)| (service.to_owned(), sums.into_digest())).collect();
+        digest.services = services
+            .map(|(service, sums)| (service.to_owned(), sums.into_digest(digest.sequence)))
+            .collect();
     }
 }
 
@@ -233,6 +238,7 @@
     arrived_tokens_per_ms: f64,
     sent_tokens_per_ms: BTreeMap<u8, f64>,
     loads: BTreeMap<&'a str, UpstreamSums>,
+    speeds: BTreeMap<&'a str, (u32, i32)>,
 }
 
 #[derive(Default)]
@@ -257,9 +263,19 @@
                 *sum = (sum.0.saturating_add(*requests), sum.1.saturating_add(*tokens));
             }
         }
+        for (upstream, weight, log_sum) in &digest.speeds {
+            let sum = self.speeds.entry(upstream).or_default();
+            *sum = (sum.0.saturating_add(*weight), sum.1.saturating_add(*log_sum));
+        }
     }
 
-    fn into_digest(self) -> ServiceDigest {
+    /// Returns the digest with this sequence number. Speeds are told in turn, as they change slowly and there is
+    /// one for each upstream.
+    fn into_digest(self, sequence: u64) -> ServiceDigest {
+        let turns = self.speeds.len().div_ceil(SPEEDS_PER_DIGEST).max(1);
+        let turn = sequence.wrapping_mul(TURN_FACTOR) >> 32;
+        let first = (turn % turns as u64) as usize;
+        let told = self.speeds.into_iter().skip(first).step_by(turns);
         let into_counts = |(upstream, sums): (&str, UpstreamSums)| -> LoadCounts {
             let waiting = sums.waiting.into_iter();
             let waiting = waiting.map(|(rank, (requests, tokens))| (rank, requests, tokens));
@@ -269,6 +285,9 @@
             arrived_tokens_per_ms: self.arrived_tokens_per_ms,
             sent_tokens_per_ms: self.sent_tokens_per_ms,
             loads: self.loads.into_iter().map(into_counts).collect(),
+            speeds: told
+                .map(|(upstream, (weight, log_sum))| (upstream.to_owned(), weight, log_sum))
+                .collect(),
         }
     }
 }
--- a/crates/digest/src/lib.rs
+++ b/crates/digest/src/lib.rs
@@ -19,7 +19,9 @@
 }
 
 pub use aggregator::ZoneAggregator;
-pub use message::{LoadCounts, MemberDigest, MemberMark, ServiceDigest, WaitingCounts, ZoneDigest};
+pub use message::{
+    LoadCounts, MemberDigest, MemberMark, ServiceDigest, SpeedCounts, WaitingCounts, ZoneDigest,
+};
 pub use own::OwnDigests;
 pub use parts::{
     Contents, Divisible, EncodeError, FleetParts, PartBuffer, PartMark, encode_zones, join_zones,
--- a/crates/digest/src/message.rs
+++ b/crates/digest/src/message.rs
@@ -86,6 +86,9 @@
     /// Load by upstream.
     #[serde(rename = "l")]
     pub loads: Vec<LoadCounts>,
+    /// Observed speeds of some of the upstreams; the others may be in the next digests.
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    pub speeds: Vec<SpeedCounts>,
 }
 
 /// Requests at one upstream: its id, requests in flight, those with a started response, and the queued
@@ -96,6 +99,10 @@
 /// Rank, queued requests and their prompt tokens.
 pub type WaitingCounts = (u8, u64, u64);
 
+/// Observed speed of one upstream: its id, the weight of the observations in hundredths, and the weighted sum of the
+/// logarithms of the factors of the usual time, in hundredths.
+pub type SpeedCounts = (String, u32, i32);
+
 /// State of the instances of one availability zone, from one aggregator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ZoneDigest {
--- a/crates/digest/src/own.rs
+++ b/crates/digest/src/own.rs
@@ -72,6 +72,12 @@
             subtract_load(&mut sums.loads[index], load);
         }
     }
+    for (upstream, weight, log_sum) in &own.speeds {
+        if let Some(sum) = sums.speeds.iter_mut().find(|(known, ..)| known == upstream) {
+            sum.1 = sum.1.saturating_sub(*weight);
+            sum.2 = sum.2.saturating_sub(*log_sum);
+        }
+    }
 }
 
 fn subtract_load(sum: &mut LoadCounts, own: &LoadCounts) {
--- a/crates/facts/src/lib.rs
+++ b/crates/facts/src/lib.rs
@@ -8,7 +8,7 @@
 mod speed;
 
 pub use load::{LoadEstimate, LoadFacts, LoadReport, UpstreamLoad, WaitingRequests};
-pub use speed::SpeedFacts;
+pub use speed::{PaceWindow, SpeedEstimate, SpeedFacts, SpeedShare};
 
 /// Types that most users of this crate need.
 pub mod prelude {
@@ -29,6 +29,6 @@
     /// instance and those reported by others are kept: they end one by one.
     pub fn reset(&mut self) {
         self.load.reset();
-        self.speed = SpeedFacts::default();
+        self.speed.reset();
     }
 }
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -233,6 +233,7 @@
             seed: request as u64 * SEED_FACTOR + u64::from(request_state.attempt),
             excluded: &request_state.excluded,
             version: None,
+            streamed: None,
         };
         let table = &mut self.relays[relay].placement_table;
         let chosen = table.choose(&placement_request, self.now_ms);
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -10,6 +10,9 @@
     /// Penalty in milliseconds for shared prompt parts that the upstream has to prefill because they
     /// aren't in its prefix cache.
     pub shared_ms: f64,
+    /// Expected time lost to an end after the deadline, and to requests that need this upstream more, in
+    /// milliseconds; 0 where the end of the response doesn't count.
+    pub completion_ms: f64,
     /// Expected time lost to a failed attempt, in milliseconds, from the recent failure rate.
     pub failure_ms: f64,
     /// Estimated requests in flight from all instances.
@@ -29,7 +32,11 @@
 
 impl CostRule for ExpectedWait {
     fn cost(&self, candidate: &CostComponents) -> f64 {
-        candidate.load_ms + candidate.distance_ms + candidate.shared_ms + candidate.failure_ms
+        candidate.load_ms
+            + candidate.distance_ms
+            + candidate.shared_ms
+            + candidate.completion_ms
+            + candidate.failure_ms
     }
 }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod admission;
 mod backoff;
+mod completion;
 mod cost;
 mod fragile;
 mod health;
@@ -36,10 +37,12 @@
     };
 }
 
-pub use hickorycourse_facts::{UpstreamLoad, WaitingRequests};
+pub use hickorycourse_completion::Completion;
+pub use hickorycourse_facts::{SpeedShare, UpstreamLoad, WaitingRequests};
 
 pub use admission::{Admission, AdmissionRule, AdmitAll, Forecast, TargetAdmission};
 pub use backoff::Backoff;
+pub use completion::{CompletionRule, StreamedWork};
 pub use cost::{CostComponents, CostRule, ExpectedWait, LeastRequests};
 pub use health::{AttemptOutcome, Health};
 pub use pace::Pace;
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -1,5 +1,6 @@
 //! Properties of a request that placement depends on.
 
+use crate::completion::StreamedWork;
 use crate::upstream::Upstream;
 
 /// One part of a prompt. Requests with the same leading parts share them in an engine's prefix cache.
@@ -26,6 +27,8 @@
     pub excluded: &'a [String],
     /// Software version of the upstreams that may be chosen; `None` for any.
     pub version: Option<&'a str>,
+    /// What its end depends on; `None` if the response is not a stream, or its length is unknown.
+    pub streamed: Option<StreamedWork>,
 }
 
 impl PlacementRequest<'_> {
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -4,11 +4,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
+use hickorycourse_completion::{Completion, WorkEstimate};
 use hickorycourse_facts::{LoadEstimate, UpstreamLoad};
 use hickorycourse_routes::UpstreamEntry;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::admission::{Admission, AdmissionRule, Forecast};
+use crate::completion::CompletionState;
 use crate::cost::{CostComponents, CostRule};
 use crate::fragile::{SlotHolders, SlotsOf};
 use crate::health::AttemptOutcome;
@@ -93,6 +95,8 @@
     pub is_lent: bool,
     /// Version of the upstream's software; `None` if it is not known.
     pub version: Option<String>,
+    /// Forecast of the end of the response; `None` where it doesn't count.
+    pub completion: Option<Completion>,
 }
 
 impl Placement {
@@ -121,7 +125,7 @@
     options: PlacementOptions,
     cost_rule: Box<dyn CostRule>,
     pub(crate) upstreams: BTreeMap<String, Upstream>,
-    latency: LatencyEstimate,
+    pub(crate) latency: LatencyEstimate,
     admission_rule: Box<dyn AdmissionRule>,
     /// Permits that callers refused for want of one are told to come back for.
     pub(crate) permit_schedule: RetrySchedule,
@@ -138,6 +142,7 @@
     pub(crate) claimants: Cell<(u64, u64)>,
     /// Requests that end.
     pub(crate) end_meter: TokenRateMeter,
+    pub(crate) completion: CompletionState,
 }
 
 /// Rate of uncached prompt tokens of an instance's requests.
@@ -172,6 +177,7 @@
             slot_holders: SlotHolders::default(),
             claimants: Cell::default(),
             end_meter: TokenRateMeter::default(),
+            completion: CompletionState::default(),
         }
     }
 
@@ -270,6 +276,7 @@
             affinity_upstream: self.find_affinity_upstream(request, now_ms),
             prefill_rate,
             prefill_rate_per_instance: prefill_rate * usable / self.count_instances(),
+            work: self.completion.estimate_work(request),
             now_ms,
         }
     }
@@ -370,19 +377,35 @@
         let load = upstream.facts.load.estimate(request.urgency, rate, upstream.slots, now_ms);
         let (running, slots) = (load.running as f64, upstream.slots as f64);
         let overflow = (running + 1.0 - slots).max(0.0) / slots;
-        let pace = upstream.pace.factor(now_ms);
+        let pace =
+            upstream.pace.factor(now_ms) * self.completion.speed_factor(request, upstream, now_ms);
         let is_near = upstream.availability_zone == self.availability_zone;
+        let load_ms = pace
+            * (self.latency.idle_first_byte_ms * (1.0 + overflow)
+                + (load.tokens_of_all_ranks + uncached as f64) / rate
+                + running / slots * self.options.full_batch_ms);
+        let completion = context
+            .work
+            .and_then(|work| self.completion.forecast(&work, upstream, &load, load_ms, now_ms));
         let cost = self.cost_rule.cost(&CostComponents {
-            load_ms: pace
-                * (self.latency.idle_first_byte_ms * (1.0 + overflow)
-                    + (load.tokens_of_all_ranks + uncached as f64) / rate
-                    + running / slots * self.options.full_batch_ms),
+            load_ms,
             distance_ms: if is_near { 0.0 } else { self.options.cross_zone_ms },
             shared_ms: shared * (self.options.shared_weight - 1.0) / rate,
+            completion_ms: completion.map_or(0.0, |completion| {
+                self.completion.cost_ms(&completion, self.options.full_batch_ms)
+            }),
             failure_ms: upstream.health.failure_rate() * FAILURE_COST_MS,
             running: load.running,
         });
-        Candidate { id, upstream, load, uncached_tokens: uncached, cached_tokens: cached, cost }
+        Candidate {
+            id,
+            upstream,
+            load,
+            uncached_tokens: uncached,
+            cached_tokens: cached,
+            completion,
+            cost,
+        }
     }
 
     /// Forecasts the latency of a request at the upstream that was chosen for it.
@@ -419,6 +442,7 @@
             permit_until_ms: None,
             is_lent: self.is_beyond_share(chosen.id, chosen.upstream, context.now_ms),
             version: chosen.upstream.version.clone(),
+            completion: chosen.completion,
         }
     }
 
@@ -431,6 +455,7 @@
     ) {
         let Some(upstream) = self.upstreams.get_mut(&placement.upstream) else { return };
         self.sent_meter.add(placement.urgency, placement.uncached_tokens, now_ms);
+        self.completion.record_sent(placement);
         upstream.begin_request(placement, now_ms);
         let hashes: Vec<u64> = request.parts.iter().map(|part| part.hash).collect();
         upstream.prefix_index.add(&hashes);
@@ -508,6 +533,7 @@
     pub fn record_pace(&mut self, upstream: &str, percent: u64, now_ms: u64) {
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
             upstream.pace.record(percent, now_ms);
+            self.completion.record_reported_pace();
         }
     }
 
@@ -604,6 +630,7 @@
     uncached_tokens: u64,
     /// Prompt tokens that are believed to be in its prefix cache.
     cached_tokens: u64,
+    completion: Option<Completion>,
     pub(crate) cost: f64,
 }
 
@@ -617,6 +644,8 @@
     prefill_rate: f64,
     /// One instance's share of that throughput over all upstreams.
     prefill_rate_per_instance: f64,
+    /// Its work, if the end of the response counts.
+    work: Option<WorkEstimate>,
     now_ms: u64,
 }
 
--- a/crates/placement/tests/fragile.rs
+++ b/crates/placement/tests/fragile.rs
@@ -13,6 +13,7 @@
     seed: 0,
     excluded: &[],
     version: None,
+    streamed: None,
 };
 const SERVICE_MS: u64 = 100;
 const SECOND_MS: u64 = 1_000;
--- a/crates/placement/tests/permits.rs
+++ b/crates/placement/tests/permits.rs
@@ -12,6 +12,7 @@
     seed: 0,
     excluded: &[],
     version: None,
+    streamed: None,
 };
 
 fn table(count: usize) -> PlacementTable {
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -39,7 +39,14 @@
 }
 
 fn request<'a>(parts: &'a [PromptPart], excluded: &'a [String]) -> PlacementRequest<'a> {
-    PlacementRequest { parts, prompt_tokens: 6_000, urgency: 1, seed: 0, excluded, version: None }
+    PlacementRequest {
+        parts,
+        prompt_tokens: 6_000,
+        urgency: 1,
+        seed: 0,
+        excluded,
+        ..PlacementRequest::default()
+    }
 }
 
 #[test]
--- /dev/null
+++ b/crates/placement/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Support for tests of placement.
+
+pub mod drafts;
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -23,6 +23,8 @@
     pub parts: Vec<PromptPart>,
     /// Token counts; absent if not stated.
     pub tokens: Option<TokenCounts>,
+    /// The caller's estimate of the number of output tokens; absent if not stated, 0 if it can't be read.
+    pub length_hint: Option<u64>,
     /// The last event that the caller has received, when it resumes an interrupted stream.
     pub last_event_id: Option<u64>,
     /// The request that brought the first event of that stream; absent if not stated.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 
 use hickorycourse_connections::{ResponseBody, UpstreamConnection};
-use hickorycourse_placement::{AttemptOutcome, Placement};
+use hickorycourse_placement::{AttemptOutcome, Placement, StreamedWork};
 use hickorycourse_quarantine::RequestItems;
 use hickorycourse_starts::Acceptance;
 use http::Response;
 use serde_json::json;
 
 use crate::adapter::{BackoffRequest, NamedLimit, ResponseMetadata};
+use crate::broadcast::count_ignored;
 use crate::call::Call;
 use crate::carried_witness::OpenCarriedWitness;
 use crate::quarantine::{hash_service, hash_upstream_start};
@@ -143,6 +144,16 @@
                 "view_age_sent_ms": self.relay.view_age_ms(now_ms),
             })
         });
+        if let Some(completion) = &self.placement.completion {
+            self.relay.log.write("completion_forecast", || {
+                json!({
+                    "request": self.request_id, "upstream": self.placement.upstream,
+                    "expected_ms": completion.expected_ms, "left_ms": completion.left_ms,
+                    "probability": completion.probability,
+                    "speed_factor": completion.speed_factor,
+                })
+            });
+        }
     }
 
     /// Records that the request was not sent after all.
@@ -236,6 +247,28 @@
         self.relay.record_upstream_progress(self.upstream_start);
     }
 
+    /// Records the pace of the response's events, in milliseconds per event.
+    pub fn record_event_pace(&self, pace_ms: f64) {
+        let now_ms = self.relay.now_ms();
+        let mut placement_table = self.placement_table.lock();
+        if !placement_table.record_event_pace(&self.placement.upstream, pace_ms, now_ms) {
+            count_ignored("pace");
+        }
+    }
+
+    /// Records the length of a streamed response, which is complete or was cut at its deadline.
+    pub fn record_length(&self, work: &StreamedWork, events: u64, is_complete: bool) {
+        if !self.placement_table.lock().record_length(work, events, is_complete) {
+            count_ignored("hint");
+        }
+        if let Some(completion) = &self.placement.completion {
+            let outcome = if is_complete { "in_time" } else { "late" };
+            let forecast = if completion.probability >= 0.5 { "in_time" } else { "late" };
+            let labels = [("outcome", outcome), ("forecast", forecast)];
+            metrics::counter!("hickorycourse_completions_total", &labels).increment(1);
+        }
+    }
+
     fn record_begun(&mut self, begun_at_ms: u64) {
         if !std::mem::replace(&mut self.is_begun, true) {
             let items = self.items();
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -14,9 +14,9 @@
 use futures_util::future::select;
 use hickorycourse_caps::UsageReport;
 use hickorycourse_clock::sleep;
-use hickorycourse_digest::{MemberDigest, PartMark, ServiceDigest, split};
+use hickorycourse_digest::{MemberDigest, PartMark, ServiceDigest, SpeedCounts, split};
 use hickorycourse_duties::{UsageSource, WindowCounts};
-use hickorycourse_placement::{TokenDemand, UpstreamLoad, WaitingRequests};
+use hickorycourse_placement::{SpeedShare, TokenDemand, UpstreamLoad, WaitingRequests};
 use parking_lot::Mutex;
 use serde_json::json;
 use tokio::net::UdpSocket;
@@ -183,8 +183,13 @@
             });
             let TokenDemand { arrived_tokens_per_ms, sent_tokens_per_ms } =
                 placement_table.own_demand(now_ms);
-            let service_digest =
-                ServiceDigest { arrived_tokens_per_ms, sent_tokens_per_ms, loads: loads.collect() };
+            let speeds = placement_table.own_speeds(now_ms).into_iter().map(speed_counts);
+            let service_digest = ServiceDigest {
+                arrived_tokens_per_ms,
+                sent_tokens_per_ms,
+                loads: loads.collect(),
+                speeds: speeds.collect(),
+            };
             services.insert(service, service_digest);
         }
         MemberDigest {
@@ -440,9 +445,32 @@
             };
             placement_table.set_peer_load(peer, upstream, load, reported_at_ms);
         }
+        for (upstream, weight, log_sum) in &digest.speeds {
+            let share = SpeedShare {
+                weight: f64::from(*weight) / SPEED_UNITS,
+                log_sum: f64::from(*log_sum) / SPEED_UNITS,
+            };
+            if !placement_table.set_peer_speed(peer, upstream, share, reported_at_ms) {
+                count_ignored("speed");
+            }
+        }
     }
 }
 
+/// Values per unit in the digests' counts of speeds.
+const SPEED_UNITS: f64 = 100.0;
+
+fn speed_counts((upstream, share): (&str, SpeedShare)) -> SpeedCounts {
+    // Rounded towards 0, so that the sum stays within what its weight allows.
+    let weight = (share.weight * SPEED_UNITS).ceil() as u32;
+    (upstream.to_owned(), weight, (share.log_sum * SPEED_UNITS) as i32)
+}
+
+/// Counts a value about the ends of responses that can't be right and is ignored.
+pub fn count_ignored(kind: &'static str) {
+    metrics::counter!("hickorycourse_completion_ignored_total", "kind" => kind).increment(1);
+}
+
 /// Counts a datagram that was received and not used.
 pub fn count_dropped(reason: &'static str) {
     metrics::counter!("hickorycourse_datagrams_dropped_total", "reason" => reason).increment(1);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -7,7 +7,9 @@
 
 use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_origins::{StreamBeginning, StreamKey, StreamOrigin};
-use hickorycourse_placement::{AttemptOutcome, Placement, PlacementRequest, PromptPart};
+use hickorycourse_placement::{
+    AttemptOutcome, Placement, PlacementRequest, PromptPart, StreamedWork,
+};
 use hickorycourse_quarantine::RequestItems;
 use hickorycourse_routes::{Access, Route};
 use hickorycourse_starts::Acceptance;
@@ -84,6 +86,8 @@
     pub request_hash: u64,
     /// Token counts; 0 if not stated.
     pub tokens: TokenCounts,
+    /// The caller's estimate of the number of output tokens; `None` if not stated.
+    pub length_hint: Option<u64>,
     /// Time of arrival.
     pub arrived_at_ms: u64,
     /// Deadline of the response.
@@ -147,9 +151,19 @@
             seed: xxh3_64(self.request_id.as_bytes()),
             excluded: &retry_state.excluded,
             version: retry_state.version.as_deref(),
+            streamed: self.streamed_work(),
         }
     }
 
+    /// Returns what the end of the response depends on; `None` if it is no stream.
+    pub fn streamed_work(&self) -> Option<StreamedWork> {
+        self.route.repeat.is_stream().then(|| StreamedWork {
+            route: xxh3_64(self.route.name.as_bytes()),
+            hint_tokens: self.length_hint,
+            left_ms: self.remaining_ms(),
+        })
+    }
+
     /// Returns what is looked at when an upstream ends under this call.
     pub fn items(&self) -> RequestItems<'_> {
         RequestItems { request: Some(self.request_hash), parts: &self.shared_parts }
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -352,6 +352,7 @@
         path_and_query: path_and_query.map_or_else(|| "/".to_owned(), |p| p.as_str().to_owned()),
         body: received.body,
         tokens: metadata.tokens.unwrap_or_default(),
+        length_hint: metadata.length_hint,
         arrived_at_ms,
         is_run_counted: Cell::new(false),
         broken_beginnings: Cell::new(0),
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -54,6 +54,8 @@
     is_resuming: bool,
     /// Whether another response has followed the events of the present upstream.
     has_other_response: bool,
+    /// Events that have been returned.
+    returned_events: u64,
 }
 
 impl Default for EventTracker {
@@ -70,6 +72,7 @@
             is_consecutive: false,
             is_resuming: false,
             has_other_response: false,
+            returned_events: 0,
         }
     }
 }
@@ -164,6 +167,7 @@
             if !is_repeated {
                 events.extend_from_slice(if self.has_returned { event } else { block });
                 self.has_returned = true;
+                self.returned_events += u64::from(!event.starts_with(b":"));
                 self.record(id);
             }
             start += length;
@@ -214,6 +218,11 @@
         None
     }
 
+    /// Returns the number of events that were returned; comments are none.
+    pub fn returned_events(&self) -> u64 {
+        self.returned_events
+    }
+
     /// Returns whether the first event after a resumption has yet to come.
     pub fn is_resuming(&self) -> bool {
         self.is_resuming
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -196,6 +196,17 @@
     LeastRequests,
 }
 
+/// When the expected end of a streamed response counts in placement.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CompletionPolicy {
+    /// Where upstreams report the pace of their hosts, or have shown uneven speeds.
+    #[default]
+    Auto,
+    /// Never; the baseline.
+    Off,
+}
+
 /// How instances tell each other of their load and use.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -219,6 +230,8 @@
     pub admission: AdmissionPolicy,
     /// Placement policy.
     pub placement: PlacementPolicy,
+    /// When the expected end of a streamed response counts in placement.
+    pub completion: CompletionPolicy,
     /// Prefill rate of an engine in prompt tokens per millisecond, until it has been measured.
     pub reading_tokens_per_ms: f64,
     /// Time to the first byte at an idle engine, until it has been measured.
@@ -246,6 +259,7 @@
             exchange: ExchangePolicy::default(),
             admission: AdmissionPolicy::default(),
             placement: PlacementPolicy::default(),
+            completion: CompletionPolicy::default(),
             reading_tokens_per_ms: placement.prefill_tokens_per_ms,
             idle_first_byte_ms: placement.idle_first_byte_ms,
             cross_zone_ms: placement.cross_zone_ms,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -18,8 +18,8 @@
 };
 use hickorycourse_permits::{LimitTable, PermitIssuer};
 use hickorycourse_placement::{
-    AdmissionRule, AdmitAll, CostRule, ExpectedWait, LeastRequests, PlacementOptions,
-    PlacementTable, TargetAdmission,
+    AdmissionRule, AdmitAll, CompletionRule, CostRule, ExpectedWait, LeastRequests,
+    PlacementOptions, PlacementTable, TargetAdmission,
 };
 use hickorycourse_quarantine::{PartQuarantine, QuarantineOptions};
 use hickorycourse_routes::{
@@ -46,7 +46,7 @@
 use crate::origin_records::{OriginSearch, StoredVersions};
 use crate::origins::OriginQuery;
 use crate::quarantine_record::StoredQuarantine;
-use crate::settings::{AdmissionPolicy, PlacementPolicy, RelaySettings};
+use crate::settings::{AdmissionPolicy, CompletionPolicy, PlacementPolicy, RelaySettings};
 use crate::start_proofs::WantedProofs;
 use crate::upstream_reports::UnreportedUpstreams;
 use crate::version_check::VersionCheck;
@@ -478,7 +478,12 @@
                     AdmissionPolicy::Target => Box::new(TargetAdmission::default()),
                 };
                 let options = self.placement_options();
-                let placement_table = PlacementTable::new(zone, options, cost_rule, admission_rule);
+                let mut placement_table =
+                    PlacementTable::new(zone, options, cost_rule, admission_rule);
+                placement_table.set_completion_rule(match self.settings.policy.completion {
+                    CompletionPolicy::Auto => CompletionRule::Auto,
+                    CompletionPolicy::Off => CompletionRule::Off,
+                });
                 Arc::new(Mutex::new(placement_table))
             });
             let entries = directory.entries().filter(|entry| entry.service == service);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -102,6 +102,8 @@
     /// Absent if the stream has ended.
     source: Option<UpstreamSource>,
     events: EventTracker,
+    /// Whether the caller has received events of the stream by an earlier request.
+    is_continuation: bool,
     first_events: Vec<u8>,
     upstreams: Vec<String>,
     /// The upstream that brought the first event, and what its connection tells of its start.
@@ -183,6 +185,7 @@
             status: 0,
             source: None,
             events: EventTracker::resume_after(last_event_id),
+            is_continuation: last_event_id.is_some(),
             first_events: Vec::new(),
             upstreams: Vec::new(),
             begun_by: None,
@@ -205,11 +208,7 @@
                 return Err(loss);
             }
             StreamStep::Events(events) => self.first_events = events,
-            StreamStep::End => {
-                if let Some(source) = self.source.take() {
-                    source.complete(&self.call);
-                }
-            }
+            StreamStep::End => self.complete_source(),
         }
         self.is_begun = true;
         self.call.count_run();
@@ -285,8 +284,26 @@
         self.source = Some(source);
     }
 
+    fn complete_source(&mut self) {
+        if let Some(source) = self.source.take() {
+            self.record_length(&source, true);
+            source.complete(&self.call);
+        }
+    }
+
+    /// Records the length of the response for the forecasts of later ones. That of a response whose beginning
+    /// an earlier request has received is not known.
+    fn record_length(&self, source: &UpstreamSource, is_complete: bool) {
+        if let Some(work) = self.call.streamed_work().filter(|_| !self.is_continuation) {
+            source.attempt.record_length(&work, self.events.returned_events(), is_complete);
+        }
+    }
+
     fn end_source(&mut self, loss: &Loss) {
         let Some(source) = self.source.take() else { return };
+        if matches!(loss, Loss::Late) {
+            self.record_length(&source, false);
+        }
         if !source.is_carrier_broken() {
             self.retry_state.excluded.push(source.upstream().to_owned());
         }
@@ -468,9 +485,7 @@
                     return Some(Ok(Bytes::from(events)));
                 }
                 StreamStep::End => {
-                    if let Some(source) = self.source.take() {
-                        source.complete(&self.call);
-                    }
+                    self.complete_source();
                     self.end("complete");
                     return None;
                 }
@@ -518,9 +533,7 @@
                 return match self.continue_with(successor) {
                     Some(StreamStep::Events(events)) => Ok(Some(events)),
                     Some(StreamStep::End) => {
-                        if let Some(source) = self.source.take() {
-                            source.complete(&self.call);
-                        }
+                        self.complete_source();
                         Ok(None)
                     }
                     Some(StreamStep::Lost(_)) | None => Ok(None),
--- a/crates/relay/src/stream_source.rs
+++ b/crates/relay/src/stream_source.rs
@@ -1,6 +1,7 @@
 //! The upstream's side of a relayed stream.
 
 use hickorycourse_connections::{Carrier, ResponseBody, UpstreamConnection, ends_with_connection};
+use hickorycourse_facts::PaceWindow;
 use hickorycourse_placement::AttemptOutcome;
 use hickorycourse_starts::Acceptance;
 use http::HeaderMap;
@@ -45,6 +46,7 @@
     /// the stream that it is to resume.
     must_have_events: bool,
     has_events: bool,
+    pace: PaceWindow,
 }
 
 impl UpstreamSource {
@@ -64,6 +66,7 @@
             liveness,
             must_have_events,
             has_events: false,
+            pace: PaceWindow::default(),
         };
         (head, source)
     }
@@ -106,6 +109,7 @@
     /// Waits for complete events. Nothing is lost if the wait is cancelled: what has arrived is kept in
     /// `events`.
     pub async fn read_events(&mut self, call: &Call, events: &mut EventTracker) -> SourceStep {
+        self.pace.begin_wait(call.relay.now_ms());
         loop {
             if events.has_other_response() {
                 let detail = "another response follows the events";
@@ -126,6 +130,7 @@
                 Some(Ok(frame)) => frame,
             };
             let Ok(data) = frame.into_data() else { continue };
+            let events_before = events.returned_events();
             let pushed = match self.is_framed {
                 true => events.push(&data),
                 false => events.push_unframed(&data),
@@ -136,6 +141,7 @@
                     // Comments are no events.
                     self.must_have_events &= events.is_resuming();
                     self.record_events();
+                    self.record_pace(call, events.returned_events() - events_before);
                     return SourceStep::Events(complete_events);
                 }
                 Err(error) => return SourceStep::Invalid(error.to_string()),
@@ -164,6 +170,12 @@
         }
     }
 
+    fn record_pace(&mut self, call: &Call, events: u64) {
+        if let Some(pace_ms) = self.pace.record(events, call.relay.now_ms()) {
+            self.attempt.record_event_pace(pace_ms);
+        }
+    }
+
     /// Returns the connection to the pool after a complete response.
     pub fn complete(mut self, call: &Call) {
         self.attempt.record_first_byte();
--- a/crates/testkit/src/bin/measure/relay_cores.rs
+++ b/crates/testkit/src/bin/measure/relay_cores.rs
@@ -80,6 +80,7 @@
             seed: round,
             excluded: &[],
             version: None,
+            streamed: None,
         };
         if let Some(placement) = table.choose(&request, round / 100) {
             table.begin_attempt(&placement, &request, round / 100);
