--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -96,7 +96,7 @@
     /// Version of the upstream's software; `None` if it is not known.
     pub version: Option<String>,
     /// Forecast of the end of the response; `None` where it doesn't count.
-    pub completion: Option<Completion>,
+    pub completion: Option<Box<Completion>>,
 }
 
 impl Placement {
@@ -442,7 +442,7 @@
             permit_until_ms: None,
             is_lent: self.is_beyond_share(chosen.id, chosen.upstream, context.now_ms),
             version: chosen.upstream.version.clone(),
-            completion: chosen.completion,
+            completion: chosen.completion.map(Box::new),
         }
     }
 
