Capacity: replacements by the load seen, small excesses of on-demand ones removed

Change: the provisioned number counts only where it is not reached; retries after 6 s at most; the threshold is for reclaimable ones. keeps_provisioned = false orders reclaimable ones for the provisioned number, with two zones covered, before the load is known; off.

--- a/crates/duties/src/arrival_planner.rs
+++ b/crates/duties/src/arrival_planner.rs
@@ -16,6 +16,9 @@
 pub struct ArrivalPlannerOptions {
     /// Fraction of the upstreams present at the start that the load is assumed to need until it is known.
     pub initial_part: f64,
+    /// Whether the upstreams that operators provisioned stay until the load is known. If not, reclaimable ones for
+    /// `initial_part` of them take their place, with the loss of two zones covered.
+    pub keeps_provisioned: bool,
     /// Start times for which load must have been seen before upstreams are removed.
     pub observed_starts: u64,
     /// Start times for which nothing is removed after upstreams were ordered.
@@ -30,7 +33,7 @@
     pub shrink_ms: u64,
     /// Fraction of the excess that one removal takes.
     pub shrink_part: f64,
-    /// Excess, as a fraction of the plan, up to which nothing is removed.
+    /// Excess of reclaimable upstreams, as a fraction of the plan, up to which none is removed.
     pub shrink_threshold: f64,
     /// Time after which a refused order is retried; doubled by each further refusal.
     pub refused_ms: u64,
@@ -42,6 +45,7 @@
     fn default() -> Self {
         Self {
             initial_part: 0.6,
+            keeps_provisioned: true,
             observed_starts: 2,
             reversal_starts: 3,
             reclaimable_keep_ms: 60_000,
@@ -51,7 +55,7 @@
             shrink_part: 0.5,
             shrink_threshold: 0.1,
             refused_ms: 3_000,
-            refused_max_ms: 24_000,
+            refused_max_ms: 6_000,
         }
     }
 }
@@ -59,6 +63,8 @@
 /// Time after its first plan for which a holder orders nothing without a reclaim: its list of
 /// upstreams may be incomplete.
 const SETTLE_MS: u64 = 2_000;
+/// Zones whose loss is covered at least where reclaimable upstreams are ordered before the load is known.
+const UNKNOWN_LOAD_ZONES_LOST: u32 = 2;
 /// Delay beyond the expected start of an upstream after which it is considered missing.
 const START_OVERDUE_MS: u64 = 3_000;
 /// Upper bound on demand, far above any fleet, so that counts stay in range.
@@ -169,16 +175,12 @@
         let observed_ms = self.options.observed_starts * inputs.limits.start_ms;
         let is_load_known = self.first_load_ms.is_some_and(|first| now_ms >= first + observed_ms);
         self.reason.is_load_known = is_load_known;
-        let floor = match is_load_known {
-            true => 0.0,
-            false => f64::from(self.initial_count) * self.options.initial_part,
-        };
         let held = |keep_ms: u64| {
             let recent =
                 self.peaks.iter().filter(|(_, at_ms)| now_ms.saturating_sub(*at_ms) < keep_ms);
             // Without arrivals the last demand stays.
             let last = self.peaks.last().map_or(0.0, |(demand, _)| *demand);
-            recent.map(|(peak, _)| *peak).fold(last, f64::max).max(floor)
+            recent.map(|(peak, _)| *peak).fold(last, f64::max)
         };
         (held(self.options.reclaimable_keep_ms), held(self.options.on_demand_keep_ms))
     }
@@ -190,7 +192,11 @@
         let together = reclaims.zones_together(now_ms).max(self.options.initial_zones_lost);
         let dry = inputs.zones.keys().filter(|zone| self.is_refused(zone, true, now_ms)).count();
         let lost = reclaims.count_lost_within(inputs.limits.start_ms, now_ms).max(dry as u32);
-        together.saturating_sub(lost).max(1)
+        let least = match self.reason.is_load_known || self.options.keeps_provisioned {
+            true => 1,
+            false => UNKNOWN_LOAD_ZONES_LOST,
+        };
+        together.saturating_sub(lost).max(least)
     }
 
     fn is_refused(&self, zone: &str, is_reclaimable: bool, now_ms: u64) -> bool {
@@ -324,7 +330,8 @@
         let now_ms = inputs.now_ms;
         let is_paced =
             self.removed_ms.is_some_and(|removed_ms| now_ms < removed_ms + self.options.shrink_ms);
-        if !self.reason.is_load_known || is_paced {
+        let is_kept = !self.reason.is_load_known && self.options.keeps_provisioned;
+        if is_kept || is_paced {
             return Vec::new();
         }
         let mut ready: Plan =
@@ -342,9 +349,16 @@
                 excesses.push((true, -price, zone, reclaimable));
             }
         }
-        let excess: u32 = excesses.iter().map(|(_, _, _, count)| count).sum();
         let planned = total(desired);
-        if f64::from(excess) <= (f64::from(planned) * self.options.shrink_threshold).max(1.0) {
+        let reclaimable: u32 =
+            excesses.iter().filter(|excess| excess.0).map(|excess| excess.3).sum();
+        // A small excess is cheaper than a change, unless it is of the dearer kind.
+        let threshold = (f64::from(planned) * self.options.shrink_threshold).max(1.0);
+        if f64::from(reclaimable) <= threshold {
+            excesses.retain(|excess| !excess.0);
+        }
+        let excess: u32 = excesses.iter().map(|excess| excess.3).sum();
+        if excess == 0 {
             return Vec::new();
         }
         let part = (f64::from(excess) * self.options.shrink_part).ceil() as u32;
@@ -387,9 +401,8 @@
         let now_ms = inputs.now_ms;
         let start_ms = inputs.limits.start_ms;
         let present = inputs.zones.values().map(|zone| zone.ready.total()).sum();
-        let needed = self.update_needed(inputs, present);
+        let mut needed = self.update_needed(inputs, present);
         let cover = self.zones_to_cover(inputs);
-        self.reason.needed = needed.0;
         self.reason.covered_zones = cover;
         self.reason.present = present;
         let held_ms = now_ms.saturating_sub(self.first_plan_ms.unwrap_or(now_ms));
@@ -397,14 +410,23 @@
             return Vec::new();
         }
         let expected = self.outstanding_counts(inputs);
-        // What is there stays until the load is known. Its replacement is ordered a start time
-        // earlier, and before that only what is missing.
         let observed_ms = self.options.observed_starts.saturating_sub(1) * start_ms;
         let is_load_seen = self.first_load_ms.is_some_and(|first| now_ms >= first + observed_ms);
-        let is_enough = f64::from(count_after_loss(&expected, cover)) >= needed.0;
-        if !is_load_seen && is_enough {
-            return Vec::new();
+        if !self.reason.is_load_known {
+            // What is there stays until the load is known. Its replacement is ordered a start time
+            // earlier, and before that only what is missing.
+            let floor = f64::from(self.initial_count) * self.options.initial_part;
+            let remaining = f64::from(count_after_loss(&expected, cover));
+            let is_enough = remaining >= needed.0.max(floor);
+            let keeps = self.options.keeps_provisioned;
+            if keeps && !is_load_seen && is_enough {
+                return Vec::new();
+            }
+            if !(keeps && is_enough) {
+                needed = (needed.0.max(floor), needed.1.max(floor));
+            }
         }
+        self.reason.needed = needed.0;
         let desired = self.desired_counts(inputs, needed, cover);
         let additions = self.additions(inputs, &desired, &expected);
         if !additions.is_empty() {
--- a/crates/duties/tests/arrival_replay.rs
+++ b/crates/duties/tests/arrival_replay.rs
@@ -336,6 +336,19 @@
     }
 }
 
+// Load pattern: as above, shortly after the first request, with reclaimable upstreams in place of those
+// that operators provisioned.
+#[test]
+fn plan_without_provisioned_kept_bears_two_zones_reclaimed_early() {
+    let options = ArrivalPlannerOptions { keeps_provisioned: false, ..Default::default() };
+    let swapped = Box::new(ArrivalPlanner::new(options));
+    let (replay, lost_ms) = run_burst_with_reclaims(swapped, 3_000);
+    let (kept, _) = run_burst_with_reclaims(by_arrivals(), 3_000);
+    println!("in time {}, price {}", replay.in_time_since(lost_ms), replay.price);
+    assert!(replay.in_time_since(lost_ms + 5_000) >= 0.9);
+    assert!(replay.price < kept.price * 0.75, "{} against {}", replay.price, kept.price);
+}
+
 // Load pattern: as above; the burst lasts on while what has been ordered starts.
 #[test]
 fn plan_in_shortage_orders_no_more_than_arrivals_need() {
