--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -215,11 +215,11 @@
 pub enum CapacityPolicy {
     /// By arrivals where the service has a price for reclaimable upstreams, by responses in progress
     /// elsewhere.
-    #[default]
     Auto,
     /// From arriving work and the reclaims that were seen.
     Arrivals,
     /// From the responses in progress; the baseline.
+    #[default]
     InProgress,
 }
 
