Overload: admitted share of each rank and size over all instances

Cause: in seconds of overload each instance refuses by forecasts for single upstreams, which say that a request would be late only when the queue is there.

Change: a crate computes from the demand that all instances report, by rank and size, and from the slots and the prefill of the usable upstreams which share of each class is admitted: by rank, within a rank by engine time. Shares are applied by a hash of the request. Digests state the demand (field o); aggregators sum it; builds without it count as the mean of the others. On where a service has capacity limits, slots and routes of several ranks; policy.overload turns it off. A refused caller is told to return while it can still be on time.

--- a/crates/digest/src/aggregator.rs
+++ b/crates/digest/src/aggregator.rs
@@ -9,6 +9,7 @@
 
 use hickorycourse_caps::{CapTotals, DECIDERS_PER_ZONE, EpochUsage};
 use hickorycourse_duties::{FleetUsage, UsageSource, WindowCounts};
+use hickorycourse_overload::WorkCounts;
 
 use crate::message::{LoadCounts, MemberDigest, MemberMark, ServiceDigest, ZoneDigest};
 use crate::ranking::{AGGREGATORS_PER_ZONE, rank_aggregators};
@@ -233,6 +234,7 @@
     arrived_tokens_per_ms: f64,
     sent_tokens_per_ms: BTreeMap<u8, f64>,
     loads: BTreeMap<&'a str, UpstreamSums>,
+    work: Option<WorkCounts>,
 }
 
 #[derive(Default)]
@@ -248,6 +250,9 @@
         for (rank, rate) in &digest.sent_tokens_per_ms {
             *self.sent_tokens_per_ms.entry(*rank).or_default() += rate;
         }
+        if let Some(work) = &digest.work {
+            self.work.get_or_insert_default().add(work);
+        }
         for (upstream, running, answering, waiting) in &digest.loads {
             let sums = self.loads.entry(upstream).or_default();
             sums.running = sums.running.saturating_add(*running);
@@ -269,6 +274,7 @@
             arrived_tokens_per_ms: self.arrived_tokens_per_ms,
             sent_tokens_per_ms: self.sent_tokens_per_ms,
             loads: self.loads.into_iter().map(into_counts).collect(),
+            work: self.work,
         }
     }
 }
--- a/crates/digest/src/message.rs
+++ b/crates/digest/src/message.rs
@@ -6,6 +6,7 @@
 
 use hickorycourse_caps::EpochUsage;
 use hickorycourse_duties::WindowCounts;
+use hickorycourse_overload::WorkCounts;
 use hickorycourse_permits::LimitNotice;
 use hickorycourse_quarantine::QuarantineDigest;
 use serde::{Deserialize, Serialize};
@@ -86,6 +87,10 @@
     /// Load by upstream.
     #[serde(rename = "l")]
     pub loads: Vec<LoadCounts>,
+    /// Work that arriving requests ask for, by rank and size; `None` where overload control is off, and from
+    /// a build without it.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub work: Option<WorkCounts>,
 }
 
 /// Requests at one upstream: its id, requests in flight, those with a started response, and the queued
--- a/crates/digest/src/own.rs
+++ b/crates/digest/src/own.rs
@@ -66,6 +66,9 @@
             *sum = (*sum - rate).max(0.0);
         }
     }
+    if let (Some(sum), Some(own)) = (&mut sums.work, &own.work) {
+        sum.subtract(own);
+    }
     for load in &own.loads {
         // The sums are in the order of the upstreams' ids.
         if let Ok(index) = sums.loads.binary_search_by(|(upstream, ..)| upstream.cmp(&load.0)) {
--- a/crates/digest/tests/aggregation.rs
+++ b/crates/digest/tests/aggregation.rs
@@ -13,6 +13,7 @@
         arrived_tokens_per_ms: used as f64,
         sent_tokens_per_ms: BTreeMap::from([(1, used as f64)]),
         loads: vec![("i-1".to_owned(), used, used / 2, vec![(1, used, 10 * used)])],
+        work: None,
     };
     MemberDigest {
         instance: instance.to_owned(),
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod crashes;
 mod engine;
+mod exchange;
 mod limits;
 mod partitions;
 mod pattern;
@@ -31,8 +32,8 @@
 pub use limits::{LimitPattern, LimitPolicy, LimitReport, LimitTrouble, run_limits};
 pub use partitions::{CutScope, PartitionPattern, PartitionReport, PeerPolicy, run_partition};
 pub use pattern::{CallerGroup, Fault, LoadPattern, OrganisationCap, RetryBehaviour, Surge};
-pub use patterns::{find_pattern, list_patterns};
+pub use patterns::{find_pattern, list_patterns, overload};
 pub use relay::Policy;
-pub use report::{GroupReport, Report};
+pub use report::{GroupReport, Report, SecondReport};
 pub use resumption::{ResumptionPattern, ResumptionReport, run_resumption};
 pub use simulation::run;
--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -74,7 +74,11 @@
             ..pattern
         };
         for seed in 1..=options.seeds {
-            for (name, policy) in [("chosen", Policy::Chosen), ("baseline", Policy::Baseline)] {
+            for (name, policy) in [
+                ("fleet-admission", Policy::FleetAdmission),
+                ("chosen", Policy::Chosen),
+                ("baseline", Policy::Baseline),
+            ] {
                 let report = run(&pattern, policy, seed)?;
                 println!(
                     "{}",
--- a/crates/model/src/pattern.rs
+++ b/crates/model/src/pattern.rs
@@ -9,6 +9,8 @@
     Immediate,
     /// The caller retries after the advised delay, but within a third of its remaining patience.
     AfterDelay,
+    /// As `AfterDelay`, but only once.
+    OnceAfterDelay,
 }
 
 /// A period with a raised request rate.
@@ -70,6 +72,15 @@
         /// Number of engines, the lowest indices first.
         count: usize,
     },
+    /// Engines are reclaimed: they finish their requests, get no more, and are replaced later.
+    EngineReclaim {
+        /// Start of the fault.
+        from_ms: u64,
+        /// Time at which others take their place.
+        until_ms: u64,
+        /// Number of engines, the lowest indices first.
+        count: usize,
+    },
     /// A zone is partitioned from all other zones.
     ZonePartition {
         /// Index of the zone.
@@ -97,6 +108,8 @@
     pub zones: usize,
     /// Number of relays, spread over the zones.
     pub relays: usize,
+    /// Relays of an earlier build among them, which know no overload control.
+    pub earlier_relays: usize,
     /// Number of engines, spread over the zones.
     pub engines: usize,
     /// Time during which requests arrive. The simulation continues until all of them have ended.
@@ -117,7 +130,9 @@
                 Fault::ZonePartition { zone, from_ms, until_ms } => {
                     (*zone == one || *zone == other) && (*from_ms..*until_ms).contains(&now_ms)
                 }
-                Fault::EngineCrash { .. } | Fault::StoreOutage { .. } => false,
+                Fault::EngineCrash { .. }
+                | Fault::EngineReclaim { .. }
+                | Fault::StoreOutage { .. } => false,
             })
     }
 
--- a/crates/model/src/patterns.rs
+++ b/crates/model/src/patterns.rs
@@ -46,6 +46,7 @@
         name,
         zones: 4,
         relays: 8,
+        earlier_relays: 0,
         engines: 8,
         duration_ms: 16_000,
         groups,
@@ -91,6 +92,7 @@
             faults: vec![Fault::StoreOutage { from_ms: 5_000, until_ms: 10_000 }, engine_crash],
             ..pattern("store-outage-in-flood", urgent_surge)
         },
+        overload(60),
     ]
 }
 
@@ -105,6 +107,93 @@
     vec![URGENT, hot, DEFERRABLE]
 }
 
+/// Time of the surge of long requests in [`overload`].
+const OVERLOAD_MS: (u64, u64) = (4_000, 8_000);
+/// Engines of [`overload`].
+const OVERLOAD_ENGINES: usize = 60;
+
+/// Long requests of several organisations and sizes come at 2.3 times their rate for 4 s, while half of the
+/// engines are taken away; short requests of the most urgent rank and small ones of the next go on beside. At
+/// the usual rate, half of the engines suffice.
+pub fn overload(relays: usize) -> LoadPattern {
+    let zones = if relays < 8 { 2 } else { 4 };
+    let (from_ms, until_ms) = OVERLOAD_MS;
+    let question = CallerGroup {
+        name: "question",
+        requests_per_second: 64.0,
+        own_tokens: 600,
+        shared_tokens: 200,
+        output_tokens: 100,
+        patience_ms: 3_200,
+        retry_behaviour: RetryBehaviour::OnceAfterDelay,
+        ..URGENT
+    };
+    let label = CallerGroup {
+        name: "label",
+        organisation: "chain",
+        urgency: 1,
+        requests_per_second: 72.0,
+        own_tokens: 1_200,
+        shared_tokens: 600,
+        output_tokens: 8,
+        patience_ms: 2_500,
+        retry_behaviour: RetryBehaviour::OnceAfterDelay,
+        ..URGENT
+    };
+    let surge = Surge { from_ms, until_ms, rate_factor: 2.3 };
+    let review = CallerGroup {
+        name: "review",
+        urgency: 2,
+        requests_per_second: 60.0,
+        surge: Some(surge),
+        own_tokens: 2_400,
+        shared_tokens: 3_600,
+        output_tokens: 140,
+        target_ms: 1_200,
+        patience_ms: 4_800,
+        retry_behaviour: RetryBehaviour::OnceAfterDelay,
+        ..URGENT
+    };
+    let review_of = |name, organisation, requests_per_second| CallerGroup {
+        name,
+        organisation,
+        requests_per_second,
+        ..review.clone()
+    };
+    let large = CallerGroup {
+        own_tokens: 9_000,
+        output_tokens: 320,
+        ..review_of("large-review", "dealers", 6.0)
+    };
+    let small = CallerGroup {
+        own_tokens: 500,
+        shared_tokens: 600,
+        output_tokens: 50,
+        ..review_of("small-review", "chain", 18.0)
+    };
+    let groups = vec![
+        question,
+        label,
+        review_of("review", "dealers", 60.0),
+        review_of("review-few", "night-work", 6.0),
+        review_of("review-some", "chain", 24.0),
+        small,
+        large,
+    ];
+    LoadPattern {
+        zones,
+        relays,
+        engines: OVERLOAD_ENGINES,
+        duration_ms: 14_000,
+        faults: vec![Fault::EngineReclaim {
+            from_ms: from_ms - 500,
+            until_ms: 12_000,
+            count: OVERLOAD_ENGINES / 2,
+        }],
+        ..pattern("overload", groups)
+    }
+}
+
 /// Finds a load pattern by its name; `None` for an unknown name.
 pub fn find_pattern(name: &str) -> Option<LoadPattern> {
     list_patterns().into_iter().find(|pattern| pattern.name == name)
--- a/crates/model/src/relay.rs
+++ b/crates/model/src/relay.rs
@@ -16,8 +16,10 @@
 /// Which placement, admission and retry policies the relays use.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Policy {
-    /// The policies that the relay process uses.
+    /// The policies that the relay process uses without overload control.
     Chosen,
+    /// Those policies with overload control over all instances.
+    FleetAdmission,
     /// Least-requests placement without admission control, and a fixed retry delay.
     Baseline,
 }
@@ -39,11 +41,11 @@
     /// Creates a relay without upstreams. [`Self::set_engines`] adds the engines as its upstreams.
     pub fn new(pattern: &LoadPattern, zone: usize, policy: Policy) -> Self {
         let cost_rule: Box<dyn CostRule> = match policy {
-            Policy::Chosen => Box::new(ExpectedWait),
+            Policy::Chosen | Policy::FleetAdmission => Box::new(ExpectedWait),
             Policy::Baseline => Box::new(LeastRequests),
         };
         let admission_rule: Box<dyn AdmissionRule> = match policy {
-            Policy::Chosen => Box::new(TargetAdmission::default()),
+            Policy::Chosen | Policy::FleetAdmission => Box::new(TargetAdmission::default()),
             Policy::Baseline => Box::new(AdmitAll),
         };
         let options = PlacementOptions {
@@ -61,16 +63,10 @@
             );
             (cap.organisation, SharedCap::new(limits, pattern.relays, 0))
         });
-        Self {
-            zone,
-            placement_table: PlacementTable::new(
-                &zone_name(zone),
-                options,
-                cost_rule,
-                admission_rule,
-            ),
-            caps: caps.collect(),
-        }
+        let mut placement_table =
+            PlacementTable::new(&zone_name(zone), options, cost_rule, admission_rule);
+        placement_table.set_fleet_admission(policy == Policy::FleetAdmission);
+        Self { zone, placement_table, caps: caps.collect() }
     }
 
     /// Replaces the list of upstreams by the given engines, as pairs of index and zone.
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -59,6 +59,17 @@
     }
 }
 
+/// Outcomes of the requests of a caller group that arrived in one second.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SecondReport {
+    /// Requests.
+    pub requests: u64,
+    /// Those answered on time.
+    pub on_time: u64,
+    /// Those sent to an engine and answered late, or abandoned there.
+    pub late: u64,
+}
+
 /// Result of a simulation run.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
@@ -76,6 +87,8 @@
     pub cross_zone_attempts: u64,
     /// Sends from a relay to an engine.
     pub sent_attempts: u64,
+    /// Outcomes by name of the caller group and second of the first arrival.
+    pub seconds: BTreeMap<(&'static str, u64), SecondReport>,
     /// Tokens acquired from each organisation's cap, by second.
     pub cap_tokens_by_second: BTreeMap<&'static str, BTreeMap<u64, f64>>,
 }
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -4,12 +4,13 @@
 use std::collections::BinaryHeap;
 
 use hickorycourse_caps::UsageReport;
+use hickorycourse_overload::WorkClass;
 use hickorycourse_placement::{Admission, AttemptOutcome, Placement, PlacementRequest};
-use hickorycourse_relay::digest_period_ms;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::engine::Engine;
+use crate::exchange::{Exchange, Snapshot, exchange_period_ms};
 use crate::pattern::{CallerGroup, Fault, LoadPattern, RetryBehaviour};
 use crate::relay::{Policy, Relay, engine_id, zone_name};
 use crate::report::{GroupReport, Report};
@@ -44,6 +45,7 @@
     Digest { relay: usize },
     EngineCrash { count: usize },
     UpstreamListUpdate,
+    EngineReclaim { count: usize },
     ZonePartition { zone: usize },
 }
 
@@ -57,6 +59,9 @@
     relays: Vec<Relay>,
     last_broadcast_ms: Vec<u64>,
     engines: Vec<Engine>,
+    /// Engines that are reclaimed, the lowest indices first.
+    reclaimed: usize,
+    exchange: Exchange,
     requests: Vec<Request>,
     report: Report,
 }
@@ -78,8 +83,12 @@
     fn new(pattern: &'a LoadPattern, policy: Policy, seed: u64) -> eyre::Result<Self> {
         let engines: Vec<Engine> =
             (0..pattern.engines).map(|number| Engine::new(number % pattern.zones)).collect();
-        let relays =
-            (0..pattern.relays).map(|number| Relay::new(pattern, number % pattern.zones, policy));
+        let policy_of = |number: usize| match policy {
+            Policy::FleetAdmission if number < pattern.earlier_relays => Policy::Chosen,
+            policy => policy,
+        };
+        let relays = (0..pattern.relays)
+            .map(|number| Relay::new(pattern, number % pattern.zones, policy_of(number)));
         let mut report = Report::default();
         for group in &pattern.groups {
             report.groups.insert(group.name, GroupReport::new()?);
@@ -94,13 +103,15 @@
             relays: relays.collect(),
             last_broadcast_ms: vec![0; pattern.relays],
             engines,
+            reclaimed: 0,
+            exchange: Exchange::new(pattern.relays),
             requests: Vec::new(),
             report,
         };
         simulation.update_upstream_lists();
         simulation.schedule_faults();
         for relay in 0..pattern.relays {
-            let first_ms = simulation.rng.random_range(0..digest_period_ms(pattern.relays));
+            let first_ms = simulation.rng.random_range(0..exchange_period_ms(pattern.relays));
             simulation.schedule(first_ms, Event::Digest { relay });
         }
         for group in 0..pattern.groups.len() {
@@ -123,6 +134,10 @@
                     let recovery_ms = self.pattern.store_recovery_ms(listed_at_ms);
                     self.schedule(recovery_ms.unwrap_or(listed_at_ms), Event::UpstreamListUpdate);
                 }
+                Fault::EngineReclaim { from_ms, until_ms, count } => {
+                    self.schedule(from_ms, Event::EngineReclaim { count });
+                    self.schedule(until_ms, Event::EngineReclaim { count: 0 });
+                }
                 Fault::ZonePartition { zone, from_ms, .. } => {
                     self.schedule(from_ms, Event::ZonePartition { zone });
                 }
@@ -171,13 +186,17 @@
                 self.broadcast_digest(relay);
                 if self.now_ms < self.pattern.duration_ms {
                     self.schedule(
-                        self.now_ms + digest_period_ms(self.pattern.relays),
+                        self.now_ms + exchange_period_ms(self.pattern.relays),
                         Event::Digest { relay },
                     );
                 }
             }
             Event::EngineCrash { count } => self.crash_engines(count),
             Event::UpstreamListUpdate => self.update_upstream_lists(),
+            Event::EngineReclaim { count } => {
+                self.reclaimed = count;
+                self.update_upstream_lists();
+            }
             Event::ZonePartition { zone } => self.partition_zone(zone),
         }
     }
@@ -191,7 +210,8 @@
 
     fn update_upstream_lists(&mut self) {
         for relay in &mut self.relays {
-            let alive = self.engines.iter().enumerate().filter(|(_, engine)| engine.is_alive);
+            let alive = self.engines.iter().enumerate().skip(self.reclaimed);
+            let alive = alive.filter(|(_, engine)| engine.is_alive);
             relay.set_engines(alive.map(|(number, engine)| (number, engine.zone)));
         }
     }
@@ -243,7 +263,19 @@
         table.record_arrival(&placement, self.now_ms);
         let waited_ms = self.now_ms - request_state.attempt_arrival_ms;
         let forecast = placement.forecast(waited_ms, group.target_ms, group.patience_ms);
-        if let Admission::Refuse { retry_after_ms } = table.admit(&forecast, self.now_ms) {
+        let work = table.work_request(&placement, &placement_request, group.output_tokens);
+        let refusal = match request_state.excluded.is_empty() {
+            true => table.refuse_in_overload(&work, &forecast, self.now_ms),
+            false => None,
+        };
+        let refused_for_ms = match refusal {
+            Some(refusal) => Some(refusal.retry_after_ms),
+            None => match table.admit(&forecast, self.now_ms) {
+                Admission::Refuse { retry_after_ms } => Some(retry_after_ms),
+                Admission::Send => None,
+            },
+        };
+        if let Some(retry_after_ms) = refused_for_ms {
             if let Some(cap) = self.relays[CAP_DECIDER].caps.get_mut(group.organisation) {
                 cap.refund(tokens as f64, request_state.attempt_arrival_ms, self.now_ms);
             }
@@ -327,8 +359,18 @@
 
     /// Ends the attempt of a request, if it has one, in the relay's placement table.
     fn end_attempt(&mut self, request: usize, outcome: AttemptOutcome) {
-        let has_first_byte = self.requests[request].first_byte_at_ms.is_some();
+        let first_byte_at_ms = self.requests[request].first_byte_at_ms;
+        let has_first_byte = first_byte_at_ms.is_some();
+        let group = self.group(request);
         if let Some(assignment) = self.requests[request].assignment.take() {
+            if let Some(first_byte_at_ms) = first_byte_at_ms
+                && outcome == AttemptOutcome::Answered
+            {
+                let prompt_tokens = group.shared_tokens + group.own_tokens;
+                let class = WorkClass::new(group.urgency, prompt_tokens, group.output_tokens);
+                let table = &mut self.relays[assignment.relay].placement_table;
+                table.record_response_time(class, self.now_ms - first_byte_at_ms);
+            }
             let table = &mut self.relays[assignment.relay].placement_table;
             table.end_attempt(&assignment.placement, has_first_byte, outcome, self.now_ms);
         }
@@ -342,12 +384,15 @@
             (request_state.first_arrival_ms + group.patience_ms).saturating_sub(self.now_ms);
         let advised_ms = match self.policy {
             Policy::Baseline => BASELINE_RETRY_AFTER_MS,
-            Policy::Chosen => retry_after_ms,
+            Policy::Chosen | Policy::FleetAdmission => retry_after_ms,
         };
         let wait_ms = match group.retry_behaviour {
             RetryBehaviour::Never => None,
             RetryBehaviour::Immediate => Some(IMMEDIATE_RETRY_DELAY_MS),
-            RetryBehaviour::AfterDelay => Some(advised_ms.min(remaining_ms / RETRY_WAIT_DIVISOR)),
+            RetryBehaviour::OnceAfterDelay if request_state.attempt > 1 => None,
+            RetryBehaviour::AfterDelay | RetryBehaviour::OnceAfterDelay => {
+                Some(advised_ms.min(remaining_ms / RETRY_WAIT_DIVISOR))
+            }
         };
         let wait_ms = wait_ms.filter(|wait_ms| *wait_ms < remaining_ms);
         match wait_ms.filter(|_| request_state.attempt < MAX_ATTEMPTS) {
@@ -404,9 +449,7 @@
         let name = format!("relay-{from}");
         let relay = &mut self.relays[from];
         let zone = relay.zone;
-        let loads: Vec<_> =
-            relay.placement_table.own_loads().map(|(id, load)| (id.to_owned(), load)).collect();
-        let demand = relay.placement_table.own_demand(self.now_ms);
+        let snapshot = Snapshot::of(&relay.placement_table, zone, self.now_ms);
         let now_ms = self.now_ms;
         let usage: Vec<_> = relay
             .caps
@@ -417,10 +460,8 @@
             if number == from || !self.pattern.is_reachable(zone, to.zone, self.now_ms) {
                 continue;
             }
-            to.placement_table.clear_peer(&name);
-            to.placement_table.set_peer_demand(&name, demand.clone(), 1);
-            for (id, load) in &loads {
-                to.placement_table.set_peer_load(&name, id, load.clone(), self.now_ms);
+            if !self.exchange.is_aggregated() {
+                snapshot.apply(&name, &mut to.placement_table, self.now_ms);
             }
             for (organisation, usage) in &usage {
                 if let Some(cap) = to.caps.get_mut(organisation) {
@@ -435,6 +476,22 @@
                 }
             }
         }
+        if self.exchange.is_aggregated() {
+            self.exchange_sums(from, snapshot);
+        }
+    }
+
+    /// Reports to the aggregator of the relay's zone and applies the sums of the zones that it can reach.
+    fn exchange_sums(&mut self, from: usize, snapshot: Snapshot) {
+        self.exchange.record(from, snapshot);
+        let zone = self.relays[from].zone;
+        for other in 0..self.pattern.zones {
+            if self.pattern.is_reachable(zone, other, self.now_ms) {
+                let sums = self.exchange.sum_zone(other, from);
+                let table = &mut self.relays[from].placement_table;
+                sums.apply(&zone_name(other), table, self.now_ms);
+            }
+        }
     }
 
     fn update_group_report(&mut self, request: usize, update: impl FnOnce(&mut GroupReport)) {
@@ -452,6 +509,16 @@
         }
         let first_byte_ms =
             request_state.first_byte_at_ms.map(|at_ms| at_ms - request_state.first_arrival_ms);
+        let second = self.requests[request].first_arrival_ms / 1_000;
+        let seconds = self.report.seconds.entry((group.name, second)).or_default();
+        seconds.requests += 1;
+        match (outcome, first_byte_ms) {
+            (Outcome::Answered, Some(first_byte_ms)) if first_byte_ms <= group.target_ms => {
+                seconds.on_time += 1;
+            }
+            (Outcome::Answered | Outcome::Abandoned, _) => seconds.late += 1,
+            _ => {}
+        }
         self.update_group_report(request, |report| match (outcome, first_byte_ms) {
             (Outcome::Answered, Some(first_byte_ms)) => {
                 let is_on_time = first_byte_ms <= group.target_ms;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -18,6 +18,7 @@
 mod health;
 mod latency;
 mod limit;
+mod overload;
 mod pace;
 mod permits;
 mod request;
@@ -42,6 +43,7 @@
 pub use backoff::Backoff;
 pub use cost::{CostComponents, CostRule, ExpectedWait, LeastRequests};
 pub use health::{AttemptOutcome, Health};
+pub use overload::{FleetAdmission, OverloadRefusal};
 pub use pace::Pace;
 pub use permits::LimitedUpstream;
 pub use request::{PlacementRequest, PromptPart};
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -13,6 +13,7 @@
 use crate::fragile::{SlotHolders, SlotsOf};
 use crate::health::AttemptOutcome;
 use crate::latency::LatencyEstimate;
+use crate::overload::FleetAdmission;
 use crate::request::PlacementRequest;
 use crate::retry_schedule::RetrySchedule;
 use crate::token_rate::{RankedRates, TokenRateMeter};
@@ -121,8 +122,10 @@
     options: PlacementOptions,
     cost_rule: Box<dyn CostRule>,
     pub(crate) upstreams: BTreeMap<String, Upstream>,
-    latency: LatencyEstimate,
+    pub(crate) latency: LatencyEstimate,
     admission_rule: Box<dyn AdmissionRule>,
+    /// Overload control over all instances; `None` where it is off.
+    pub(crate) fleet_admission: Option<Box<FleetAdmission>>,
     /// Permits that callers refused for want of one are told to come back for.
     pub(crate) permit_schedule: RetrySchedule,
     /// Uncached prompt tokens of all requests that arrived, including refused ones.
@@ -164,6 +167,7 @@
             upstreams: BTreeMap::new(),
             latency: LatencyEstimate::new(&options),
             admission_rule,
+            fleet_admission: None,
             permit_schedule: RetrySchedule::default(),
             arrival_meter: TokenRateMeter::default(),
             sent_meter: TokenRateMeter::default(),
@@ -524,6 +528,7 @@
             upstream.facts.load.clear_peer(peer);
         }
         self.peer_demand.remove(peer);
+        self.clear_peer_work(Some(peer));
     }
 
     /// This instance's load by upstream; upstreams without load are left out.
@@ -567,6 +572,7 @@
             upstream.facts.load.clear_peers();
         }
         self.peer_demand.clear();
+        self.clear_peer_work(None);
     }
 
     /// Applies the admission rule of the service.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use hickorycourse_connections::{ResponseBody, UpstreamConnection};
+use hickorycourse_overload::WorkClass;
 use hickorycourse_placement::{AttemptOutcome, Placement};
 use hickorycourse_quarantine::RequestItems;
 use hickorycourse_starts::Acceptance;
@@ -55,6 +56,8 @@
     /// Time at which a silence before the first byte was recorded.
     waited_until_ms: Option<u64>,
     is_ended: bool,
+    /// Class of its work for overload control.
+    work_class: WorkClass,
     /// Age of the list of upstreams that the upstream was chosen from; `None` if it was never proven.
     view_age_ms: Option<u64>,
 }
@@ -85,6 +88,7 @@
             is_silent: false,
             waited_until_ms: None,
             is_ended: false,
+            work_class: call.work_class(),
             view_age_ms,
         }
     }
@@ -293,6 +297,12 @@
                 self.relay.record_upstream_progress(self.upstream_start);
             }
             let mut placement_table = self.placement_table.lock();
+            if let Some(first_byte_at_ms) = self.first_byte_at_ms
+                && outcome == AttemptOutcome::Answered
+            {
+                let response_ms = now_ms.saturating_sub(first_byte_at_ms);
+                placement_table.record_response_time(self.work_class, response_ms);
+            }
             placement_table.end_attempt(
                 &self.placement,
                 self.first_byte_at_ms.is_some(),
--- a/crates/relay/src/broadcast.rs
+++ b/crates/relay/src/broadcast.rs
@@ -183,8 +183,12 @@
             });
             let TokenDemand { arrived_tokens_per_ms, sent_tokens_per_ms } =
                 placement_table.own_demand(now_ms);
-            let service_digest =
-                ServiceDigest { arrived_tokens_per_ms, sent_tokens_per_ms, loads: loads.collect() };
+            let service_digest = ServiceDigest {
+                arrived_tokens_per_ms,
+                sent_tokens_per_ms,
+                loads: loads.collect(),
+                work: placement_table.own_work(now_ms),
+            };
             services.insert(service, service_digest);
         }
         MemberDigest {
@@ -429,6 +433,8 @@
             sent_tokens_per_ms: digest.sent_tokens_per_ms.clone(),
         };
         placement_table.set_peer_demand(peer, demand, instances);
+        let work = digest.work.as_ref();
+        placement_table.set_peer_work(peer, instances, work, reported_at_ms);
         for (upstream, running, answering, waiting) in &digest.loads {
             let waiting = waiting.iter().map(|(rank, requests, tokens)| {
                 (*rank, WaitingRequests { requests: *requests, tokens: *tokens })
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,6 +40,7 @@
 mod messages;
 mod origin_records;
 mod origins;
+mod overload;
 mod placing;
 mod planning;
 mod quarantine;
@@ -90,11 +91,12 @@
 pub use late_replies::LateReplies;
 pub use management::is_own_host;
 pub use members::{MemberRecord, MemberTable};
+pub use overload::calls_for_overload_control;
 pub use readers::{FollowTimings, LastHeard, MAX_READERS_PER_ZONE, select_readers};
 pub use server::{PlatformAdapter, run};
 pub use settings::{
-    AdmissionPolicy, Bounds, Duty, EventLogSettings, ExchangePolicy, PlacementPolicy,
-    PolicySettings, RelaySettings,
+    AdmissionPolicy, Bounds, Duty, EventLogSettings, ExchangePolicy, OverloadPolicy,
+    PlacementPolicy, PolicySettings, RelaySettings,
 };
 pub use version_check::VersionCheck;
 pub use view_gate::ViewGate;
--- a/crates/relay/src/placing.rs
+++ b/crates/relay/src/placing.rs
@@ -129,6 +129,14 @@
         } else {
             let forecast =
                 placement.forecast(waited_ms, self.route.target_ms, self.route.patience_ms());
+            if retry_state.excluded.is_empty() {
+                let work = placements.work_request(&placement, &request, self.tokens.max_output);
+                if let Some(refusal) = placements.refuse_in_overload(&work, &forecast, now_ms) {
+                    placements.return_unused_permit(&placement);
+                    drop(placements);
+                    return Err(self.overload_problem(&work, &forecast, &refusal));
+                }
+            }
             if let Admission::Refuse { retry_after_ms } = placements.admit(&forecast, now_ms) {
                 placements.return_unused_permit(&placement);
                 drop(placements);
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -196,6 +196,18 @@
     LeastRequests,
 }
 
+/// Overload control over all instances.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OverloadPolicy {
+    /// On for services whose capacity can be ordered, whose upstreams state their slots, and that requests
+    /// of several ranks share.
+    #[default]
+    Auto,
+    /// Off; the baseline.
+    Off,
+}
+
 /// How instances tell each other of their load and use.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -217,6 +229,8 @@
     pub exchange: ExchangePolicy,
     /// Admission policy.
     pub admission: AdmissionPolicy,
+    /// Overload control over all instances.
+    pub overload: OverloadPolicy,
     /// Placement policy.
     pub placement: PlacementPolicy,
     /// Prefill rate of an engine in prompt tokens per millisecond, until it has been measured.
@@ -245,6 +259,7 @@
         Self {
             exchange: ExchangePolicy::default(),
             admission: AdmissionPolicy::default(),
+            overload: OverloadPolicy::default(),
             placement: PlacementPolicy::default(),
             reading_tokens_per_ms: placement.prefill_tokens_per_ms,
             idle_first_byte_ms: placement.idle_first_byte_ms,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -340,6 +340,7 @@
             || json!({ "version": version, "before": before, "source": source }),
         );
         self.refresh_caps();
+        self.refresh_overload_control();
     }
 
     /// Adds or updates an upstream from its entry in the store, which was written after `written_after_ms` if that is known.
@@ -484,6 +485,8 @@
             let entries = directory.entries().filter(|entry| entry.service == service);
             placement_table.lock().set_upstreams(entries);
         }
+        drop((directory, placement_tables));
+        self.refresh_overload_control();
     }
 
     fn placement_options(&self) -> PlacementOptions {
