--- a/crates/digest/src/aggregator.rs
+++ b/crates/digest/src/aggregator.rs
@@ -9,6 +9,7 @@
 
 use hickorycourse_caps::{CapTotals, DECIDERS_PER_ZONE, EpochUsage};
 use hickorycourse_duties::{FleetUsage, UsageSource, WindowCounts};
+use hickorycourse_overload::WorkCounts;
 
 use crate::message::{LoadCounts, MemberDigest, MemberMark, ServiceDigest, ZoneDigest};
 use crate::ranking::{AGGREGATORS_PER_ZONE, rank_aggregators};
@@ -239,6 +240,7 @@
     sent_tokens_per_ms: BTreeMap<u8, f64>,
     loads: BTreeMap<&'a str, UpstreamSums>,
     speeds: BTreeMap<&'a str, (u32, i32)>,
+    work: Option<WorkCounts>,
 }
 
 #[derive(Default)]
@@ -254,6 +256,9 @@
         for (rank, rate) in &digest.sent_tokens_per_ms {
             *self.sent_tokens_per_ms.entry(*rank).or_default() += rate;
         }
+        if let Some(work) = &digest.work {
+            self.work.get_or_insert_default().add(work);
+        }
         for (upstream, running, answering, waiting) in &digest.loads {
             let sums = self.loads.entry(upstream).or_default();
             sums.running = sums.running.saturating_add(*running);
@@ -288,6 +293,7 @@
             speeds: told
                 .map(|(upstream, (weight, log_sum))| (upstream.to_owned(), weight, log_sum))
                 .collect(),
+            work: self.work,
         }
     }
 }
--- a/crates/digest/src/message.rs
+++ b/crates/digest/src/message.rs
@@ -6,6 +6,7 @@
 
 use hickorycourse_caps::EpochUsage;
 use hickorycourse_duties::WindowCounts;
+use hickorycourse_overload::WorkCounts;
 use hickorycourse_permits::LimitNotice;
 use hickorycourse_quarantine::QuarantineDigest;
 use serde::{Deserialize, Serialize};
@@ -89,6 +90,10 @@
     /// Observed speeds of some of the upstreams; the others may be in the next digests.
     #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
     pub speeds: Vec<SpeedCounts>,
+    /// Work that arriving requests ask for, by rank and size; `None` where overload control is off, and from
+    /// a build without it.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub work: Option<WorkCounts>,
 }
 
 /// Requests at one upstream: its id, requests in flight, those with a started response, and the queued
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -207,6 +207,18 @@
     Off,
 }
 
+/// Overload control over all instances.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OverloadPolicy {
+    /// On for services whose capacity can be ordered, whose upstreams state their slots, and that requests
+    /// of several ranks share.
+    #[default]
+    Auto,
+    /// Off; the baseline.
+    Off,
+}
+
 /// How instances tell each other of their load and use.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -242,6 +254,8 @@
     pub exchange: ExchangePolicy,
     /// Admission policy.
     pub admission: AdmissionPolicy,
+    /// Overload control over all instances.
+    pub overload: OverloadPolicy,
     /// Placement policy.
     pub placement: PlacementPolicy,
     /// When the expected end of a streamed response counts in placement.
@@ -276,6 +290,7 @@
         Self {
             exchange: ExchangePolicy::default(),
             admission: AdmissionPolicy::default(),
+            overload: OverloadPolicy::default(),
             placement: PlacementPolicy::default(),
             completion: CompletionPolicy::default(),
             reading_tokens_per_ms: placement.prefill_tokens_per_ms,
