Even load: requests are divided by the room that is left, from reports of known age

Cause: an instance knows others' requests as of up to a second ago. It took the lowest cost within a sample of a few upstreams, so that many instances sent to the same upstreams until the next digests.

Change: facts estimate the requests at present from the younger of the digests and the upstream's own report, less what ends meanwhile. The rule `even` divides requests by what upstreams lack to the level that the unreported requests fill (Dahlin, 2000), and an instance takes its turns by these shares. Reports that can't be true are counted and ignored. `policy.placement` = `even` is the default and applies where upstreams list slots; `expected_wait` is the rule before.

--- a/crates/facts/src/lib.rs
+++ b/crates/facts/src/lib.rs
@@ -7,7 +7,10 @@
 mod load;
 mod speed;
 
-pub use load::{LoadEstimate, LoadFacts, LoadReport, UpstreamLoad, WaitingRequests};
+pub use load::{
+    IgnoredReport, LoadEstimate, LoadFacts, LoadReport, LoadSource, PresentLoad,
+    REPORT_STALE_AFTER_MS, UpstreamLoad, WaitingRequests,
+};
 pub use speed::SpeedFacts;
 
 /// Types that most users of this crate need.
--- a/crates/facts/src/load.rs
+++ b/crates/facts/src/load.rs
@@ -3,7 +3,12 @@
 use std::collections::{BTreeMap, HashMap};
 
 /// Age at which a load report, of the upstream itself or of a peer instance, is stale.
-const REPORT_STALE_AFTER_MS: u64 = 1_500;
+pub const REPORT_STALE_AFTER_MS: u64 = 1_500;
+/// Requests at work that an upstream may report for each of its slots; the list of upstreams may be older
+/// than the report.
+const MAX_RUNNING_PER_SLOT: u64 = 4;
+/// Waiting requests that an upstream may report.
+const MAX_WAITING: u64 = 100_000;
 
 /// Requests whose first byte is still outstanding.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -49,15 +54,92 @@
     pub waiting: u64,
     /// Time at which the report arrived, in milliseconds.
     pub at_ms: u64,
+    /// Requests of this instance at that time.
+    pub own: u64,
 }
 
 impl LoadReport {
+    /// Returns the requests of all instances in flight.
+    pub fn in_flight(&self) -> u64 {
+        self.running.saturating_add(self.waiting)
+    }
+
     /// Returns its age in milliseconds.
     pub fn age_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.at_ms)
     }
 }
 
+/// A load report that was not used, as no upstream with these slots can have this load.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct IgnoredReport {
+    /// Whether it is the first one of this start of the upstream.
+    pub is_first: bool,
+}
+
+/// Where the load of other instances is known from.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LoadSource {
+    /// No recent report.
+    #[default]
+    Unknown,
+    /// Digests of the other instances.
+    Digests,
+    /// The latest report of the upstream.
+    Upstream,
+}
+
+impl LoadSource {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown",
+            Self::Digests => "digests",
+            Self::Upstream => "upstream",
+        }
+    }
+}
+
+/// Estimate of the requests at one upstream, from reports of known age.
+///
+/// Requests end independently of each other, so that those in flight at the time of a report become fewer
+/// exponentially with its age, and new ones take their place (transient of an infinite-server queue).
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PresentLoad {
+    /// Requests of this instance; exact.
+    pub own: u64,
+    /// Requests of other instances, by the report.
+    pub reported: f64,
+    /// Those of them that are expected not to have ended since.
+    pub remaining: f64,
+    /// Fraction of the requests at the time of the report that is expected not to have ended since; 0
+    /// without a report.
+    pub remaining_fraction: f64,
+    /// Where the load of other instances is known from.
+    pub source: LoadSource,
+    /// Mean age of the reports; `None` without one.
+    pub age_ms: Option<u64>,
+}
+
+impl PresentLoad {
+    /// Requests that are known to be in flight.
+    pub fn known(&self) -> f64 {
+        self.own as f64 + self.remaining
+    }
+
+    /// Expected number of requests in flight that others have sent since the report, where they usually
+    /// have `usual` requests.
+    pub fn unreported(&self, usual: f64) -> f64 {
+        usual * (1.0 - self.remaining_fraction)
+    }
+
+    /// Standard deviation of the requests in flight, of which others have sent `unreported` since the
+    /// report.
+    pub fn deviation(&self, unreported: f64) -> f64 {
+        (self.remaining * (1.0 - self.remaining_fraction) + unreported).sqrt()
+    }
+}
+
 /// Last load that a peer instance reported.
 #[derive(Clone, Debug)]
 struct PeerLoad {
@@ -78,6 +160,7 @@
     own: UpstreamLoad,
     peers: HashMap<String, PeerLoad>,
     report: Option<LoadReport>,
+    has_ignored_report: bool,
 }
 
 impl LoadFacts {
@@ -120,9 +203,21 @@
         self.own.answering = self.own.answering.saturating_sub(u64::from(has_first_byte));
     }
 
-    /// Records a load report of the upstream itself.
-    pub fn set_report(&mut self, running: u64, waiting: u64, now_ms: u64) {
-        self.report = Some(LoadReport { running, waiting, at_ms: now_ms });
+    /// Records a load report of the upstream itself, which has this number of slots. One that can't be true is
+    /// ignored; the one before holds until it is stale.
+    pub fn set_report(
+        &mut self,
+        running: u64,
+        waiting: u64,
+        slots: u64,
+        now_ms: u64,
+    ) -> Option<IgnoredReport> {
+        if running > slots.saturating_mul(MAX_RUNNING_PER_SLOT) || waiting > MAX_WAITING {
+            let is_first = !std::mem::replace(&mut self.has_ignored_report, true);
+            return Some(IgnoredReport { is_first });
+        }
+        self.report = Some(LoadReport { running, waiting, at_ms: now_ms, own: self.own.running });
+        None
     }
 
     /// Returns the latest load report of the upstream itself, whatever its age.
@@ -148,6 +243,7 @@
     /// Discards the report of the upstream itself, after it has started again.
     pub fn reset(&mut self) {
         self.report = None;
+        self.has_ignored_report = false;
     }
 
     /// Requests of all instances whose first byte has arrived.
@@ -181,8 +277,8 @@
             let remaining = |tokens: u64| (tokens as f64 - prefilled).max(0.0);
             let ahead = sum_waiting(&peer.load.waiting, urgency);
             let remaining_tokens = remaining(ahead.tokens);
-            load.running += peer.load.running;
-            load.answering += peer.load.answering;
+            load.running = load.running.saturating_add(peer.load.running);
+            load.answering = load.answering.saturating_add(peer.load.answering);
             load.requests_ahead +=
                 ahead.requests as f64 * remaining_tokens / (ahead.tokens as f64).max(1.0);
             load.tokens_ahead += remaining_tokens;
@@ -191,8 +287,52 @@
         let reported = self
             .report
             .filter(|report| report.age_ms(now_ms) < REPORT_STALE_AFTER_MS)
-            .map_or(0, |report| report.running + report.waiting);
-        load.running = load.running.max(reported.min(load.running + slots));
+            .map_or(0, |report| report.in_flight());
+        load.running = load.running.max(reported.min(load.running.saturating_add(slots)));
+        load
+    }
+
+    /// Estimates the requests at present, of which one in flight goes on for `remaining_ms` on average.
+    /// Peers that report no requests here count with the mean age of the latest digests.
+    pub fn present(
+        &self,
+        remaining_ms: f64,
+        digest_age_ms: Option<u64>,
+        now_ms: u64,
+    ) -> PresentLoad {
+        let fraction = |age_ms: u64| (-(age_ms as f64) / remaining_ms).exp();
+        let own = self.own.running;
+        let report = self.report.filter(|report| report.age_ms(now_ms) < REPORT_STALE_AFTER_MS);
+        let report = report.filter(|report| {
+            digest_age_ms.is_none_or(|digest_age_ms| report.age_ms(now_ms) <= digest_age_ms)
+        });
+        if let Some(report) = report {
+            let age_ms = report.age_ms(now_ms);
+            let reported = report.in_flight().saturating_sub(report.own) as f64;
+            return PresentLoad {
+                own,
+                reported,
+                remaining: reported * fraction(age_ms),
+                remaining_fraction: fraction(age_ms),
+                source: LoadSource::Upstream,
+                age_ms: Some(age_ms),
+            };
+        }
+        let Some(digest_age_ms) = digest_age_ms else {
+            return PresentLoad { own, ..PresentLoad::default() };
+        };
+        let mut load = PresentLoad {
+            own,
+            remaining_fraction: fraction(digest_age_ms),
+            source: LoadSource::Digests,
+            age_ms: Some(digest_age_ms),
+            ..PresentLoad::default()
+        };
+        for peer in self.fresh_peers(now_ms) {
+            let requests = peer.load.running as f64;
+            load.reported += requests;
+            load.remaining += requests * fraction(now_ms.saturating_sub(peer.at_ms));
+        }
         load
     }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -14,6 +14,7 @@
 mod admission;
 mod backoff;
 mod cost;
+mod even;
 mod fragile;
 mod health;
 mod latency;
@@ -36,11 +37,12 @@
     };
 }
 
-pub use hickorycourse_facts::{UpstreamLoad, WaitingRequests};
+pub use hickorycourse_facts::{IgnoredReport, LoadSource, UpstreamLoad, WaitingRequests};
 
 pub use admission::{Admission, AdmissionRule, AdmitAll, Forecast, TargetAdmission};
 pub use backoff::Backoff;
 pub use cost::{CostComponents, CostRule, ExpectedWait, LeastRequests};
+pub use even::{ChoiceCandidate, ChoiceRule, EvenLoad, LoadEvidence, LowestKnownCost};
 pub use health::{AttemptOutcome, Health};
 pub use pace::Pace;
 pub use permits::LimitedUpstream;
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -4,12 +4,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
-use hickorycourse_facts::{LoadEstimate, UpstreamLoad};
+use hickorycourse_facts::{IgnoredReport, LoadEstimate, UpstreamLoad};
 use hickorycourse_routes::UpstreamEntry;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::admission::{Admission, AdmissionRule, Forecast};
 use crate::cost::{CostComponents, CostRule};
+use crate::even::{ChoiceRule, LoadEvidence, RemainingTime};
 use crate::fragile::{SlotHolders, SlotsOf};
 use crate::health::AttemptOutcome;
 use crate::latency::LatencyEstimate;
@@ -93,6 +94,8 @@
     pub is_lent: bool,
     /// Version of the upstream's software; `None` if it is not known.
     pub version: Option<String>,
+    /// What the choice was based on; `None` if no choice rule was applied.
+    pub evidence: Option<Box<LoadEvidence>>,
 }
 
 impl Placement {
@@ -118,10 +121,10 @@
 /// Load and health of the upstreams of one service, as known to this instance.
 pub struct PlacementTable {
     availability_zone: String,
-    options: PlacementOptions,
+    pub(crate) options: PlacementOptions,
     cost_rule: Box<dyn CostRule>,
     pub(crate) upstreams: BTreeMap<String, Upstream>,
-    latency: LatencyEstimate,
+    pub(crate) latency: LatencyEstimate,
     admission_rule: Box<dyn AdmissionRule>,
     /// Permits that callers refused for want of one are told to come back for.
     pub(crate) permit_schedule: RetrySchedule,
@@ -138,6 +141,13 @@
     pub(crate) claimants: Cell<(u64, u64)>,
     /// Requests that end.
     pub(crate) end_meter: TokenRateMeter,
+    /// Rule by which upstreams with slots are chosen.
+    pub(crate) choice_rule: Option<Box<dyn ChoiceRule>>,
+    /// Whether some upstream lists its slots.
+    pub(crate) has_slots: bool,
+    pub(crate) remaining_time: RemainingTime,
+    /// Times of the latest loads of each peer.
+    pub(crate) peer_loads_at_ms: HashMap<String, u64>,
 }
 
 /// Rate of uncached prompt tokens of an instance's requests.
@@ -172,17 +182,23 @@
             slot_holders: SlotHolders::default(),
             claimants: Cell::default(),
             end_meter: TokenRateMeter::default(),
+            choice_rule: None,
+            has_slots: false,
+            remaining_time: RemainingTime::default(),
+            peer_loads_at_ms: HashMap::new(),
         }
     }
 
     /// Replaces the list of upstreams. State is kept for an upstream whose id and address are unchanged.
     pub fn set_upstreams<'a>(&mut self, entries: impl Iterator<Item = &'a UpstreamEntry>) {
         let mut previous = std::mem::take(&mut self.upstreams);
+        self.has_slots = false;
         for entry in entries {
             let kept =
                 previous.remove(&entry.id).filter(|upstream| upstream.address == entry.address);
             let mut upstream = kept.unwrap_or_else(|| Upstream::new(entry));
             upstream.update(entry);
+            self.has_slots |= entry.slots > 1;
             self.upstreams.insert(entry.id.clone(), upstream);
         }
         self.refresh_fragile();
@@ -232,9 +248,12 @@
         };
         let instances = self.count_instances();
         let context = self.request_context(request, now_ms);
-        let choose_usable = |slots_of: SlotsOf| {
-            let sample = self.sample_usable(&context, instances, open(slots_of));
-            self.find_cheapest(sample.into_iter(), &context)
+        let choose_usable = |slots_of: SlotsOf| match self.choice_rule() {
+            Some(rule) => self.choose_by(rule, &context, open(slots_of)),
+            None => {
+                let sample = self.sample_usable(&context, instances, open(slots_of));
+                self.find_cheapest(sample.into_iter(), &context)
+            }
         };
         let choose = |is_candidate: &dyn Fn(&Upstream) -> bool| {
             let has_sound = self.upstreams.values().any(|upstream| upstream.is_sound(now_ms));
@@ -361,6 +380,17 @@
         id: &'a str,
         upstream: &'a Upstream,
         context: &RequestContext<'_>,
+    ) -> Candidate<'a> {
+        self.evaluate_with(id, upstream, None, context)
+    }
+
+    /// As [`Self::evaluate`], with another estimate of the requests in flight.
+    pub(crate) fn evaluate_with<'a>(
+        &self,
+        id: &'a str,
+        upstream: &'a Upstream,
+        in_flight: Option<f64>,
+        context: &RequestContext<'_>,
     ) -> Candidate<'a> {
         let RequestContext { request, affinity_upstream, now_ms, .. } = *context;
         let rate = self.latency.tokens_per_ms;
@@ -368,7 +398,7 @@
         let uncached = request.prompt_tokens.saturating_sub(cached);
         let shared = request.shared_tokens().saturating_sub(cached) as f64;
         let load = upstream.facts.load.estimate(request.urgency, rate, upstream.slots, now_ms);
-        let (running, slots) = (load.running as f64, upstream.slots as f64);
+        let (running, slots) = (in_flight.unwrap_or(load.running as f64), upstream.slots as f64);
         let overflow = (running + 1.0 - slots).max(0.0) / slots;
         let pace = upstream.pace.factor(now_ms);
         let is_near = upstream.availability_zone == self.availability_zone;
@@ -382,7 +412,15 @@
             failure_ms: upstream.health.failure_rate() * FAILURE_COST_MS,
             running: load.running,
         });
-        Candidate { id, upstream, load, uncached_tokens: uncached, cached_tokens: cached, cost }
+        Candidate {
+            id,
+            upstream,
+            load,
+            uncached_tokens: uncached,
+            cached_tokens: cached,
+            cost,
+            evidence: None,
+        }
     }
 
     /// Forecasts the latency of a request at the upstream that was chosen for it.
@@ -419,6 +457,7 @@
             permit_until_ms: None,
             is_lent: self.is_beyond_share(chosen.id, chosen.upstream, context.now_ms),
             version: chosen.upstream.version.clone(),
+            evidence: chosen.evidence.map(Box::new),
         }
     }
 
@@ -431,6 +470,7 @@
     ) {
         let Some(upstream) = self.upstreams.get_mut(&placement.upstream) else { return };
         self.sent_meter.add(placement.urgency, placement.uncached_tokens, now_ms);
+        self.remaining_time.begin(now_ms);
         upstream.begin_request(placement, now_ms);
         let hashes: Vec<u64> = request.parts.iter().map(|part| part.hash).collect();
         upstream.prefix_index.add(&hashes);
@@ -458,6 +498,8 @@
             self.remove_waiting(placement);
             self.record_abandoned_wait(placement, outcome, now_ms);
         }
+        let duration_ms = has_first_byte.then(|| placement.elapsed_ms(now_ms));
+        self.remaining_time.end(duration_ms, now_ms);
         self.end_meter.add(placement.urgency, 1, now_ms);
         let Some(upstream) = self.upstreams.get_mut(&placement.upstream) else { return };
         upstream.end_request(placement, has_first_byte, outcome, now_ms);
@@ -496,11 +538,15 @@
         upstream.facts.load.end_wait(placement.urgency, placement.uncached_tokens);
     }
 
-    /// Records a load report of the upstream itself.
-    pub fn record_load_report(&mut self, upstream: &str, running: u64, waiting: u64, now_ms: u64) {
-        if let Some(upstream) = self.upstreams.get_mut(upstream) {
-            upstream.set_report(running, waiting, now_ms);
-        }
+    /// Records a load report of the upstream itself. Returns the report if it can't be true; it is ignored.
+    pub fn record_load_report(
+        &mut self,
+        upstream: &str,
+        running: u64,
+        waiting: u64,
+        now_ms: u64,
+    ) -> Option<IgnoredReport> {
+        self.upstreams.get_mut(upstream)?.set_report(running, waiting, now_ms)
     }
 
     /// Records how long work takes on the host of an upstream at this time, as the upstream reports
@@ -513,6 +559,7 @@
 
     /// Records the load that a peer instance reported for an upstream.
     pub fn set_peer_load(&mut self, peer: &str, upstream: &str, load: UpstreamLoad, now_ms: u64) {
+        self.peer_loads_at_ms.insert(peer.to_owned(), now_ms);
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
             upstream.facts.load.set_peer(peer, load, now_ms);
         }
@@ -524,6 +571,7 @@
             upstream.facts.load.clear_peer(peer);
         }
         self.peer_demand.remove(peer);
+        self.peer_loads_at_ms.remove(peer);
     }
 
     /// This instance's load by upstream; upstreams without load are left out.
@@ -567,6 +615,7 @@
             upstream.facts.load.clear_peers();
         }
         self.peer_demand.clear();
+        self.peer_loads_at_ms.clear();
     }
 
     /// Applies the admission rule of the service.
@@ -603,21 +652,22 @@
     /// Prompt tokens that would miss its prefix cache.
     uncached_tokens: u64,
     /// Prompt tokens that are believed to be in its prefix cache.
-    cached_tokens: u64,
+    pub(crate) cached_tokens: u64,
     pub(crate) cost: f64,
+    pub(crate) evidence: Option<LoadEvidence>,
 }
 
 /// A request with the values that are the same for all candidates.
 #[derive(Clone, Copy)]
 pub(crate) struct RequestContext<'a> {
-    request: &'a PlacementRequest<'a>,
+    pub(crate) request: &'a PlacementRequest<'a>,
     /// The affinity upstream of its shared part; `None` if no part is shared.
-    affinity_upstream: Option<&'a str>,
+    pub(crate) affinity_upstream: Option<&'a str>,
     /// Prefill throughput of an upstream that is left for its rank, in tokens per millisecond.
     prefill_rate: f64,
     /// One instance's share of that throughput over all upstreams.
     prefill_rate_per_instance: f64,
-    now_ms: u64,
+    pub(crate) now_ms: u64,
 }
 
 /// Total rate of the ranks more urgent than this one.
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -1,8 +1,9 @@
 //! Load, health and cache state of one upstream.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 
-use hickorycourse_facts::{UpstreamFacts, UpstreamLoad};
+use hickorycourse_facts::{IgnoredReport, UpstreamFacts, UpstreamLoad};
 use hickorycourse_routes::{UpstreamEntry, UpstreamPhase};
 use hickorycourse_routing::PrefixIndex;
 
@@ -38,6 +39,8 @@
     /// Use of its slots, which is limited while it can turn few requests away.
     pub(crate) slot_use: SlotUse,
     pub(crate) prefix_index: PrefixIndex,
+    /// What it is short of its share in the requests of this instance; `None` before the first.
+    pub(crate) credit: Cell<Option<f64>>,
 }
 
 impl Upstream {
@@ -56,6 +59,7 @@
             limit: None,
             slot_use: SlotUse::default(),
             prefix_index: PrefixIndex::new(PREFIX_INDEX_CAPACITY),
+            credit: Cell::default(),
         };
         upstream.update(entry);
         upstream
@@ -117,7 +121,7 @@
     pub(crate) fn reported_in_flight(&self, now_ms: u64) -> Option<(u64, u64)> {
         let report = self.facts.load.report()?;
         let is_recent = report.age_ms(now_ms) <= MAX_SLOT_REPORT_AGE_MS;
-        let in_flight = self.slot_use.update_reported(report.running + report.waiting);
+        let in_flight = self.slot_use.update_reported(report.in_flight());
         is_recent.then_some((in_flight, report.at_ms))
     }
 
@@ -173,9 +177,17 @@
     }
 
     /// Records a load report of the upstream itself.
-    pub(crate) fn set_report(&mut self, running: u64, waiting: u64, now_ms: u64) {
-        self.facts.load.set_report(running, waiting, now_ms);
-        self.slot_use.record_report(running + waiting, self.slots, now_ms);
+    pub(crate) fn set_report(
+        &mut self,
+        running: u64,
+        waiting: u64,
+        now_ms: u64,
+    ) -> Option<IgnoredReport> {
+        let ignored = self.facts.load.set_report(running, waiting, self.slots, now_ms);
+        if ignored.is_none() {
+            self.slot_use.record_report(running + waiting, self.slots, now_ms);
+        }
+        ignored
     }
 
     /// Discards health, cache contents and load report after the upstream has restarted.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 
 use hickorycourse_connections::{ResponseBody, UpstreamConnection};
-use hickorycourse_placement::{AttemptOutcome, Placement};
+use hickorycourse_placement::{AttemptOutcome, LoadEvidence, Placement};
 use hickorycourse_quarantine::RequestItems;
 use hickorycourse_starts::Acceptance;
 use http::Response;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::adapter::{BackoffRequest, NamedLimit, ResponseMetadata};
 use crate::call::Call;
@@ -68,6 +68,9 @@
             metrics::histogram!("hickorycourse_view_age_seconds")
                 .record(view_age_ms as f64 / 1_000.0);
         }
+        if let Some(evidence) = &placement.evidence {
+            record_evidence(evidence);
+        }
         Self {
             relay: Arc::clone(&call.relay),
             placement_table,
@@ -141,6 +144,7 @@
                 "request": self.request_id, "upstream": self.placement.upstream,
                 "view_age_ms": self.view_age_ms,
                 "view_age_sent_ms": self.relay.view_age_ms(now_ms),
+                "load": self.placement.evidence.as_deref().map(describe_evidence),
             })
         });
     }
@@ -160,7 +164,18 @@
         }
         let mut placement_table = self.placement_table.lock();
         if let Some(load) = metadata.load {
-            placement_table.record_load_report(upstream, load.running, load.waiting, now_ms);
+            let ignored =
+                placement_table.record_load_report(upstream, load.running, load.waiting, now_ms);
+            if let Some(ignored) = ignored {
+                metrics::counter!("hickorycourse_load_reports_ignored_total").increment(1);
+                if ignored.is_first {
+                    relay.log.write("load_report_ignored", || {
+                        json!({
+                            "upstream": upstream, "running": load.running, "waiting": load.waiting,
+                        })
+                    });
+                }
+            }
             if let Some(pace_percent) = load.pace_percent {
                 placement_table.record_pace(upstream, pace_percent, now_ms);
             }
@@ -323,3 +338,21 @@
     /// Head of the response with the unread body.
     pub response: Response<ResponseBody>,
 }
+
+fn record_evidence(evidence: &LoadEvidence) {
+    let source = evidence.source.name();
+    metrics::counter!("hickorycourse_even_choices_total", "source" => source).increment(1);
+    if let Some(age_ms) = evidence.age_ms {
+        metrics::histogram!("hickorycourse_load_age_seconds").record(age_ms as f64 / 1_000.0);
+    }
+}
+
+fn describe_evidence(evidence: &LoadEvidence) -> Value {
+    let tenths = |requests: f64| (requests * 10.0).round() / 10.0;
+    json!({
+        "source": evidence.source.name(), "age_ms": evidence.age_ms,
+        "expected": tenths(evidence.expected_requests),
+        "deviation": tenths(evidence.deviation_requests),
+        "unreported": tenths(evidence.unreported_requests), "candidates": evidence.candidates,
+    })
+}
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -189,8 +189,11 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PlacementPolicy {
-    /// Selects the upstream with the shortest expected time to the first byte.
+    /// As `ExpectedWait`, but spreads requests over upstreams that list their slots in proportion to the
+    /// room that is left there by reports of known age.
     #[default]
+    Even,
+    /// Selects the upstream with the shortest expected time to the first byte.
     ExpectedWait,
     /// Selects the upstream with the fewest requests in flight; the baseline.
     LeastRequests,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -18,8 +18,8 @@
 };
 use hickorycourse_permits::{LimitTable, PermitIssuer};
 use hickorycourse_placement::{
-    AdmissionRule, AdmitAll, CostRule, ExpectedWait, LeastRequests, PlacementOptions,
-    PlacementTable, TargetAdmission,
+    AdmissionRule, AdmitAll, ChoiceRule, CostRule, EvenLoad, ExpectedWait, LeastRequests,
+    PlacementOptions, PlacementTable, TargetAdmission,
 };
 use hickorycourse_quarantine::{PartQuarantine, QuarantineOptions};
 use hickorycourse_routes::{
@@ -470,7 +470,7 @@
             let placement_table = placement_tables.entry(service.clone()).or_insert_with(|| {
                 let zone = &self.settings.availability_zone;
                 let cost_rule: Box<dyn CostRule> = match self.settings.policy.placement {
-                    PlacementPolicy::ExpectedWait => Box::new(ExpectedWait),
+                    PlacementPolicy::Even | PlacementPolicy::ExpectedWait => Box::new(ExpectedWait),
                     PlacementPolicy::LeastRequests => Box::new(LeastRequests),
                 };
                 let admission_rule: Box<dyn AdmissionRule> = match self.settings.policy.admission {
@@ -478,7 +478,10 @@
                     AdmissionPolicy::Target => Box::new(TargetAdmission::default()),
                 };
                 let options = self.placement_options();
-                let placement_table = PlacementTable::new(zone, options, cost_rule, admission_rule);
+                let is_even = self.settings.policy.placement == PlacementPolicy::Even;
+                let choice_rule = is_even.then(|| Box::new(EvenLoad) as Box<dyn ChoiceRule>);
+                let placement_table = PlacementTable::new(zone, options, cost_rule, admission_rule)
+                    .with_choice_rule(choice_rule);
                 Arc::new(Mutex::new(placement_table))
             });
             let entries = directory.entries().filter(|entry| entry.service == service);
--- a/crates/testkit/src/bin/measure/relay_cores.rs
+++ b/crates/testkit/src/bin/measure/relay_cores.rs
@@ -9,8 +9,8 @@
     UsageSource, WindowCounts, ZoneCapacity,
 };
 use hickorycourse_placement::{
-    ExpectedWait, PlacementOptions, PlacementRequest, PlacementTable, PromptPart, TargetAdmission,
-    UpstreamLoad,
+    ChoiceRule, EvenLoad, ExpectedWait, PlacementOptions, PlacementRequest, PlacementTable,
+    PromptPart, TargetAdmission, UpstreamLoad,
 };
 use hickorycourse_routes::{CapacityLimits, UpstreamEntry};
 
@@ -20,11 +20,13 @@
 pub fn run() -> eyre::Result<()> {
     println!("choosing among that many upstreams, microseconds, and kibibytes of the book");
     for count in [10, 100, 1_000, 10_000] {
-        measure_placement(count, 0)?;
+        measure_placement(count, 0, false)?;
+        measure_placement(count, 0, true)?;
     }
     println!("choosing among 1,000 upstreams with that many requests waiting, microseconds");
     for waiting in [100, 1_000, 10_000, 100_000] {
-        measure_placement(1_000, waiting)?;
+        measure_placement(1_000, waiting, false)?;
+        measure_placement(1_000, waiting, true)?;
     }
     println!("caps with that many instances: microseconds to take units and to take a report");
     for count in [7, 70, 350, 1_100] {
@@ -56,13 +58,15 @@
     Ok(UpstreamEntry::ready(&id, "desk", address, &zone, 16))
 }
 
-fn measure_placement(count: usize, waiting: u64) -> eyre::Result<()> {
+fn measure_placement(count: usize, waiting: u64, is_even: bool) -> eyre::Result<()> {
     let before_kib = read_memory_kib();
     let entries =
         (0..count).map(make_upstream_entry).collect::<eyre::Result<Vec<UpstreamEntry>>>()?;
     let options = PlacementOptions::default();
     let rules = (Box::new(ExpectedWait), Box::new(TargetAdmission::default()));
-    let mut table = PlacementTable::new("zone-0", options, rules.0, rules.1);
+    let choice_rule = is_even.then(|| Box::new(EvenLoad) as Box<dyn ChoiceRule>);
+    let mut table =
+        PlacementTable::new("zone-0", options, rules.0, rules.1).with_choice_rule(choice_rule);
     table.set_upstreams(entries.iter());
     for (number, entry) in entries.iter().enumerate() {
         let load = UpstreamLoad { running: number as u64 % 16, ..UpstreamLoad::default() };
@@ -89,7 +93,8 @@
     let kib = read_memory_kib().saturating_sub(before_kib);
     let rounds = (1_000_000 / count.max(1_000)) as u32;
     let us = time_us(rounds, |round| place_request(waiting + u64::from(round)));
-    println!("{count:>7} upstreams {waiting:>7} waiting {us:>10.2} us {kib:>8} KiB");
+    let rule = if is_even { "even load" } else { "lowest cost" };
+    println!("{count:>7} upstreams {waiting:>7} waiting {us:>10.2} us {kib:>8} KiB, {rule}");
     Ok(())
 }
 
