--- a/crates/placement/tests/even.rs
+++ b/crates/placement/tests/even.rs
@@ -80,6 +80,11 @@
     check_half(BATCHES);
 }
 
+#[test]
+fn choose_by_old_reports_of_plain_service_halves_excess() {
+    check_half(PLAIN);
+}
+
 #[test]
 fn choose_with_added_upstream_does_not_flood_it() {
     check_fits(Replay { step: Step::Added, ..BATCHES });
