--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -15,6 +15,7 @@
 mod backoff;
 mod completion;
 mod cost;
+mod even;
 mod fragile;
 mod health;
 mod latency;
@@ -39,12 +40,15 @@
 }
 
 pub use hickorycourse_completion::Completion;
-pub use hickorycourse_facts::{SpeedShare, UpstreamLoad, WaitingRequests};
+pub use hickorycourse_facts::{
+    IgnoredReport, LoadSource, SpeedShare, UpstreamLoad, WaitingRequests,
+};
 
 pub use admission::{Admission, AdmissionRule, AdmitAll, Forecast, TargetAdmission};
 pub use backoff::Backoff;
 pub use completion::{CompletionRule, StreamedWork};
 pub use cost::{CostComponents, CostRule, ExpectedWait, LeastRequests};
+pub use even::{ChoiceCandidate, ChoiceRule, EvenLoad, LoadEvidence, LowestKnownCost};
 pub use health::{AttemptOutcome, Health};
 pub use overload::{FleetAdmission, OverloadRefusal};
 pub use pace::Pace;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -18,8 +18,8 @@
 };
 use hickorycourse_permits::{LimitTable, PermitIssuer};
 use hickorycourse_placement::{
-    AdmissionRule, AdmitAll, CompletionRule, CostRule, ExpectedWait, LeastRequests,
-    PlacementOptions, PlacementTable, TargetAdmission,
+    AdmissionRule, AdmitAll, ChoiceRule, CompletionRule, CostRule, EvenLoad, ExpectedWait,
+    LeastRequests, PlacementOptions, PlacementTable, TargetAdmission,
 };
 use hickorycourse_quarantine::{PartQuarantine, QuarantineOptions};
 use hickorycourse_routes::{
@@ -471,7 +471,7 @@
             let placement_table = placement_tables.entry(service.clone()).or_insert_with(|| {
                 let zone = &self.settings.availability_zone;
                 let cost_rule: Box<dyn CostRule> = match self.settings.policy.placement {
-                    PlacementPolicy::ExpectedWait => Box::new(ExpectedWait),
+                    PlacementPolicy::Even | PlacementPolicy::ExpectedWait => Box::new(ExpectedWait),
                     PlacementPolicy::LeastRequests => Box::new(LeastRequests),
                 };
                 let admission_rule: Box<dyn AdmissionRule> = match self.settings.policy.admission {
@@ -479,8 +479,11 @@
                     AdmissionPolicy::Target => Box::new(TargetAdmission::default()),
                 };
                 let options = self.placement_options();
+                let is_even = self.settings.policy.placement == PlacementPolicy::Even;
+                let choice_rule = is_even.then(|| Box::new(EvenLoad) as Box<dyn ChoiceRule>);
                 let mut placement_table =
-                    PlacementTable::new(zone, options, cost_rule, admission_rule);
+                    PlacementTable::new(zone, options, cost_rule, admission_rule)
+                        .with_choice_rule(choice_rule);
                 placement_table.set_completion_rule(match self.settings.policy.completion {
                     CompletionPolicy::Auto => CompletionRule::Auto,
                     CompletionPolicy::Off => CompletionRule::Off,
