Unruly callers: one memory budget for request bodies

Cause: each connection could hold a whole body, its queue of chunks, thousands of headers or an unread response, and each response of a request that was sent ahead had a task of its own that polled.

Change: one budget for a process (30% of `machine.memory_mib`), taken before memory is filled and counted with the overhead of chunks and headers. Bodies of requests that the head rejects are not kept, a declared length over the limit is rejected unread. Accepted connections are limited by `machine.descriptors`. The entry has `limits.buffer_bytes`. Read buffers have 4 KiB.

--- a/crates/entry/src/caller/chat.rs
+++ b/crates/entry/src/caller/chat.rs
@@ -1,10 +1,8 @@
 //! Chat completions (`POST /v1/chat/completions`): streamed, as one response, or as a job.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use futures_util::stream;
-use hickorycourse_body::read_body;
 use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_idempotency::StoredResponse;
 use hickorycourse_jobs::JobCopy;
@@ -16,7 +14,7 @@
 
 use super::context::{CallContext, RANK_HEADER, RoutedCall, read_header};
 use super::session::{ChatSession, SessionEvent};
-use super::{async_jobs, respond};
+use super::{async_jobs, read_body, respond};
 use crate::state::Entry;
 
 /// A validated chat-completions request.
@@ -127,14 +125,13 @@
     request: &HttpRequest,
     payload: types::Payload,
 ) -> Result<HttpResponse, Problem> {
-    let limits = &context.entry.settings.limits;
-    let body_timeout = Duration::from_millis(limits.body_timeout_ms);
-    let bytes = read_body(payload, limits.body_bytes, body_timeout).await?;
-    let chat = ChatRequest::parse(&bytes)?;
+    let body = read_body(&context.entry, request, payload).await?;
+    let bytes = body.as_ref();
+    let chat = ChatRequest::parse(bytes)?;
     let service = find_model_service(context, &chat.model)?;
     let routed = context.route(&service, read_header(request, RANK_HEADER))?;
     if prefers_async(request) && !chat.is_streaming {
-        return async_jobs::accept(context, &routed, &bytes).await;
+        return async_jobs::accept(context, &routed, bytes).await;
     }
     let is_streaming = chat.is_streaming;
     let session = ChatSession::new(context, routed, chat)?;
--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hickorycourse_body::read_body;
+use hickorycourse_body::{BodyLimits, FIELD_BYTES, ReceivedBody, declared_length, no_room_problem};
 use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_upstream::HttpUpstreams;
 use ntex::http::Method;
@@ -59,7 +59,7 @@
     let result = match check_request(&mut context, &request) {
         Ok(()) => route_request(&mut context, &request, payload).await,
         Err(problem) => {
-            discard_body(&entry, payload).await;
+            discard_body(&entry, &request, payload).await;
             Err(problem)
         }
     };
@@ -83,10 +83,33 @@
 
 /// Reads the body of a rejected request. If the connection were closed while the body arrives, it
 /// would be reset, and the caller could lose the response.
-pub async fn discard_body(entry: &Entry, payload: types::Payload) {
+pub async fn discard_body(entry: &Entry, request: &HttpRequest, payload: types::Payload) {
+    let limits = body_limits(entry);
+    let declared_bytes = declared_length(request);
+    let reservation = entry.bodies.reserve();
+    let _ = hickorycourse_body::discard_body(payload, declared_bytes, limits, reservation).await;
+}
+
+/// Reads the body of a request within the limits of callers' bodies.
+pub async fn read_body(
+    entry: &Entry,
+    request: &HttpRequest,
+    payload: types::Payload,
+) -> Result<ReceivedBody, Problem> {
+    let mut reservation = entry.bodies.reserve();
+    if !reservation.grow(request.headers().iter().count() * FIELD_BYTES) {
+        return Err(no_room_problem());
+    }
+    let limits = body_limits(entry);
+    hickorycourse_body::read_body(payload, declared_length(request), limits, reservation).await
+}
+
+fn body_limits(entry: &Entry) -> BodyLimits {
     let limits = &entry.settings.limits;
-    let time_limit = Duration::from_millis(limits.body_timeout_ms);
-    let _ = read_body(payload, limits.body_bytes, time_limit).await;
+    BodyLimits {
+        body_bytes: limits.body_bytes,
+        time_limit: Duration::from_millis(limits.body_timeout_ms),
+    }
 }
 
 async fn route_request(
--- a/crates/entry/src/caller/plain.rs
+++ b/crates/entry/src/caller/plain.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hickorycourse_body::read_body;
 use hickorycourse_clock::sleep;
 use hickorycourse_codes::{ErrorCode, Execution, Problem};
 use hickorycourse_routing::{PrefixBlocks, draw_backoff_ms};
@@ -18,7 +17,7 @@
 use ntex::web::{HttpRequest, HttpResponse, types};
 
 use super::context::{CallContext, RANK_HEADER, RoutedCall, read_header};
-use super::{at_most_once, upstreams};
+use super::{at_most_once, read_body, upstreams};
 use crate::pool::{Grant, ServicePool};
 
 /// A call to a plain service, with its body fully read.
@@ -51,9 +50,8 @@
         .iter()
         .any(|method| method.eq_ignore_ascii_case(request.method().as_str()));
     let routed = context.route(&service, read_header(request, RANK_HEADER))?;
-    let limits = &context.entry.settings.limits;
-    let body_timeout = Duration::from_millis(limits.body_timeout_ms);
-    let body = Bytes::from(read_body(payload, limits.body_bytes, body_timeout).await?);
+    let (body, _reservation) = read_body(&context.entry, request, payload).await?.into_parts();
+    let body = Bytes::from(body);
     let call = PlainCall {
         method: request.method().as_str().to_owned(),
         path_and_query: request
--- a/crates/entry/src/operator/mod.rs
+++ b/crates/entry/src/operator/mod.rs
@@ -44,7 +44,7 @@
     let result = match &guard {
         Some(_) => route_request(&entry, &request, payload).await,
         None => {
-            discard_body(&entry, payload).await;
+            discard_body(&entry, &request, payload).await;
             Err(ErrorCode::Draining.into())
         }
     };
--- a/crates/entry/src/operator/settings.rs
+++ b/crates/entry/src/operator/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hickorycourse_body::read_body;
+use hickorycourse_body::{BodyLimits, read_body};
 use hickorycourse_clock::sleep;
 use hickorycourse_codes::{ErrorCode, Execution, Problem};
 use hickorycourse_membership::VersionedDocument;
@@ -57,9 +57,10 @@
 
 /// Reads an edit within the time limit for bodies, because a drain waits for the request.
 async fn read_edit(entry: &Entry, payload: types::Payload) -> Result<Edit, Problem> {
-    let body_timeout = Duration::from_millis(entry.settings.limits.body_timeout_ms);
-    let body = read_body(payload, MAX_EDIT_BYTES, body_timeout).await?;
-    serde_json::from_slice(&body).map_err(|error| {
+    let time_limit = Duration::from_millis(entry.settings.limits.body_timeout_ms);
+    let limits = BodyLimits { body_bytes: MAX_EDIT_BYTES, time_limit };
+    let body = read_body(payload, None, limits, entry.bodies.reserve()).await?;
+    serde_json::from_slice(body.as_ref()).map_err(|error| {
         Problem::new(ErrorCode::MalformedJson).with_detail(format!("Not an edit: {error}."))
     })
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use hickorycourse_body::BodyBudget;
 use hickorycourse_clock::{Clock, SystemClock};
 use hickorycourse_idempotency::OrderIdTable;
 use hickorycourse_jobs::JobTable;
@@ -26,6 +27,8 @@
 pub struct Entry {
     /// The settings file of this process; does not change at run time.
     pub settings: ProcessSettings,
+    /// Memory that callers' request bodies share.
+    pub bodies: Arc<BodyBudget>,
     /// Identifies this run of the process; a random number chosen at each start.
     pub incarnation: u64,
     /// Monotonic and wall clock.
@@ -100,6 +103,7 @@
             timing.peer_timeout_ms,
         );
         Arc::new(Self {
+            bodies: BodyBudget::new(settings.limits.buffer_bytes),
             incarnation: rand::random::<u64>() >> 1,
             meter,
             spans: SpanCollector::new(settings.trace_address.is_some()),
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hickorycourse_body::read_body;
+use hickorycourse_body::{
+    BodyLimits, FIELD_BYTES, declared_length, discard_body, no_room_problem, read_body,
+};
 use hickorycourse_codes::{ErrorCode, Problem};
 use hickorycourse_origins::{StreamKey, StreamOrigin};
 use hickorycourse_quarantine::RequestItems;
@@ -26,12 +28,13 @@
 use crate::buffered_stream;
 use crate::call::{Call, DEFAULT_RETRY_AFTER_MS, RetryState};
 use crate::cap_claims::CapGrant;
-use crate::drain::{hold_until_flushed, is_closing, mark_closing};
+use crate::drain::{is_closing, mark_closing};
 use crate::in_flight::InFlightGuard;
 use crate::messages::{copy_headers, read_host, write_buffered, write_headers};
 use crate::origins::RoutedPath;
 use crate::state::{CapRequest, Relay};
 use crate::stream::{self, StreamResponse};
+use crate::unread_responses::hold_until_flushed;
 use crate::witness::WitnessTable;
 use hickorycourse_connections::ConnectionPool;
 
@@ -149,6 +152,13 @@
     }
 }
 
+/// The head of a request.
+struct RequestHead {
+    headers: HeaderMap,
+    host: String,
+    metadata: RequestMetadata,
+}
+
 /// A request with its complete body.
 struct ReceivedRequest {
     headers: HeaderMap,
@@ -163,21 +173,83 @@
     relay: &Relay,
     request: &HttpRequest,
     payload: Payload,
+    outcome: &mut RequestOutcome,
 ) -> Result<ReceivedRequest, Problem> {
     let limits =
         relay.route_table().map(|table| table.document().limits.clone()).unwrap_or_default();
-    // The body is read before the checks: a response sent before the request is complete would be
-    // lost when the connection closes.
-    let body_timeout = Duration::from_millis(limits.header_timeout_ms);
-    let body = Bytes::from(read_body(payload, limits.body_bytes, body_timeout).await?);
-    let headers = copy_headers(request, limits.header_bytes)?;
+    let body_limits = BodyLimits {
+        body_bytes: limits.body_bytes,
+        time_limit: Duration::from_millis(limits.header_timeout_ms),
+    };
+    let declared_bytes = declared_length(request);
+    let mut reservation = relay.bodies.reserve();
+    let fields = request.headers().iter().count();
+    if !reservation.grow(fields * FIELD_BYTES) {
+        record_refused_body(relay, "", declared_bytes);
+        return Err(no_room_problem());
+    }
+    // A response sent before the request is complete would be lost when the connection closes, so the body of a
+    // rejected request is read too.
+    let checked = read_head(relay, request, limits.header_bytes, outcome).and_then(|head| {
+        check_head(relay, request, &head)?;
+        Ok(head)
+    });
+    let result = match checked {
+        Ok(head) => {
+            let body = read_body(payload, declared_bytes, body_limits, reservation).await;
+            body.map(|body| (head, Bytes::from_owner(body)))
+        }
+        Err(problem) => {
+            let discarded = discard_body(payload, declared_bytes, body_limits, reservation).await;
+            Err(discarded.err().unwrap_or(problem))
+        }
+    };
+    let (RequestHead { headers, host, metadata }, body) = result.inspect_err(|problem| {
+        if problem.code == ErrorCode::TooManyRequests {
+            record_refused_body(relay, &outcome.request_id, declared_bytes);
+        }
+    })?;
+    let shared_parts = metadata.shared_parts();
+    Ok(ReceivedRequest { headers, host, metadata, shared_parts, body })
+}
+
+fn record_refused_body(relay: &Relay, request_id: &str, declared_bytes: Option<usize>) {
+    metrics::counter!("hickorycourse_bodies_refused_total").increment(1);
+    let held_bytes = relay.bodies.held_bytes();
+    relay.log.write("body_refused", || {
+        json!({
+            "request": request_id, "declared_bytes": declared_bytes, "held_bytes": held_bytes,
+            "limit_bytes": relay.settings.machine.body_budget_bytes(),
+        })
+    });
+}
+
+fn read_head(
+    relay: &Relay,
+    request: &HttpRequest,
+    limit_bytes: usize,
+    outcome: &mut RequestOutcome,
+) -> Result<RequestHead, Problem> {
+    let headers = copy_headers(request, limit_bytes)?;
     let host = read_host(&headers)?.to_owned();
     let metadata = relay
         .protocol
         .read_request_headers(&headers)
         .map_err(|detail| Problem::new(ErrorCode::InvalidHeader).with_detail(detail))?;
-    let shared_parts = metadata.shared_parts();
-    Ok(ReceivedRequest { headers, host, metadata, shared_parts, body })
+    outcome.request_id = metadata.request_id.clone().unwrap_or_default();
+    Ok(RequestHead { headers, host, metadata })
+}
+
+/// Returns the problem of a request that is rejected whatever its body is. A document that is not proven to be current
+/// rejects none finally.
+fn check_head(relay: &Relay, request: &HttpRequest, head: &RequestHead) -> Result<(), Problem> {
+    let Some(table) = relay.route_table() else { return Ok(()) };
+    let checked = find_route(relay, &table, &head.host, request.path())
+        .and_then(|route| find_organisation(relay, &table, route, head.metadata.key.as_deref()));
+    match checked {
+        Err(problem) if problem.code != ErrorCode::KeysUnproven => Err(problem),
+        _ => Ok(()),
+    }
 }
 
 async fn serve(
@@ -188,8 +260,7 @@
     in_flight: Option<Rc<InFlightGuard>>,
     outcome: &mut RequestOutcome,
 ) -> Result<HttpResponse, Problem> {
-    let received = receive_request(relay, request, payload).await?;
-    outcome.request_id = received.metadata.request_id.clone().unwrap_or_default();
+    let received = receive_request(relay, request, payload, outcome).await?;
     if let Some(in_flight) = &in_flight {
         in_flight.record_id(&outcome.request_id);
     }
--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -5,7 +5,6 @@
 //! request is in flight and the process is about to end, no further request is admitted.
 
 use std::cell::RefCell;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -15,14 +14,10 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
-use crate::in_flight::{InFlightGuard, InFlightTable};
+use crate::in_flight::InFlightTable;
 use crate::state::Relay;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval at which the write buffer of a connection is checked.
-const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Size of a response from which it may not fit the send buffer of its socket.
-const MIN_HELD_BYTES: u64 = 16 * 1024;
 /// Shortest time between the stop signal and the end of the process, for callers that still arrive:
 /// the balancer needs two failed checks, a second apart, to detect that this instance is not ready.
 const MIN_DRAIN_MS: u64 = 2_800;
@@ -325,33 +320,3 @@
 pub fn is_closing(connection: &IoRef) -> bool {
     CLOSING.with_borrow(|closing| closing.contains(connection))
 }
-
-/// Keeps a request in flight until its response has been written to the caller's connection: the
-/// process may be told to stop meanwhile. `unwritten_bytes` is the size of the response that the server
-/// has yet to write to the connection.
-pub fn hold_until_flushed(
-    relay: &Relay,
-    in_flight: Rc<InFlightGuard>,
-    connection: Option<IoRef>,
-    unwritten_bytes: u64,
-) {
-    let Some(connection) = connection else { return };
-    let is_held = relay.drain.is_stopping()
-        || unwritten_bytes >= MIN_HELD_BYTES
-        || has_unflushed_bytes(&connection);
-    if !is_held {
-        return;
-    }
-    ntex::rt::spawn(async move {
-        let _in_flight = in_flight;
-        // The server writes the response to the buffer after its handler has returned.
-        sleep(FLUSH_POLL_INTERVAL).await;
-        while !connection.is_closed() && has_unflushed_bytes(&connection) {
-            sleep(FLUSH_POLL_INTERVAL).await;
-        }
-    });
-}
-
-fn has_unflushed_bytes(connection: &IoRef) -> bool {
-    connection.with_write_dst_buf(|buffer| !buffer.is_empty())
-}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -57,6 +57,7 @@
 mod tolerance;
 mod tunnels;
 mod unlisted_starts;
+mod unread_responses;
 mod upstream_reports;
 mod version_check;
 mod version_marks;
--- a/crates/relay/src/management.rs
+++ b/crates/relay/src/management.rs
@@ -3,12 +3,13 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
+use ntex::SharedCfg;
 use ntex::http::{Method, StatusCode};
 use ntex::server::Server;
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
 
 use crate::caller;
-use crate::server::listen;
+use crate::server::{connection_config, connections_per_thread, http_config, listen};
 use crate::state::Relay;
 
 const QUARANTINE_PATH: &str = "/quarantine";
@@ -28,6 +29,8 @@
         }))
     })
     .workers(1)
+    .maxconn(connections_per_thread(&relay.settings))
+    .config(SharedCfg::new("management").add(http_config()).add(connection_config()))
     .disable_signals()
     .listen(listen(relay.settings.ready_address)?)?;
     if let Some(address) = relay.settings.metrics_address {
@@ -55,7 +58,11 @@
     }
     match path {
         "/readyz" => caller::readiness_response(relay),
-        "/metrics" => HttpResponse::Ok().body(relay.meter.render()),
+        "/metrics" => {
+            let held_bytes = relay.bodies.held_bytes();
+            metrics::gauge!("hickorycourse_body_bytes").set(held_bytes as f64);
+            HttpResponse::Ok().body(relay.meter.render())
+        }
         _ => HttpResponse::NotFound().finish(),
     }
 }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -39,6 +39,12 @@
 const MAX_HEADERS: usize = 96;
 /// Buffer for a request's head; the limit in the document is checked afterwards.
 const MAX_HEAD_BYTES: usize = 65_536;
+/// Read buffer of a caller's connection. What it holds is decoded at once, and a chunk of one byte takes several times
+/// its length then.
+const READ_BUFFER_BYTES: usize = 4_096;
+/// Free bytes below which a read buffer grows.
+const MIN_READ_BYTES: usize = 512;
+const CACHED_READ_BUFFERS: usize = 128;
 /// Time for the last lines of the event log.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for the last bytes of a response to a slow caller before its connection is closed.
@@ -117,6 +123,29 @@
     Ok(())
 }
 
+/// Returns the configuration of the connections to a listener of this process.
+pub fn connection_config() -> IoConfig {
+    IoConfig::new().set_disconnect_timeout(FLUSH_TIMEOUT).set_read_buf(
+        READ_BUFFER_BYTES,
+        MIN_READ_BYTES,
+        CACHED_READ_BUFFERS,
+    )
+}
+
+/// Returns the maximum number of connections of each thread. ntex has one limit for the threads of all servers.
+pub fn connections_per_thread(settings: &RelaySettings) -> usize {
+    settings.machine.connections_per_thread(settings.worker_threads)
+}
+
+/// Returns the configuration of a listener's HTTP messages.
+pub fn http_config() -> HttpServiceConfig {
+    HttpServiceConfig::new()
+        .set_keepalive(KeepAlive::Timeout(KEEP_ALIVE))
+        .set_client_timeout(HEAD_TIMEOUT)
+        .set_max_headers(MAX_HEADERS)
+        .set_max_buf_size(MAX_HEAD_BYTES)
+}
+
 /// Binds the listener of a server.
 ///
 /// # Errors
@@ -126,12 +155,7 @@
 }
 
 fn start_caller_server(relay: &Arc<Relay>) -> eyre::Result<Server> {
-    let config = HttpServiceConfig::new()
-        .set_keepalive(KeepAlive::Timeout(KEEP_ALIVE))
-        .set_client_timeout(HEAD_TIMEOUT)
-        .set_max_headers(MAX_HEADERS)
-        .set_max_buf_size(MAX_HEAD_BYTES);
-    let connection_config = IoConfig::new().set_disconnect_timeout(FLUSH_TIMEOUT);
+    let settings = &relay.settings;
     let shared = Arc::clone(relay);
     let server = HttpServer::new(async move || {
         let relay = Arc::clone(&shared);
@@ -142,11 +166,12 @@
             },
         ))
     })
-    .workers(relay.settings.worker_threads)
-    .config(SharedCfg::new("callers").add(config).add(connection_config))
+    .workers(settings.worker_threads)
+    .maxconn(connections_per_thread(settings))
+    .config(SharedCfg::new("callers").add(http_config()).add(connection_config()))
     // ntex's own graceful stop interrupts streams, so this process handles signals itself.
     .disable_signals()
-    .listen(listen(relay.settings.caller_address)?)?
+    .listen(listen(settings.caller_address)?)?
     .run();
     Ok(server)
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -45,6 +45,9 @@
     /// Event log.
     #[serde(default)]
     pub log: EventLogSettings,
+    /// What this process may use of its machine.
+    #[serde(default)]
+    pub machine: MachineLimits,
 }
 
 fn default_worker_threads() -> usize {
@@ -272,6 +275,41 @@
     }
 }
 
+/// What this process may use of its machine. The defaults are for machines whose limits are not known.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MachineLimits {
+    /// Memory in MiB.
+    pub memory_mib: usize,
+    /// Number of file descriptors.
+    pub descriptors: usize,
+}
+
+/// Part of the memory that callers' request bodies may hold, in percent.
+const BODY_MEMORY_PERCENT: usize = 30;
+/// Part of the descriptors for accepted connections, in percent.
+const ACCEPTED_DESCRIPTORS_PERCENT: usize = 75;
+
+impl MachineLimits {
+    /// Bytes that all request bodies together may hold.
+    pub fn body_budget_bytes(&self) -> usize {
+        self.memory_mib * 1024 * 1024 / 100 * BODY_MEMORY_PERCENT
+    }
+
+    /// Maximum number of connections that each of `threads` accepts.
+    pub fn connections_per_thread(&self, threads: usize) -> usize {
+        (self.descriptors * ACCEPTED_DESCRIPTORS_PERCENT / 100 / threads.max(1)).max(1)
+    }
+}
+
+impl Default for MachineLimits {
+    fn default() -> Self {
+        Self { memory_mib: 1_024, descriptors: 32_768 }
+    }
+}
+
+const MIN_MEMORY_MIB: usize = 16;
+const MIN_DESCRIPTORS: usize = 64;
 const MAX_WORKER_THREADS: usize = 256;
 
 impl Check for RelaySettings {
@@ -306,6 +344,16 @@
             "bounds.retry_ratio",
             "must be 0 or above, and so must `retry_slack`",
         );
+        require(
+            self.machine.memory_mib >= MIN_MEMORY_MIB,
+            "machine.memory_mib",
+            "must be 16 or above",
+        );
+        require(
+            self.machine.descriptors >= MIN_DESCRIPTORS,
+            "machine.descriptors",
+            "must be 64 or above",
+        );
         let policy = &self.policy;
         let positive = [
             (policy.reading_tokens_per_ms, "policy.reading_tokens_per_ms"),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 
+use hickorycourse_body::BodyBudget;
 use hickorycourse_caps::{DeciderTable, GrantLedger, RetryBudgetShare, SharedCap};
 use hickorycourse_clock::{Clock, SystemClock};
 use hickorycourse_duties::{
@@ -98,6 +99,8 @@
     pub duty_lease: Mutex<DutyLease>,
     /// Estimate of the wall-clock time from the clocks of all instances.
     pub wall_clock: Mutex<WallClockEstimator>,
+    /// Memory that callers' request bodies share.
+    pub bodies: Arc<BodyBudget>,
     /// Triggers a digest before its period has elapsed.
     pub digest_requested: Notify,
     /// Exchange of digests in a large fleet.
@@ -197,6 +200,7 @@
         let bounds = &settings.bounds;
         Arc::new(Self {
             boot: rand::random::<u64>() >> 1,
+            bodies: BodyBudget::new(settings.machine.body_budget_bytes()),
             protocol,
             log,
             meter,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -16,12 +16,12 @@
 use crate::attempt::OpenedResponse;
 use crate::buffered_response::{self, BufferedResponse, FetchError};
 use crate::call::{Call, RetryState};
-use crate::drain::hold_until_flushed;
 use crate::events::EventTracker;
 use crate::in_flight::InFlightGuard;
 use crate::start_proofs::MAX_PROOF_WAIT_MS;
 use crate::stream_source::{SourceStep, UpstreamSource};
 use crate::successor::{SourceLoss, Successor, SuccessorSearch};
+use crate::unread_responses;
 
 /// Time without a complete event after which another upstream is tried beside, as a multiple of the
 /// route's target for pauses between events; the response has missed that target by then.
@@ -551,7 +551,7 @@
         let (mut relayed, connection) = state?;
         let Some(next) = relayed.next().await else {
             if let Some(in_flight) = relayed.in_flight.take() {
-                hold_until_flushed(&relayed.call.relay, in_flight, connection, 0);
+                unread_responses::hold_until_flushed(&relayed.call.relay, in_flight, connection, 0);
             }
             return None;
         };
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -73,6 +73,8 @@
     pub connections: usize,
     /// Maximum number of requests in flight in the process.
     pub requests: usize,
+    /// Memory that all request bodies in the process may hold together.
+    pub buffer_bytes: usize,
     /// Maximum size of a plain service's answer that is stored for replay to repeated requests.
     pub stored_answer_bytes: usize,
 }
@@ -87,6 +89,7 @@
             body_timeout_ms: 10_000,
             connections: 10_000,
             requests: 10_000,
+            buffer_bytes: 268_435_456,
             stored_answer_bytes: 4_096,
         }
     }
@@ -244,6 +247,7 @@
             ("header_timeout_s", usize::from(limits.header_timeout_s), 1, 600),
             ("connections", limits.connections, 1, 1_000_000),
             ("requests", limits.requests, 1, 1_000_000),
+            ("buffer_bytes", limits.buffer_bytes, 1_048_576, 68_719_476_736),
             ("stored_answer_bytes", limits.stored_answer_bytes, 0, 65_536),
         ];
         for (name, value, low, high) in ranges {
