--- a/crates/overload/src/control.rs
+++ b/crates/overload/src/control.rs
@@ -11,6 +11,8 @@
 
 /// Time for which computed shares are used.
 const REFRESH_MS: u64 = 50;
+/// Part of the slots in use up to which no request is refused: few arrivals say little about the load.
+const MAX_IDLE_FILL: f64 = 0.5;
 /// Separates the draw of a request from other uses of its hash.
 const DRAW_SEED: u64 = 0x6f76_6572_6c6f_6164;
 
@@ -57,6 +59,8 @@
     pub oldest_report_ms: u64,
     /// Mean admitted share of each rank.
     pub shares: BTreeMap<u8, f64>,
+    /// Whether enough instances state their demand; else all requests are admitted.
+    pub is_covered: bool,
 }
 
 /// Overload control of one service at one instance.
@@ -117,13 +121,16 @@
             demand_prefill_upstreams: demand.values().map(|class| class.prefill_upstreams).sum(),
             oldest_report_ms: self.fleet.oldest_report_ms(now_ms),
             shares: self.shares.by_rank().clone(),
+            is_covered: self.fleet.is_covered(now_ms),
         };
     }
 
     /// Decides on a request by the latest shares. `is_on_time` is whether its forecast meets its target.
     pub fn decide(&self, request: &WorkRequest, is_on_time: bool) -> OverloadDecision {
         let share = self.shares.share(request.class);
-        if share >= 1.0 {
+        let is_idle =
+            self.state.capacity.occupied_slots < self.state.capacity.slots * MAX_IDLE_FILL;
+        if share >= 1.0 || is_idle || !self.state.is_covered {
             return OverloadDecision::Unlimited;
         }
         match (draw(request.hash) < share, is_on_time) {
--- a/crates/overload/src/fleet.rs
+++ b/crates/overload/src/fleet.rs
@@ -76,6 +76,17 @@
         sum
     }
 
+    /// Returns whether at least half of the instances state their demand. Aggregators of earlier builds drop
+    /// what their members state, and one instance says little about all others.
+    pub fn is_covered(&self, now_ms: u64) -> bool {
+        let (mut instances, mut reporting) = (1_usize, 1_usize);
+        for report in self.fresh_reports(now_ms) {
+            instances = instances.saturating_add(report.instances);
+            reporting = reporting.saturating_add(report.reporting);
+        }
+        reporting.saturating_mul(2) >= instances
+    }
+
     /// Returns the mean time that responses of a class take at the peers; `None` if none has measured it.
     pub fn mean_response_ms(&self, class: WorkClass, now_ms: u64) -> Option<f64> {
         let demands = self.fresh_reports(now_ms).filter_map(|report| report.demand.get(&class));
--- a/crates/placement/src/even.rs
+++ b/crates/placement/src/even.rs
@@ -192,6 +192,11 @@
         self
     }
 
+    /// As [`with_choice_rule`](Self::with_choice_rule), for a table in use.
+    pub fn set_choice_rule(&mut self, choice_rule: Option<Box<dyn ChoiceRule>>) {
+        self.choice_rule = choice_rule;
+    }
+
     /// The rule, if it applies.
     pub(crate) fn choice_rule(&self) -> Option<&dyn ChoiceRule> {
         self.choice_rule.as_deref().filter(|_| self.has_slots)
--- a/crates/placement/src/overload.rs
+++ b/crates/placement/src/overload.rs
@@ -74,11 +74,16 @@
         let capacity = is_due.then(|| self.measure_capacity(now_ms));
         let instances = self.count_instances();
         let FleetAdmission { control, retry_schedule } = self.fleet_admission.as_deref_mut()?;
+        // A prompt of any stated size counts for no more than the time in which it could be served.
+        let request = &WorkRequest {
+            prefill_ms: request.prefill_ms.min(forecast.target_ms as f64),
+            ..*request
+        };
         control.record_arrival(request, now_ms);
         if let Some(capacity) = capacity {
             control.update(&capacity, now_ms);
         }
-        let expected_ms = forecast.waited_ms + forecast.first_byte_ms;
+        let expected_ms = forecast.waited_ms.saturating_add(forecast.first_byte_ms);
         let is_on_time = expected_ms <= forecast.target_ms;
         let decision = control.decide(request, is_on_time);
         if !decision.is_refusal() {
@@ -160,7 +165,7 @@
 /// that time. A request that returns later would take engine time from one that can still be on time.
 fn spread_retry_ms(request: &WorkRequest, forecast: &Forecast) -> Option<u64> {
     let service_ms = forecast.first_byte_ms.saturating_sub(forecast.queue_ms);
-    let left_ms = forecast.target_ms.checked_sub(forecast.waited_ms + service_ms)?;
+    let left_ms = forecast.target_ms.checked_sub(forecast.waited_ms.saturating_add(service_ms))?;
     let latest_ms = left_ms * RETRY_WINDOW_PERCENT / 100;
     let spread_ms = latest_ms.checked_sub(MIN_RETRY_AFTER_MS)?;
     Some(MIN_RETRY_AFTER_MS + request.hash % (spread_ms + 1))
--- a/crates/relay/src/hedging.rs
+++ b/crates/relay/src/hedging.rs
@@ -66,9 +66,9 @@
 
 /// What happened next to a call with attempts in flight.
 enum Progress {
-    Begun(Result<(Attempt, UpstreamConnection), BeginError>),
+    Begun(Box<Result<(Attempt, UpstreamConnection), BeginError>>),
     /// The exchange of this index has ended.
-    Ended(usize, Sent),
+    Ended(usize, Box<Sent>),
     /// It is time for a further attempt.
     Due,
 }
@@ -116,33 +116,41 @@
             let begin_at_ms = self.next_attempt_at_ms(&exchanges, &pacing, retry_state);
             match self.next_progress(&mut exchanges, retry_state, begin_at_ms).await {
                 Progress::Due => {}
-                Progress::Begun(Ok((attempt, connection))) => {
-                    exchanges.push(self.exchange(attempt, connection, retry_state, last_event_id));
-                }
-                Progress::Begun(Err(BeginError::Rejected(problem))) => {
-                    if exchanges.is_empty() {
-                        break Err(problem);
+                Progress::Begun(begun) => match *begun {
+                    Ok((attempt, connection)) => {
+                        exchanges.push(self.exchange(
+                            attempt,
+                            connection,
+                            retry_state,
+                            last_event_id,
+                        ));
                     }
-                    pacing.record_failure(self.relay.now_ms());
-                }
-                Progress::Begun(Err(BeginError::NotConnected { upstream, detail })) => {
-                    retry_state.failed_dials += 1;
-                    retry_state.excluded.push(upstream);
-                    retry_state.failure = Some(detail);
-                    if exchanges.is_empty() && !self.may_begin(retry_state) {
-                        break Err(self.failure_problem(retry_state));
+                    Err(BeginError::Rejected(problem)) => {
+                        if exchanges.is_empty() {
+                            break Err(problem);
+                        }
+                        pacing.record_failure(self.relay.now_ms());
                     }
-                }
-                Progress::Begun(Err(BeginError::NotIdentified { upstream, detail })) => {
-                    retry_state.failed_dials += upstream.failed_dials;
-                    retry_state.excluded.push(upstream.upstream.clone());
-                    retry_state.unidentified.push(upstream);
-                    retry_state.failure = Some(detail);
-                    if exchanges.is_empty() && !self.may_begin(retry_state) {
-                        break Err(self.failure_problem(retry_state));
+                    Err(BeginError::NotConnected { upstream, detail }) => {
+                        retry_state.failed_dials += 1;
+                        retry_state.excluded.push(upstream);
+                        retry_state.failure = Some(detail);
+                        if exchanges.is_empty() && !self.may_begin(retry_state) {
+                            break Err(self.failure_problem(retry_state));
+                        }
                     }
-                }
-                Progress::Ended(index, (connection, result)) => {
+                    Err(BeginError::NotIdentified { upstream, detail }) => {
+                        retry_state.failed_dials += upstream.failed_dials;
+                        retry_state.excluded.push(upstream.upstream.clone());
+                        retry_state.unidentified.push(upstream);
+                        retry_state.failure = Some(detail);
+                        if exchanges.is_empty() && !self.may_begin(retry_state) {
+                            break Err(self.failure_problem(retry_state));
+                        }
+                    }
+                },
+                Progress::Ended(index, sent) => {
+                    let (connection, result) = *sent;
                     let attempt = exchanges.swap_remove(index).attempt;
                     match self.conclude(attempt, connection, result, retry_state) {
                         // It does not end a request that another upstream may still answer.
@@ -205,19 +213,19 @@
     ) -> Progress {
         let wait_ms = begin_at_ms.saturating_sub(self.relay.now_ms());
         if exchanges.is_empty() {
-            return Progress::Begun(self.begin(retry_state).await);
+            return Progress::Begun(Box::new(self.begin(retry_state).await));
         }
         if wait_ms == 0 {
             return tokio::select! {
                 biased;
-                (index, sent) = next_sent(exchanges) => Progress::Ended(index, sent),
-                begun = self.begin(retry_state) => Progress::Begun(begun),
+                (index, sent) = next_sent(exchanges) => Progress::Ended(index, Box::new(sent)),
+                begun = self.begin(retry_state) => Progress::Begun(Box::new(begun)),
             };
         }
         // Each exchange ends at the deadline, if not before.
         let limit = Duration::from_millis(wait_ms.min(self.remaining_ms().max(1)));
         match timeout(limit, next_sent(exchanges)).await {
-            Ok((index, sent)) => Progress::Ended(index, sent),
+            Ok((index, sent)) => Progress::Ended(index, Box::new(sent)),
             Err(_) => Progress::Due,
         }
     }
--- a/crates/relay/src/placing.rs
+++ b/crates/relay/src/placing.rs
@@ -129,7 +129,8 @@
         } else {
             let forecast =
                 placement.forecast(waited_ms, self.route.target_ms, self.route.patience_ms());
-            if retry_state.excluded.is_empty() {
+            let is_permitted = placement.permit_until_ms.is_some();
+            if retry_state.excluded.is_empty() && !is_permitted {
                 let work = placements.work_request(&placement, &request, self.tokens.max_output);
                 if let Some(refusal) = placements.refuse_in_overload(&work, &forecast, now_ms) {
                     placements.return_unused_permit(&placement);
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -192,11 +192,13 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PlacementPolicy {
+    /// `Even` for services without prefix caches, `ExpectedWait` for language-model engines.
+    Auto,
     /// As `ExpectedWait`, but spreads requests over upstreams that list their slots in proportion to the
     /// room that is left there by reports of known age.
-    #[default]
     Even,
     /// Selects the upstream with the shortest expected time to the first byte.
+    #[default]
     ExpectedWait,
     /// Selects the upstream with the fewest requests in flight; the baseline.
     LeastRequests,
@@ -207,9 +209,9 @@
 #[serde(rename_all = "snake_case")]
 pub enum CompletionPolicy {
     /// Where upstreams report the pace of their hosts, or have shown uneven speeds.
-    #[default]
     Auto,
     /// Never; the baseline.
+    #[default]
     Off,
 }
 
@@ -219,9 +221,9 @@
 pub enum OverloadPolicy {
     /// On for services whose capacity can be ordered, whose upstreams state their slots, and that requests
     /// of several ranks share.
-    #[default]
     Auto,
     /// Off; the baseline.
+    #[default]
     Off,
 }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -344,6 +344,7 @@
             || json!({ "version": version, "before": before, "source": source }),
         );
         self.refresh_caps();
+        self.refresh_choice_rules();
         self.refresh_overload_control();
     }
 
@@ -475,7 +476,9 @@
             let placement_table = placement_tables.entry(service.clone()).or_insert_with(|| {
                 let zone = &self.settings.availability_zone;
                 let cost_rule: Box<dyn CostRule> = match self.settings.policy.placement {
-                    PlacementPolicy::Even | PlacementPolicy::ExpectedWait => Box::new(ExpectedWait),
+                    PlacementPolicy::Auto
+                    | PlacementPolicy::Even
+                    | PlacementPolicy::ExpectedWait => Box::new(ExpectedWait),
                     PlacementPolicy::LeastRequests => Box::new(LeastRequests),
                 };
                 let admission_rule: Box<dyn AdmissionRule> = match self.settings.policy.admission {
@@ -483,11 +486,8 @@
                     AdmissionPolicy::Target => Box::new(TargetAdmission::default()),
                 };
                 let options = self.placement_options();
-                let is_even = self.settings.policy.placement == PlacementPolicy::Even;
-                let choice_rule = is_even.then(|| Box::new(EvenLoad) as Box<dyn ChoiceRule>);
                 let mut placement_table =
-                    PlacementTable::new(zone, options, cost_rule, admission_rule)
-                        .with_choice_rule(choice_rule);
+                    PlacementTable::new(zone, options, cost_rule, admission_rule);
                 placement_table.set_completion_rule(match self.settings.policy.completion {
                     CompletionPolicy::Auto => CompletionRule::Auto,
                     CompletionPolicy::Off => CompletionRule::Off,
@@ -498,9 +498,28 @@
             placement_table.lock().set_upstreams(entries);
         }
         drop((directory, placement_tables));
+        self.refresh_choice_rules();
         self.refresh_overload_control();
     }
 
+    /// Sets the rule by which the upstreams of each service are chosen, by the active document.
+    fn refresh_choice_rules(&self) {
+        let table = self.route_table();
+        for (service, placement_table) in self.placement_tables() {
+            let has_prefix_caches = table.as_ref().is_some_and(|table| {
+                let settings = table.document().services.get(&service);
+                settings.is_some_and(|settings| settings.engine.is_some())
+            });
+            let is_even = match self.settings.policy.placement {
+                PlacementPolicy::Even => true,
+                PlacementPolicy::Auto => table.is_some() && !has_prefix_caches,
+                PlacementPolicy::ExpectedWait | PlacementPolicy::LeastRequests => false,
+            };
+            let choice_rule = is_even.then(|| Box::new(EvenLoad) as Box<dyn ChoiceRule>);
+            placement_table.lock().set_choice_rule(choice_rule);
+        }
+    }
+
     fn placement_options(&self) -> PlacementOptions {
         let policy = &self.settings.policy;
         PlacementOptions {
