Review: responses that are read are not cut, idle checks end, reports without listed slots count

Cause: found by reading: a caller that made progress on a large response lost it to any newcomer, so that a request that had run was cut; connections to the ready address were kept for 60 s in place of 5; a reclaim made the baseline planner plan at once; a report of an upstream that lists no slots was ignored above four requests; a turn outlived a new start. Change: a response may be given up after 1 s without progress; the former idle time; only planners that ask for it plan at once; the bound applies where slots are listed. Tests for the guards of overload control.

--- a/crates/body/src/ledger.rs
+++ b/crates/body/src/ledger.rs
@@ -6,6 +6,8 @@
 const SMALL_BODY_BYTES: usize = 16 * 1024;
 /// The part of the limit that is kept for small bodies: one in this many.
 const SMALL_BODY_PART: usize = 8;
+/// Time without progress before a response that is being read may be given up: its request has run.
+const MIN_RESPONSE_IDLE_MS: u64 = 1_000;
 
 /// What a [`BufferLedger`] decides on a body that grows.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -37,10 +39,18 @@
 struct HeldBody {
     bytes: usize,
     is_complete: bool,
+    is_response: bool,
     progress_at_ms: u64,
 }
 
 impl HeldBody {
+    /// Whether it may be given up for others.
+    fn is_evictable(&self, now_ms: u64) -> bool {
+        let idle_ms = now_ms.saturating_sub(self.progress_at_ms);
+        let is_idle = !self.is_response || idle_ms >= MIN_RESPONSE_IDLE_MS;
+        !self.is_complete && self.bytes > 0 && is_idle
+    }
+
     /// The memory that the body takes from others, in byte-milliseconds since its last progress.
     fn waste(&self, now_ms: u64) -> u64 {
         let idle_ms = now_ms.saturating_sub(self.progress_at_ms);
@@ -62,7 +72,8 @@
     /// Adds a body without bytes; returns its number.
     pub fn open(&mut self, now_ms: u64) -> u64 {
         self.next_number += 1;
-        let body = HeldBody { bytes: 0, is_complete: false, progress_at_ms: now_ms };
+        let body =
+            HeldBody { bytes: 0, is_complete: false, is_response: false, progress_at_ms: now_ms };
         self.bodies.insert(self.next_number, body);
         self.next_number
     }
@@ -93,9 +104,13 @@
         GrowDecision::Granted { evicted }
     }
 
-    /// Adds `bytes` that exist already, also if they exceed the limit; returns the numbers of those that must be given up.
+    /// Adds `bytes` of a response, which exist already, also if they exceed the limit; returns the numbers of those that
+    /// must be given up.
     pub fn grow_beyond(&mut self, number: u64, bytes: usize, now_ms: u64) -> Vec<u64> {
         self.add(number, bytes, now_ms);
+        if let Some(body) = self.bodies.get_mut(&number) {
+            body.is_response = true;
+        }
         let (evicted, _) = self.select_evicted(number, self.limit_bytes, now_ms);
         for victim in &evicted {
             self.close(*victim);
@@ -123,7 +138,7 @@
         let mut candidates: Vec<_> = self
             .bodies
             .iter()
-            .filter(|(other, body)| !body.is_complete && body.bytes > 0 && **other != number)
+            .filter(|(other, body)| body.is_evictable(now_ms) && **other != number)
             .map(|(other, body)| (body.waste(now_ms), *other, body.bytes))
             .filter(|(waste, ..)| *waste > own_waste)
             .collect();
--- a/crates/body/tests/ledger.rs
+++ b/crates/body/tests/ledger.rs
@@ -111,3 +111,22 @@
     let evicted = ledger.grow_beyond(response, 8 * BODY_BYTES, now_ms + 10_000);
     assert!(!evicted.is_empty() && ledger.held_bytes() <= LIMIT_BYTES);
 }
+
+// Replays callers that read large responses slowly, beside one that has stopped.
+#[test]
+fn grow_beyond_beside_slow_readers_spares_them() {
+    let mut ledger = BufferLedger::new(LIMIT_BYTES);
+    let readers: Vec<u64> = (0..40)
+        .map(|_| {
+            let number = ledger.open(0);
+            ledger.grow_beyond(number, BODY_BYTES, 0);
+            number
+        })
+        .collect();
+    for reader in &readers[1..] {
+        ledger.record_progress(*reader, 900);
+    }
+    let number = ledger.open(1_000);
+    let evicted = ledger.grow_beyond(number, BODY_BYTES, 1_000);
+    assert_eq!(evicted, [readers[0]]);
+}
--- a/crates/facts/src/load.rs
+++ b/crates/facts/src/load.rs
@@ -212,7 +212,12 @@
         slots: u64,
         now_ms: u64,
     ) -> Option<IgnoredReport> {
-        if running > slots.saturating_mul(MAX_RUNNING_PER_SLOT) || waiting > MAX_WAITING {
+        // An upstream that lists no slots counts as one with a single slot, whatever it can run.
+        let max_running = match slots {
+            0 | 1 => MAX_WAITING,
+            _ => slots.saturating_mul(MAX_RUNNING_PER_SLOT),
+        };
+        if running > max_running || waiting > MAX_WAITING {
             let is_first = !std::mem::replace(&mut self.has_ignored_report, true);
             return Some(IgnoredReport { is_first });
         }
--- a/crates/overload/tests/shares.rs
+++ b/crates/overload/tests/shares.rs
@@ -81,6 +81,46 @@
     assert!((0..1_000).all(|hash| decide(&controls[0], hash) == decide(&controls[1], hash)));
 }
 
+/// A control whose own arrivals ask for many times `capacity`.
+fn overloaded_control(capacity: &Capacity, silent_instances: usize) -> OverloadControl {
+    let mut control = OverloadControl::default();
+    if silent_instances > 0 {
+        control.fleet_mut().set_peer("a", silent_instances, None, 1_000);
+    }
+    let request = WorkRequest { class: class(1, 4), hash: 7, prefill_ms: 5_000.0 };
+    for _ in 0..100 {
+        control.record_arrival(&request, 1_000);
+    }
+    control.update(capacity, 1_000);
+    control
+}
+
+fn count_refused(control: &OverloadControl) -> usize {
+    let requests =
+        (0..100).map(|hash| WorkRequest { class: class(1, 4), hash, prefill_ms: 5_000.0 });
+    requests.filter(|request| control.decide(request, true).is_refusal()).count()
+}
+
+#[test]
+fn decide_full_upstreams_refuses() {
+    assert!(count_refused(&overloaded_control(&CAPACITY, 0)) > 50);
+    // As many instances that state nothing.
+    assert!(count_refused(&overloaded_control(&CAPACITY, 1)) > 50);
+}
+
+// Guards against the first requests of an idle service being refused.
+#[test]
+fn decide_idle_upstreams_admits_all() {
+    let idle = Capacity { occupied_slots: 49.0, ..CAPACITY };
+    assert_eq!(count_refused(&overloaded_control(&idle, 0)), 0);
+}
+
+// Guards against one instance beside many of an earlier build that takes its own load for that of all.
+#[test]
+fn decide_most_instances_silent_admits_all() {
+    assert_eq!(count_refused(&overloaded_control(&CAPACITY, 2)), 0);
+}
+
 fn any_figure() -> impl Strategy<Value = f64> {
     prop_oneof![
         Just(f64::NAN),
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -198,6 +198,7 @@
         self.limit = None;
         self.slot_use.reset();
         self.prefix_index.clear();
+        self.credit = Cell::default();
         self.facts.reset();
     }
 }
--- a/crates/placement/tests/even.rs
+++ b/crates/placement/tests/even.rs
@@ -242,6 +242,17 @@
     assert_eq!((upstream.as_str(), evidence.age_ms), ("i-000", Some(20)));
 }
 
+// Guards against the load of an upstream without listed slots being ignored.
+#[test]
+fn record_load_report_without_listed_slots_is_used() {
+    let rules = (Box::new(ExpectedWait), Box::new(AdmitAll));
+    let mut table = PlacementTable::new("east", PlacementOptions::default(), rules.0, rules.1);
+    let unlisted: Vec<UpstreamEntry> = entries(2, 0);
+    table.set_upstreams(unlisted.iter());
+    assert_eq!(table.record_load_report("i-000", 12, 3, 0), None);
+    assert!(table.record_load_report("i-000", u64::MAX, 0, 10).is_some());
+}
+
 proptest! {
     // Reports and digests with any numbers, at any time.
     #[test]
--- a/crates/relay/src/duty_tasks.rs
+++ b/crates/relay/src/duty_tasks.rs
@@ -92,7 +92,9 @@
         while !self.relay.drain.is_stopping() {
             self.maintain_lease().await;
             let has_new_reclaim = self.observe_reclaims();
-            if has_new_reclaim {
+            if has_new_reclaim
+                && self.planners.values().any(|planner| planner.replans_after_refusal())
+            {
                 // What is lost is replaced without waiting for the next plan.
                 self.planned_at_ms = 0;
             }
--- a/crates/relay/src/management.rs
+++ b/crates/relay/src/management.rs
@@ -4,14 +4,17 @@
 use std::sync::Arc;
 
 use ntex::SharedCfg;
-use ntex::http::{Method, StatusCode};
+use ntex::http::{KeepAlive, Method, StatusCode};
 use ntex::server::Server;
+use ntex::time::Seconds;
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
 
 use crate::caller;
 use crate::server::{connection_config, connections_per_thread, http_config, listen};
 use crate::state::Relay;
 
+/// Idle timeout of connections: few are enough for the balancer's check.
+const KEEP_ALIVE: Seconds = Seconds(5);
 const QUARANTINE_PATH: &str = "/quarantine";
 const MAX_PART_DIGITS: usize = 16;
 
@@ -21,6 +24,7 @@
 /// An address can't be bound.
 pub fn start_management_server(relay: &Arc<Relay>) -> eyre::Result<Server> {
     let shared = Arc::clone(relay);
+    let config = http_config().set_keepalive(KeepAlive::Timeout(KEEP_ALIVE));
     let mut server = HttpServer::new(async move || {
         let relay = Arc::clone(&shared);
         App::new().default_service(web::route().to(move |request: HttpRequest| {
@@ -30,7 +34,7 @@
     })
     .workers(1)
     .maxconn(connections_per_thread(&relay.settings))
-    .config(SharedCfg::new("management").add(http_config()).add(connection_config()))
+    .config(SharedCfg::new("management").add(config).add(connection_config()))
     .disable_signals()
     .listen(listen(relay.settings.ready_address)?)?;
     if let Some(address) = relay.settings.metrics_address {
