--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -64,7 +64,9 @@
         "cloudApi.duties|json" => "[\"usage\", \"capacity\"]",
         "ipAddress" => "127.0.0.1",
         "bounds.strictRevocation" => "true",
-        "#cloudApi.address" | "/cloudApi.address" => "",
+        "limits.memoryMb" => "160",
+        "limits.maxFds" => "4100",
+        "#cloudApi.address" | "/cloudApi.address" | "#limits.memoryMb" | "/limits.memoryMb" => "",
         _ => "5",
     };
     let mut rendered = String::new();
