--- a/crates/completion/src/pace.rs
+++ b/crates/completion/src/pace.rs
@@ -10,8 +10,7 @@
 const VARIANCE_WEIGHT: f64 = 0.01;
 /// Observations from which on the pace is known.
 const MIN_OBSERVATIONS: u64 = 16;
-/// Difference between upstreams, as a standard deviation of the logarithm of their speeds, from which on
-/// they are uneven: a tenth is within what the batch and prefill of others change.
+/// Standard deviation of the natural logarithm of upstreams' speeds from which on they count as uneven.
 const UNEVEN_DEVIATION: f64 = 0.15;
 /// Range of a pace that is believed, in milliseconds per event.
 const PACE_RANGE_MS: (f64, f64) = (0.01, 60_000.0);
--- a/crates/overload/src/meter.rs
+++ b/crates/overload/src/meter.rs
@@ -4,8 +4,7 @@
 
 use crate::work::{ClassDemand, Demand, WorkClass, WorkRequest};
 
-/// Length of the sliding window: short, so that a surge is met before queues build, long enough that the sum
-/// over all instances is steady.
+/// Length of the sliding window.
 const WINDOW_MS: u64 = 600;
 /// Length of a bucket of the window.
 const BUCKET_MS: u64 = 100;
--- a/crates/overload/src/shares.rs
+++ b/crates/overload/src/shares.rs
@@ -4,8 +4,7 @@
 
 use crate::work::{ClassDemand, Demand, MAX_FIGURE, WorkClass};
 
-/// Part of the slots that admitted requests fill: the choice among upstreams is not even, and a request
-/// that finds one full waits for the next response to end.
+/// Part of the slots that admitted requests fill; the choice among upstreams is not even.
 const SLOT_FILL: f64 = 0.75;
 /// Part of an upstream's time that prefill may take: each prompt delays the responses beside it.
 const PREFILL_FILL: f64 = 0.65;
--- a/crates/placement/src/completion.rs
+++ b/crates/placement/src/completion.rs
@@ -11,10 +11,10 @@
 use crate::table::{Placement, PlacementTable};
 use crate::upstream::Upstream;
 
-/// Upstreams whose speeds an instance tells its peers.
-const MAX_TOLD_SPEEDS: usize = 16;
-/// Smallest weight that is told.
-const MIN_TOLD_WEIGHT: f64 = 0.25;
+/// Number of upstreams whose speeds an instance reports to its peers.
+const MAX_REPORTED_SPEEDS: usize = 16;
+/// Smallest weight that is reported to peers.
+const MIN_REPORTED_WEIGHT: f64 = 0.25;
 
 /// When the end of a response counts in the choice of an upstream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -142,10 +142,11 @@
         }
         let known = self.upstreams.iter();
         let known = known.map(|(id, upstream)| (id.as_str(), upstream.facts.speed.own(now_ms)));
-        let mut told: Vec<_> = known.filter(|(_, share)| share.weight >= MIN_TOLD_WEIGHT).collect();
-        told.sort_unstable_by(|(_, one), (_, other)| other.weight.total_cmp(&one.weight));
-        told.truncate(MAX_TOLD_SPEEDS);
-        told
+        let mut reported: Vec<_> =
+            known.filter(|(_, share)| share.weight >= MIN_REPORTED_WEIGHT).collect();
+        reported.sort_unstable_by(|(_, one), (_, other)| other.weight.total_cmp(&one.weight));
+        reported.truncate(MAX_REPORTED_SPEEDS);
+        reported
     }
 
     /// Records what a peer has observed of the speed of an upstream, itself or as a sum over instances. Returns
--- a/crates/placement/src/overload.rs
+++ b/crates/placement/src/overload.rs
@@ -162,7 +162,7 @@
 }
 
 /// Returns a delay after which a retry can still meet the target, if there is one. Retries are spread over
-/// that time. A request that returns later would take engine time from one that can still be on time.
+/// that time. A request that returns later would take capacity from one that can still be on time.
 fn spread_retry_ms(request: &WorkRequest, forecast: &Forecast) -> Option<u64> {
     let service_ms = forecast.first_byte_ms.saturating_sub(forecast.queue_ms);
     let left_ms = forecast.target_ms.checked_sub(forecast.waited_ms.saturating_add(service_ms))?;
