--- a/crates/body/src/ledger.rs
+++ b/crates/body/src/ledger.rs
@@ -7,7 +7,7 @@
 /// The part of the limit that is kept for small bodies: one in this many.
 const SMALL_BODY_PART: usize = 8;
 /// Time without progress before a response that is being read may be given up: its request has run.
-const MIN_RESPONSE_IDLE_MS: u64 = 1_000;
+const MIN_RESPONSE_IDLE_MS: u64 = 100;
 
 /// What a [`BufferLedger`] decides on a body that grows.
 #[derive(Clone, Debug, Eq, PartialEq)]
