--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -340,7 +340,7 @@
 }
 
 /// Part of the memory that callers' request bodies may hold, in percent.
-const BODY_MEMORY_PERCENT: usize = 30;
+const BODY_MEMORY_PERCENT: usize = 25;
 /// Part of the descriptors for accepted connections, in percent.
 const ACCEPTED_DESCRIPTORS_PERCENT: usize = 75;
 
