--- a/review/common-2/engines.py
+++ b/review/common-2/engines.py
@@ -1,6 +1,6 @@
-"""Model engines in one process: `engines.py PORT,PORT,... FRAMED`. Engine N has the id `i-N`.
+"""Model engines in one process: `engines.py PORT,PORT,... FRAMED FIRST [EVENTS STEP_S]`. They have the ids `i-FIRST` and up.
 
-Each answers `GET /report` and streams of three events. With FRAMED = 1 an answer has a length or comes in chunks and its
+Each answers `GET /report` and streams of EVENTS events, from the one after `Last-Event-Id` on. With FRAMED = 1 an answer has a length or comes in chunks and its
 connection is kept; with 0 it has neither and ends with its connection. Prints its start, in Unix milliseconds, once it serves.
 """
 
@@ -9,8 +9,10 @@
 import sys
 import time
 
-EVENTS = 3
-STEP_S = 0.0033
+EVENTS = int(sys.argv[4]) if len(sys.argv) > 4 else 3
+# Time to the first event, and between events.
+FIRST_S = 0.0033
+STEP_S = float(sys.argv[5]) if len(sys.argv) > 5 else FIRST_S
 
 
 class Engine(asyncio.Protocol):
@@ -53,7 +55,8 @@
             head = (f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request_id}\r\nX-Response-Seal: 3e1b.07.{request_id}\r\n"
                     "Content-Type: text/event-stream\r\n")
             head += "Transfer-Encoding: chunked\r\n\r\n" if self.is_framed else "\r\n"
-            self.loop.call_later(STEP_S, self.send_event, head.encode(), 1)
+            first = int(headers.get("last-event-id", "0")) + 1
+            self.loop.call_later(FIRST_S, self.send_event, head.encode(), first)
 
     def send_whole(self, status, headers, body):
         framing = f"Content-Length: {len(body)}\r\n" if self.is_framed or not body else ""
