--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -422,8 +422,14 @@
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment["HICKORYCOURSE_BOOT"] = str(path)
         self.output = open(self.log, "ab")
-        self.process = await asyncio.create_subprocess_exec(
-            str(RELAY), cwd=ROOT, env=environment, stdout=self.output, stderr=self.output)
+        starting = asyncio.ensure_future(asyncio.create_subprocess_exec(
+            str(RELAY), cwd=ROOT, env=environment, stdout=self.output, stderr=self.output))
+        try:
+            self.process = await asyncio.shield(starting)
+        except asyncio.CancelledError:
+            # So that it is ended with the others.
+            self.process = await starting
+            raise
         self.site.record("relay_started", name=self.name, pid=self.process.pid)
 
     def signal(self, number):
